--- /dev/null
+++ b/agent/pipeline/pipeline.go
@@ -0,0 +1,79 @@
+// Package pipeline carries one run through the agent's filters. Each filter
+// either admits the run or refuses it with proof that it never began.
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"flamingospar.org/core/refusal"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+// Run is one run on the agent's endpoint.
+type Run struct {
+	Start    *wirev1.RunStart
+	Arrived  time.Time
+	Deadline time.Time
+	// Send delivers an event to the entry. It may block on a slow receiver and
+	// is called by one goroutine at a time.
+	Send func(*wirev1.RunEvent) error
+	// Began is set when the endpoint may have begun the run.
+	Began bool
+	// Usage is what the endpoint reported, set by the executor.
+	Usage *wirev1.Usage
+}
+
+// Filter is one step before the endpoint.
+type Filter interface {
+	// Name appears in counters and explanations.
+	Name() string
+	// Admit returns nil to pass the run on.
+	Admit(ctx context.Context, run *Run) *refusal.Refusal
+	// Done is called, in reverse order, for each filter that admitted the run.
+	Done(run *Run)
+}
+
+// Executor runs an admitted run on the endpoint.
+type Executor interface {
+	Execute(ctx context.Context, run *Run) *wirev1.Finished
+}
+
+// Counter counts events by name.
+type Counter interface {
+	Count(parts ...string)
+}
+
+// Chain is the agent's whole pipeline.
+type Chain struct {
+	filters  []Filter
+	executor Executor
+	counter  Counter
+}
+
+// New returns the chain of filters in order, ending at executor.
+func New(counter Counter, executor Executor, filters ...Filter) *Chain {
+	return &Chain{filters: filters, executor: executor, counter: counter}
+}
+
+// Handle takes the run through the chain. Exactly one result is not nil.
+func (c *Chain) Handle(ctx context.Context, run *Run) (*wirev1.Finished, *refusal.Refusal) {
+	for i, filter := range c.filters {
+		if refused := filter.Admit(ctx, run); refused != nil {
+			c.counter.Count("refused", string(refused.Code))
+			c.done(run, i)
+			return nil, refused
+		}
+		c.counter.Count("filter", filter.Name())
+	}
+	finished := c.executor.Execute(ctx, run)
+	c.counter.Count("finished", finished.Outcome.String())
+	c.done(run, len(c.filters))
+	return finished, nil
+}
+
+func (c *Chain) done(run *Run, admitted int) {
+	for i := admitted - 1; i >= 0; i-- {
+		c.filters[i].Done(run)
+	}
+}
--- /dev/null
+++ b/agent/status/status.go
@@ -0,0 +1,66 @@
+// Package status holds what an agent knows of itself and its endpoint.
+package status
+
+import (
+	"sync/atomic"
+
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+// Queue tells how many runs the endpoint has.
+type Queue interface {
+	Counts() (running, waiting int)
+}
+
+// Identity does not change while the agent runs.
+type Identity struct {
+	Endpoint   string
+	DataCentre string
+	Instance   string
+	Kind       string // "model" or the service's name.
+}
+
+// Status is the agent's current state.
+type Status struct {
+	identity Identity
+	queue    Queue
+	model    atomic.Value // string
+	leaving  atomic.Bool
+	revision atomic.Int64
+}
+
+// New returns the status of an agent whose endpoint has model loaded.
+func New(identity Identity, queue Queue, model string) *Status {
+	s := &Status{identity: identity, queue: queue}
+	s.model.Store(model)
+	return s
+}
+
+// SetLeaving announces that the endpoint takes no new work.
+func (s *Status) SetLeaving() { s.leaving.Store(true) }
+
+// Leaving reports whether the endpoint takes no new work.
+func (s *Status) Leaving() bool { return s.leaving.Load() }
+
+// Load returns the load to piggyback on answers.
+func (s *Status) Load() *wirev1.Load {
+	running, waiting := s.queue.Counts()
+	return &wirev1.Load{
+		Running: int32(running),
+		Queued:  int32(waiting),
+		Model:   s.model.Load().(string),
+		Leaving: s.leaving.Load(),
+	}
+}
+
+// Reply returns the answer to a status call.
+func (s *Status) Reply() *wirev1.StatusReply {
+	return &wirev1.StatusReply{
+		Endpoint:   s.identity.Endpoint,
+		DataCentre: s.identity.DataCentre,
+		Instance:   s.identity.Instance,
+		Kind:       s.identity.Kind,
+		Load:       s.Load(),
+		Revision:   s.revision.Load(),
+	}
+}
--- /dev/null
+++ b/agent/wiring/wiring.go
@@ -0,0 +1,130 @@
+// Package wiring builds an agent from its settings.
+package wiring
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/dig"
+
+	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/ledger"
+	"flamingospar.org/agent/pipeline"
+	"flamingospar.org/agent/queue"
+	"flamingospar.org/agent/server"
+	"flamingospar.org/agent/settings"
+	"flamingospar.org/agent/status"
+	"flamingospar.org/base/logging"
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/platform/engine"
+	"flamingospar.org/platform/plain"
+)
+
+// modelKind is the endpoint kind of engines.
+const modelKind = "model"
+
+// loadTimeout bounds the first look at the engine.
+const loadTimeout = 5 * time.Second
+
+var log = logging.For("agent")
+
+// Agent is a built agent process.
+type Agent struct {
+	settings settings.Settings
+	network  netx.Network
+	server   *server.Server
+	status   *status.Status
+	meter    *meter.Registry
+}
+
+// Build wires an agent.
+func Build(s settings.Settings, network netx.Network) (*Agent, error) {
+	container := dig.New()
+	providers := []any{
+		func() settings.Settings { return s },
+		func() netx.Network { return network },
+		meter.NewRegistry,
+		ledger.New,
+		newQueue,
+		newExecutor,
+		newStatus,
+		newChain,
+		server.New,
+		newAgent,
+	}
+	for _, provider := range providers {
+		if err := container.Provide(provider); err != nil {
+			return nil, err
+		}
+	}
+	var agent *Agent
+	err := container.Invoke(func(a *Agent) { agent = a })
+	return agent, err
+}
+
+func newQueue(s settings.Settings) *queue.Queue {
+	return queue.New(s.Running, s.Waiting)
+}
+
+func newExecutor(s settings.Settings, network netx.Network) pipeline.Executor {
+	client := netx.HTTP1Client(network)
+	if s.EndpointKind == modelKind {
+		return execute.NewModel(engine.NewClient(s.EndpointURL, client))
+	}
+	return execute.NewService(plain.NewClient(s.EndpointURL, client))
+}
+
+func newStatus(s settings.Settings, network netx.Network, q *queue.Queue) *status.Status {
+	identity := status.Identity{Endpoint: s.Endpoint, DataCentre: s.DataCentre, Instance: s.Instance, Kind: s.EndpointKind}
+	return status.New(identity, q, loadedModel(s, network))
+}
+
+// loadedModel asks the engine once which model it has loaded.
+func loadedModel(s settings.Settings, network netx.Network) string {
+	if s.EndpointKind != modelKind {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	load, err := engine.NewClient(s.EndpointURL, netx.HTTP1Client(network)).Load(ctx)
+	if err != nil {
+		log.Error(err, "The engine did not answer.", "endpoint", s.Endpoint)
+	}
+	return load.Model
+}
+
+func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
+	return pipeline.New(registry, executor, l, q)
+}
+
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry}
+}
+
+// Meter returns the agent's metrics.
+func (a *Agent) Meter() *meter.Registry { return a.meter }
+
+// Listen opens the agent's address.
+func (a *Agent) Listen() (net.Listener, error) { return a.network.Listen(a.settings.Listen) }
+
+// Serve accepts runs on listener until ctx ends, then finishes what is running.
+func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
+	mux := http.NewServeMux()
+	mux.Handle(a.server.Handler())
+	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	httpServer := netx.Server(mux)
+	failed := make(chan error, 1)
+	go func() { failed <- httpServer.Serve(listener) }()
+	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	a.status.SetLeaving()
+	a.server.Wait()
+	return httpServer.Close()
+}
--- /dev/null
+++ b/base/meter/meter.go
@@ -0,0 +1,115 @@
+// Package meter names and serves the counters, gauges and histograms of a
+// process. Names are dot-separated; the Prometheus form replaces dots by
+// underscores and adds the prefix "flamingospar_".
+package meter
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Sample sizes of the latency histograms.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Registry holds the metrics of one process.
+type Registry struct {
+	inner metrics.Registry
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{inner: metrics.NewRegistry()}
+}
+
+// Count adds one to the counter with the joined name.
+func (r *Registry) Count(parts ...string) {
+	r.Add(1, parts...)
+}
+
+// Add adds n to the counter with the joined name.
+func (r *Registry) Add(n int64, parts ...string) {
+	metrics.GetOrRegisterCounter(strings.Join(parts, "."), r.inner).Inc(n)
+}
+
+// Counter returns the value of a counter, 0 when it was never raised.
+func (r *Registry) Counter(parts ...string) int64 {
+	counter, ok := r.inner.Get(strings.Join(parts, ".")).(metrics.Counter)
+	if !ok {
+		return 0
+	}
+	return counter.Count()
+}
+
+// Gauge sets the gauge with the joined name.
+func (r *Registry) Gauge(value int64, parts ...string) {
+	metrics.GetOrRegisterGauge(strings.Join(parts, "."), r.inner).Update(value)
+}
+
+// Observe records a value in the histogram with the joined name.
+func (r *Registry) Observe(value int64, parts ...string) {
+	name := strings.Join(parts, ".")
+	newSample := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	}
+	r.inner.GetOrRegister(name, newSample).(metrics.Histogram).Update(value)
+}
+
+// ServeJSON writes all metrics as one JSON object.
+func (r *Registry) ServeJSON(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(r.inner, w)
+}
+
+// ServeText writes all metrics in the Prometheus text form.
+func (r *Registry) ServeText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	r.writeText(w, r.inner)
+	r.writeText(w, metrics.DefaultRegistry)
+}
+
+func (r *Registry) writeText(w io.Writer, registry metrics.Registry) {
+	lines := make(map[string]string)
+	registry.Each(func(name string, value any) {
+		flat := "flamingospar_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		lines[flat] = textLines(flat, value)
+	})
+	names := make([]string, 0, len(lines))
+	for name := range lines {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprint(w, lines[name])
+	}
+}
+
+func textLines(name string, value any) string {
+	switch metric := value.(type) {
+	case metrics.Counter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, metric.Count())
+	case metrics.Gauge:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, metric.Value())
+	case metrics.Histogram:
+		return summaryLines(name, metric.Snapshot())
+	default:
+		return ""
+	}
+}
+
+func summaryLines(name string, histogram metrics.Histogram) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "# TYPE %s summary\n", name)
+	for _, quantile := range []float64{0.5, 0.95, 0.99} {
+		fmt.Fprintf(&out, "%s{quantile=\"%g\"} %g\n", name, quantile, histogram.Percentile(quantile))
+	}
+	fmt.Fprintf(&out, "%s_sum %d\n%s_count %d\n", name, histogram.Sum(), name, histogram.Count())
+	return out.String()
+}
--- /dev/null
+++ b/entry/operator/operator.go
@@ -0,0 +1,219 @@
+// Package operator serves operators: catalogue, keys, metrics and health.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/base32"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/core/catalogue"
+	"flamingospar.org/core/config"
+	"flamingospar.org/entry/authenticate"
+	"flamingospar.org/entry/configview"
+)
+
+const (
+	keyBytes     = 20
+	maxBodyBytes = 8 << 20
+)
+
+// Config is the configuration that operators read and change.
+type Config interface {
+	Current() *config.State
+	Write(ctx context.Context, base config.Revision, change config.Change) (config.Revision, error)
+}
+
+// API is the operators' HTTP interface.
+type API struct {
+	config Config
+	meter  *meter.Registry
+	token  string
+	ready  func() bool
+}
+
+// New returns the interface. An empty token lets everybody in; ready reports
+// whether callers are served.
+func New(c Config, registry *meter.Registry, token string, ready func() bool) *API {
+	return &API{config: c, meter: registry, token: token, ready: ready}
+}
+
+// Handler returns the HTTP handler.
+func (a *API) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Get("/readyz", a.readyz)
+	router.Group(func(private chi.Router) {
+		private.Use(a.authorize)
+		private.Get("/metrics", a.meter.ServeText)
+		private.Get("/metrics.json", a.meter.ServeJSON)
+		private.Get("/v1/catalogue", a.showCatalogue)
+		private.Put("/v1/catalogue", a.applyCatalogue)
+		private.Get("/v1/keys", a.listKeys)
+		private.Post("/v1/keys", a.issueKey)
+		private.Delete("/v1/keys/{id}", a.withdrawKey)
+	})
+	return router
+}
+
+func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !a.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (a *API) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if a.token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(a.token)) != 1 {
+			http.Error(w, "operator token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// CatalogueAnswer is the answer to a read of the catalogue.
+type CatalogueAnswer struct {
+	Revision  config.Revision     `json:"revision"`
+	Catalogue *catalogue.Document `json:"catalogue"`
+}
+
+// CatalogueChange is the body of a write of the catalogue. Base is the revision
+// that the operator saw; 0 means any.
+type CatalogueChange struct {
+	Base      config.Revision     `json:"base"`
+	Operator  string              `json:"operator"`
+	Catalogue *catalogue.Document `json:"catalogue"`
+}
+
+// RevisionAnswer tells which revision a change became.
+type RevisionAnswer struct {
+	Revision config.Revision `json:"revision"`
+}
+
+// KeyRequest asks for a new key.
+type KeyRequest struct {
+	Team     string `json:"team"`
+	Operator string `json:"operator"`
+}
+
+// KeyAnswer shows a new key, once.
+type KeyAnswer struct {
+	ID       string          `json:"id"`
+	Team     string          `json:"team"`
+	Key      string          `json:"key,omitempty"`
+	Revision config.Revision `json:"revision,omitempty"`
+}
+
+func (a *API) showCatalogue(w http.ResponseWriter, _ *http.Request) {
+	state := a.config.Current()
+	if state == nil {
+		http.Error(w, "no configuration is held", http.StatusServiceUnavailable)
+		return
+	}
+	write(w, CatalogueAnswer{Revision: state.Revision, Catalogue: state.Catalogue})
+}
+
+func (a *API) applyCatalogue(w http.ResponseWriter, r *http.Request) {
+	var change CatalogueChange
+	if !read(w, r, &change) {
+		return
+	}
+	revision, err := a.config.Write(r.Context(), change.Base, config.Change{Operator: change.Operator, Catalogue: change.Catalogue})
+	a.answerRevision(w, revision, err)
+}
+
+func (a *API) answerRevision(w http.ResponseWriter, revision config.Revision, err error) {
+	if refuse(w, err) {
+		return
+	}
+	write(w, RevisionAnswer{Revision: revision})
+}
+
+func (a *API) listKeys(w http.ResponseWriter, _ *http.Request) {
+	state := a.config.Current()
+	if state == nil {
+		http.Error(w, "no configuration is held", http.StatusServiceUnavailable)
+		return
+	}
+	answers := []KeyAnswer{}
+	for _, key := range state.Keys() {
+		answers = append(answers, KeyAnswer{ID: key.ID, Team: key.Team})
+	}
+	write(w, answers)
+}
+
+func (a *API) issueKey(w http.ResponseWriter, r *http.Request) {
+	var request KeyRequest
+	if !read(w, r, &request) {
+		return
+	}
+	state := a.config.Current()
+	if state == nil {
+		http.Error(w, "no configuration is held", http.StatusServiceUnavailable)
+		return
+	}
+	if _, ok := state.Catalogue.FindTeam(request.Team); !ok {
+		http.Error(w, "no team has the name "+strconv.Quote(request.Team), http.StatusUnprocessableEntity)
+		return
+	}
+	secret := NewKey()
+	key := config.Key{ID: "key-" + uuid.NewString(), Team: request.Team, Hash: config.HashKey(secret)}
+	revision, err := a.config.Write(r.Context(), 0, config.Change{Operator: request.Operator, IssueKey: &key})
+	if refuse(w, err) {
+		return
+	}
+	write(w, KeyAnswer{ID: key.ID, Team: key.Team, Key: secret, Revision: revision})
+}
+
+// NewKey returns a fresh caller's key.
+func NewKey() string {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret)
+	return authenticate.KeyPrefix + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(secret))
+}
+
+func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
+	change := config.Change{Operator: r.URL.Query().Get("operator"), WithdrawKey: chi.URLParam(r, "id")}
+	revision, err := a.config.Write(r.Context(), 0, change)
+	a.answerRevision(w, revision, err)
+}
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return false
+	}
+	return true
+}
+
+func write(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func refuse(w http.ResponseWriter, err error) bool {
+	switch {
+	case err == nil:
+		return false
+	case errors.Is(err, configview.ErrRaced):
+		http.Error(w, err.Error(), http.StatusConflict)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+	return true
+}
--- /dev/null
+++ b/entry/pipeline/pipeline.go
@@ -0,0 +1,94 @@
+// Package pipeline carries one caller's request through the entry's filters.
+// A filter passes the request on or refuses it; on the way back, each filter
+// that passed it sees the result.
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"flamingospar.org/core/config"
+	"flamingospar.org/core/refusal"
+	"flamingospar.org/core/usage"
+)
+
+// Exchange is one request and what the filters found out about it.
+type Exchange struct {
+	Writer  http.ResponseWriter
+	Request *http.Request
+
+	// Set by accept.
+	ID      string
+	Arrived time.Time
+	Body    []byte
+
+	// Set by authenticate.
+	State *config.State
+	Team  string
+
+	// Set by match.
+	Route      string
+	Kind       string // "model" or the service's name.
+	Model      string
+	Repeatable bool
+	Open       bool
+	Deadline   time.Time
+
+	// AnswerBegun is set when the first byte of an answer was written.
+	AnswerBegun bool
+
+	// Set by relay.
+	Outcome  refusal.Outcome
+	Figures  usage.Figures
+	Attempts int
+	Refused  *refusal.Refusal // Nil when the caller got the whole answer.
+}
+
+// Filter is one step of the entry's pipeline.
+type Filter interface {
+	// Name appears in counters and explanations.
+	Name() string
+	// Request returns nil to pass the exchange on.
+	Request(ctx context.Context, x *Exchange) *refusal.Refusal
+	// Response is called, in reverse order, for each filter that passed it on.
+	Response(ctx context.Context, x *Exchange)
+}
+
+// Counter counts events by name.
+type Counter interface {
+	Count(parts ...string)
+}
+
+// Chain is the entry's whole pipeline.
+type Chain struct {
+	filters []Filter
+	counter Counter
+	refuse  func(*Exchange, *refusal.Refusal)
+}
+
+// New returns the chain of filters in order. refuse writes a refusal's answer.
+func New(counter Counter, refuse func(*Exchange, *refusal.Refusal), filters ...Filter) *Chain {
+	return &Chain{filters: filters, counter: counter, refuse: refuse}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &Exchange{Writer: w, Request: r}
+	passed := 0
+	for _, filter := range c.filters {
+		refused := filter.Request(r.Context(), x)
+		if refused != nil {
+			c.counter.Count("refused", string(refused.Code))
+			x.Refused = refused
+			x.Outcome = refused.Outcome
+			c.refuse(x, refused)
+			break
+		}
+		c.counter.Count("filter", filter.Name())
+		passed++
+	}
+	for i := passed - 1; i >= 0; i-- {
+		c.filters[i].Response(r.Context(), x)
+	}
+}
--- /dev/null
+++ b/entry/wiring/wiring.go
@@ -0,0 +1,186 @@
+// Package wiring builds an entry from its settings.
+package wiring
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/dig"
+
+	"flamingospar.org/base/logging"
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/base/ring"
+	"flamingospar.org/core/usage"
+	"flamingospar.org/entry/accept"
+	"flamingospar.org/entry/account"
+	"flamingospar.org/entry/authenticate"
+	"flamingospar.org/entry/callers"
+	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/fleet"
+	"flamingospar.org/entry/leasekeeper"
+	"flamingospar.org/entry/match"
+	"flamingospar.org/entry/operator"
+	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/relay"
+	"flamingospar.org/entry/render"
+	"flamingospar.org/entry/sealing"
+	"flamingospar.org/entry/settings"
+	"flamingospar.org/platform/httpapi"
+)
+
+const usageLease = "usage"
+
+var log = logging.For("entry")
+
+// Entry is a built entry process.
+type Entry struct {
+	dig.In
+
+	Settings settings.Settings
+	Network  netx.Network
+	Meter    *meter.Registry
+	Config   *configview.View
+	Fleet    *fleet.View
+	Chain    *pipeline.Chain
+	Writer   *account.Writer
+	Lease    *leasekeeper.Keeper
+	Sealer   *sealing.Sealer
+	State    *runState
+}
+
+// runState tells whether the entry serves callers.
+type runState struct {
+	draining atomic.Bool
+}
+
+// Build wires an entry.
+func Build(s settings.Settings, network netx.Network) (*Entry, error) {
+	container := dig.New()
+	providers := []any{
+		func() settings.Settings { return s },
+		func() netx.Network { return network },
+		func() *runState { return new(runState) },
+		meter.NewRegistry,
+		newPlatform,
+		func(c *httpapi.Client) *configview.View { return configview.New(c) },
+		func(c *httpapi.Client, n netx.Network) *fleet.View { return fleet.New(c, netx.HTTP2Client(n)) },
+		account.NewRing,
+		dispatch.New,
+		newChain,
+		newWriter,
+		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
+		newSealer,
+	}
+	for _, provider := range providers {
+		if err := container.Provide(provider); err != nil {
+			return nil, err
+		}
+	}
+	var entry *Entry
+	err := container.Invoke(func(e Entry) { entry = &e })
+	return entry, err
+}
+
+func newPlatform(s settings.Settings, network netx.Network) *httpapi.Client {
+	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
+}
+
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+	identity := relay.Identity{Instance: s.Instance, DataCentre: s.DataCentre}
+	return pipeline.New(registry, render.Refusal,
+		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
+		authenticate.New(c),
+		match.New(time.Duration(s.Deadline)),
+		account.NewFilter(records, registry),
+		relay.New(identity, view, d, registry),
+	)
+}
+
+func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
+	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
+}
+
+func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
+	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
+}
+
+// Ready reports whether the entry serves callers.
+func (e *Entry) Ready() bool {
+	return !e.State.draining.Load() && e.Config.Current() != nil
+}
+
+// Listeners are the entry's two addresses.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+}
+
+// Listen opens both addresses.
+func (e *Entry) Listen() (Listeners, error) {
+	callersListener, err := e.Network.Listen(e.Settings.Listen)
+	if err != nil {
+		return Listeners{}, err
+	}
+	operators, err := e.Network.Listen(e.Settings.OperatorListen)
+	if err != nil {
+		return Listeners{}, errors.Join(err, callersListener.Close())
+	}
+	return Listeners{Callers: callersListener, Operators: operators}, nil
+}
+
+// Serve runs the entry until ctx ends, then drains: it is not ready first,
+// finishes the requests it has, and then stops.
+func (e *Entry) Serve(ctx context.Context, listeners Listeners) error {
+	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	duties := e.startDuties(dutyContext)
+	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
+	operatorServer := netx.Server(api.Handler())
+	failed := make(chan error, 2)
+	go func() { failed <- callersServer.Serve(listeners.Callers) }()
+	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
+	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	e.State.draining.Store(true)
+	err := e.drain(callersServer)
+	stopDuties()
+	duties.Wait()
+	return errors.Join(err, operatorServer.Close())
+}
+
+func (e *Entry) drain(server *http.Server) error {
+	log.Info("The entry drains.")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.Settings.DrainTime))
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run} {
+		duties.Add(1)
+		go func() {
+			defer duties.Done()
+			duty(ctx)
+		}()
+	}
+	return &duties
+}
+
+// interface checks
+var (
+	_ authenticate.Config = (*configview.View)(nil)
+	_ pipeline.Filter     = (*match.Filter)(nil)
+)
--- /dev/null
+++ b/flamingospar/command/command.go
@@ -0,0 +1,91 @@
+// Package command is the command line of flamingospar.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/wiring"
+	"flamingospar.org/flamingospar/dev"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitMisuse = 2
+)
+
+// Run executes the command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	parser := flaggy.NewParser("flamingospar")
+	parser.Description = "Serves models and plain services on a limited fleet."
+	parser.ShowHelpOnUnexpected = false
+	devOptions := dev.DefaultOptions()
+	devCommand := flaggy.NewSubcommand("dev")
+	devCommand.Description = "Run entry and agents beside stand-ins, on this machine."
+	devCommand.String(&devOptions.Fleet, "", "fleet", "shedline or trust")
+	devCommand.String(&devOptions.Listen, "", "listen", "callers' address")
+	devCommand.String(&devOptions.OperatorListen, "", "operator-listen", "operators' address")
+	devCommand.String(&devOptions.Only, "", "only", "platform,endpoints: run the stand-ins alone")
+	settingsPath := "entry.toml"
+	serveCommand := flaggy.NewSubcommand("serve")
+	serveCommand.Description = "Run an entry process."
+	serveCommand.String(&settingsPath, "s", "settings", "TOML settings file")
+	parser.AttachSubcommand(devCommand, 1)
+	parser.AttachSubcommand(serveCommand, 1)
+	if err := parser.ParseArgs(args); err != nil {
+		return fail(stderr, exitMisuse, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	switch {
+	case devCommand.Used:
+		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
+	case serveCommand.Used:
+		return serve(ctx, settingsPath, stderr)
+	default:
+		parser.ShowHelp()
+		return exitMisuse
+	}
+}
+
+func serve(ctx context.Context, path string, stderr io.Writer) int {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fail(stderr, exitMisuse, err)
+	}
+	parsed, err := settings.Parse(data)
+	if err != nil {
+		return fail(stderr, exitMisuse, err)
+	}
+	entry, err := wiring.Build(parsed, netx.TCP{})
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	listeners, err := entry.Listen()
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	return outcome(stderr, entry.Serve(ctx, listeners))
+}
+
+func outcome(stderr io.Writer, err error) int {
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	return exitDone
+}
+
+func fail(stderr io.Writer, code int, err error) int {
+	fmt.Fprintln(stderr, "flamingospar:", err)
+	return code
+}
--- /dev/null
+++ b/flamingospar/main.go
@@ -0,0 +1,12 @@
+// Command flamingospar is the entry process and the operators' command line.
+package main
+
+import (
+	"os"
+
+	"flamingospar.org/flamingospar/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/standin/fleet/start.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"flamingospar.org/base/netx"
+	"flamingospar.org/standin/engine"
+	"flamingospar.org/standin/engine/batch"
+	"flamingospar.org/standin/plain"
+	"flamingospar.org/standin/platform"
+)
+
+// Started is a running fleet of stand-ins.
+type Started struct {
+	Platform    *platform.Platform
+	PlatformURL string
+	Endpoints   []StartedEndpoint
+}
+
+// StartedEndpoint is one running stand-in of an endpoint. Engine or Service is set.
+type StartedEndpoint struct {
+	Endpoint
+	URL     string
+	Engine  *engine.Engine
+	Service *plain.Service
+}
+
+// Addresses names where the stand-ins listen.
+type Addresses struct {
+	Platform string
+	// Endpoint returns the address of the endpoint with an index.
+	Endpoint func(index int) string
+}
+
+// Start runs the platform and all endpoints until ctx ends.
+func Start(ctx context.Context, network netx.Network, f Fleet, addresses Addresses) (*Started, error) {
+	started := &Started{Platform: platform.New()}
+	url, err := serve(ctx, network, addresses.Platform, started.Platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	started.PlatformURL = url
+	for i, endpoint := range f.Endpoints {
+		running, err := startEndpoint(ctx, network, endpoint, addresses.Endpoint(i))
+		if err != nil {
+			return nil, err
+		}
+		started.Endpoints = append(started.Endpoints, running)
+	}
+	return started, nil
+}
+
+func startEndpoint(ctx context.Context, network netx.Network, endpoint Endpoint, address string) (StartedEndpoint, error) {
+	started := StartedEndpoint{Endpoint: endpoint}
+	var handler http.Handler
+	if endpoint.Kind == "model" {
+		started.Engine = engine.New(endpoint.Model, batch.DefaultConfig())
+		handler = started.Engine.Handler()
+		go started.Engine.Run(ctx)
+	} else {
+		started.Service = plain.New(endpoint.Kind)
+		handler = started.Service
+	}
+	url, err := serve(ctx, network, address, handler)
+	started.URL = url
+	return started, err
+}
+
+func serve(ctx context.Context, network netx.Network, address string, handler http.Handler) (string, error) {
+	listener, err := network.Listen(address)
+	if err != nil {
+		return "", fmt.Errorf("stand-in at %s: %w; remedy: free the port or choose another", address, err)
+	}
+	server := netx.Server(handler)
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return "http://" + listener.Addr().String(), nil
+}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,63 @@
+// Package plain is a small stand-in of an application service that counts each
+// call it executed.
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// maxBody bounds a call's body.
+const maxBody = 8 << 20
+
+// Service counts executed calls by run id.
+type Service struct {
+	name string
+
+	mu    sync.Mutex
+	calls map[string]int
+	total int
+}
+
+// New returns a service with no calls.
+func New(name string) *Service {
+	return &Service{name: name, calls: make(map[string]int)}
+}
+
+// answer echoes what the service got, so that tests can check what was passed.
+type answer struct {
+	Service string      `json:"service"`
+	Number  int         `json:"number"`
+	Method  string      `json:"method"`
+	Path    string      `json:"path"`
+	Header  http.Header `json:"header"`
+	Body    []byte      `json:"body"`
+}
+
+// ServeHTTP implements http.Handler: it executes the call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.total++
+	number := s.total
+	s.calls[r.Header.Get("X-Run-Id")]++
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer{Service: s.name, Number: number, Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: body})
+}
+
+// Calls returns how often each run id was executed.
+func (s *Service) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for id, times := range s.calls {
+		calls[id] = times
+	}
+	return calls
+}
--- /dev/null
+++ b/standin/platform/http.go
@@ -0,0 +1,147 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"flamingospar.org/platform/capacity"
+	"flamingospar.org/platform/objects"
+	"flamingospar.org/platform/tables"
+	"flamingospar.org/platform/usagereport"
+)
+
+// Handler serves the platform's interfaces over HTTP. The faults hold for
+// tables and objects only.
+func (p *Platform) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Group(func(store chi.Router) {
+		store.Use(p.withFaults)
+		store.Get("/tables/row", p.getRow)
+		store.Get("/tables/scan", p.scanRows)
+		store.Post("/tables/commit", p.commit)
+		store.Put("/objects/{name}", p.putObject)
+		store.Get("/objects/{name}", p.getObject)
+		store.Delete("/objects/{name}", p.deleteObject)
+	})
+	router.Get("/vms", p.listVMs)
+	router.Put("/capacity/orders/{id}", p.placeOrder)
+	router.Post("/usage/reports", p.takeReport)
+	return router
+}
+
+func (p *Platform) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults := p.CurrentFaults()
+		if faults.Outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if faults.Delay > 0 {
+			time.Sleep(faults.Delay)
+		}
+		if faults.LoseAnswers && r.Method != http.MethodGet {
+			next.ServeHTTP(discard{header: make(http.Header)}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discard is a response writer whose answer is lost.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header            { return d.header }
+func (d discard) Write(data []byte) (int, error) { return len(data), nil }
+func (d discard) WriteHeader(int)                {}
+
+func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
+	key := tables.Key{Table: r.URL.Query().Get("table"), Row: r.URL.Query().Get("row")}
+	row, err := p.Tables.Get(r.Context(), key)
+	answer(w, row, err)
+}
+
+func (p *Platform) scanRows(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil {
+		http.Error(w, "limit is not a number", http.StatusBadRequest)
+		return
+	}
+	rows, err := p.Tables.Scan(r.Context(), query.Get("table"), query.Get("prefix"), query.Get("start"), limit)
+	answer(w, rows, err)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn tables.Txn
+	if !decode(w, r, &txn) {
+		return
+	}
+	answer(w, struct{}{}, p.Tables.Commit(r.Context(), txn))
+}
+
+type objectBody struct {
+	Data []byte `json:"data"`
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	var body objectBody
+	if !decode(w, r, &body) {
+		return
+	}
+	answer(w, struct{}{}, p.Put(r.Context(), chi.URLParam(r, "name"), body.Data))
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := p.Get(r.Context(), chi.URLParam(r, "name"))
+	answer(w, objectBody{Data: data}, err)
+}
+
+func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, p.Delete(r.Context(), chi.URLParam(r, "name")))
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
+	list, err := p.VMs(r.Context())
+	answer(w, list, err)
+}
+
+func (p *Platform) placeOrder(w http.ResponseWriter, r *http.Request) {
+	var order capacity.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	answer(w, struct{}{}, p.Place(r.Context(), order))
+}
+
+func (p *Platform) takeReport(w http.ResponseWriter, r *http.Request) {
+	var report usagereport.Report
+	if !decode(w, r, &report) {
+		return
+	}
+	answer(w, struct{}{}, p.Report(r.Context(), report))
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	switch {
+	case errors.Is(err, tables.ErrNotFound), errors.Is(err, objects.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusConflict)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
