--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -9,10 +9,9 @@
 	"time"
 
 	"flamingospar.org/core/refusal"
-	"flamingospar.org/core/route"
 	"flamingospar.org/core/usage"
+	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/dispatch"
-	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/pipeline"
 	"flamingospar.org/entry/render"
@@ -26,21 +25,15 @@
 
 // Filter is the last filter of the chain.
 type Filter struct {
-	view       *fleet.View
+	chooser    *choose.Chooser
 	dispatcher *dispatch.Dispatcher
 	counter    pipeline.Counter
-	identity   Identity
+	instance   string
 }
 
-// Identity is the entry's own.
-type Identity struct {
-	Instance   string
-	DataCentre string
-}
-
-// New returns the filter.
-func New(identity Identity, view *fleet.View, dispatcher *dispatch.Dispatcher, counter pipeline.Counter) *Filter {
-	return &Filter{identity: identity, view: view, dispatcher: dispatcher, counter: counter}
+// New returns the filter of the entry process instance.
+func New(instance string, chooser *choose.Chooser, dispatcher *dispatch.Dispatcher, counter pipeline.Counter) *Filter {
+	return &Filter{instance: instance, chooser: chooser, dispatcher: dispatcher, counter: counter}
 }
 
 // Name implements pipeline.Filter.
@@ -73,19 +66,18 @@
 	tried := make(map[string]bool)
 	var last *refusal.Refusal
 	for x.Attempts < maxAttempts {
-		choice := route.Choose(route.Request{Kind: x.Kind, Model: x.Model, DataCentre: f.identity.DataCentre, Avoid: tried}, f.view.Candidates())
-		agent, done, ok := f.view.Begin(choice.Endpoint)
+		pick, ok := f.chooser.Pick(x, tried)
 		if !ok {
 			break
 		}
 		x.Attempts++
 		start.RunId = fmt.Sprintf("%s/%d", x.ID, x.Attempts)
-		result := f.dispatcher.Send(ctx, agent, start, answer)
-		done()
+		result := f.dispatcher.Send(ctx, pick.Agent, start, answer)
+		pick.Done()
 		if result.Outcome != refusal.NotRun || ctx.Err() != nil {
 			return result
 		}
-		tried[choice.Endpoint] = true
+		tried[pick.Choice.Endpoint] = true
 		last = result.Refused
 		f.counter.Count("retried", string(last.Code))
 	}
@@ -106,7 +98,7 @@
 		Path:               x.Request.URL.RequestURI(),
 		Body:               x.Body,
 		Revision:           int64(x.State.Revision),
-		EntryInstance:      f.identity.Instance,
+		EntryInstance:      f.instance,
 	}
 	if x.Kind != match.ModelKind {
 		start.Headers = wireHeaders(x.Request.Header)
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -21,6 +21,7 @@
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
+	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/fleet"
@@ -93,13 +94,13 @@
 }
 
 func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
-	identity := relay.Identity{Instance: s.Instance, DataCentre: s.DataCentre}
+	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		authenticate.New(c),
 		match.New(time.Duration(s.Deadline)),
 		account.NewFilter(records, registry),
-		relay.New(identity, view, d, registry),
+		relay.New(s.Instance, chooser, d, registry),
 	)
 }
 
@@ -178,9 +179,3 @@
 	}
 	return &duties
 }
-
-// interface checks
-var (
-	_ authenticate.Config = (*configview.View)(nil)
-	_ pipeline.Filter     = (*match.Filter)(nil)
-)
