Bill each run once by its agent's sequence

Cause: the first writer put a batch under the window of its flush time and retried after a lost answer with more records and maybe in another window, so that a run could be counted in two windows; nothing survived the death of an entry; a batch landing after the seal was lost; sealing stopped at a window's scan limit and its batches stayed for ever.

Ruled out: run ids remembered per window (a duplicate in the next window is not seen), batches aggregated by team (a duplicate inside cannot be taken out).

Change: the agent numbers its records; (source, sequence) is the identity. The entry writes what it received, the agent what stays unacknowledged. The holder keeps the counted sequences beside the sealed figures and writes both, fenced, in one transaction; batches are deleted only after it.

--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -22,6 +22,10 @@
 	Began bool
 	// Usage is what the endpoint reported, set by the executor.
 	Usage *wirev1.Usage
+	// PassedOn is the number of output tokens sent to the entry.
+	PassedOn int64
+	// Finished is the executor's result; nil while the run has none.
+	Finished *wirev1.Finished
 }
 
 // Filter is one step before the endpoint.
@@ -67,6 +71,7 @@
 		c.counter.Count("filter", filter.Name())
 	}
 	finished := c.executor.Execute(ctx, run)
+	run.Finished = finished
 	c.counter.Count("finished", finished.Outcome.String())
 	c.done(run, len(c.filters))
 	return finished, nil
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -20,6 +20,7 @@
 	PlatformURL  string `toml:"platform_url"`
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
+	Usage        Usage  `toml:"usage"`
 }
 
 // Default sizes of the queue.
@@ -56,6 +57,7 @@
 	if s.Instance == "" {
 		s.Instance = uuid.NewString()
 	}
+	s.Usage = s.Usage.withDefaults()
 	required := []struct{ key, value string }{
 		{"data_centre", s.DataCentre},
 		{"listen", s.Listen},
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/dig"
 
+	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
@@ -38,6 +39,7 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	usage    usageParts
 }
 
 // Build wires an agent.
@@ -48,6 +50,9 @@
 		func() netx.Network { return network },
 		meter.NewRegistry,
 		ledger.New,
+		newUsageLedger,
+		newUsageWriter,
+		account.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -96,12 +101,12 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, q)
+func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
+	return pipeline.New(registry, executor, l, u, q)
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage}
 }
 
 // Meter returns the agent's metrics.
@@ -114,7 +119,10 @@
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
+	mux.Handle(a.usage.Service.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	stopUsage := a.usage.start()
+	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- httpServer.Serve(listener) }()
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -1,5 +1,6 @@
 // Package usage holds the figures that teams are billed by and the rules for
-// adding them up per window.
+// adding them up per window: who counts a run, when a record is a duplicate and
+// into which window a late record goes.
 package usage
 
 import "time"
@@ -22,6 +23,19 @@
 	}
 }
 
+// Minus returns the difference.
+func (f Figures) Minus(other Figures) Figures {
+	return Figures{
+		Requests:     f.Requests - other.Requests,
+		PromptTokens: f.PromptTokens - other.PromptTokens,
+		CachedTokens: f.CachedTokens - other.CachedTokens,
+		OutputTokens: f.OutputTokens - other.OutputTokens,
+	}
+}
+
+// Tokens returns prompt and output tokens together.
+func (f Figures) Tokens() int64 { return f.PromptTokens + f.OutputTokens }
+
 // Window numbers fixed spans of time; window n starts at n times the length.
 type Window int64
 
@@ -35,33 +49,22 @@
 	return time.Unix(0, (int64(w)+1)*int64(length))
 }
 
-// Record is one run to be billed. RunID makes it idempotent.
+// Record is one run to be billed. The agent that ran it numbers its records
+// from 1 without gaps: (Source, Sequence) identifies the run wherever the
+// record is written, and however often.
 type Record struct {
-	RunID   string  `json:"run_id"`
-	Team    string  `json:"team"`
-	Figures Figures `json:"figures"`
+	Source   string // Instance of the agent.
+	Sequence int64
+	Window   Window // In which the run ended, by the agent's clock.
+	Team     string
+	Figures  Figures
 }
 
-// Batch is what one writer makes durable at once. (Instance, Sequence) is unique.
+// Batch is what one writer makes durable at once. (Instance, Sequence) is
+// unique; the records of a batch never change. All are of one window.
 type Batch struct {
-	Instance string   `json:"instance"`
-	Sequence int64    `json:"sequence"`
-	Window   Window   `json:"window"`
-	Records  []Record `json:"records"`
-}
-
-// Sum adds the records of batches per team, counting each run id once.
-func Sum(batches []Batch) map[string]Figures {
-	totals := make(map[string]Figures)
-	seen := make(map[string]bool)
-	for _, batch := range batches {
-		for _, record := range batch.Records {
-			if seen[record.RunID] {
-				continue
-			}
-			seen[record.RunID] = true
-			totals[record.Team] = totals[record.Team].Plus(record.Figures)
-		}
-	}
-	return totals
+	Instance string
+	Sequence int64
+	Window   Window
+	Records  []Record
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -27,6 +27,7 @@
 // Agent is one known agent.
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
+	Usage  wirev1connect.UsageServiceClient
 
 	vm        vms.VM
 	candidate route.Candidate
@@ -36,6 +37,8 @@
 type View struct {
 	list   vms.List
 	client *http.Client
+	// options are given to every client of an agent.
+	options []connect.ClientOption
 
 	mu      sync.Mutex
 	agents  map[string]*Agent // By VM instance.
@@ -43,8 +46,9 @@
 }
 
 // New returns an empty view that reads list and calls agents through client.
-func New(list vms.List, client *http.Client) *View {
-	return &View{list: list, client: client, agents: make(map[string]*Agent)}
+func New(list vms.List, client *http.Client, options ...connect.ClientOption) *View {
+	options = append([]connect.ClientOption{connect.WithGRPC()}, options...)
+	return &View{list: list, client: client, options: options, agents: make(map[string]*Agent)}
 }
 
 // Run refreshes the view until ctx ends.
@@ -105,8 +109,9 @@
 		agent.vm = vm
 		return
 	}
-	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
+	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
+	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, vm: vm}
 }
 
 func (v *View) snapshot() []*Agent {
--- /dev/null
+++ b/entry/sealing/seal.go
@@ -0,0 +1,169 @@
+package sealing
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"flamingospar.org/base/invariant"
+	"flamingospar.org/core/usage"
+	"flamingospar.org/platform/tables"
+	"flamingospar.org/platform/usagestore"
+)
+
+const (
+	teamsPerPart   = 200
+	deletesAtOnce  = 200
+	windowsPerStep = 10
+)
+
+// sealDue seals the closed windows, oldest first, some at a time.
+func (s *Sealer) sealDue(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
+	defer cancel()
+	for range windowsPerStep {
+		progress, version, err := usagestore.ReadProgress(ctx, s.tables)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		newest := s.newest(now)
+		if !s.settled(now) || (version > 0 && progress.Sealed >= newest) {
+			return nil
+		}
+		window := progress.Sealed + 1
+		if version == 0 {
+			window = newest
+		}
+		if err := s.seal(ctx, window, newest, progress, version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// seal adds the window up and writes its figures, what was counted and the
+// progress in one transaction; the batches are deleted only after it. Without
+// any batch up to newest, it steps over the windows between.
+func (s *Sealer) seal(ctx context.Context, window, newest usage.Window, progress usagestore.Progress, version int64) error {
+	sources, err := usagestore.ReadSources(ctx, s.tables)
+	if err != nil {
+		return err
+	}
+	tally := usage.NewTally(window, s.windows(s.config.Remember), sources)
+	summed, err := s.add(ctx, tally, window)
+	if err != nil {
+		return err
+	}
+	progress.Sealed = window
+	if len(summed) == 0 {
+		progress.Sealed, err = s.stepOver(ctx, window, newest)
+		if err != nil {
+			return err
+		}
+	}
+	txn, err := s.sealTxn(tally, sources, window, progress, version)
+	if err != nil {
+		return err
+	}
+	if err := s.tables.Commit(ctx, txn); err != nil {
+		return err
+	}
+	invariant.Check(window > s.lastSeal, invariant.WindowWrittenOnce, "window %d sealed after %d", window, s.lastSeal)
+	s.lastSeal = window
+	s.countSealed(tally, progress)
+	return s.remove(ctx, summed)
+}
+
+// add tallies the batches that are due and returns the writes that remove them.
+func (s *Sealer) add(ctx context.Context, tally *usage.Tally, window usage.Window) ([]tables.Write, error) {
+	var removal []tables.Write
+	err := usagestore.Due(ctx, s.tables, window, func(stored usagestore.Stored) error {
+		if tally.Add(stored.Batch) {
+			removal = append(removal, usagestore.Delete(stored.Row)...)
+		} else {
+			removal = append(removal, usagestore.SetAside(stored.Row)...)
+		}
+		return nil
+	})
+	return removal, err
+}
+
+// stepOver returns the last window before the oldest batch, newest at most.
+func (s *Sealer) stepOver(ctx context.Context, window, newest usage.Window) (usage.Window, error) {
+	oldest, found, err := usagestore.Oldest(ctx, s.tables)
+	if err != nil {
+		return window, err
+	}
+	if found && oldest <= newest {
+		return max(window, oldest-1), nil
+	}
+	return max(window, newest), nil
+}
+
+func (s *Sealer) sealTxn(tally *usage.Tally, sources map[string]*usage.Sequences, window usage.Window, progress usagestore.Progress, version int64) (tables.Txn, error) {
+	condition, write, err := usagestore.PutProgress(progress, version)
+	if err != nil {
+		return tables.Txn{}, err
+	}
+	txn := tables.Txn{
+		Conditions: []tables.Condition{s.lease.Guard(), condition},
+		Writes:     []tables.Write{write},
+	}
+	forgotten := tally.Forget()
+	shards, err := usagestore.PutSources(sources, tally.Changed, forgotten)
+	if err != nil {
+		return tables.Txn{}, err
+	}
+	txn.Writes = append(txn.Writes, shards...)
+	for _, part := range partsOf(window, tally.Totals()) {
+		value, err := json.Marshal(part)
+		if err != nil {
+			return tables.Txn{}, err
+		}
+		key := usagestore.SealedKey(window, part.Part)
+		txn.Conditions = append(txn.Conditions, tables.Condition{Key: key})
+		txn.Writes = append(txn.Writes, tables.Write{Key: key, Value: value})
+	}
+	return txn, nil
+}
+
+func partsOf(window usage.Window, totals []usage.TeamTotal) []usagestore.Sealed {
+	sort.Slice(totals, func(i, j int) bool { return totals[i].Team < totals[j].Team })
+	var parts []usagestore.Sealed
+	for i, total := range totals {
+		invariant.Check(total.Late.Tokens() <= total.Figures.Tokens(), invariant.UsageLateWithinTotal, "team %s window %d", total.Team, window)
+		if i%teamsPerPart == 0 {
+			parts = append(parts, usagestore.Sealed{Window: window, Part: len(parts)})
+		}
+		last := &parts[len(parts)-1]
+		last.Teams = append(last.Teams, total)
+	}
+	return parts
+}
+
+// remove deletes summed batches. Those that stay after a failure are found
+// again with the next window and count nothing.
+func (s *Sealer) remove(ctx context.Context, removal []tables.Write) error {
+	for len(removal) > 0 {
+		n := min(len(removal), deletesAtOnce)
+		txn := tables.Txn{Conditions: []tables.Condition{s.lease.Guard()}, Writes: removal[:n]}
+		if err := s.tables.Commit(ctx, txn); err != nil {
+			return err
+		}
+		removal = removal[n:]
+	}
+	return nil
+}
+
+func (s *Sealer) countSealed(tally *usage.Tally, progress usagestore.Progress) {
+	s.meter.Count("usage", "windows_sealed")
+	s.meter.Add(tally.Counted, "usage", "records_sealed")
+	s.meter.Add(tally.Duplicates, "usage", "records_duplicate")
+	s.meter.Add(tally.TooOld, "usage", "records_set_aside")
+	s.meter.Gauge(int64(progress.Sealed), "usage", "sealed_window")
+	if tally.TooOld > 0 {
+		log.Error(nil, "Records older than the remembered windows were set aside; see the operators' page on usage.", "records", tally.TooOld)
+	}
+}
--- a/entry/sealing/sealing.go
+++ b/entry/sealing/sealing.go
@@ -1,62 +1,85 @@
 // Package sealing is the duty of the usage lease's holder: it seals the figures
-// of each closed window once and reports them to the platform.
+// of each closed window once, in one transaction under the lease's epoch, and
+// only then reports them, with the same figures until they are acknowledged.
 package sealing
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"flamingospar.org/base/logging"
+	"flamingospar.org/base/meter"
 	"flamingospar.org/core/lease"
 	"flamingospar.org/core/usage"
-	"flamingospar.org/entry/account"
 	"flamingospar.org/platform/tables"
 	"flamingospar.org/platform/usagereport"
 )
 
 const (
-	sealedTable   = "sealed"
-	progressRow   = "progress"
 	checkInterval = 1 * time.Second
-	callTimeout   = 10 * time.Second
-	maxBatches    = 100_000
+	sealTimeout   = 30 * time.Second
+	reportTimeout = 10 * time.Second
 )
 
 var log = logging.For("entry/sealing")
 
+// ErrTermEnded means that this process may no longer report.
+var ErrTermEnded = errors.New("sealing: the usage lease's term ends or ended; remedy: the next holder goes on")
+
 // Lease tells whether this process holds the usage lease.
 type Lease interface {
 	Held() (lease.Term, bool)
 	Guard() tables.Condition
 }
 
-// Sealer is the duty.
+// Config sets the times of the duty.
+type Config struct {
+	Window time.Duration // Length of a window.
+	Grace  time.Duration // After a window's end, and after an outage, for writers.
+	// IdleClose is after how long of silence the receiver of reports closes a
+	// connection.
+	IdleClose time.Duration
+	// Remember is for how long counted records are known, and the oldest age
+	// of a record that is still counted.
+	Remember time.Duration
+	// Keep is how long reported windows stay in the table service.
+	Keep time.Duration
+	// AtOnce is how many reports are on their way together.
+	AtOnce int
+}
+
+// DefaultAtOnce carries several hundred reports a second.
+const DefaultAtOnce = 8
+
+// Sealer is the duty. One goroutine uses it.
 type Sealer struct {
 	tables  tables.Service
 	reports usagereport.Reports
 	lease   Lease
-	window  time.Duration
-	grace   time.Duration
+	config  Config
+	meter   *meter.Registry
+
+	answering time.Time // Since when the store answers without a failure.
+	epoch     lease.Epoch
+	lastSeal  usage.Window
+	// forgotten is the newest sealed window after which old ones were deleted.
+	forgotten usage.Window
 }
 
-// New returns the duty. grace is how long after a window's end writers may
-// still add to it.
-func New(service tables.Service, reports usagereport.Reports, l Lease, window, grace time.Duration) *Sealer {
-	return &Sealer{tables: service, reports: reports, lease: l, window: window, grace: grace}
+// New returns the duty.
+func New(service tables.Service, reports usagereport.Reports, l Lease, config Config, registry *meter.Registry) *Sealer {
+	return &Sealer{tables: service, reports: reports, lease: l, config: config, meter: registry}
 }
 
-// sealed is the stored result of one window.
-type sealed struct {
-	Window usage.Window             `json:"window"`
-	Teams  map[string]usage.Figures `json:"teams"`
-}
-
-// progress is the last window that was sealed and reported.
-type progress struct {
-	Reported usage.Window `json:"reported"`
+// MayReport returns nil while a report may leave: what leaves now reaches the
+// receiver before the term ends, or not at all.
+func MayReport(l Lease, idleClose time.Duration) error {
+	term, held := l.Held()
+	if !held || !term.Valid(time.Now().Add(idleClose)) {
+		return ErrTermEnded
+	}
+	return nil
 }
 
 // Run seals and reports until ctx ends.
@@ -68,117 +91,45 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		if _, held := s.lease.Held(); !held {
-			continue
-		}
-		if err := s.Step(ctx); err != nil {
-			log.Error(err, "A window could not be sealed or reported; it is tried again.")
+			s.Step(ctx)
 		}
 	}
 }
 
-// Step handles the next closed window, if there is one.
-func (s *Sealer) Step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	now := time.Now()
-	newest := usage.WindowAt(now.Add(-s.grace), s.window) - 1
-	done, version, err := s.readProgress(ctx)
-	if err != nil {
-		return err
+// Step seals what is due and reports what is sealed, if this process holds the
+// lease. A failure of the one does not keep the other back.
+func (s *Sealer) Step(ctx context.Context) {
+	term, held := s.lease.Held()
+	if !held {
+		s.answering = time.Time{}
+		return
 	}
-	if version == 0 {
-		return s.writeProgress(ctx, newest-1, 0)
+	if term.Row.Epoch != s.epoch {
+		s.epoch = term.Row.Epoch
+		s.answering = time.Time{}
 	}
-	if done.Reported >= newest {
-		return nil
+	if err := s.sealDue(ctx); err != nil {
+		s.answering = time.Time{}
+		s.meter.Count("usage", "seal_failed")
+		log.Error(err, "A window could not be sealed; it is tried again.")
 	}
-	window := done.Reported + 1
-	figures, err := s.seal(ctx, window)
-	if err != nil {
-		return err
+	if err := s.reportDue(ctx); err != nil {
+		s.meter.Count("usage", "report_failed")
+		log.Error(err, "A window could not be reported; it is repeated with the same figures.")
 	}
-	if err := s.report(ctx, figures); err != nil {
-		return err
-	}
-	return s.writeProgress(ctx, window, version)
 }
 
-// seal returns the window's sealed figures, writing them if nobody has.
-func (s *Sealer) seal(ctx context.Context, window usage.Window) (sealed, error) {
-	key := tables.Key{Table: sealedTable, Row: fmt.Sprintf("window/%012d", window)}
-	row, err := s.tables.Get(ctx, key)
-	if err == nil {
-		var figures sealed
-		return figures, json.Unmarshal(row.Value, &figures)
-	}
-	if !errors.Is(err, tables.ErrNotFound) {
-		return sealed{}, err
+// settled reports whether writers had their grace since the store answers, so
+// that what they held through an outage is in the table.
+func (s *Sealer) settled(now time.Time) bool {
+	if s.answering.IsZero() {
+		s.answering = now
 	}
-	figures, err := s.add(ctx, window)
-	if err != nil {
-		return sealed{}, err
-	}
-	value, err := json.Marshal(figures)
-	if err != nil {
-		return sealed{}, err
-	}
-	return figures, s.tables.Commit(ctx, tables.Txn{
-		Conditions: []tables.Condition{s.lease.Guard(), {Key: key}},
-		Writes:     []tables.Write{{Key: key, Value: value}},
-	})
+	return now.Sub(s.answering) >= s.config.Grace
 }
 
-func (s *Sealer) add(ctx context.Context, window usage.Window) (sealed, error) {
-	prefix := account.WindowPrefix(window)
-	rows, err := s.tables.Scan(ctx, account.TableName, prefix, prefix, maxBatches)
-	if err != nil {
-		return sealed{}, err
-	}
-	batches := make([]usage.Batch, len(rows))
-	for i, row := range rows {
-		if err := json.Unmarshal(row.Value, &batches[i]); err != nil {
-			return sealed{}, err
-		}
-	}
-	return sealed{Window: window, Teams: usage.Sum(batches)}, nil
-}
-
-func (s *Sealer) report(ctx context.Context, figures sealed) error {
-	for team, sum := range figures.Teams {
-		term, held := s.lease.Held()
-		if !held {
-			return errors.New("sealing: the term ended; remedy: the next holder goes on")
-		}
-		report := usagereport.Report{Team: team, Window: figures.Window, Figures: sum, Epoch: int64(term.Row.Epoch), Holder: term.Row.Holder}
-		if err := s.reports.Report(ctx, report); err != nil {
-			return err
-		}
-	}
-	return nil
+func (s *Sealer) newest(now time.Time) usage.Window {
+	return usage.WindowAt(now.Add(-s.config.Grace), s.config.Window) - 1
 }
 
-func (s *Sealer) readProgress(ctx context.Context) (progress, int64, error) {
-	row, err := s.tables.Get(ctx, tables.Key{Table: sealedTable, Row: progressRow})
-	if errors.Is(err, tables.ErrNotFound) {
-		return progress{}, 0, nil
-	}
-	if err != nil {
-		return progress{}, 0, err
-	}
-	var done progress
-	return done, row.Version, json.Unmarshal(row.Value, &done)
-}
-
-func (s *Sealer) writeProgress(ctx context.Context, window usage.Window, version int64) error {
-	value, err := json.Marshal(progress{Reported: window})
-	if err != nil {
-		return err
-	}
-	key := tables.Key{Table: sealedTable, Row: progressRow}
-	return s.tables.Commit(ctx, tables.Txn{
-		Conditions: []tables.Condition{s.lease.Guard(), {Key: key, Version: version}},
-		Writes:     []tables.Write{{Key: key, Value: value}},
-	})
-}
+func (s *Sealer) windows(span time.Duration) int64 { return int64(span / s.config.Window) }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,7 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	Usage          Usage              `toml:"usage"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -39,6 +40,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		Usage:        defaultUsage(),
 	}
 }
 
@@ -91,6 +93,9 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"usage.idle_close", s.Usage.IdleClose},
+		{"usage.remember", s.Usage.Remember},
+		{"usage.keep", s.Usage.Keep},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- /dev/null
+++ b/entry/wiring/usage.go
@@ -0,0 +1,41 @@
+package wiring
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/account"
+	"flamingospar.org/entry/fleet"
+	"flamingospar.org/entry/leasekeeper"
+	"flamingospar.org/entry/sealing"
+	"flamingospar.org/entry/settings"
+	"flamingospar.org/platform/httpapi"
+)
+
+func newInterceptor(s settings.Settings, records *account.Ring, acks *account.Acks, counts *account.Counts, registry *meter.Registry) *account.Interceptor {
+	return account.NewInterceptor(records, acks, counts, time.Duration(s.UsageWindow), registry)
+}
+
+// newWriter gives each start of the process a name of its own for its batches,
+// also when the settings fix the instance's name.
+func newWriter(s settings.Settings, c *httpapi.Client, records *account.Ring, acks *account.Acks, view *fleet.View, registry *meter.Registry) *account.Writer {
+	instance := s.Instance + "." + uuid.NewString()[:8]
+	return account.NewWriter(c, records, acks, view, instance, time.Duration(s.UsageFlush), registry)
+}
+
+func newSealer(s settings.Settings, network netx.Network, c *httpapi.Client, k *leasekeeper.Keeper, registry *meter.Registry) *sealing.Sealer {
+	config := sealing.Config{
+		Window:    time.Duration(s.UsageWindow),
+		Grace:     time.Duration(s.UsageGrace),
+		IdleClose: time.Duration(s.Usage.IdleClose),
+		Remember:  time.Duration(s.Usage.Remember),
+		Keep:      time.Duration(s.Usage.Keep),
+		AtOnce:    sealing.DefaultAtOnce,
+	}
+	allow := func() error { return sealing.MayReport(k, config.IdleClose) }
+	reports := httpapi.New(s.PlatformURL, netx.HTTP1Client(netx.Guarded(network, allow)))
+	return sealing.New(c, reports, k, config, registry)
+}
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -10,13 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/dig"
 
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/base/ring"
-	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/authenticate"
@@ -71,8 +70,13 @@
 		meter.NewRegistry,
 		newPlatform,
 		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network) *fleet.View { return fleet.New(c, netx.HTTP2Client(n)) },
+		func(c *httpapi.Client, n netx.Network, i *account.Interceptor) *fleet.View {
+			return fleet.New(c, netx.HTTP2Client(n), connect.WithInterceptors(i))
+		},
 		account.NewRing,
+		account.NewAcks,
+		account.NewCounts,
+		newInterceptor,
 		dispatch.New,
 		newChain,
 		newWriter,
@@ -93,25 +97,16 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		authenticate.New(c),
 		match.New(time.Duration(s.Deadline)),
-		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
 	)
 }
 
-func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
-	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
-}
-
-func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
-	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
-}
-
 // Ready reports whether the entry serves callers.
 func (e *Entry) Ready() bool {
 	return !e.State.draining.Load() && e.Config.Current() != nil
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -8,7 +8,6 @@
 
 	"flamingospar.org/platform/capacity"
 	"flamingospar.org/platform/objects"
-	"flamingospar.org/platform/usagereport"
 	"flamingospar.org/platform/vms"
 )
 
@@ -28,7 +27,7 @@
 	objects map[string][]byte
 	vms     []vms.VM
 	orders  []capacity.Order
-	reports []usagereport.Report
+	reports reportLedger
 }
 
 // New returns a platform without VMs.
@@ -84,21 +83,6 @@
 	return append([]capacity.Order(nil), p.orders...)
 }
 
-// Report implements usagereport.Reports.
-func (p *Platform) Report(_ context.Context, report usagereport.Report) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reports = append(p.reports, report)
-	return nil
-}
-
-// Reports returns all usage reports in the order of arrival.
-func (p *Platform) Reports() []usagereport.Report {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return append([]usagereport.Report(nil), p.reports...)
-}
-
 // Put implements objects.Store.
 func (p *Platform) Put(_ context.Context, name string, data []byte) error {
 	p.mu.Lock()
