Runs of usage: slow reports, a store apart from the report interface, intruders

Change: reports are slow at times and are not cut off with the store; a change of what is sealed by a process without the lease is counted.

--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -60,6 +60,7 @@
 	res, err := w.check(context.Background())
 	require.NoError(t, err)
 	require.Empty(t, res.violations)
+	require.Zero(t, res.intruders, "changes of what is sealed without the lease")
 	require.Zero(t, res.missing, "runs that neither death explains")
 	require.Zero(t, res.tokenError, "tokens")
 	require.Zero(t, res.left, "batches left in the table")
@@ -74,7 +75,7 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02})
+				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.5})
 				for range steps {
 					w.randomStep()
 				}
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	agentaccount "flamingospar.org/agent/account"
@@ -33,7 +35,7 @@
 var errInjected = errors.New("injected fault")
 
 // odds are the chances of a fault at each call of the platform.
-type odds struct{ loseAnswer, loseCall, pause float64 }
+type odds struct{ loseAnswer, loseCall, pause, slowReport float64 }
 
 // run is one run as it truly happened.
 type run struct {
@@ -55,18 +57,20 @@
 	runs     map[string]*run
 	started  int
 	pausing  bool
-	reports  *meter.Registry
+	// intruders counts changes of what is sealed without the lease.
+	intruders int
+	reports   *meter.Registry
 }
 
 type process struct {
 	world *world
+	id    string
 	cut   bool // Partitioned from the platform.
 	busy  bool // Paused inside a call.
 }
 
 type entry struct {
 	*process
-	id      string
 	acks    *entryaccount.Acks
 	taker   *entryaccount.Interceptor
 	writer  *entryaccount.Writer
@@ -102,8 +106,8 @@
 
 func (w *world) newEntry() *entry {
 	w.started++
-	p := &process{world: w}
-	e := &entry{process: p, id: fmt.Sprintf("entry-%d", w.started), acks: entryaccount.NewAcks()}
+	p := &process{world: w, id: fmt.Sprintf("entry-%d", w.started)}
+	e := &entry{process: p, acks: entryaccount.NewAcks()}
 	registry := meter.NewRegistry()
 	ring := entryaccount.NewRing()
 	e.taker = entryaccount.NewInterceptor(ring, e.acks, entryaccount.NewCounts(), window, registry)
@@ -129,7 +133,7 @@
 
 // serve runs one request of a team; the entry may not hear of its end.
 func (w *world) serve(a *agent, e *entry, heard bool) {
-	team := fmt.Sprintf("team-%d", w.random.IntN(5))
+	team := fmt.Sprintf("team-%d", w.random.IntN(12))
 	a.ledger.Acknowledge(e.acks.Take(a.address))
 	figures := usage.Figures{Requests: 1, PromptTokens: 1 + w.random.Int64N(2000), OutputTokens: 1 + w.random.Int64N(400)}
 	record := a.ledger.Count(team, figures, window, time.Now())
@@ -213,11 +217,21 @@
 	e.sealer.Step(ctx)
 }
 
+// store passes one call to the table service, which may be down or cut off.
+func (p *process) store(ctx context.Context, effect func() error) error {
+	return p.call(ctx, func() error {
+		if p.world.outage || p.cut {
+			return errors.Join(tables.ErrUnavailable, errInjected)
+		}
+		return effect()
+	})
+}
+
 // call passes one call to the platform with the faults in force.
 func (p *process) call(ctx context.Context, effect func() error) error {
 	w := p.world
 	p.maybePause(ctx)
-	if w.outage || p.cut || w.chance(w.odds.loseCall) {
+	if w.chance(w.odds.loseCall) {
 		return errors.Join(tables.ErrUnavailable, errInjected)
 	}
 	err := effect()
@@ -239,19 +253,27 @@
 	if w.pausing || !w.chance(w.odds.pause) {
 		return
 	}
-	w.pausing = true
-	p.busy = true
 	for range 1 + w.random.IntN(8) {
-		time.Sleep(time.Duration(1+w.random.IntN(5)) * time.Second)
-		w.step(context.Background())
+		w.others(p, time.Duration(1+w.random.IntN(5))*time.Second)
 	}
+}
+
+// others stops a process for a time, after which all others step.
+func (w *world) others(p *process, pause time.Duration) {
+	if w.pausing {
+		return
+	}
+	w.pausing = true
+	p.busy = true
+	time.Sleep(pause)
+	w.step(context.Background())
 	p.busy = false
 	w.pausing = false
 }
 
 // Get implements tables.Service.
 func (p *process) Get(ctx context.Context, key tables.Key) (row tables.Row, err error) {
-	err = p.call(ctx, func() error {
+	err = p.store(ctx, func() error {
 		row, err = p.world.platform.Tables.Get(ctx, key)
 		return err
 	})
@@ -260,16 +282,31 @@
 
 // Scan implements tables.Service.
 func (p *process) Scan(ctx context.Context, table, prefix, start string, limit int) (rows []tables.Row, err error) {
-	err = p.call(ctx, func() error {
+	err = p.store(ctx, func() error {
 		rows, err = p.world.platform.Tables.Scan(ctx, table, prefix, start, limit)
 		return err
 	})
 	return rows, err
 }
 
-// Commit implements tables.Service.
+// Commit implements tables.Service. Only the holder of the lease changes what
+// is sealed.
 func (p *process) Commit(ctx context.Context, txn tables.Txn) error {
-	return p.call(ctx, func() error { return p.world.platform.Tables.Commit(ctx, txn) })
+	return p.store(ctx, func() error {
+		err := p.world.platform.Tables.Commit(ctx, txn)
+		if err == nil && txn.Writes[0].Key.Table == usagestore.SealedTable {
+			p.world.checkHolder(p)
+		}
+		return err
+	})
+}
+
+// checkHolder notes a change of what is sealed by a process without the lease.
+func (w *world) checkHolder(p *process) {
+	row, err := w.platform.Tables.Get(context.Background(), tables.Key{Table: "leases", Row: "usage"})
+	if err != nil || !strings.Contains(string(row.Value), strconv.Quote(p.id)) {
+		w.intruders++
+	}
 }
 
 // reporter sends reports as the guarded connection does: the term is checked
@@ -282,6 +319,9 @@
 		return err
 	}
 	checked := time.Now()
+	if w := r.e.world; w.chance(w.odds.slowReport) {
+		w.others(r.e.process, time.Duration(w.random.Int64N(int64(idleClose))))
+	}
 	return r.e.call(ctx, func() error {
 		if time.Since(checked) >= idleClose {
 			return errInjected
@@ -311,6 +351,7 @@
 	runs, missing, residue int
 	tokenError             int64 // Reported less counted tokens.
 	violations             []string
+	intruders              int
 	left                   int // Batches still in the table.
 }
 
@@ -321,7 +362,7 @@
 	if err != nil {
 		return result{}, err
 	}
-	res := result{runs: len(w.runs), violations: w.platform.ReportViolations()}
+	res := result{runs: len(w.runs), violations: w.platform.ReportViolations(), intruders: w.intruders}
 	expected := make(map[string]usage.Figures)
 	for _, run := range w.runs {
 		source := sources[run.record.Source]
