--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -24,12 +24,12 @@
 	Batch       Class = "batch"
 )
 
-// Limits bound what one owner may use. Zero is refused by the check; an absent
-// table means no limit of its own.
+// Limits bound what one entry of the catalogue may use. A written zero is
+// refused by the check; an absent key means no limit.
 type Limits struct {
-	RequestsPerSecond float64 `toml:"requests_per_second" json:"requests_per_second"`
-	TokensPerSecond   float64 `toml:"tokens_per_second" json:"tokens_per_second"`
-	Concurrent        int     `toml:"concurrent" json:"concurrent"`
+	RequestsPerSecond float64 `toml:"requests_per_second" json:"requests_per_second,omitempty"`
+	TokensPerSecond   float64 `toml:"tokens_per_second" json:"tokens_per_second,omitempty"`
+	Concurrent        int     `toml:"concurrent" json:"concurrent,omitempty"`
 }
 
 // Team is a customer. Weight is its share relative to other teams.
@@ -41,17 +41,19 @@
 
 // Model is a language model served by endpoints.
 type Model struct {
-	Name    string `toml:"name" json:"name"`
-	Owner   string `toml:"owner" json:"owner"`
-	Class   Class  `toml:"class" json:"class"`
-	Version string `toml:"version" json:"version"`
+	Name    string  `toml:"name" json:"name"`
+	Owner   string  `toml:"owner" json:"owner"`
+	Class   Class   `toml:"class" json:"class"`
+	Version string  `toml:"version" json:"version"`
+	Limits  *Limits `toml:"limits" json:"limits,omitempty"`
 }
 
 // Service is a plain application service beside the engines.
 type Service struct {
-	Name  string `toml:"name" json:"name"`
-	Owner string `toml:"owner" json:"owner"`
-	Class Class  `toml:"class" json:"class"`
+	Name   string  `toml:"name" json:"name"`
+	Owner  string  `toml:"owner" json:"owner"`
+	Class  Class   `toml:"class" json:"class"`
+	Limits *Limits `toml:"limits" json:"limits,omitempty"`
 }
 
 // Route maps callers' paths to a service. Model routes are built in.
@@ -70,10 +72,11 @@
 
 // Endpoint states facts about the endpoints of a kind.
 type Endpoint struct {
-	Kind          string `toml:"kind" json:"kind"`
-	Owner         string `toml:"owner" json:"owner"`
-	Class         Class  `toml:"class" json:"class"`
-	ChecksFencing bool   `toml:"checks_fencing" json:"checks_fencing"`
+	Kind          string  `toml:"kind" json:"kind"`
+	Owner         string  `toml:"owner" json:"owner"`
+	Class         Class   `toml:"class" json:"class"`
+	ChecksFencing bool    `toml:"checks_fencing" json:"checks_fencing"`
+	Limits        *Limits `toml:"limits" json:"limits,omitempty"`
 }
 
 // Duration is a time.Duration written as "1.5s" in TOML and JSON.
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -59,6 +59,7 @@
 	Code       Code
 	Outcome    Outcome
 	Detail     string        // What exactly was wrong, without the remedy.
+	Param      string        // The request field at fault, if it is one.
 	RetryAfter time.Duration // Zero: no Retry-After header.
 }
 
@@ -79,6 +80,13 @@
 	return &waited
 }
 
+// In returns a copy that names the request field at fault.
+func (r *Refusal) In(param string) *Refusal {
+	named := *r
+	named.Param = param
+	return &named
+}
+
 // Reason returns the description of the refusal's code.
 func (r *Refusal) Reason() Reason { return Reasons[r.Code] }
 
