Refuse bad input in one shape before anything runs

Cause: unknown methods and the list of models answered outside the chain, in plain text and without a key; bodies were read before the key was checked; a key in the query was stripped in silence; "Model" was taken for "model", which an engine does not do; tools, logprobs and n > 1 were dropped in silence. Ruled out: reading Content-Length beside chunks (net/http removes it); the connection is closed after a chunked body instead. Change: filters accept, authenticate, receive, match and models refuse each case with its own code, param and counter; a stream that breaks off ends with an error event; dev runs several entries.

--- a/entry/authenticate/authenticate.go
+++ b/entry/authenticate/authenticate.go
@@ -4,19 +4,24 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
+	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
+	"flamingospar.org/core/key"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/entry/pipeline"
 )
 
-// KeyPrefix begins every issued key.
-const KeyPrefix = "fsk_"
-
-const bearerScheme = "bearer "
+const (
+	headerAuthorization = "Authorization"
+	bearerScheme        = "bearer "
+	staleRetryAfter     = 2 * time.Second
+)
 
 // Config is the source of the configuration in force.
 type Config interface {
@@ -39,22 +44,19 @@
 func (f *Filter) Request(_ context.Context, x *pipeline.Exchange) *refusal.Refusal {
 	x.State = f.config.Current()
 	if x.State == nil {
-		return refusal.New(refusal.ConfigStale, "no current configuration is held")
+		return refusal.New(refusal.ConfigStale, "no current configuration is held").After(staleRetryAfter)
 	}
-	if isOpen(x) {
-		stripCredentials(x.Request)
-		return nil
-	}
-	key, refused := keyOf(x.Request)
-	if refused != nil {
+	if refused := misplacedKey(x.Request); refused != nil {
 		return refused
 	}
-	found, ok := x.State.KeyByHash(config.HashKey(key))
-	if !ok {
-		return refusal.New(refusal.KeyUnknown, "the key is not in force")
+	if !isOpen(x) {
+		team, refused := teamOf(x)
+		if refused != nil {
+			return refused
+		}
+		x.Team = team
 	}
-	x.Team = found.Team
-	stripCredentials(x.Request)
+	stripCredentials(x.Request.Header)
 	return nil
 }
 
@@ -62,12 +64,29 @@
 func (f *Filter) Response(context.Context, *pipeline.Exchange) {}
 
 func isOpen(x *pipeline.Exchange) bool {
-	route, ok := x.State.Catalogue.FindRoute(x.Request.URL.Path)
+	path := x.Request.URL.Path
+	if catalogue.IsBuiltIn(path) {
+		return false
+	}
+	route, ok := x.State.Catalogue.FindRoute(path)
 	return ok && route.Open
 }
 
-func keyOf(r *http.Request) (string, *refusal.Refusal) {
-	values := r.Header.Values("Authorization")
+func teamOf(x *pipeline.Exchange) (string, *refusal.Refusal) {
+	given, refused := keyOf(x.Request.Header)
+	if refused != nil {
+		return "", refused
+	}
+	hash := config.HashKey(given)
+	found, ok := x.State.KeyByHash(hash)
+	if !ok || subtle.ConstantTimeCompare([]byte(found.Hash), []byte(hash)) != 1 {
+		return "", refusal.New(refusal.KeyUnknown, "the key is not in force")
+	}
+	return found.Team, nil
+}
+
+func keyOf(header http.Header) (string, *refusal.Refusal) {
+	values := header.Values(headerAuthorization)
 	if len(values) == 0 {
 		return "", refusal.New(refusal.KeyMissing, "the request has no Authorization header")
 	}
@@ -77,38 +96,40 @@
 	if len(values[0]) < len(bearerScheme) || !strings.EqualFold(values[0][:len(bearerScheme)], bearerScheme) {
 		return "", refusal.New(refusal.KeyMalformed, "the Authorization header has another scheme than Bearer")
 	}
-	key := strings.TrimSpace(values[0][len(bearerScheme):])
-	if !strings.HasPrefix(key, KeyPrefix) {
-		return "", refusal.New(refusal.KeyMalformed, "the key does not begin with %s", KeyPrefix)
+	given := strings.TrimSpace(values[0][len(bearerScheme):])
+	if !key.IsValid(key.CallerPrefix, given) {
+		return "", refusal.New(refusal.KeyMalformed, "the key has another form than the issued ones")
 	}
-	return key, nil
+	return given, nil
 }
 
-// credentialHeaders never travel to an agent.
-var credentialHeaders = []string{"Authorization", "Proxy-Authorization", "Cookie", "X-Api-Key", "Api-Key"}
-
-func stripCredentials(r *http.Request) {
-	for _, name := range credentialHeaders {
-		r.Header.Del(name)
-	}
-	r.URL.RawQuery = stripQuery(r.URL.RawQuery)
-}
-
-// stripQuery drops parameters that hold a key under any name.
-func stripQuery(raw string) string {
-	if !strings.Contains(raw, KeyPrefix) {
-		return raw
-	}
-	values, err := url.ParseQuery(raw)
+// misplacedKey refuses a key in the path, the query or another header.
+func misplacedKey(r *http.Request) *refusal.Refusal {
+	query, err := url.QueryUnescape(r.URL.RawQuery)
 	if err != nil {
-		return ""
+		query = r.URL.RawQuery
 	}
-	for name, list := range values {
-		for _, value := range list {
-			if strings.Contains(value, KeyPrefix) {
-				values.Del(name)
+	if key.IsContained([]byte(r.URL.Path)) || key.IsContained([]byte(query)) || key.IsContained([]byte(r.URL.RawQuery)) {
+		return refusal.New(refusal.KeyMisplaced, "the URL holds a key")
+	}
+	for name, values := range r.Header {
+		if name == headerAuthorization {
+			continue
+		}
+		for _, value := range values {
+			if key.IsContained([]byte(value)) {
+				return refusal.New(refusal.KeyMisplaced, "the header %s holds a key", name)
 			}
 		}
 	}
-	return values.Encode()
+	return nil
+}
+
+// credentialHeaders never travel to an agent.
+var credentialHeaders = []string{headerAuthorization, "Proxy-Authorization", "Cookie", "X-Api-Key", "Api-Key"}
+
+func stripCredentials(header http.Header) {
+	for _, name := range credentialHeaders {
+		header.Del(name)
+	}
 }
--- /dev/null
+++ b/entry/match/body.go
@@ -0,0 +1,172 @@
+package match
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"flamingospar.org/core/refusal"
+)
+
+// maxQuoted bounds how much of a caller's text a message quotes, in bytes.
+const maxQuoted = 64
+
+// ModelRequest is the part of a model request's body that the entry reads.
+type ModelRequest struct {
+	Model         string
+	Stream        bool
+	StreamOptions StreamOptions
+}
+
+// StreamOptions choose what a stream holds beside the text.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// fields are the members of a body by their exact names: unlike struct
+// decoding, "Model" is not taken for "model", which an engine would not do.
+type fields map[string]json.RawMessage
+
+// Decode reads a model request's body that was checked before.
+func Decode(body []byte) (ModelRequest, error) {
+	decoded, refused := decodeFields(body)
+	if refused != nil {
+		return ModelRequest{}, refused
+	}
+	return requestOf(decoded), nil
+}
+
+func requestOf(f fields) ModelRequest {
+	var request ModelRequest
+	_ = json.Unmarshal(f["model"], &request.Model)
+	_ = json.Unmarshal(f["stream"], &request.Stream)
+	_ = json.Unmarshal(f["stream_options"], &request.StreamOptions)
+	return request
+}
+
+func decodeFields(body []byte) (fields, *refusal.Refusal) {
+	var decoded fields
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return nil, refusal.New(refusal.BodyInvalid, "the body is no JSON object: %v", err)
+	}
+	if decoded == nil {
+		return nil, refusal.New(refusal.BodyInvalid, "the body is no JSON object")
+	}
+	return decoded, nil
+}
+
+// fieldRule says which values of a field are taken.
+type fieldRule struct {
+	name string
+	want string
+	ok   func(value json.RawMessage) bool
+}
+
+// shapeRules hold for fields that the entry reads.
+var shapeRules = []fieldRule{
+	{"model", "a string", isType[string]},
+	{"stream", "true or false", isType[bool]},
+	{"stream_options", "an object with include_usage", isType[StreamOptions]},
+	{"max_tokens", "a whole number above 0", isCount},
+	{"max_completion_tokens", "a whole number above 0", isCount},
+	{"n", "a whole number above 0", isCount},
+}
+
+// supportRules hold for fields whose answers the entry does not carry; a field
+// not named here travels to the engine as it came.
+var supportRules = []fieldRule{
+	{"n", "1", isOne},
+	{"best_of", "1", isOne},
+	{"tools", "no tools", isEmpty},
+	{"functions", "no functions", isEmpty},
+	{"logprobs", "false", isEmpty},
+	{"top_logprobs", "0", isEmpty},
+	{"echo", "false", isEmpty},
+	{"audio", "no audio", isEmpty},
+	{"modalities", `["text"]`, isTextOnly},
+}
+
+func checkFields(f fields, path string) *refusal.Refusal {
+	if refused := apply(f, shapeRules, refusal.BodyInvalid); refused != nil {
+		return refused
+	}
+	if _, ok := f["model"]; !ok {
+		return refusal.New(refusal.BodyInvalid, "the field model is missing").In("model")
+	}
+	if refused := apply(f, supportRules, refusal.FieldUnsupported); refused != nil {
+		return refused
+	}
+	if path == PathChat {
+		return checkMessages(f["messages"])
+	}
+	return checkPrompt(f["prompt"])
+}
+
+func apply(f fields, rules []fieldRule, code refusal.Code) *refusal.Refusal {
+	for _, rule := range rules {
+		value, written := f[rule.name]
+		if !written || isNull(value) || rule.ok(value) {
+			continue
+		}
+		return refusal.New(code, "the field %s must be %s", rule.name, rule.want).In(rule.name)
+	}
+	return nil
+}
+
+func checkMessages(value json.RawMessage) *refusal.Refusal {
+	var messages []struct {
+		Role string `json:"role"`
+	}
+	if json.Unmarshal(value, &messages) != nil || len(messages) == 0 {
+		return refusal.New(refusal.BodyInvalid, "the field messages must be a list of at least one message").In("messages")
+	}
+	for _, message := range messages {
+		if message.Role == "" {
+			return refusal.New(refusal.BodyInvalid, "each message needs a role").In("messages")
+		}
+	}
+	return nil
+}
+
+func checkPrompt(value json.RawMessage) *refusal.Refusal {
+	if isType[string](value) || isType[[]int64](value) && !isEmpty(value) {
+		return nil
+	}
+	var prompts []json.RawMessage
+	if json.Unmarshal(value, &prompts) != nil || len(prompts) == 0 {
+		return refusal.New(refusal.BodyInvalid, "the field prompt must be a text or a list of tokens").In("prompt")
+	}
+	return refusal.New(refusal.FieldUnsupported, "the field prompt holds a list of prompts; send one request for each").In("prompt")
+}
+
+func isType[T any](value json.RawMessage) bool {
+	var into T
+	return !isNull(value) && json.Unmarshal(value, &into) == nil
+}
+
+func isCount(value json.RawMessage) bool {
+	var count int32
+	return json.Unmarshal(value, &count) == nil && count > 0
+}
+
+func isOne(value json.RawMessage) bool {
+	var count int32
+	return json.Unmarshal(value, &count) == nil && count == 1
+}
+
+func isNull(value json.RawMessage) bool {
+	return len(value) == 0 || string(bytes.TrimSpace(value)) == "null"
+}
+
+func isEmpty(value json.RawMessage) bool {
+	return isNull(value) || slices.Contains([]string{"false", "0", "[]", "{}"}, string(bytes.TrimSpace(value)))
+}
+
+func isTextOnly(value json.RawMessage) bool {
+	var modalities []string
+	return json.Unmarshal(value, &modalities) == nil && slices.Equal(modalities, []string{"text"})
+}
+
+func shortened(text string) string {
+	return text[:min(len(text), maxQuoted)]
+}
--- a/entry/match/match.go
+++ b/entry/match/match.go
@@ -3,12 +3,13 @@
 package match
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"net/http"
 	"slices"
+	"strings"
 	"time"
 
+	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/entry/pipeline"
 )
@@ -20,7 +21,7 @@
 )
 
 // ModelKind is the kind of endpoints that run models.
-const ModelKind = "model"
+const ModelKind = catalogue.ModelKind
 
 // Filter is the match filter.
 type Filter struct {
@@ -48,12 +49,16 @@
 func (f *Filter) Response(context.Context, *pipeline.Exchange) {}
 
 func matchService(x *pipeline.Exchange) *refusal.Refusal {
-	route, ok := x.State.Catalogue.FindRoute(x.Request.URL.Path)
-	if !ok {
-		return refusal.New(refusal.RouteUnknown, "no route has the path %s", x.Request.URL.Path)
+	path := x.Request.URL.Path
+	route, ok := x.State.Catalogue.FindRoute(path)
+	if !ok || catalogue.IsBuiltIn(path) {
+		return refusal.New(refusal.RouteUnknown, "no route has the path %s", path)
+	}
+	if isAmbiguous(x.Request) {
+		return refusal.New(refusal.RouteUnknown, "the path is not in its plain form")
 	}
 	if len(route.Methods) > 0 && !slices.Contains(route.Methods, x.Request.Method) {
-		return refusal.New(refusal.RouteUnknown, "route %s does not take the method %s", route.Name, x.Request.Method)
+		return wrongMethod(x, route.Methods...)
 	}
 	x.Route = route.Name
 	x.Kind = route.Service
@@ -65,34 +70,39 @@
 	return nil
 }
 
-// ModelRequest is the part of a model request's body that the entry reads.
-type ModelRequest struct {
-	Model         string `json:"model"`
-	Stream        bool   `json:"stream"`
-	N             *int   `json:"n"`
-	StreamOptions struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
+// isAmbiguous reports whether a service could read another route's path from
+// the request: dot segments, empty segments or encoded separators.
+func isAmbiguous(r *http.Request) bool {
+	for segment := range strings.SplitSeq(strings.TrimPrefix(r.URL.Path, "/"), "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	encoded := strings.ToLower(r.URL.EscapedPath())
+	return strings.Contains(r.URL.Path, "//") ||
+		strings.Contains(encoded, "%2f") || strings.Contains(encoded, "%5c") || strings.Contains(encoded, "%00")
 }
 
-// Decode reads a model request's body.
-func Decode(body []byte) (ModelRequest, error) {
-	var request ModelRequest
-	err := json.NewDecoder(bytes.NewReader(body)).Decode(&request)
-	return request, err
+func wrongMethod(x *pipeline.Exchange, allowed ...string) *refusal.Refusal {
+	x.Writer.Header().Set("Allow", strings.Join(allowed, ", "))
+	return refusal.New(refusal.MethodNotAllowed, "%s does not take the method %s", x.Request.URL.Path, x.Request.Method)
 }
 
 func matchModel(x *pipeline.Exchange) *refusal.Refusal {
-	request, err := Decode(x.Body)
-	if err != nil {
-		return refusal.New(refusal.BodyInvalid, "the body is no JSON object: %v", err)
+	if x.Request.Method != http.MethodPost {
+		return wrongMethod(x, http.MethodPost)
+	}
+	fields, refused := decodeFields(x.Body)
+	if refused != nil {
+		return refused
 	}
-	if request.N != nil && *request.N != 1 {
-		return refusal.New(refusal.BodyInvalid, "n must be 1")
+	if refused := checkFields(fields, x.Request.URL.Path); refused != nil {
+		return refused
 	}
+	request := requestOf(fields)
 	model, ok := x.State.Catalogue.FindModel(request.Model)
 	if !ok {
-		return refusal.New(refusal.ModelUnknown, "no model has the name %q", request.Model)
+		return refusal.New(refusal.ModelUnknown, "no model has the name %q", shortened(request.Model)).In("model")
 	}
 	x.Route = x.Request.URL.Path
 	x.Kind = ModelKind
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
-	"encoding/base32"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -18,14 +17,11 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
-	"flamingospar.org/entry/authenticate"
+	"flamingospar.org/core/key"
 	"flamingospar.org/entry/configview"
 )
 
-const (
-	keyBytes     = 20
-	maxBodyBytes = 8 << 20
-)
+const maxBodyBytes = 8 << 20
 
 // Config is the configuration that operators read and change.
 type Config interface {
@@ -170,19 +166,19 @@
 		return
 	}
 	secret := NewKey()
-	key := config.Key{ID: "key-" + uuid.NewString(), Team: request.Team, Hash: config.HashKey(secret)}
-	revision, err := a.config.Write(r.Context(), 0, config.Change{Operator: request.Operator, IssueKey: &key})
+	issued := config.Key{ID: "key-" + uuid.NewString(), Team: request.Team, Hash: config.HashKey(secret)}
+	revision, err := a.config.Write(r.Context(), 0, config.Change{Operator: request.Operator, IssueKey: &issued})
 	if refuse(w, err) {
 		return
 	}
-	write(w, KeyAnswer{ID: key.ID, Team: key.Team, Key: secret, Revision: revision})
+	write(w, KeyAnswer{ID: issued.ID, Team: issued.Team, Key: secret, Revision: revision})
 }
 
 // NewKey returns a fresh caller's key.
 func NewKey() string {
-	secret := make([]byte, keyBytes)
-	_, _ = rand.Read(secret)
-	return authenticate.KeyPrefix + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(secret))
+	var random [key.RandomBytes]byte
+	_, _ = rand.Read(random[:])
+	return key.Format(key.CallerPrefix, random)
 }
 
 func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
--- a/entry/render/model.go
+++ b/entry/render/model.go
@@ -123,7 +123,7 @@
 }
 
 func (a *wholeAnswer) Finish(finishReason string, usage *wirev1.Usage) error {
-	a.x.Writer.Header().Set("Content-Type", "application/json")
+	a.x.Writer.Header().Set("Content-Type", contentTypeJSON)
 	a.x.AnswerBegun = true
 	choices := []choice{a.shape.whole(a.text.String(), finishReason)}
 	return json.NewEncoder(a.x.Writer).Encode(a.shape.body(false, choices, usageOf(usage)))
@@ -149,7 +149,7 @@
 
 func (a *streamAnswer) begin() {
 	header := a.x.Writer.Header()
-	header.Set("Content-Type", "text/event-stream")
+	header.Set("Content-Type", contentTypeEvents)
 	header.Set("Cache-Control", "no-store")
 	a.x.AnswerBegun = true
 }
--- a/entry/render/render.go
+++ b/entry/render/render.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -15,6 +16,11 @@
 // HeaderOutcome says whether a refused request's run may have taken effect.
 const HeaderOutcome = "Flamingospar-Outcome"
 
+const (
+	contentTypeJSON   = "application/json"
+	contentTypeEvents = "text/event-stream"
+)
+
 type errorBody struct {
 	Error errorFields `json:"error"`
 }
@@ -24,26 +30,54 @@
 	Type      string       `json:"type"`
 	Code      refusal.Code `json:"code"`
 	Param     *string      `json:"param"`
+	Outcome   string       `json:"outcome"`
 	RequestID string       `json:"request_id"`
 }
 
-// Refusal writes a refusal as a JSON error. After the answer has begun it can
-// only break the connection off, so that the caller sees an incomplete answer.
+// Refusal writes a refusal as a JSON error. After the answer has begun it ends
+// a stream of events with the error and breaks the connection off, so that the
+// caller sees an incomplete answer.
 func Refusal(x *pipeline.Exchange, refused *refusal.Refusal) {
+	body := bodyOf(x, refused)
+	header := x.Writer.Header()
 	if x.AnswerBegun {
+		if header.Get("Content-Type") == contentTypeEvents {
+			writeEvent(x, body)
+		}
 		panic(http.ErrAbortHandler)
 	}
-	header := x.Writer.Header()
-	header.Set("Content-Type", "application/json")
+	header.Set("Content-Type", contentTypeJSON)
 	header.Set(HeaderOutcome, refused.Outcome.String())
+	if refused.Reason().Status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if refused.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refused.RetryAfter.Seconds()))))
 	}
 	x.Writer.WriteHeader(refused.Reason().Status)
-	_ = json.NewEncoder(x.Writer).Encode(errorBody{Error: errorFields{
+	_ = json.NewEncoder(x.Writer).Encode(body)
+}
+
+func bodyOf(x *pipeline.Exchange, refused *refusal.Refusal) errorBody {
+	fields := errorFields{
 		Message:   refused.Detail + "; " + refused.Reason().Remedy,
 		Type:      refused.Reason().Type,
 		Code:      refused.Code,
+		Outcome:   refused.Outcome.String(),
 		RequestID: x.ID,
-	}})
+	}
+	if refused.Param != "" {
+		fields.Param = &refused.Param
+	}
+	return errorBody{Error: fields}
+}
+
+func writeEvent(x *pipeline.Exchange, body errorBody) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	if _, err := fmt.Fprintf(x.Writer, "data: %s\n\n", data); err == nil {
+		_ = http.NewResponseController(x.Writer).Flush()
+	}
 }
--- a/entry/render/service.go
+++ b/entry/render/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"flamingospar.org/entry/pipeline"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -18,11 +19,17 @@
 }
 
 func (a *serviceAnswer) Head(head *wirev1.Head) error {
-	header := a.x.Writer.Header()
+	passed := make(http.Header, len(head.Headers))
 	for _, field := range head.Headers {
-		header.Add(field.Name, field.Value)
+		passed.Add(field.Name, field.Value)
+	}
+	StripHopHeaders(passed)
+	header := a.x.Writer.Header()
+	for name, values := range passed {
+		if header.Get(name) == "" {
+			header[name] = values
+		}
 	}
-	StripHopHeaders(header)
 	a.x.AnswerBegun = true
 	a.x.Writer.WriteHeader(int(head.Status))
 	return nil
@@ -39,6 +46,11 @@
 
 // StripHopHeaders removes the headers that belong to one connection.
 func StripHopHeaders(header http.Header) {
+	for _, line := range header.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
--- /dev/null
+++ b/entry/wiring/models.go
@@ -0,0 +1,21 @@
+package wiring
+
+import (
+	"flamingospar.org/base/meter"
+	"flamingospar.org/entry/accept"
+	"flamingospar.org/entry/authenticate"
+	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/models"
+	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/render"
+)
+
+// modelsChain is the pipeline of the list of models.
+type modelsChain struct {
+	*pipeline.Chain
+}
+
+func newModelsChain(registry *meter.Registry, c *configview.View) *modelsChain {
+	chain := pipeline.New(registry, render.Refusal, accept.New(), authenticate.New(c), models.New())
+	return &modelsChain{Chain: chain}
+}
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -29,6 +29,7 @@
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/receive"
 	"flamingospar.org/entry/relay"
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
@@ -50,6 +51,7 @@
 	Config   *configview.View
 	Fleet    *fleet.View
 	Chain    *pipeline.Chain
+	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
@@ -75,6 +77,7 @@
 		account.NewRing,
 		dispatch.New,
 		newChain,
+		newModelsChain,
 		newWriter,
 		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
 		newSealer,
@@ -96,8 +99,9 @@
 func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
-		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
+		accept.New(),
 		authenticate.New(c),
+		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
 		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
@@ -143,7 +147,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
-	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
+	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	failed := make(chan error, 2)
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -35,6 +35,7 @@
 	devCommand.String(&devOptions.Fleet, "", "fleet", "shedline or trust")
 	devCommand.String(&devOptions.Listen, "", "listen", "callers' address")
 	devCommand.String(&devOptions.OperatorListen, "", "operator-listen", "operators' address")
+	devCommand.Int(&devOptions.Entries, "", "entries", "number of entries")
 	devCommand.String(&devOptions.Only, "", "only", "platform,endpoints: run the stand-ins alone")
 	settingsPath := "entry.toml"
 	serveCommand := flaggy.NewSubcommand("serve")
--- /dev/null
+++ b/flamingospar/dev/badinput_test.go
@@ -0,0 +1,212 @@
+package dev
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/core/refusal"
+	"flamingospar.org/standin/memnet"
+)
+
+const goodChat = `{"model":"assessment","max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+
+// badRequest is one request that must be refused before anything runs.
+type badRequest struct {
+	name   string
+	method string
+	path   string
+	header http.Header
+	body   string
+	status int
+	code   refusal.Code
+}
+
+func badRequests(key string) []badRequest {
+	bearer := func(values ...string) http.Header { return http.Header{"Authorization": values} }
+	good := bearer("Bearer " + key)
+	with := func(name, value string) http.Header {
+		header := good.Clone()
+		header[name] = []string{value}
+		return header
+	}
+	chat := "/v1/chat/completions"
+	body := func(name, body string, code refusal.Code) badRequest {
+		return badRequest{name, "POST", chat, good, body, refusal.Reasons[code].Status, code}
+	}
+	field := func(field string, code refusal.Code) badRequest {
+		return body(field, strings.Replace(goodChat, `"max_tokens":4`, field, 1), code)
+	}
+	return []badRequest{
+		{"no key", "POST", chat, nil, goodChat, 401, refusal.KeyMissing},
+		{"no key for models", "GET", "/v1/models", nil, "", 401, refusal.KeyMissing},
+		{"other scheme", "POST", chat, bearer("Basic " + key), goodChat, 401, refusal.KeyMalformed},
+		{"short key", "POST", chat, bearer("Bearer fsk_x"), goodChat, 401, refusal.KeyMalformed},
+		{"two keys", "POST", chat, bearer("Bearer "+key, "Bearer "+key), goodChat, 401, refusal.KeyMalformed},
+		{"joined keys", "POST", chat, bearer("Bearer " + key + ", Bearer " + key), goodChat, 401, refusal.KeyMalformed},
+		{"unknown key", "POST", chat, bearer("Bearer fsk_" + strings.Repeat("a", 32)), goodChat, 401, refusal.KeyUnknown},
+		{"key in the query", "POST", chat + "?api_key=" + key, good, goodChat, 401, refusal.KeyMisplaced},
+		{"escaped key in the query", "POST", chat + "?k=%66" + key[1:], good, goodChat, 401, refusal.KeyMisplaced},
+		{"key in the query alone", "GET", "/status/7?key=" + key, nil, "", 401, refusal.KeyMisplaced},
+		{"key in a header", "POST", "/lodgements", with("X-Note", key), "{}", 401, refusal.KeyMisplaced},
+		{"key in the body", "POST", "/lodgements", good, `{"note":"` + key + `"}`, 401, refusal.KeyMisplaced},
+		{"underscore header", "POST", "/lodgements", with("X_run_id", "1"), "{}", 422, refusal.HeaderInvalid},
+		{"reserved header", "POST", "/lodgements", with("X-Run-Id", "1"), "{}", 422, refusal.HeaderInvalid},
+		{"connection names a header", "POST", "/lodgements", with("Connection", "authorization"), "{}", 422, refusal.HeaderInvalid},
+		{"unknown path", "POST", "/nothing", good, "{}", 404, refusal.RouteUnknown},
+		{"unknown built-in path", "POST", "/v1/embeddings", good, "{}", 404, refusal.RouteUnknown},
+		{"escaped separator", "POST", "/lodgements/%2f..", good, "{}", 404, refusal.RouteUnknown},
+		{"dot segments", "POST", "/lodgements/../status", good, "{}", 404, refusal.RouteUnknown},
+		{"wrong method", "DELETE", "/lodgements", good, "", 405, refusal.MethodNotAllowed},
+		{"wrong model method", "GET", chat, good, "", 405, refusal.MethodNotAllowed},
+		{"wrong models method", "POST", "/v1/models", good, "", 405, refusal.MethodNotAllowed},
+		{"unknown model in the path", "GET", "/v1/models/none", good, "", 404, refusal.ModelUnknown},
+		{"odd method", "BREW", "/v1/models", good, "", 405, refusal.MethodNotAllowed},
+		{"large body", "POST", "/lodgements", good, strings.Repeat("x", 9<<20), 413, refusal.BodyTooLarge},
+		body("no body", "", refusal.BodyInvalid),
+		body("broken JSON", goodChat[:20], refusal.BodyInvalid),
+		body("two objects", goodChat+goodChat, refusal.BodyInvalid),
+		body("null", "null", refusal.BodyInvalid),
+		body("no model", `{"messages":[{"role":"user","content":"x"}]}`, refusal.BodyInvalid),
+		body("model in capitals", strings.Replace(goodChat, "model", "Model", 1), refusal.BodyInvalid),
+		body("unknown model", strings.Replace(goodChat, "assessment", "other", 1), refusal.ModelUnknown),
+		body("no messages", `{"model":"assessment","messages":[]}`, refusal.BodyInvalid),
+		body("message without a role", `{"model":"assessment","messages":[{"content":"x"}]}`, refusal.BodyInvalid),
+		field(`"max_tokens":0`, refusal.BodyInvalid),
+		field(`"max_tokens":"4"`, refusal.BodyInvalid),
+		field(`"stream":"yes"`, refusal.BodyInvalid),
+		field(`"n":2`, refusal.FieldUnsupported),
+		field(`"logprobs":true`, refusal.FieldUnsupported),
+		field(`"tools":[{"type":"function"}]`, refusal.FieldUnsupported),
+		field(`"modalities":["audio"]`, refusal.FieldUnsupported),
+		{"list of prompts", "POST", "/v1/completions", good, `{"model":"assessment","prompt":["a","b"]}`, 422, refusal.FieldUnsupported},
+	}
+}
+
+func TestBadInputIsRefusedCountedAndRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, client := startTestSystem(t, "shedline")
+		counters := system.Entries[0].Meter
+		for _, bad := range badRequests(system.Keys[0].Key) {
+			before := counters.Counter("refused", string(bad.code))
+			request, err := http.NewRequestWithContext(t.Context(), bad.method, system.URL+bad.path, strings.NewReader(bad.body))
+			require.NoError(t, err)
+			request.Header = bad.header.Clone()
+			response, err := client.Do(request)
+			require.NoError(t, err, bad.name)
+			requireRefusal(t, response, bad.status, bad.code, bad.name)
+			require.Equal(t, before+1, counters.Counter("refused", string(bad.code)), bad.name)
+		}
+		requireNothingRan(t, system)
+		good := post(t, client, system.URL+"/v1/chat/completions", system.Keys[0].Key, goodChat)
+		defer good.Body.Close()
+		require.Equal(t, http.StatusOK, good.StatusCode)
+	})
+}
+
+func requireRefusal(t *testing.T, response *http.Response, status int, code refusal.Code, name string) {
+	t.Helper()
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err, name)
+	require.Equal(t, status, response.StatusCode, "%s: %s", name, data)
+	require.Equal(t, "not-run", response.Header.Get("Flamingospar-Outcome"), name)
+	require.NotEmpty(t, response.Header.Get("X-Request-Id"), name)
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return
+	}
+	var body struct {
+		Error struct {
+			Message, Type, Code string
+			RequestID           string `json:"request_id"`
+		}
+	}
+	require.NoError(t, json.Unmarshal(data, &body), "%s: %s", name, data)
+	require.Equal(t, string(code), body.Error.Code, "%s: %s", name, body.Error.Message)
+	require.NotEmpty(t, body.Error.Type)
+	require.Contains(t, body.Error.Message, refusal.Reasons[code].Remedy)
+	require.Equal(t, response.Header.Get("X-Request-Id"), body.Error.RequestID)
+	require.NotContains(t, string(data), "fsk_")
+}
+
+func requireNothingRan(t *testing.T, system *System) {
+	t.Helper()
+	for _, endpoint := range system.Standins.Endpoints {
+		if endpoint.Engine != nil {
+			require.Empty(t, endpoint.Engine.Begun())
+		} else {
+			require.Empty(t, endpoint.Service.Calls())
+		}
+	}
+}
+
+// TestRawRequests sends bytes that no HTTP client would: each is refused, and
+// bytes behind a body are never read as a second request.
+func TestRawRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(testLatency)
+		system, _ := startTestSystemOn(t, network, "shedline")
+		key := system.Keys[0].Key
+		head := "POST /lodgements HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n"
+		hidden := "POST /lodgements HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\nContent-Length: 0\r\n\r\n"
+		cases := []struct {
+			name, request string
+			status        int
+			runs          int
+		}{
+			{"two lengths", head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}" + hidden, 400, 0},
+			{"coding that is not chunked", head + "Transfer-Encoding: xchunked\r\n\r\n{}" + hidden, 501, 0},
+			{"space before the colon", head + "Content-Length : 2\r\n\r\n{}" + hidden, 400, 0},
+			{"length beside chunks", head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 200, 1},
+		}
+		for _, c := range cases {
+			before := lodgements(system)
+			answers := sendRaw(t, network, system, c.request)
+			require.Contains(t, answers, fmt.Sprintf("HTTP/1.1 %d", c.status), c.name)
+			require.Equal(t, c.runs, lodgements(system)-before, c.name)
+		}
+	})
+}
+
+func lodgements(system *System) int {
+	calls := 0
+	for _, endpoint := range system.Standins.Endpoints {
+		if endpoint.Service != nil {
+			calls += len(endpoint.Service.Calls())
+		}
+	}
+	return calls
+}
+
+func sendRaw(t *testing.T, network *memnet.Network, system *System, request string) string {
+	t.Helper()
+	conn, err := network.Host("raw").DialContext(t.Context(), "tcp", strings.TrimPrefix(system.URL, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, request)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	answers, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(answers)
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(testLatency)
+		system, _ := startTestSystemOn(t, network, "shedline")
+		request := "POST /lodgements HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + system.Keys[0].Key + "\r\nContent-Length: 10\r\n\r\n{"
+		answer := sendRaw(t, network, system, request)
+		require.Contains(t, answer, "HTTP/1.1 408")
+		require.Contains(t, answer, string(refusal.BodySlow))
+		require.Contains(t, answer, "Flamingospar-Outcome: not-run")
+		requireNothingRan(t, system)
+	})
+}
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -45,13 +45,14 @@
 	Listen         string
 	OperatorListen string
 	Only           string
+	Entries        int // At least 1; the first one listens at the addresses above.
 	Network        netx.Network
 	UsageWindow    time.Duration // Zero: the entry's default.
 }
 
 // DefaultOptions returns the options of a plain `flamingospar dev`.
 func DefaultOptions() Options {
-	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Network: netx.TCP{}}
+	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Entries: 3, Network: netx.TCP{}}
 }
 
 // Key is a key that dev issued.
@@ -64,12 +65,20 @@
 type System struct {
 	Standins    *fleet.Started
 	Keys        []Key
-	URL         string
-	OperatorURL string
+	URL         string // The first entry's.
+	OperatorURL string // The first entry's.
+	Entries     []RunningEntry
 
 	running sync.WaitGroup
 }
 
+// RunningEntry is one entry process of the system.
+type RunningEntry struct {
+	*entrywiring.Entry
+	URL         string
+	OperatorURL string
+}
+
 // Wait returns when all processes have stopped.
 func (s *System) Wait() { s.running.Wait() }
 
@@ -178,19 +187,40 @@
 		}
 		list = append(list, agentVM(endpoint.Endpoint, address))
 	}
-	s.Standins.Platform.SetVMs(list)
-	entry, listeners, err := s.buildEntry(options, described)
+	entries, err := s.buildEntries(options, described)
 	if err != nil {
 		stopAgents()
 		return err
 	}
-	s.running.Add(1)
+	for _, entry := range entries {
+		list = append(list, entryVM(entry))
+	}
+	s.Standins.Platform.SetVMs(list)
+	s.serveEntries(ctx, entries, stopAgents)
+	for _, entry := range s.Entries {
+		if err := awaitReady(ctx, entry.Entry, len(s.Standins.Endpoints)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveEntries runs the entries until ctx ends and stops the agents after the last.
+func (s *System) serveEntries(ctx context.Context, entries []builtEntry, stopAgents func()) {
+	var serving sync.WaitGroup
+	for _, entry := range entries {
+		serving.Add(1)
+		s.running.Add(1)
+		go func() {
+			defer s.running.Done()
+			defer serving.Done()
+			_ = entry.Serve(ctx, entry.listeners)
+		}()
+	}
 	go func() {
-		defer s.running.Done()
-		defer stopAgents()
-		_ = entry.Serve(ctx, listeners)
+		serving.Wait()
+		stopAgents()
 	}()
-	return awaitReady(ctx, entry, len(list))
 }
 
 func (s *System) startAgent(ctx context.Context, network netx.Network, endpoint fleet.StartedEndpoint) (string, error) {
@@ -223,9 +253,48 @@
 	return listener.Addr().String(), nil
 }
 
-func (s *System) buildEntry(options Options, described fleet.Fleet) (*entrywiring.Entry, entrywiring.Listeners, error) {
+// builtEntry is an entry that listens and does not serve yet.
+type builtEntry struct {
+	*entrywiring.Entry
+	listeners entrywiring.Listeners
+}
+
+func entryVM(entry builtEntry) vms.VM {
+	return vms.VM{
+		Instance:   entry.Settings.Instance,
+		Role:       vms.Entry,
+		DataCentre: entry.Settings.DataCentre,
+		Address:    entry.listeners.Callers.Addr().String(),
+	}
+}
+
+func (s *System) buildEntries(options Options, described fleet.Fleet) ([]builtEntry, error) {
+	var entries []builtEntry
+	for i := range max(options.Entries, 1) {
+		settings := s.entrySettings(options)
+		settings.DataCentre = described.DataCentres[i%len(described.DataCentres)]
+		if i > 0 {
+			settings.Listen = anyPort
+			settings.OperatorListen = anyPort
+		}
+		entry, err := buildEntry(settings, options.Network)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+		s.Entries = append(s.Entries, RunningEntry{
+			Entry:       entry.Entry,
+			URL:         "http://" + entry.listeners.Callers.Addr().String(),
+			OperatorURL: "http://" + entry.listeners.Operators.Addr().String(),
+		})
+	}
+	s.URL = s.Entries[0].URL
+	s.OperatorURL = s.Entries[0].OperatorURL
+	return entries, nil
+}
+
+func (s *System) entrySettings(options Options) entrysettings.Settings {
 	settings := entrysettings.Defaults()
-	settings.DataCentre = described.DataCentres[0]
 	settings.Listen = options.Listen
 	settings.OperatorListen = options.OperatorListen
 	settings.PlatformURL = s.Standins.PlatformURL
@@ -234,21 +303,20 @@
 		settings.UsageFlush = catalogue.Duration(options.UsageWindow / 4)
 		settings.UsageGrace = catalogue.Duration(options.UsageWindow / 2)
 	}
+	return settings
+}
+
+func buildEntry(settings entrysettings.Settings, network netx.Network) (builtEntry, error) {
 	checked, err := settings.Checked()
 	if err != nil {
-		return nil, entrywiring.Listeners{}, err
+		return builtEntry{}, err
 	}
-	entry, err := entrywiring.Build(checked, options.Network)
+	entry, err := entrywiring.Build(checked, network)
 	if err != nil {
-		return nil, entrywiring.Listeners{}, err
+		return builtEntry{}, err
 	}
 	listeners, err := entry.Listen()
-	if err != nil {
-		return nil, entrywiring.Listeners{}, err
-	}
-	s.URL = "http://" + listeners.Callers.Addr().String()
-	s.OperatorURL = "http://" + listeners.Operators.Addr().String()
-	return entry, listeners, nil
+	return builtEntry{Entry: entry, listeners: listeners}, err
 }
 
 // awaitReady waits until the entry serves and knows all agents.
--- a/flamingospar/dev/dev_test.go
+++ b/flamingospar/dev/dev_test.go
@@ -22,9 +22,13 @@
 const testLatency = 500 * time.Microsecond
 
 func startTestSystem(t *testing.T, fleetName string) (*System, *http.Client) {
+	t.Helper()
+	return startTestSystemOn(t, memnet.New(testLatency), fleetName)
+}
+
+func startTestSystemOn(t *testing.T, network *memnet.Network, fleetName string) (*System, *http.Client) {
 	t.Helper()
 	invariant.SetFatal(true)
-	network := memnet.New(testLatency)
 	options := Options{
 		Fleet:          fleetName,
 		Listen:         "entry:80",
