--- a/agent/wiring/usage.go
+++ b/agent/wiring/usage.go
@@ -9,18 +9,24 @@
 	"go.uber.org/dig"
 
 	"flamingospar.org/agent/account"
+	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/settings"
+	"flamingospar.org/base/journal"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/platform/httpapi"
 )
 
-// usageParts account for the agent's runs.
+// agentEvents is the size of the journal: some minutes of one endpoint's runs.
+const agentEvents = 4096
+
+// usageParts account for the agent's runs and explain them.
 type usageParts struct {
 	dig.In
 
 	Service *account.Service
 	Writer  *account.Writer
+	Observe *explain.Service
 }
 
 // start runs the writer; the returned function makes it write all that is held
@@ -49,3 +55,11 @@
 	client := httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 	return account.NewWriter(ledger, client, time.Duration(s.Usage.Hold), registry)
 }
+
+func newJournal(s settings.Settings) *journal.Journal {
+	return journal.New(s.Instance, agentEvents)
+}
+
+func newObserver(s settings.Settings, j *journal.Journal) *explain.Observer {
+	return explain.NewObserver(j, s.Endpoint)
+}
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -11,6 +11,7 @@
 
 	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
@@ -53,6 +54,9 @@
 		newUsageLedger,
 		newUsageWriter,
 		account.NewService,
+		newJournal,
+		newObserver,
+		explain.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -101,8 +105,10 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, u, q)
+func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
+	chain := pipeline.New(registry, executor, l, u, q)
+	chain.SetObserver(observer)
+	return chain
 }
 
 func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
@@ -120,6 +126,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
 	mux.Handle(a.usage.Service.Handler())
+	mux.Handle(a.usage.Observe.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	stopUsage := a.usage.start()
 	defer stopUsage()
--- a/entry/choose/choose.go
+++ b/entry/choose/choose.go
@@ -3,6 +3,8 @@
 package choose
 
 import (
+	"time"
+
 	"flamingospar.org/core/route"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/pipeline"
@@ -31,7 +33,7 @@
 func (c *Chooser) Pick(x *pipeline.Exchange, tried map[string]bool) (Pick, bool) {
 	request := route.Request{Kind: x.Kind, Model: x.Model, DataCentre: c.dataCentre, Avoid: tried}
 	choice := route.Choose(request, c.view.Candidates())
-	x.Choices = append(x.Choices, choice)
+	x.Choices = append(x.Choices, pipeline.Chosen{At: time.Now(), Choice: choice})
 	agent, done, ok := c.view.Begin(choice.Endpoint)
 	return Pick{Choice: choice, Agent: agent, Done: done}, ok
 }
--- a/entry/explain/observer.go
+++ b/entry/explain/observer.go
@@ -5,11 +5,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"flamingospar.org/base/journal"
-	"flamingospar.org/core/route"
 	"flamingospar.org/entry/pipeline"
 )
 
@@ -24,14 +25,16 @@
 // Observe implements pipeline.Observer: it notes each choice of an endpoint and
 // the request's end.
 func (o *Observer) Observe(x *pipeline.Exchange, passed []string) {
-	for i, choice := range x.Choices {
-		o.journal.Note(choiceEvent(x, i+1, choice))
+	for i, chosen := range x.Choices {
+		o.journal.Note(choiceEvent(x, i+1, chosen))
 	}
 	o.journal.Note(endEvent(x, passed))
 }
 
-func choiceEvent(x *pipeline.Exchange, attempt int, choice route.Choice) journal.Event {
+func choiceEvent(x *pipeline.Exchange, attempt int, chosen pipeline.Chosen) journal.Event {
+	choice := chosen.Choice
 	event := journal.Event{
+		At:       chosen.At,
 		Part:     "entry/choose",
 		Sentence: fmt.Sprintf("Attempt %d goes to %s.", attempt, choice.Endpoint),
 		Request:  x.ID,
@@ -48,8 +51,8 @@
 			Value: strconv.FormatFloat(other.Score, 'g', 4, 64),
 		})
 	}
-	for filter, n := range choice.Dropped {
-		event.Facts = append(event.Facts, journal.Fact{Name: "dropped_" + filter, Value: strconv.Itoa(n)})
+	for _, filter := range slices.Sorted(maps.Keys(choice.Dropped)) {
+		event.Facts = append(event.Facts, journal.Fact{Name: "dropped_" + filter, Value: strconv.Itoa(choice.Dropped[filter])})
 	}
 	return event
 }
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -35,8 +35,12 @@
 	meter  *meter.Registry
 	token  string
 	ready  func() bool
+	mounts []func(chi.Router)
 }
 
+// Mount adds routes of another part behind the operators' token.
+func (a *API) Mount(mount func(chi.Router)) { a.mounts = append(a.mounts, mount) }
+
 // New returns the interface. An empty token lets everybody in; ready reports
 // whether callers are served.
 func New(c Config, registry *meter.Registry, token string, ready func() bool) *API {
@@ -57,6 +61,9 @@
 		private.Get("/v1/keys", a.listKeys)
 		private.Post("/v1/keys", a.issueKey)
 		private.Delete("/v1/keys/{id}", a.withdrawKey)
+		for _, mount := range a.mounts {
+			mount(private)
+		}
 	})
 	return router
 }
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -46,7 +46,13 @@
 	Refused  *refusal.Refusal // Nil when the caller got the whole answer.
 
 	// Choices are the endpoints chosen for the attempts, in order.
-	Choices []route.Choice
+	Choices []Chosen
+}
+
+// Chosen is the choice of an endpoint for one attempt.
+type Chosen struct {
+	At     time.Time
+	Choice route.Choice
 }
 
 // Filter is one step of the entry's pipeline.
@@ -73,9 +79,9 @@
 // Chain is the entry's whole pipeline.
 type Chain struct {
 	observer Observer // May be nil.
-	filters []Filter
-	counter Counter
-	refuse  func(*Exchange, *refusal.Refusal)
+	filters  []Filter
+	counter  Counter
+	refuse   func(*Exchange, *refusal.Refusal)
 }
 
 // New returns the chain of filters in order. refuse writes a refusal's answer.
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -23,6 +23,7 @@
 	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/match"
@@ -55,6 +56,7 @@
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
 	State    *runState
+	Observe  observeParts
 }
 
 // runState tells whether the entry serves callers.
@@ -72,9 +74,12 @@
 		meter.NewRegistry,
 		newPlatform,
 		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network, i *account.Interceptor) *fleet.View {
-			return fleet.New(c, netx.HTTP2Client(n), connect.WithInterceptors(i))
+		func(c *httpapi.Client, n netx.Network, i *account.Interceptor, e *explain.Interceptor) *fleet.View {
+			return fleet.New(c, netx.HTTP2Client(n), connect.WithInterceptors(i, e))
 		},
+		newJournal,
+		explain.NewObserver,
+		explain.NewInterceptor,
 		account.NewRing,
 		account.NewAcks,
 		account.NewCounts,
@@ -142,6 +147,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	e.mountObserve(api)
 	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	failed := make(chan error, 2)
--- /dev/null
+++ b/flamingospar/ask/ask.go
@@ -0,0 +1,133 @@
+// Package ask holds the operators' subcommands that only ask: status, explain
+// and usage reconcile. They call the operators' interface of any entry.
+package ask
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+const (
+	defaultOperator = "http://127.0.0.1:8081"
+	callTimeout     = 15 * time.Second
+	watchEvery      = 2 * time.Second
+	maxAnswerBytes  = 64 << 20
+)
+
+// Commands are the subcommands and their flags.
+type Commands struct {
+	operator string
+	token    string
+	asJSON   bool
+	watch    bool
+	subject  string
+	limit    int
+	window   int
+
+	status    *flaggy.Subcommand
+	request   *flaggy.Subcommand
+	endpoint  *flaggy.Subcommand
+	team      *flaggy.Subcommand
+	reconcile *flaggy.Subcommand
+}
+
+// Attach adds the subcommands to a parser.
+func Attach(parser *flaggy.Parser) *Commands {
+	c := &Commands{operator: defaultOperator, limit: 100}
+	c.status = c.command("status", "Show the fleet, leases, teams and what is wrong.")
+	c.status.Bool(&c.watch, "w", "watch", "show it again every two seconds")
+	parser.AttachSubcommand(c.status, 1)
+
+	explain := flaggy.NewSubcommand("explain")
+	explain.Description = "Show what was decided and why."
+	c.request = c.subjectCommand(explain, "request", "ID")
+	c.endpoint = c.subjectCommand(explain, "endpoint", "ID")
+	c.team = c.subjectCommand(explain, "team", "NAME")
+	parser.AttachSubcommand(explain, 1)
+
+	usage := flaggy.NewSubcommand("usage")
+	usage.Description = "Usage and its reconciliation."
+	c.reconcile = c.command("reconcile", "Compare what agents and entries counted, what was sealed and what was reported.")
+	c.reconcile.Int(&c.window, "", "window", "number of the window; 0: the newest sealed one")
+	usage.AttachSubcommand(c.reconcile, 1)
+	parser.AttachSubcommand(usage, 1)
+	return c
+}
+
+func (c *Commands) command(name, description string) *flaggy.Subcommand {
+	command := flaggy.NewSubcommand(name)
+	command.Description = description
+	command.String(&c.operator, "", "operator", "operators' URL of any entry")
+	command.String(&c.token, "", "token", "operator token")
+	command.Bool(&c.asJSON, "", "json", "print the answer as JSON")
+	return command
+}
+
+func (c *Commands) subjectCommand(parent *flaggy.Subcommand, name, placeholder string) *flaggy.Subcommand {
+	command := c.command(name, "Explain one "+name+".")
+	command.AddPositionalValue(&c.subject, placeholder, 1, true, "which "+name)
+	command.Int(&c.limit, "", "limit", "the newest so many events")
+	parent.AttachSubcommand(command, 1)
+	return command
+}
+
+// Used reports whether one of the subcommands was given.
+func (c *Commands) Used() bool {
+	for _, command := range []*flaggy.Subcommand{c.status, c.request, c.endpoint, c.team, c.reconcile} {
+		if command.Used {
+			return true
+		}
+	}
+	return false
+}
+
+// Run executes the subcommand that was given.
+func (c *Commands) Run(ctx context.Context, stdout io.Writer) error {
+	switch {
+	case c.status.Used:
+		return c.runStatus(ctx, stdout)
+	case c.reconcile.Used:
+		return c.runReconcile(ctx, stdout)
+	default:
+		return c.runExplain(ctx, stdout)
+	}
+}
+
+// get reads a path of the operators' interface; into takes the JSON.
+func (c *Commands) get(ctx context.Context, path string, query url.Values, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.operator+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("the entry at %s could not be asked: %w; remedy: name another entry by --operator", c.operator, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d: %s", path, response.StatusCode, body)
+	}
+	return json.Unmarshal(body, into)
+}
+
+func printJSON(stdout io.Writer, body any) error {
+	encoder := json.NewEncoder(stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(body)
+}
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -14,6 +14,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
+	"flamingospar.org/flamingospar/ask"
 	"flamingospar.org/flamingospar/dev"
 )
 
@@ -43,6 +44,7 @@
 	serveCommand.String(&settingsPath, "s", "settings", "TOML settings file")
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
+	asked := ask.Attach(parser)
 	if err := parser.ParseArgs(args); err != nil {
 		return fail(stderr, exitMisuse, err)
 	}
@@ -51,6 +53,8 @@
 	switch {
 	case devCommand.Used:
 		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
+	case asked.Used():
+		return outcome(stderr, asked.Run(ctx, stdout))
 	case serveCommand.Used:
 		return serve(ctx, settingsPath, stderr)
 	default:
