Configuration: freshness, catch-up between entries, persistent state, idempotent writes

Cause: an entry served on whatever revision it last read, for ever; an agent knew no revision at all; a change copied the whole map of keys; a lost answer to a write looked like a failure; withdrawing an unknown key succeeded.

--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/status"
 	"flamingospar.org/core/refusal"
@@ -28,12 +29,13 @@
 type Server struct {
 	chain  *pipeline.Chain
 	status *status.Status
+	gate   *gate.Gate
 	active sync.WaitGroup
 }
 
 // New returns the server of a chain.
-func New(chain *pipeline.Chain, s *status.Status) *Server {
-	return &Server{chain: chain, status: s}
+func New(chain *pipeline.Chain, s *status.Status, g *gate.Gate) *Server {
+	return &Server{chain: chain, status: s, gate: g}
 }
 
 // Handler returns the path prefix and handler to mount.
@@ -44,9 +46,15 @@
 // Wait returns when no run is active.
 func (s *Server) Wait() { s.active.Wait() }
 
-// Status implements the service.
-func (s *Server) Status(context.Context, *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
-	return connect.NewResponse(s.status.Reply()), nil
+// Status implements the service. It takes the entry's news of the configuration.
+func (s *Server) Status(_ context.Context, request *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
+	s.gate.Hear(request.Msg.News)
+	reply := s.status.Reply()
+	reply.Revision = s.gate.Revision()
+	reply.Changing = s.gate.Changing()
+	reply.Stale = s.gate.Stale()
+	reply.Mark = s.gate.Mark()
+	return connect.NewResponse(reply), nil
 }
 
 type runStream = connect.BidiStream[wirev1.RunCall, wirev1.RunEvent]
--- a/agent/status/status.go
+++ b/agent/status/status.go
@@ -26,7 +26,6 @@
 	queue    Queue
 	model    atomic.Value // string
 	leaving  atomic.Bool
-	revision atomic.Int64
 }
 
 // New returns the status of an agent whose endpoint has model loaded.
@@ -61,6 +60,5 @@
 		Instance:   s.identity.Instance,
 		Kind:       s.identity.Kind,
 		Load:       s.Load(),
-		Revision:   s.revision.Load(),
 	}
 }
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -10,12 +10,14 @@
 	"go.uber.org/dig"
 
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -47,6 +49,7 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newGate,
 		ledger.New,
 		newQueue,
 		newExecutor,
@@ -96,8 +99,12 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, q)
+func newGate(s settings.Settings) *gate.Gate {
+	return gate.New(s.Endpoint, s.Instance, clock.Now)
+}
+
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
+	return pipeline.New(registry, executor, g.Arrival(), l, q, g.Departure())
 }
 
 func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -1,13 +1,15 @@
 // Package config folds the log of accepted changes into the configuration that
-// is in force: the catalogue and the keys. Each change has a revision; the
-// revision of a state never falls.
+// is in force, the catalogue and the keys, and decides until when a process may
+// act on the revision that it holds.
 package config
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
-	"maps"
+
+	"github.com/benbjohnson/immutable"
 
 	"flamingospar.org/core/catalogue"
 )
@@ -31,67 +33,115 @@
 	Hash KeyHash `json:"hash"`
 }
 
-// Change is one accepted change; exactly one of its parts is set.
+// Change is one accepted change; exactly one of Catalogue, IssueKey and
+// WithdrawKey is set. ID makes a repeated submission idempotent.
 type Change struct {
+	ID          string              `json:"id,omitempty"`
 	Revision    Revision            `json:"revision"`
 	Operator    string              `json:"operator"`
 	UnixMillis  int64               `json:"unix_millis"`
 	Catalogue   *catalogue.Document `json:"catalogue,omitempty"`
 	IssueKey    *Key                `json:"issue_key,omitempty"`
 	WithdrawKey string              `json:"withdraw_key,omitempty"` // The key's ID.
+	// RollbackTo is the revision whose catalogue this change puts back.
+	RollbackTo Revision `json:"rollback_to,omitempty"`
 }
 
-// State is the configuration at one revision. It is immutable.
+// Errors of a change.
+var (
+	ErrKeyUnknown = errors.New("config: no live key has this id; remedy: list the keys, it may be withdrawn already")
+	ErrKeyExists  = errors.New("config: a live key has this id or hash; remedy: issue a key with a new id")
+	ErrEmpty      = errors.New("config: the change sets none or several of catalogue, issued key and withdrawn key; remedy: set exactly one")
+)
+
+// State is the configuration at one revision. It is immutable; states share
+// what did not change between them.
 type State struct {
 	Revision  Revision
 	Catalogue *catalogue.Document
-	byHash    map[KeyHash]Key
+	byHash    *immutable.Map[KeyHash, Key]
+	byID      *immutable.Map[string, KeyHash]
 }
 
 // Empty returns the state before the first change.
 func Empty() *State {
-	return &State{Catalogue: new(catalogue.Document), byHash: map[KeyHash]Key{}}
+	return &State{
+		Catalogue: new(catalogue.Document),
+		byHash:    immutable.NewMap[KeyHash, Key](nil),
+		byID:      immutable.NewMap[string, KeyHash](nil),
+	}
+}
+
+// Check returns why change can't be made to s, nil when it can.
+func (s *State) Check(change Change) error {
+	if change.parts() != 1 {
+		return ErrEmpty
+	}
+	if change.WithdrawKey != "" {
+		if _, live := s.byID.Get(change.WithdrawKey); !live {
+			return ErrKeyUnknown
+		}
+	}
+	if change.IssueKey != nil {
+		_, idTaken := s.byID.Get(change.IssueKey.ID)
+		_, hashTaken := s.byHash.Get(change.IssueKey.Hash)
+		if idTaken || hashTaken {
+			return ErrKeyExists
+		}
+	}
+	return nil
 }
 
-// Apply returns the state after change. The change must carry the next revision.
+func (c Change) parts() int {
+	parts := 0
+	for _, set := range []bool{c.Catalogue != nil, c.IssueKey != nil, c.WithdrawKey != ""} {
+		if set {
+			parts++
+		}
+	}
+	return parts
+}
+
+// Apply returns the state after change. The change must carry the next
+// revision. Its cost does not grow with the number of keys.
 func (s *State) Apply(change Change) (*State, error) {
 	if change.Revision != s.Revision+1 {
 		return nil, fmt.Errorf("config: change %d does not follow revision %d; remedy: read the changes between them first", change.Revision, s.Revision)
 	}
-	next := &State{Revision: change.Revision, Catalogue: s.Catalogue, byHash: s.byHash}
+	next := *s
+	next.Revision = change.Revision
 	switch {
 	case change.Catalogue != nil:
 		next.Catalogue = change.Catalogue
 	case change.IssueKey != nil:
-		next.byHash = maps.Clone(s.byHash)
-		next.byHash[change.IssueKey.Hash] = *change.IssueKey
+		next.byHash = s.byHash.Set(change.IssueKey.Hash, *change.IssueKey)
+		next.byID = s.byID.Set(change.IssueKey.ID, change.IssueKey.Hash)
 	case change.WithdrawKey != "":
-		next.byHash = withoutKey(s.byHash, change.WithdrawKey)
+		next.withdraw(change.WithdrawKey)
 	}
-	return next, nil
+	return &next, nil
+}
+
+func (s *State) withdraw(id string) {
+	hash, live := s.byID.Get(id)
+	if !live {
+		return
+	}
+	s.byHash = s.byHash.Delete(hash)
+	s.byID = s.byID.Delete(id)
 }
 
 // KeyByHash returns the live key with a hash.
 func (s *State) KeyByHash(hash KeyHash) (Key, bool) {
-	key, ok := s.byHash[hash]
-	return key, ok
+	return s.byHash.Get(hash)
 }
 
 // Keys returns the live keys in no particular order.
 func (s *State) Keys() []Key {
-	keys := make([]Key, 0, len(s.byHash))
-	for _, key := range s.byHash {
+	keys := make([]Key, 0, s.byHash.Len())
+	for each := s.byHash.Iterator(); !each.Done(); {
+		_, key, _ := each.Next()
 		keys = append(keys, key)
 	}
 	return keys
 }
-
-func withoutKey(keys map[KeyHash]Key, id string) map[KeyHash]Key {
-	kept := make(map[KeyHash]Key, len(keys))
-	for hash, key := range keys {
-		if key.ID != id {
-			kept[hash] = key
-		}
-	}
-	return kept
-}
--- /dev/null
+++ b/core/refusal/authority.go
@@ -0,0 +1,15 @@
+package refusal
+
+import "net/http"
+
+// Codes of authority: configuration, orders and membership. ConfigStale and
+// Draining stand with the request path.
+const (
+	EndpointChanging Code = "endpoint_changing"
+	WrongEndpoint    Code = "wrong_endpoint"
+)
+
+var authorityReasons = map[Code]Reason{
+	EndpointChanging: {http.StatusServiceUnavailable, typeUnavailable, "send the request again; the endpoint changes its role, model or version"},
+	WrongEndpoint:    {http.StatusServiceUnavailable, typeUnavailable, "send the request again; another endpoint took over this address"},
+}
--- a/entry/authenticate/authenticate.go
+++ b/entry/authenticate/authenticate.go
@@ -54,6 +54,7 @@
 		return refusal.New(refusal.KeyUnknown, "the key is not in force")
 	}
 	x.Team = found.Team
+	x.KeyID = found.ID
 	stripCredentials(x.Request)
 	return nil
 }
--- a/entry/configview/configview.go
+++ b/entry/configview/configview.go
@@ -1,184 +1,221 @@
 // Package configview keeps the configuration in force at this entry: it follows
-// the log of changes in the table service and writes operators' changes to it.
+// the log of changes in the table service, catches up from other entries on
+// contact, and writes operators' changes to the log. It shows the configuration
+// only while it can prove that it was current a short while ago.
 package configview
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/invariant"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/core/config"
+	"flamingospar.org/platform/objects"
 	"flamingospar.org/platform/tables"
 )
 
-// Places in the table service.
-const (
-	tableName = "config"
-	headRow   = "head"
-	changeRow = "change/%020d"
-	prefix    = "change/"
-)
-
 const (
 	pollInterval = 2 * time.Second
 	readTimeout  = 1500 * time.Millisecond
-	changesAtOne = 500
+	// recentChanges are kept in memory for others that catch up.
+	recentChanges = 1024
 )
 
 var log = logging.For("entry/config")
 
-// ErrRaced means that another operator's change came first.
-var ErrRaced = errors.New("config: another change was accepted first; remedy: look at it and send yours again")
+// Counter counts events by name.
+type Counter interface {
+	Count(parts ...string)
+}
 
-// head is the value of the head row.
-type head struct {
-	Revision config.Revision `json:"revision"`
+// Options are what a view may use beside the table service. All may be zero.
+type Options struct {
+	Instance string
+	Peers    Peers
+	Objects  objects.Store // For snapshots.
+	Clock    clock.Clock
+	Counter  Counter
+	// Parallel bounds concurrent calls to other entries.
+	Parallel int
+	// SnapshotEvery is the number of changes between snapshots.
+	SnapshotEvery config.Revision
 }
 
 // View follows the configuration. It is safe for concurrent use.
 type View struct {
-	tables tables.Service
+	tables  tables.Service
+	options Options
+
+	following sync.Mutex // Serialises reading and writing the store.
+	width     int        // Peers to ask in the next round.
+	wake      chan struct{}
 
-	mu      sync.Mutex // Serialises catching up.
 	current atomic.Pointer[config.State]
+
+	mu        sync.Mutex
+	freshness *config.Freshness
+	recent    []config.Change // The last changes up to the current revision.
+	stale     bool
 }
 
 // New returns a view that holds nothing yet.
-func New(service tables.Service) *View { return &View{tables: service} }
+func New(service tables.Service, options Options) *View {
+	if options.Clock == nil {
+		options.Clock = clock.Now
+	}
+	if options.Peers == nil {
+		options.Peers = NoPeers{}
+	}
+	if options.Parallel == 0 {
+		options.Parallel = defaultParallel
+	}
+	if options.SnapshotEvery == 0 {
+		options.SnapshotEvery = defaultSnapshotEvery
+	}
+	return &View{
+		tables:    service,
+		options:   options,
+		width:     firstWidth,
+		wake:      make(chan struct{}, 1),
+		freshness: config.NewFreshness(),
+	}
+}
+
+// Current returns the state in force, nil while this process can't prove that
+// it is current.
+func (v *View) Current() *config.State {
+	state := v.current.Load()
+	if state == nil || !v.fresh() {
+		return nil
+	}
+	return state
+}
+
+// Held returns the newest state that this process has seen, however old the
+// proof that it is current; nil before the first.
+func (v *View) Held() *config.State { return v.current.Load() }
+
+func (v *View) fresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	fresh := v.freshness.Fresh(v.options.Clock(), config.EntryFreshFor)
+	if fresh == v.stale && v.current.Load() != nil {
+		v.stale = !fresh
+		log.Info("Freshness changed.", "fresh", fresh, "revision", v.current.Load().Revision)
+	}
+	return fresh
+}
 
-// Current returns the state in force, nil before the first successful read.
-func (v *View) Current() *config.State { return v.current.Load() }
+// Evidence returns how long ago this process had evidence that its revision was
+// current, false when it never had any.
+func (v *View) Evidence() (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.freshness.Age(v.options.Clock())
+}
 
 // Run follows the log until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		if err := v.CatchUp(ctx); err != nil {
-			log.Error(err, "The configuration could not be read; the last one stays in force.")
-		}
+		v.Step(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-v.wake:
 		}
 	}
 }
 
-// CatchUp reads the changes that are not yet in force here.
-func (v *View) CatchUp(ctx context.Context) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	stored, _, err := v.readHead(ctx)
-	if err != nil {
-		return err
-	}
-	state := v.current.Load()
-	if state == nil {
-		state = config.Empty()
+// Step renews the evidence once: from the store, and without it from peers.
+func (v *View) Step(ctx context.Context) {
+	v.following.Lock()
+	defer v.following.Unlock()
+	if _, err := v.readStore(ctx); err != nil {
+		v.count("config", "store_failed")
+		log.Error(err, "The configuration could not be read from the store; other entries are asked.")
+		v.askPeers(ctx)
 	}
-	for state.Revision < stored.Revision {
-		state, err = v.applyNext(ctx, state)
+}
+
+// CatchUp reads the changes that are not yet in force here from the store.
+func (v *View) CatchUp(ctx context.Context) error {
+	v.following.Lock()
+	defer v.following.Unlock()
+	_, err := v.readStore(ctx)
+	return err
+}
+
+// take applies the changes that follow the current revision and skips those
+// that are already held. It is called with mu held.
+func (v *View) take(changes []config.Change) {
+	state := v.heldOrEmpty()
+	for _, change := range changes {
+		if change.Revision <= state.Revision {
+			continue
+		}
+		next, err := state.Apply(change)
 		if err != nil {
-			return err
+			break
 		}
+		state = next
+		v.recent = append(v.recent, change)
+	}
+	if extra := len(v.recent) - recentChanges; extra > 0 {
+		v.recent = append([]config.Change(nil), v.recent[extra:]...)
 	}
 	v.install(state)
-	return nil
 }
 
-func (v *View) applyNext(ctx context.Context, state *config.State) (*config.State, error) {
-	rows, err := v.tables.Scan(ctx, tableName, prefix, fmt.Sprintf(changeRow, state.Revision+1), changesAtOne)
-	if err != nil {
-		return nil, err
-	}
-	if len(rows) == 0 {
-		return nil, fmt.Errorf("config: change %d is missing", state.Revision+1)
+// takeSnapshot installs a newer state as a whole. It is called with mu held.
+func (v *View) takeSnapshot(snapshot config.Snapshot) {
+	if snapshot.Revision <= v.heldOrEmpty().Revision {
+		return
 	}
-	for _, row := range rows {
-		var change config.Change
-		if err := json.Unmarshal(row.Value, &change); err != nil {
-			return nil, err
-		}
-		if state, err = state.Apply(change); err != nil {
-			return nil, err
-		}
+	v.recent = nil
+	v.install(snapshot.State())
+}
+
+func (v *View) heldOrEmpty() *config.State {
+	if state := v.current.Load(); state != nil {
+		return state
 	}
-	return state, nil
+	return config.Empty()
 }
 
 func (v *View) install(state *config.State) {
 	before := v.current.Load()
-	if before == state {
-		return
-	}
 	if before != nil {
+		if before.Revision == state.Revision {
+			return
+		}
 		invariant.Check(state.Revision >= before.Revision, invariant.RevisionNeverFalls, "revision %d after %d", state.Revision, before.Revision)
 	}
 	v.current.Store(state)
-	log.Info("A new revision is in force.", "revision", state.Revision)
-}
-
-// readHead returns the head and the version of its row, 0 when there is none.
-func (v *View) readHead(ctx context.Context) (head, int64, error) {
-	row, err := v.tables.Get(ctx, tables.Key{Table: tableName, Row: headRow})
-	if errors.Is(err, tables.ErrNotFound) {
-		return head{}, 0, nil
-	}
-	if err != nil {
-		return head{}, 0, err
-	}
-	var stored head
-	err = json.Unmarshal(row.Value, &stored)
-	return stored, row.Version, err
+	log.Info("A new revision is held.", "revision", state.Revision)
 }
 
-// Write commits change as the revision after base and returns it. A base that
-// is no longer the head gives ErrRaced; base 0 means any.
-func (v *View) Write(ctx context.Context, base config.Revision, change config.Change) (config.Revision, error) {
-	stored, version, err := v.readHead(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if base != 0 && base != stored.Revision {
-		return 0, ErrRaced
+// after returns the held changes that follow revision, false when some of them
+// are no longer in memory. It is called with mu held.
+func (v *View) after(revision config.Revision) ([]config.Change, bool) {
+	held := v.heldOrEmpty().Revision
+	if revision >= held {
+		return nil, true
 	}
-	change.Revision = stored.Revision + 1
-	change.UnixMillis = time.Now().UnixMilli()
-	txn, err := writeTxn(change, version)
-	if err != nil {
-		return 0, err
+	if len(v.recent) == 0 || v.recent[0].Revision > revision+1 {
+		return nil, false
 	}
-	if err := v.tables.Commit(ctx, txn); err != nil {
-		if errors.Is(err, tables.ErrConflict) {
-			return 0, ErrRaced
-		}
-		return 0, err
-	}
-	return change.Revision, v.CatchUp(ctx)
+	return v.recent[int(revision+1-v.recent[0].Revision):], true
 }
 
-func writeTxn(change config.Change, headVersion int64) (tables.Txn, error) {
-	value, err := json.Marshal(change)
-	if err != nil {
-		return tables.Txn{}, err
-	}
-	headValue, err := json.Marshal(head{Revision: change.Revision})
-	if err != nil {
-		return tables.Txn{}, err
+func (v *View) count(parts ...string) {
+	if v.options.Counter != nil {
+		v.options.Counter.Count(parts...)
 	}
-	headKey := tables.Key{Table: tableName, Row: headRow}
-	changeKey := tables.Key{Table: tableName, Row: fmt.Sprintf(changeRow, change.Revision)}
-	return tables.Txn{
-		Conditions: []tables.Condition{{Key: headKey, Version: headVersion}, {Key: changeKey}},
-		Writes:     []tables.Write{{Key: headKey, Value: headValue}, {Key: changeKey, Value: value}},
-	}, nil
 }
--- /dev/null
+++ b/entry/configview/news.go
@@ -0,0 +1,27 @@
+package configview
+
+import (
+	"flamingospar.org/core/config"
+)
+
+// News is what an agent at an older revision has to learn.
+type News struct {
+	Revision  config.Revision
+	Withdrawn []string // Ids of keys withdrawn since the agent's revision.
+	Complete  bool     // False when more keys may have been withdrawn.
+}
+
+// News returns what happened after revision.
+func (v *View) News(revision config.Revision) News {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	news := News{Revision: v.heldOrEmpty().Revision}
+	changes, complete := v.after(revision)
+	news.Complete = complete
+	for _, change := range changes {
+		if change.WithdrawKey != "" {
+			news.Withdrawn = append(news.Withdrawn, change.WithdrawKey)
+		}
+	}
+	return news
+}
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -107,6 +107,7 @@
 			offset += int64(len(message.Chunk.Data))
 			err = sink.Chunk(message.Chunk)
 		case *wirev1.RunEvent_Refused:
+			d.view.Refused(agent, refusal.Code(message.Refused.Code))
 			return refusedResult(message.Refused)
 		case *wirev1.RunEvent_Finished:
 			return finishedResult(message.Finished)
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -30,6 +30,7 @@
 
 	vm        vms.VM
 	candidate route.Candidate
+	contact   contact
 }
 
 // View is the entry's view. It is safe for concurrent use.
@@ -37,14 +38,15 @@
 	list   vms.List
 	client *http.Client
 
-	mu      sync.Mutex
-	agents  map[string]*Agent // By VM instance.
-	entries []vms.VM
+	member Membership
+
+	mu     sync.Mutex
+	agents map[string]*Agent // By VM instance.
 }
 
 // New returns an empty view that reads list and calls agents through client.
-func New(list vms.List, client *http.Client) *View {
-	return &View{list: list, client: client, agents: make(map[string]*Agent)}
+func New(list vms.List, client *http.Client, membership Membership) *View {
+	return &View{list: list, client: client, member: membership.checked(), agents: make(map[string]*Agent)}
 }
 
 // Run refreshes the view until ctx ends.
@@ -70,7 +72,7 @@
 		v.merge(list)
 	}
 	var asking sync.WaitGroup
-	for _, agent := range v.snapshot() {
+	for _, agent := range v.due() {
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
@@ -84,14 +86,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	listed := make(map[string]bool, len(list))
-	v.entries = v.entries[:0]
+	v.member.Roster.merge(list)
 	for _, vm := range list {
 		listed[vm.Instance] = true
-		if vm.Role == vms.Entry {
-			v.entries = append(v.entries, vm)
-			continue
+		if vm.Role == vms.Agent {
+			v.mergeAgent(vm)
 		}
-		v.mergeAgent(vm)
 	}
 	for instance := range v.agents {
 		if !listed[instance] {
@@ -109,36 +109,38 @@
 	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
 }
 
-func (v *View) snapshot() []*Agent {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	agents := make([]*Agent, 0, len(v.agents))
-	for _, agent := range v.agents {
-		agents = append(agents, agent)
+// ask asks an agent for its status. An agent that is stale is asked again at
+// once, since the second call carries the mark of the first and so the proof.
+func (v *View) ask(ctx context.Context, agent *Agent) {
+	if v.askOnce(ctx, agent) {
+		v.askOnce(ctx, agent)
 	}
-	return agents
 }
 
-func (v *View) ask(ctx context.Context, agent *Agent) {
+// askOnce reports whether the agent is stale and this entry could prove more.
+func (v *View) askOnce(ctx context.Context, agent *Agent) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	reply, err := agent.Client.Status(ctx, connect.NewRequest(new(wirev1.StatusRequest)))
+	request := v.statusRequest(agent)
+	reply, err := agent.Client.Status(ctx, connect.NewRequest(request))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if err != nil {
 		agent.candidate.Ready = false
-		return
+		return false
 	}
+	agent.contact.answered(reply.Msg, v.member.Clock())
 	agent.candidate.Endpoint = reply.Msg.Endpoint
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
 	agent.applyLoad(reply.Msg.Load)
+	return reply.Msg.Stale && request.News != nil && !request.News.Proved
 }
 
 func (a *Agent) applyLoad(load *wirev1.Load) {
 	a.candidate.Queued = int(load.GetQueued())
 	a.candidate.Model = load.GetModel()
-	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving
+	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving && !a.contact.changing && !a.contact.stale
 }
 
 // Candidates returns the endpoints to choose from.
--- /dev/null
+++ b/entry/fleet/membership.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"time"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/core/config"
+	"flamingospar.org/core/member"
+	"flamingospar.org/core/refusal"
+	"flamingospar.org/entry/configview"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+const (
+	// pollers is how many entries ask each agent at every refresh.
+	pollers = 3
+	// introduceEvery is how often an entry asks the other agents.
+	introduceEvery = 60 * time.Second
+	// adoptFor is how long an entry asks an agent that it found stale.
+	adoptFor = 60 * time.Second
+)
+
+// Config is what an entry tells agents of the configuration.
+type Config interface {
+	News(after config.Revision) configview.News
+	// Evidence returns its age, false when there is none.
+	Evidence() (time.Duration, bool)
+}
+
+// Membership is how this entry takes part in the fleet. All may be zero.
+type Membership struct {
+	Instance string
+	Roster   *Roster
+	Config   Config
+	Clock    clock.Clock
+}
+
+func (m Membership) checked() Membership {
+	if m.Clock == nil {
+		m.Clock = clock.Now
+	}
+	if m.Roster == nil {
+		m.Roster = NewRoster("")
+	}
+	return m
+}
+
+// contact is what direct contact with an agent has shown.
+type contact struct {
+	instance   string // Of the agent's process.
+	revision   config.Revision
+	mark       int64
+	markedAt   time.Time
+	asked      time.Time
+	adoptUntil time.Time
+	changing   bool
+	stale      bool
+}
+
+// answered notes an agent's answer. A new instance at the same address is
+// another process: nothing that the former one said holds for it.
+func (c *contact) answered(reply *wirev1.StatusReply, now time.Time) {
+	c.instance = reply.Instance
+	c.revision = config.Revision(reply.Revision)
+	c.mark = reply.Mark
+	c.markedAt = now
+	c.changing = reply.Changing
+	c.stale = reply.Stale
+}
+
+// statusRequest tells the agent the news since it last answered.
+func (v *View) statusRequest(agent *Agent) *wirev1.StatusRequest {
+	v.mu.Lock()
+	known := agent.contact
+	v.mu.Unlock()
+	request := &wirev1.StatusRequest{EntryInstance: v.member.Instance, AgentRevision: int64(known.revision)}
+	if v.member.Config == nil {
+		return request
+	}
+	// The evidence is read before the revision, so that it never vouches for
+	// less than it was taken for.
+	age, proved := v.member.Config.Evidence()
+	now := v.member.Clock()
+	news := v.member.Config.News(known.revision)
+	request.Revision = int64(news.Revision)
+	request.News = &wirev1.ConfigNews{
+		Revision:      int64(news.Revision),
+		WithdrawnKeys: news.Withdrawn,
+		Complete:      news.Complete,
+	}
+	if proved && known.instance != "" {
+		request.News.Proved = true
+		request.News.AgentInstance = known.instance
+		request.News.Mark = known.mark
+		request.News.EvidenceAfterMarkNanos = int64(now.Add(-age).Sub(known.markedAt))
+	}
+	return request
+}
+
+// due returns the agents to ask now: those that rendezvous hashing gives to
+// this entry, those that it adopted, and now and then each of the others.
+func (v *View) due() []*Agent {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.member.Clock()
+	entries := v.member.Roster.all()
+	var due []*Agent
+	for instance, agent := range v.agents {
+		if v.isDue(instance, agent, entries, now) {
+			agent.contact.asked = now
+			due = append(due, agent)
+		}
+	}
+	return due
+}
+
+func (v *View) isDue(instance string, agent *Agent, entries []string, now time.Time) bool {
+	known := agent.contact
+	return known.instance == "" ||
+		now.Before(known.adoptUntil) ||
+		now.Sub(known.asked) >= introduceEvery ||
+		len(entries) <= pollers ||
+		member.Chosen(instance, v.member.Roster.Self(), entries, pollers)
+}
+
+// Refused learns from an agent's refusal. A stale agent is asked by this entry
+// too from now on; one that drains or changes gets no more work until it
+// answers that it is ready.
+func (v *View) Refused(agent *Agent, code refusal.Code) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch code {
+	case refusal.ConfigStale:
+		agent.contact.adoptUntil = v.member.Clock().Add(adoptFor)
+	case refusal.EndpointChanging, refusal.Draining:
+		agent.candidate.Ready = false
+	case refusal.WrongEndpoint:
+		agent.candidate.Ready = false
+		agent.contact = contact{}
+	}
+}
--- /dev/null
+++ b/entry/peering/client.go
@@ -0,0 +1,110 @@
+// Package peering joins entries: each offers its revision and the changes that
+// it holds to the others, over connect.
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"flamingospar.org/core/config"
+	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/fleet"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
+)
+
+// Client reaches the other entries of a roster. It implements configview.Peers.
+type Client struct {
+	*fleet.Roster
+
+	http *http.Client
+
+	mu    sync.Mutex
+	known map[string]wirev1connect.ConfigServiceClient
+}
+
+// NewClient returns a client of the entries in roster.
+func NewClient(roster *fleet.Roster, client *http.Client) *Client {
+	return &Client{Roster: roster, http: client, known: make(map[string]wirev1connect.ConfigServiceClient)}
+}
+
+// Exchange implements configview.Peers.
+func (c *Client) Exchange(ctx context.Context, address string, question configview.Question) (configview.Answer, error) {
+	request, err := requestOf(question)
+	if err != nil {
+		return configview.Answer{}, err
+	}
+	reply, err := c.peer(address).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		return configview.Answer{}, err
+	}
+	return answerOf(reply.Msg)
+}
+
+func (c *Client) peer(address string) wirev1connect.ConfigServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, known := c.known[address]
+	if !known {
+		client = wirev1connect.NewConfigServiceClient(c.http, "http://"+address, connect.WithGRPC())
+		c.known[address] = client
+	}
+	return client
+}
+
+func requestOf(question configview.Question) (*wirev1.ExchangeRequest, error) {
+	changes, err := encodeChanges(question.Changes)
+	return &wirev1.ExchangeRequest{
+		Instance:    question.Instance,
+		Revision:    int64(question.Revision),
+		Changes:     changes,
+		OnlyCompare: question.OnlyCompare,
+	}, err
+}
+
+func answerOf(reply *wirev1.ExchangeReply) (configview.Answer, error) {
+	changes, err := decodeChanges(reply.Changes)
+	if err != nil {
+		return configview.Answer{}, err
+	}
+	answer := configview.Answer{
+		Instance:  reply.Instance,
+		Revision:  config.Revision(reply.Revision),
+		Proved:    reply.Proved,
+		Age:       time.Duration(reply.EvidenceAgeNanos),
+		Remembers: reply.Remembers,
+		Changes:   changes,
+	}
+	if len(reply.Snapshot) > 0 {
+		answer.Snapshot = new(config.Snapshot)
+		err = json.Unmarshal(reply.Snapshot, answer.Snapshot)
+	}
+	return answer, err
+}
+
+func encodeChanges(changes []config.Change) ([][]byte, error) {
+	encoded := make([][]byte, len(changes))
+	for i, change := range changes {
+		data, err := json.Marshal(change)
+		if err != nil {
+			return nil, err
+		}
+		encoded[i] = data
+	}
+	return encoded, nil
+}
+
+func decodeChanges(encoded [][]byte) ([]config.Change, error) {
+	changes := make([]config.Change, len(encoded))
+	for i, data := range encoded {
+		if err := json.Unmarshal(data, &changes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return changes, nil
+}
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -26,6 +26,7 @@
 	// Set by authenticate.
 	State *config.State
 	Team  string
+	KeyID string // Empty on open routes.
 
 	// Set by match.
 	Route      string
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -72,6 +72,7 @@
 		}
 		x.Attempts++
 		start.RunId = fmt.Sprintf("%s/%d", x.ID, x.Attempts)
+		start.Endpoint = pick.Choice.Endpoint
 		result := f.dispatcher.Send(ctx, pick.Agent, start, answer)
 		pick.Done()
 		if result.Outcome != refusal.NotRun || ctx.Err() != nil {
@@ -99,6 +100,7 @@
 		Body:               x.Body,
 		Revision:           int64(x.State.Revision),
 		EntryInstance:      f.instance,
+		KeyId:              x.KeyID,
 	}
 	if x.Kind != match.ModelKind {
 		start.Headers = wireHeaders(x.Request.Header)
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,7 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	Authority      Authority          `toml:"authority"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
--- /dev/null
+++ b/entry/wiring/authority.go
@@ -0,0 +1,42 @@
+package wiring
+
+import (
+	"net"
+	"net/http"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/fleet"
+	"flamingospar.org/entry/peering"
+	"flamingospar.org/entry/settings"
+	"flamingospar.org/platform/httpapi"
+)
+
+func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
+	return configview.New(c, configview.Options{
+		Instance: s.Instance,
+		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
+		Objects:  c.Objects(),
+		Counter:  registry,
+	})
+}
+
+func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View) *fleet.View {
+	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
+	return fleet.New(c, netx.HTTP2Client(network), membership)
+}
+
+// listenPeers opens the address for other entries, nil when there is none.
+func (e *Entry) listenPeers() (net.Listener, error) {
+	if e.Settings.Authority.PeerListen == "" {
+		return nil, nil
+	}
+	return e.Network.Listen(e.Settings.Authority.PeerListen)
+}
+
+func (e *Entry) peerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(peering.NewServer(e.Config).Handler())
+	return netx.Server(mux)
+}
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -70,8 +70,9 @@
 		func() *runState { return new(runState) },
 		meter.NewRegistry,
 		newPlatform,
-		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network) *fleet.View { return fleet.New(c, netx.HTTP2Client(n)) },
+		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
+		newConfigView,
+		newFleet,
 		account.NewRing,
 		dispatch.New,
 		newChain,
@@ -121,6 +122,7 @@
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	Peers     net.Listener // Nil when no other entry may call.
 }
 
 // Listen opens both addresses.
@@ -133,7 +135,11 @@
 	if err != nil {
 		return Listeners{}, errors.Join(err, callersListener.Close())
 	}
-	return Listeners{Callers: callersListener, Operators: operators}, nil
+	peers, err := e.listenPeers()
+	if err != nil {
+		return Listeners{}, errors.Join(err, callersListener.Close(), operators.Close())
+	}
+	return Listeners{Callers: callersListener, Operators: operators, Peers: peers}, nil
 }
 
 // Serve runs the entry until ctx ends, then drains: it is not ready first,
@@ -145,9 +151,14 @@
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
 	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
 	operatorServer := netx.Server(api.Handler())
-	failed := make(chan error, 2)
+	peerServer := e.peerServer()
+	defer peerServer.Close()
+	failed := make(chan error, 3)
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
 	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
+	if listeners.Peers != nil {
+		go func() { failed <- peerServer.Serve(listeners.Peers) }()
+	}
 	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
 	select {
 	case err := <-failed:
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	view := configview.New(s.Standins.Platform.Tables)
+	view := configview.New(s.Standins.Platform.Tables, configview.Options{})
 	if _, err := view.Write(ctx, 0, config.Change{Operator: "dev", Catalogue: document}); err != nil {
 		return err
 	}
