--- a/core/config/config.go
+++ b/core/config/config.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -102,6 +103,17 @@
 	return parts
 }
 
+// Digest identifies what a change does, whoever made it and when.
+func (c Change) Digest() string {
+	c.ID, c.Revision, c.Operator, c.UnixMillis = "", 0, "", 0
+	data, err := json.Marshal(c)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
 // Apply returns the state after change. The change must carry the next
 // revision. Its cost does not grow with the number of keys.
 func (s *State) Apply(change Change) (*State, error) {
--- a/entry/configview/configview.go
+++ b/entry/configview/configview.go
@@ -52,7 +52,9 @@
 
 	following sync.Mutex // Serialises reading and writing the store.
 	width     int        // Peers to ask in the next round.
-	wake      chan struct{}
+	// storeFailing is set while the last read of the store failed.
+	storeFailing bool
+	wake         chan struct{}
 
 	current atomic.Pointer[config.State]
 
@@ -137,13 +139,28 @@
 func (v *View) Step(ctx context.Context) {
 	v.following.Lock()
 	defer v.following.Unlock()
-	if _, err := v.readStore(ctx); err != nil {
-		v.count("config", "store_failed")
-		log.Error(err, "The configuration could not be read from the store; other entries are asked.")
+	_, err := v.readStore(ctx)
+	v.noteStore(err)
+	if err != nil {
 		v.askPeers(ctx)
 	}
 }
 
+// noteStore counts failures and logs when they begin and end.
+func (v *View) noteStore(err error) {
+	failing := err != nil
+	if failing {
+		v.count("config", "store_failed")
+	}
+	if failing && !v.storeFailing {
+		log.Error(err, "The configuration can't be read from the store; other entries are asked.")
+	}
+	if !failing && v.storeFailing {
+		log.Info("The configuration is read from the store again.")
+	}
+	v.storeFailing = failing
+}
+
 // CatchUp reads the changes that are not yet in force here from the store.
 func (v *View) CatchUp(ctx context.Context) error {
 	v.following.Lock()
--- a/entry/configview/write.go
+++ b/entry/configview/write.go
@@ -25,6 +25,8 @@
 	ErrRaced = errors.New("config: another change was accepted first; remedy: look at it and send yours again")
 	// ErrInDoubt means that the store did not say whether it took the change.
 	ErrInDoubt = errors.New("config: the store did not answer, the change may have been accepted; remedy: send it again with the same id, or look at the history")
+	// ErrIDReused means that another change was accepted under the same id.
+	ErrIDReused = errors.New("config: another change was accepted under this id; remedy: send yours with a new id")
 	// ErrNoCatalogue means that no catalogue was in force at a revision.
 	ErrNoCatalogue = errors.New("config: no catalogue is kept for this revision; remedy: choose one from the history")
 )
@@ -57,7 +59,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if revision, err := v.acceptedAs(ctx, change.ID); revision != 0 || err != nil {
+	if revision, err := v.acceptedAs(ctx, change); revision != 0 || err != nil {
 		return revision, err
 	}
 	if base != 0 && base != stored.Revision {
@@ -72,7 +74,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := v.commit(ctx, txn, change.ID); err != nil {
+	if err := v.commit(ctx, txn, change); err != nil {
 		return 0, err
 	}
 	_, err = v.readStore(ctx)
@@ -87,7 +89,7 @@
 // commit commits txn. When the answer is lost, the same transaction is sent
 // again: its condition on the head row makes it take effect at most once, and
 // the row of the change's id tells whether it did.
-func (v *View) commit(ctx context.Context, txn tables.Txn, id string) error {
+func (v *View) commit(ctx context.Context, txn tables.Txn, change config.Change) error {
 	for range commitRepeats {
 		err := v.commitOnce(ctx, txn)
 		if err == nil {
@@ -97,7 +99,7 @@
 			v.count("config", "commit_repeated")
 			continue
 		}
-		revision, err := v.acceptedAs(ctx, id)
+		revision, err := v.acceptedAs(ctx, change)
 		if err != nil {
 			return errors.Join(ErrInDoubt, err)
 		}
@@ -116,13 +118,24 @@
 	return v.tables.Commit(ctx, txn)
 }
 
-// acceptedAs returns the revision that a change's id became, 0 when none.
-func (v *View) acceptedAs(ctx context.Context, id string) (config.Revision, error) {
+// accepted is the value of the row of a change's id.
+type accepted struct {
+	Revision config.Revision `json:"revision"`
+	Digest   string          `json:"digest"`
+}
+
+// acceptedAs returns the revision that a change became, 0 when its id is new.
+func (v *View) acceptedAs(ctx context.Context, change config.Change) (config.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var accepted head
-	_, err := v.readRow(ctx, idRow+id, &accepted)
-	return accepted.Revision, err
+	var earlier accepted
+	if _, err := v.readRow(ctx, idRow+change.ID, &earlier); err != nil {
+		return 0, err
+	}
+	if earlier.Revision != 0 && earlier.Digest != change.Digest() {
+		return 0, ErrIDReused
+	}
+	return earlier.Revision, nil
 }
 
 func writeTxn(change config.Change, headVersion int64) (tables.Txn, error) {
@@ -134,12 +147,16 @@
 	if err != nil {
 		return tables.Txn{}, err
 	}
+	idValue, err := json.Marshal(accepted{Revision: change.Revision, Digest: change.Digest()})
+	if err != nil {
+		return tables.Txn{}, err
+	}
 	headKey := tables.Key{Table: tableName, Row: headRow}
 	changeKey := tables.Key{Table: tableName, Row: fmt.Sprintf(changeRow, change.Revision)}
 	idKey := tables.Key{Table: tableName, Row: idRow + change.ID}
 	return tables.Txn{
 		Conditions: []tables.Condition{{Key: headKey, Version: headVersion}, {Key: changeKey}, {Key: idKey}},
-		Writes:     []tables.Write{{Key: headKey, Value: headValue}, {Key: changeKey, Value: value}, {Key: idKey, Value: headValue}},
+		Writes:     []tables.Write{{Key: headKey, Value: headValue}, {Key: changeKey, Value: value}, {Key: idKey, Value: idValue}},
 	}, nil
 }
 
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -31,6 +31,9 @@
 type Config interface {
 	Current() *config.State
 	Write(ctx context.Context, base config.Revision, change config.Change) (config.Revision, error)
+	Rollback(ctx context.Context, base, to config.Revision, operator string) (config.Revision, error)
+	History(ctx context.Context, from config.Revision, limit int) ([]config.Change, error)
+	AwaitInForce(ctx context.Context, revision config.Revision) configview.Standing
 }
 
 // API is the operators' HTTP interface.
@@ -58,6 +61,8 @@
 		private.Get("/metrics.json", a.meter.ServeJSON)
 		private.Get("/v1/catalogue", a.showCatalogue)
 		private.Put("/v1/catalogue", a.applyCatalogue)
+		private.Post("/v1/catalogue/rollback", a.rollBack)
+		private.Get("/v1/history", a.showHistory)
 		private.Get("/v1/keys", a.listKeys)
 		private.Post("/v1/keys", a.issueKey)
 		private.Delete("/v1/keys/{id}", a.withdrawKey)
@@ -98,9 +103,10 @@
 	Catalogue *catalogue.Document `json:"catalogue"`
 }
 
-// RevisionAnswer tells which revision a change became.
+// RevisionAnswer tells which revision a change became and how far it has come.
 type RevisionAnswer struct {
 	Revision config.Revision `json:"revision"`
+	configview.Standing
 }
 
 // KeyRequest asks for a new key.
@@ -132,14 +138,7 @@
 		return
 	}
 	revision, err := a.config.Write(r.Context(), change.Base, config.Change{Operator: change.Operator, Catalogue: change.Catalogue})
-	a.answerRevision(w, revision, err)
-}
-
-func (a *API) answerRevision(w http.ResponseWriter, revision config.Revision, err error) {
-	if refuse(w, err) {
-		return
-	}
-	write(w, RevisionAnswer{Revision: revision})
+	a.answerRevision(w, r, revision, err)
 }
 
 func (a *API) listKeys(w http.ResponseWriter, _ *http.Request) {
@@ -188,7 +187,7 @@
 func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
 	change := config.Change{Operator: r.URL.Query().Get("operator"), WithdrawKey: chi.URLParam(r, "id")}
 	revision, err := a.config.Write(r.Context(), 0, change)
-	a.answerRevision(w, revision, err)
+	a.answerRevision(w, r, revision, err)
 }
 
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
@@ -210,8 +209,12 @@
 	switch {
 	case err == nil:
 		return false
-	case errors.Is(err, configview.ErrRaced):
+	case errors.Is(err, configview.ErrRaced), errors.Is(err, config.ErrKeyExists), errors.Is(err, configview.ErrIDReused):
 		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, config.ErrKeyUnknown), errors.Is(err, configview.ErrNoCatalogue):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, config.ErrEmpty):
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
