Leases: recognise lost answers, guard terms by a row of their own, count in suspend

Cause: a renewal changed the version that guarded a term's transactions, so they failed at random; a take whose answer was lost was waited out for a term and a margin; the clock stood still in suspend; a lease was never given up.

Change: each write is told apart by an attempt number, so that a row that is read tells which write left it and from when the term counts; an epoch row that only a change of hands writes; release on exit; takers wake when they may take.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -7,12 +7,13 @@
 // Epoch is the fencing number of a lease. It never falls.
 type Epoch int64
 
-// Row is the stored lease.
+// Row is the stored lease. No two attempts of one process write equal rows, so
+// that a row that is read tells which attempt wrote it.
 type Row struct {
-	Holder string        `json:"holder"` // Instance id of the holder.
-	Epoch  Epoch         `json:"epoch"`
-	Renew  int64         `json:"renew"` // Raised by each renewal.
-	Term   time.Duration `json:"term"`  // How long a renewal lasts.
+	Holder  string        `json:"holder"` // Instance id of the holder; empty when released.
+	Epoch   Epoch         `json:"epoch"`
+	Attempt int64         `json:"attempt"` // Number of the holder's write.
+	Term    time.Duration `json:"term"`    // How long a renewal lasts.
 }
 
 // Margin is how long before expiry a holder stops acting, and how long after
@@ -35,17 +36,22 @@
 }
 
 // MayTake reports whether a process other than the holder may take the lease:
-// the row was unchanged for a whole term and a margin.
+// it was released, or the row was unchanged for a whole term and a margin.
 func (o Observed) MayTake(now time.Time) bool {
+	return !now.Before(o.TakeAt())
+}
+
+// TakeAt returns the earliest time at which another process may take the lease.
+func (o Observed) TakeAt() time.Time {
 	if o.Row.Holder == "" {
-		return true
+		return o.Seen
 	}
-	return now.Sub(o.Seen) >= o.Row.Term+Margin
+	return o.Seen.Add(o.Row.Term + Margin)
 }
 
 // Take returns the row that instance writes to become the holder.
-func (o Observed) Take(instance string, term time.Duration) Row {
-	return Row{Holder: instance, Epoch: o.Row.Epoch + 1, Term: term}
+func (o Observed) Take(instance string, attempt int64, term time.Duration) Row {
+	return Row{Holder: instance, Epoch: o.Row.Epoch + 1, Attempt: attempt, Term: term}
 }
 
 // Term is the holder's view of its lease. Sent is the time before the renewal
@@ -60,9 +66,14 @@
 	return t.Row.Holder != "" && now.Before(t.Sent.Add(t.Row.Term-Margin))
 }
 
-// Renewal returns the row that extends the term.
-func (t Term) Renewal() Row {
-	row := t.Row
-	row.Renew++
-	return row
+// Renewal returns the row that extends the lease.
+func (r Row) Renewal(attempt int64) Row {
+	r.Attempt = attempt
+	return r
+}
+
+// Released returns the row that gives the lease up. Its epoch stays, so that
+// the next holder's is higher.
+func (r Row) Released(attempt int64) Row {
+	return Row{Epoch: r.Epoch, Attempt: attempt}
 }
--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"flamingospar.org/base/clock"
+	"flamingospar.org/base/invariant"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/core/lease"
 	"flamingospar.org/platform/tables"
@@ -16,78 +18,236 @@
 
 const (
 	tableName   = "leases"
+	epochSuffix = "/epoch"
 	term        = 10 * time.Second
 	renewEvery  = 3 * time.Second
 	callTimeout = 2 * time.Second
+	// soonest is the shortest wait between two steps.
+	soonest = 50 * time.Millisecond
 )
 
 var log = logging.For("entry/lease")
 
 // Keeper holds or waits for one lease.
+//
+// The lease is a row that each renewal writes. A second row changes only when
+// the lease changes hands: it guards the transactions of a term, so that a
+// renewal does not make them fail.
 type Keeper struct {
 	tables   tables.Service
 	key      tables.Key
+	epochKey tables.Key
 	instance string
+	clock    clock.Clock
 
 	mu       sync.Mutex
 	observed lease.Observed
-	version  int64
 	held     lease.Term
+	guard    tables.Condition
+	attempt  int64
+	// sent is when each write was sent whose end is not known.
+	sent map[lease.Row]time.Time
 }
 
 // New returns a keeper of the lease with a name for the process instance.
 func New(service tables.Service, name, instance string) *Keeper {
-	return &Keeper{tables: service, key: tables.Key{Table: tableName, Row: name}, instance: instance}
+	return NewWithClock(service, name, instance, clock.Now)
 }
 
-// Run takes and renews the lease until ctx ends.
+// NewWithClock returns a keeper that counts terms on a given clock.
+func NewWithClock(service tables.Service, name, instance string, c clock.Clock) *Keeper {
+	return &Keeper{
+		tables:   service,
+		key:      tables.Key{Table: tableName, Row: name},
+		epochKey: tables.Key{Table: tableName, Row: name + epochSuffix},
+		instance: instance,
+		clock:    c,
+		sent:     make(map[lease.Row]time.Time),
+	}
+}
+
+// Run takes and renews the lease until ctx ends, and then gives it up.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(renewEvery)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		k.Step(ctx)
+		wait := time.NewTimer(k.untilNext())
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-wait.C:
 		}
+		wait.Stop()
 	}
+	k.Release(context.WithoutCancel(ctx))
 }
 
-// Held returns the term and whether this process may act under it now.
-func (k *Keeper) Held() (lease.Term, bool) {
+// untilNext returns when to look again: at the next renewal, or as soon as the
+// lease may be taken.
+func (k *Keeper) untilNext() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.held, k.held.Valid(time.Now())
+	now := k.clock()
+	if k.held.Valid(now) {
+		return renewEvery
+	}
+	return min(max(k.observed.TakeAt().Sub(now), soonest), renewEvery)
+}
+
+// Held returns the term and whether this process may act under it now.
+func (k *Keeper) Held() (lease.Term, bool) {
+	fence, held := k.Fence()
+	return fence.Term, held
 }
 
 // Guard returns the condition under which a transaction of the term may take
-// effect: the lease row is still as this process wrote it.
+// effect: nobody has taken the lease since.
 func (k *Keeper) Guard() tables.Condition {
+	fence, _ := k.Fence()
+	return fence.Guard
+}
+
+// Fence is a term and the condition that guards its transactions.
+type Fence struct {
+	Term  lease.Term
+	Guard tables.Condition
+}
+
+// Fence returns the term with its guard and whether this process may act under
+// it now. Both belong together, also when the lease changes hands meanwhile.
+func (k *Keeper) Fence() (Fence, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return tables.Condition{Key: k.key, Version: k.version}
+	held := k.guarded() && k.held.Valid(k.clock())
+	return Fence{Term: k.held, Guard: k.guard}, held
 }
 
+func (k *Keeper) guarded() bool { return k.guard != tables.Condition{} }
+
 // Step reads the row, then renews or takes the lease if it may.
 func (k *Keeper) Step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, version, err := k.read(ctx)
 	if err != nil {
-		log.Error(err, "The lease could not be read.", "lease", k.key.Row)
 		return
 	}
+	known := k.learn(row)
+	switch {
+	case k.mine(row) && known:
+		k.renew(ctx, row, version)
+	case k.mayTake():
+		k.take(ctx, version)
+	}
+}
+
+// learn notes the row as read. A row that one of this process's own writes left
+// begins a term, also when the answer to that write was lost. It reports whether
+// the epoch of a row of this process is the one held.
+func (k *Keeper) learn(row lease.Row) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	invariant.Check(row.Epoch >= k.observed.Row.Epoch, invariant.EpochNeverFalls, "epoch %d after %d", row.Epoch, k.observed.Row.Epoch)
+	k.observed = k.observed.Observe(row, k.clock())
+	if sent, own := k.sent[row]; own {
+		k.begin(row, sent)
+	}
+	return row.Epoch == k.held.Row.Epoch
+}
+
+// begin starts or extends the term of row. It is called with mu held.
+func (k *Keeper) begin(row lease.Row, sent time.Time) {
+	if row.Epoch != k.held.Row.Epoch {
+		log.Info("The lease was taken.", "lease", k.key.Row, "epoch", row.Epoch)
+		k.guard = tables.Condition{}
+	}
+	k.held = lease.Term{Row: row, Sent: sent}
+	clear(k.sent)
+}
+
+func (k *Keeper) mine(row lease.Row) bool { return row.Holder == k.instance }
+
+func (k *Keeper) mayTake() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.observed.MayTake(k.clock())
+}
+
+func (k *Keeper) renew(ctx context.Context, row lease.Row, version int64) {
+	if !k.isGuarded() {
+		k.readGuard(ctx)
+	}
+	renewed := row.Renewal(k.nextAttempt())
+	k.write(ctx, renewed, tables.Txn{Conditions: []tables.Condition{{Key: k.key, Version: version}}})
+}
+
+func (k *Keeper) isGuarded() bool {
 	k.mu.Lock()
-	k.observed = k.observed.Observe(row, time.Now())
-	observed, held := k.observed, k.held
+	defer k.mu.Unlock()
+	return k.guarded()
+}
+
+func (k *Keeper) take(ctx context.Context, version int64) {
+	attempt := k.nextAttempt()
+	k.mu.Lock()
+	row := k.observed.Take(k.instance, attempt, term)
 	k.mu.Unlock()
-	switch {
-	case row.Holder == k.instance && row.Epoch == held.Row.Epoch:
-		k.write(ctx, lease.Term{Row: row}.Renewal(), version)
-	case observed.MayTake(time.Now()):
-		k.write(ctx, observed.Take(k.instance, term), version)
+	value, err := json.Marshal(row)
+	if err != nil {
+		return
+	}
+	k.write(ctx, row, tables.Txn{
+		Conditions: []tables.Condition{{Key: k.key, Version: version}},
+		Writes:     []tables.Write{{Key: k.epochKey, Value: value}},
+	})
+	k.readGuard(ctx)
+}
+
+// readGuard learns the version of the epoch row, without which no transaction
+// of the term can be guarded.
+func (k *Keeper) readGuard(ctx context.Context) {
+	stored, err := k.tables.Get(ctx, k.epochKey)
+	if err != nil {
+		return
+	}
+	var row lease.Row
+	if json.Unmarshal(stored.Value, &row) != nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if row.Epoch == k.held.Row.Epoch && row.Holder == k.instance {
+		k.guard = tables.Condition{Key: k.epochKey, Version: stored.Version}
+	}
+}
+
+// Release gives the lease up, so that a successor need not wait for its end.
+func (k *Keeper) Release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	held := k.end()
+	row, version, err := k.read(ctx)
+	if err != nil || !k.mine(row) || row.Epoch != held.Row.Epoch {
+		return
 	}
+	released := row.Released(k.nextAttempt())
+	k.write(ctx, released, tables.Txn{Conditions: []tables.Condition{{Key: k.key, Version: version}}})
+}
+
+// end ends the term for this process before anybody else hears of it.
+func (k *Keeper) end() lease.Term {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	held := k.held
+	k.held = lease.Term{}
+	k.guard = tables.Condition{}
+	clear(k.sent)
+	return held
+}
+
+func (k *Keeper) nextAttempt() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.attempt++
+	return k.attempt
 }
 
 func (k *Keeper) read(ctx context.Context) (lease.Row, int64, error) {
@@ -103,25 +263,35 @@
 	return row, stored.Version, err
 }
 
-func (k *Keeper) write(ctx context.Context, row lease.Row, version int64) {
-	sent := time.Now()
+// write commits row with the rest of txn. The time is taken before the write is
+// sent, and kept until it is known which write came last.
+func (k *Keeper) write(ctx context.Context, row lease.Row, txn tables.Txn) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return
 	}
-	err = k.tables.Commit(ctx, tables.Txn{
-		Conditions: []tables.Condition{{Key: k.key, Version: version}},
-		Writes:     []tables.Write{{Key: k.key, Value: value}},
-	})
-	if err != nil {
-		log.Error(err, "The lease could not be written.", "lease", k.key.Row)
+	txn.Writes = append(txn.Writes, tables.Write{Key: k.key, Value: value})
+	sent := k.clock()
+	k.remember(row, sent)
+	if err := k.tables.Commit(ctx, txn); err != nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if row.Epoch != k.held.Row.Epoch {
-		log.Info("The lease was taken.", "lease", k.key.Row, "epoch", row.Epoch)
+	if _, pending := k.sent[row]; pending {
+		k.begin(row, sent)
+	}
+}
+
+func (k *Keeper) remember(row lease.Row, sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for earlier, at := range k.sent {
+		if sent.Sub(at) >= term {
+			delete(k.sent, earlier)
+		}
+	}
+	if k.mine(row) {
+		k.sent[row] = sent
 	}
-	k.held = lease.Term{Row: row, Sent: sent}
-	k.version = version + 1
 }
--- /dev/null
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -0,0 +1,211 @@
+package leasekeeper
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+
+	"flamingospar.org/base/invariant"
+	"flamingospar.org/core/lease"
+	"flamingospar.org/platform/tables"
+	"flamingospar.org/standin/platform"
+)
+
+// TestMain fixes the seed and the number of schedules; the flags -rapid.seed
+// and -rapid.checks run others, and more.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "80", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	quiet := flag.NewFlagSet("klog", flag.PanicOnError)
+	klog.InitFlags(quiet)
+	_ = quiet.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"})
+	klog.SetOutput(io.Discard)
+	invariant.SetFatal(true)
+	os.Exit(m.Run())
+}
+
+var effectKey = tables.Key{Table: "effects", Row: "effect"}
+
+// world is a store and processes that want one lease, under a schedule of
+// faults, on a clock that only the schedule moves.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	store   *platform.Tables
+	keepers []*Keeper
+	paused  []bool
+	starts  int
+	depth   int
+
+	outage, lose, late, slow bool
+	flying                   []tables.Txn // Sent, and still on their way.
+	effect                   lease.Epoch  // Epoch of the last guarded effect.
+}
+
+func (w *world) start(i int) {
+	w.starts++
+	w.paused[i] = false
+	w.keepers[i] = NewWithClock(w, "duty", fmt.Sprintf("process-%d", w.starts), func() time.Time { return w.now })
+}
+
+// dawdle lets time pass in the middle of a call, while others act.
+func (w *world) dawdle() {
+	if !w.slow || w.depth > 0 || rapid.IntRange(1, 4).Draw(w.t, "dawdle") > 1 {
+		return
+	}
+	w.depth++
+	defer func() { w.depth-- }()
+	for range rapid.IntRange(1, 6).Draw(w.t, "intervals") {
+		w.pass(rapid.IntRange(100, 4000).Draw(w.t, "ms"))
+		w.step()
+	}
+}
+
+func (w *world) pass(millis int) { w.now = w.now.Add(time.Duration(millis) * time.Millisecond) }
+
+// step lets one process that is not in the middle of a call act.
+func (w *world) step() {
+	i := rapid.IntRange(0, len(w.keepers)-1).Draw(w.t, "process")
+	if w.paused[i] {
+		return
+	}
+	w.paused[i] = true
+	keeper := w.keepers[i]
+	keeper.Step(context.Background())
+	if w.keepers[i] == keeper {
+		w.paused[i] = false
+	}
+}
+
+func (w *world) Get(ctx context.Context, key tables.Key) (tables.Row, error) {
+	w.dawdle()
+	defer w.dawdle()
+	if w.outage {
+		return tables.Row{}, tables.ErrUnavailable
+	}
+	return w.store.Get(ctx, key)
+}
+
+func (w *world) Scan(context.Context, string, string, string, int) ([]tables.Row, error) {
+	return nil, tables.ErrUnavailable
+}
+
+func (w *world) Commit(ctx context.Context, txn tables.Txn) error {
+	w.dawdle()
+	defer w.dawdle()
+	switch {
+	case w.outage:
+		return tables.ErrUnavailable
+	case w.late && rapid.Bool().Draw(w.t, "late"):
+		w.flying = append(w.flying, txn)
+		return tables.ErrUnavailable
+	}
+	err := w.store.Commit(ctx, txn)
+	if w.lose && rapid.Bool().Draw(w.t, "lost") {
+		return tables.ErrUnavailable
+	}
+	return err
+}
+
+// act writes a guarded effect, perhaps long after the lease was looked at.
+func (w *world) act() {
+	i := rapid.IntRange(0, len(w.keepers)-1).Draw(w.t, "process")
+	fence, held := w.keepers[i].Fence()
+	if !held {
+		return
+	}
+	w.dawdle()
+	row, _ := w.store.Get(context.Background(), effectKey)
+	txn := tables.Txn{
+		Conditions: []tables.Condition{fence.Guard, {Key: effectKey, Version: row.Version}},
+		Writes:     []tables.Write{{Key: effectKey, Value: []byte("{}")}},
+	}
+	if w.store.Commit(context.Background(), txn) != nil {
+		return
+	}
+	if fence.Term.Row.Epoch < w.effect {
+		w.t.Fatalf("epoch %d took effect after epoch %d", fence.Term.Row.Epoch, w.effect)
+	}
+	w.effect = fence.Term.Row.Epoch
+}
+
+func (w *world) check() {
+	holders := 0
+	for _, keeper := range w.keepers {
+		if _, held := keeper.Held(); held {
+			holders++
+		}
+	}
+	if holders > 1 {
+		w.t.Fatalf("%d processes believe that they hold the lease", holders)
+	}
+}
+
+// settle ends all faults and asserts that the lease is held in time.
+func (w *world) settle() {
+	w.outage, w.lose, w.late, w.slow = false, false, false, false
+	ended := w.now
+	for w.now.Sub(ended) <= term+lease.Margin+2*renewEvery {
+		w.pass(1000)
+		for _, keeper := range w.keepers {
+			keeper.Step(context.Background())
+			if _, held := keeper.Held(); held {
+				return
+			}
+		}
+	}
+	w.t.Fatalf("nobody holds the lease %s after the last fault", w.now.Sub(ended))
+}
+
+// TestOneHolder runs schedules of kill, pause, outage, and answers and writes
+// that are lost or late.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 4).Draw(t, "processes")
+		w := &world{t: t, now: time.Unix(1_000_000, 0), store: platform.NewTables(), keepers: make([]*Keeper, count), paused: make([]bool, count)}
+		for i := range w.keepers {
+			w.start(i)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) { w.t = t; w.check() },
+			"step": func(t *rapid.T) {
+				w.t = t
+				w.pass(rapid.IntRange(1, 3000).Draw(t, "ms"))
+				w.step()
+			},
+			"wait":   func(t *rapid.T) { w.pass(rapid.IntRange(1000, 8000).Draw(t, "ms")) },
+			"act":    func(t *rapid.T) { w.t = t; w.act() },
+			"outage": func(*rapid.T) { w.outage = !w.outage },
+			"lose":   func(*rapid.T) { w.lose = !w.lose },
+			"late":   func(*rapid.T) { w.late = !w.late },
+			"slow":   func(*rapid.T) { w.slow = !w.slow },
+			"land": func(t *rapid.T) {
+				if len(w.flying) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(w.flying)-1).Draw(t, "write")
+				_ = w.store.Commit(context.Background(), w.flying[i])
+				w.flying = append(w.flying[:i], w.flying[i+1:]...)
+			},
+			"kill":  func(t *rapid.T) { w.start(rapid.IntRange(0, count-1).Draw(t, "process")) },
+			"pause": func(t *rapid.T) { i := rapid.IntRange(0, count-1).Draw(t, "process"); w.paused[i] = !w.paused[i] },
+			"release": func(t *rapid.T) {
+				w.t = t
+				i := rapid.IntRange(0, count-1).Draw(t, "process")
+				w.keepers[i].Release(context.Background())
+			},
+		})
+		w.t = t
+		w.settle()
+	})
+}
