--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -11,12 +11,14 @@
 
 	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -49,6 +51,7 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newGate,
 		ledger.New,
 		newUsageLedger,
 		newUsageWriter,
@@ -101,8 +104,12 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, u, q)
+func newGate(s settings.Settings) *gate.Gate {
+	return gate.New(s.Endpoint, s.Instance, clock.Now)
+}
+
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
+	return pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
 }
 
 func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
--- a/entry/authenticate/authenticate.go
+++ b/entry/authenticate/authenticate.go
@@ -50,11 +50,12 @@
 		return refused
 	}
 	if !isOpen(x) {
-		team, refused := teamOf(x)
+		found, refused := keyInForce(x)
 		if refused != nil {
 			return refused
 		}
-		x.Team = team
+		x.Team = found.Team
+		x.KeyID = found.ID
 	}
 	stripCredentials(x.Request.Header)
 	return nil
@@ -72,17 +73,17 @@
 	return ok && route.Open
 }
 
-func teamOf(x *pipeline.Exchange) (string, *refusal.Refusal) {
+func keyInForce(x *pipeline.Exchange) (config.Key, *refusal.Refusal) {
 	given, refused := keyOf(x.Request.Header)
 	if refused != nil {
-		return "", refused
+		return config.Key{}, refused
 	}
 	hash := config.HashKey(given)
 	found, ok := x.State.KeyByHash(hash)
 	if !ok || subtle.ConstantTimeCompare([]byte(found.Hash), []byte(hash)) != 1 {
-		return "", refusal.New(refusal.KeyUnknown, "the key is not in force")
+		return config.Key{}, refusal.New(refusal.KeyUnknown, "the key is not in force")
 	}
-	return found.Team, nil
+	return found, nil
 }
 
 func keyOf(header http.Header) (string, *refusal.Refusal) {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -28,6 +28,7 @@
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
 	Usage          Usage              `toml:"usage"`
+	Authority      Authority          `toml:"authority"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
