--- a/entry/wiring/observe.go
+++ b/entry/wiring/observe.go
@@ -6,8 +6,10 @@
 	"go.uber.org/dig"
 
 	"flamingospar.org/base/journal"
+	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/explain"
+	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/observe"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/entry/settings"
@@ -22,6 +24,7 @@
 	Observer *explain.Observer
 	Counts   *account.Counts
 	Platform *httpapi.Client
+	Roster   *fleet.Roster
 }
 
 func newJournal(s settings.Settings) *journal.Journal {
@@ -43,7 +46,7 @@
 		Counts:  e.Observe.Counts,
 		Leases:  []observe.NamedLease{{Name: usageLease, Lease: e.Lease}},
 		Ready:   e.Ready,
-		Peers:   func() []observe.Peer { return nil },
+		Peers:   observe.NewPeers(e.Observe.Roster, netx.HTTP2Client(e.Network)).All,
 	}
 }
 
