--- a/entry/observe/gather.go
+++ b/entry/observe/gather.go
@@ -9,17 +9,14 @@
 	"connectrpc.com/connect"
 
 	"flamingospar.org/base/journal"
-	"flamingospar.org/entry/fleet"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
 
 const (
-	askTimeout = 2 * time.Second
-	askAtOnce  = 32
-	// maxAgentsAsked bounds how many agents one question goes to.
-	maxAgentsAsked = 600
-	defaultEvents  = 200
+	askTimeout    = 2 * time.Second
+	askAtOnce     = 32
+	defaultEvents = 200
 )
 
 // Explanation is the answer to a question about decisions.
@@ -128,16 +125,3 @@
 	}
 	asking.Wait()
 }
-
-// askedAgents returns the agents to ask, a bounded number of them.
-func askedAgents(agents []fleet.Observed) []asked {
-	sort.Slice(agents, func(i, j int) bool { return agents[i].Address < agents[j].Address })
-	if len(agents) > maxAgentsAsked {
-		agents = agents[:maxAgentsAsked]
-	}
-	processes := make([]asked, len(agents))
-	for i, agent := range agents {
-		processes[i] = asked{name: agent.Address, client: agent.Client}
-	}
-	return processes
-}
