Fair queue, admission, prefix-aware routing; roles and capacity decisions

Cause: runs waited in the order of arrival before an endpoint, limits of the catalogue were not enforced and routing knew only counts of runs. One team's burst delayed all others and a late first token was still served.

Ruled out: ordering in the engine (it honours priorities but knows no shares); a shared counter store (none on the request path).

Before: none of it.

--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -22,6 +22,11 @@
 	Began bool
 	// Usage is what the endpoint reported, set by the executor.
 	Usage *wirev1.Usage
+	// TeamFraction is the part of the team's runs that came through the run's
+	// entry lately, set by the queue.
+	TeamFraction float64
+	// CacheExpected is set by the queue when it took the prompt's prefix for cached.
+	CacheExpected bool
 }
 
 // Filter is one step before the endpoint.
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -72,7 +72,7 @@
 	go sender.heartbeats(ctx, interval)
 	run := &pipeline.Run{Start: start, Arrived: time.Now(), Deadline: deadline, Send: sender.send}
 	finished, refused := s.chain.Handle(ctx, run)
-	return sender.last(finished, refused)
+	return sender.last(run, finished, refused)
 }
 
 func heartbeatInterval(start *wirev1.RunStart) time.Duration {
@@ -128,8 +128,8 @@
 	}
 }
 
-func (s *sender) last(finished *wirev1.Finished, refused *refusal.Refusal) error {
-	event := &wirev1.RunEvent{Load: s.status.Load()}
+func (s *sender) last(run *pipeline.Run, finished *wirev1.Finished, refused *refusal.Refusal) error {
+	event := &wirev1.RunEvent{Load: s.status.Load(), TeamFraction: run.TeamFraction}
 	if refused != nil {
 		event.Message = &wirev1.RunEvent_Refused{Refused: &wirev1.Refused{
 			Code:             string(refused.Code),
--- /dev/null
+++ b/agent/settings/policy.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"time"
+
+	"flamingospar.org/core/admit"
+)
+
+// Policy configures the queue before the endpoint.
+type Policy struct {
+	// PromptRate is the engine's speed in prompt tokens a second, until observed.
+	PromptRate float64 `toml:"prompt_rate"`
+	// EngineBacklog is how many prompt tokens the engine holds ahead of need.
+	EngineBacklog float64 `toml:"engine_backlog"`
+	// TokenIntervalMillis bounds the time between two tokens of an answer.
+	TokenIntervalMillis int64 `toml:"token_interval_millis"`
+	// PromptPrice and OutputPrice are seconds of the endpoint for one token.
+	PromptPrice float64 `toml:"prompt_price"`
+	OutputPrice float64 `toml:"output_price"`
+}
+
+// DefaultPolicy suits an engine of about a thousand output tokens a second.
+func DefaultPolicy() Policy {
+	gate := admit.DefaultGateSettings()
+	return Policy{
+		PromptRate:          gate.PromptRate,
+		EngineBacklog:       gate.EngineBacklog,
+		TokenIntervalMillis: gate.TokenInterval.Milliseconds(),
+		PromptPrice:         gate.Prices.Prompt,
+		OutputPrice:         gate.Prices.Output,
+	}
+}
+
+// Gate returns the settings of the decision.
+func (s Settings) Gate() admit.GateSettings {
+	gate := admit.DefaultGateSettings()
+	gate.MaxRunning = s.Running
+	gate.MaxWaiting = s.Waiting
+	gate.PromptRate = s.Policy.PromptRate
+	gate.EngineBacklog = s.Policy.EngineBacklog
+	gate.TokenInterval = time.Duration(s.Policy.TokenIntervalMillis) * time.Millisecond
+	gate.Prices = admit.Prices{Prompt: s.Policy.PromptPrice, Output: s.Policy.OutputPrice}
+	return gate
+}
+
+func (p Policy) check() error {
+	positive := []struct {
+		key   string
+		value float64
+	}{
+		{"policy.prompt_rate", p.PromptRate},
+		{"policy.engine_backlog", p.EngineBacklog},
+		{"policy.token_interval_millis", float64(p.TokenIntervalMillis)},
+		{"policy.prompt_price", p.PromptPrice},
+		{"policy.output_price", p.OutputPrice},
+	}
+	for _, field := range positive {
+		if field.value <= 0 {
+			return &Problem{Key: field.key, What: "is not positive", Remedy: "write a positive number or leave the key out"}
+		}
+	}
+	return nil
+}
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -20,6 +20,7 @@
 	PlatformURL  string `toml:"platform_url"`
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
+	Policy       Policy `toml:"policy"`
 }
 
 // Default sizes of the queue.
@@ -42,7 +43,7 @@
 
 // Parse reads strict TOML, fills defaults and checks the result.
 func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting}
+	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&settings); err != nil {
@@ -71,5 +72,11 @@
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
 	}
+	if s.Policy == (Policy{}) {
+		s.Policy = DefaultPolicy()
+	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/agent/status/status.go
+++ b/agent/status/status.go
@@ -4,12 +4,13 @@
 import (
 	"sync/atomic"
 
+	"flamingospar.org/core/admit"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
 // Queue tells how many runs the endpoint has.
 type Queue interface {
-	Counts() (running, waiting int)
+	Load() admit.Load
 }
 
 // Identity does not change while the agent runs.
@@ -44,12 +45,15 @@
 
 // Load returns the load to piggyback on answers.
 func (s *Status) Load() *wirev1.Load {
-	running, waiting := s.queue.Counts()
+	load := s.queue.Load()
 	return &wirev1.Load{
-		Running: int32(running),
-		Queued:  int32(waiting),
-		Model:   s.model.Load().(string),
-		Leaving: s.leaving.Load(),
+		Running:       int32(load.Running),
+		Queued:        int32(load.Waiting),
+		Model:         s.model.Load().(string),
+		Leaving:       s.leaving.Load(),
+		BacklogTokens: load.Backlog,
+		PromptRate:    load.PromptRate,
+		MaxRunning:    int32(load.MaxRunning),
 	}
 }
 
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -66,7 +66,7 @@
 }
 
 func newQueue(s settings.Settings) *queue.Queue {
-	return queue.New(s.Running, s.Waiting)
+	return queue.New(s.Gate())
 }
 
 func newExecutor(s settings.Settings, network netx.Network) pipeline.Executor {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -9,86 +9,98 @@
 	DataCentre  string
 	Kind        string // "model" or the service's name.
 	Model       string // The loaded model, for engines.
+	Role        Role   // Empty counts as mixed.
 	Outstanding int    // Runs sent there and not finished, known here.
 	Queued      int    // Runs queued there, as last reported.
 	Ready       bool   // Reachable and not leaving.
+	Ledger      Ledger // Of prompt tokens to process there.
+	Running     int    // Runs on the endpoint, as last reported.
+	MaxRunning  int    // Runs that it takes at once; 0: unknown.
+	Hash        uint64 // HashOf the endpoint's id.
 }
 
+// Role is what an engine does; see core/roles.
+type Role string
+
+// The roles.
+const (
+	Mixed   Role = "mixed"
+	Prefill Role = "prefill"
+	Output  Role = "output"
+)
+
 // Request is what the decision needs to know of a request.
 type Request struct {
-	Kind       string // "model" or the service's name.
-	Model      string
-	DataCentre string          // The entry's own.
-	Avoid      map[string]bool // Endpoints already tried.
+	Kind         string // "model" or the service's name.
+	Model        string
+	DataCentre   string          // The entry's own.
+	Avoid        map[string]bool // Endpoints already tried.
+	Now          float64         // Seconds, on the clock of the ledgers.
+	PromptTokens float64
+	Prefix       uint64  // Of the part of the prompt that can be cached; 0: none.
+	PrefixTokens float64 // Length of that part.
+	KVElsewhere  bool    // The prompt is processed; only output is left.
+	Seed         uint64  // Breaks ties and draws samples.
 }
 
 // Choice is a decision. Endpoint is empty when no candidate was left.
 type Choice struct {
 	Endpoint string
 	Dropped  map[string]int // Candidates dropped, by filter name.
-	Score    float64        // Of the chosen one; lower is better.
+	Score    float64        // Of the chosen one, in seconds; lower is better.
+	Wait     float64        // Expected seconds to the first token there.
+	Looked   int            // Candidates looked at.
+	Home     bool           // The prompt's prefix is probably cached there.
 }
 
-// Filter reports whether a candidate can serve the request.
-type Filter struct {
-	Name string
-	Keep func(Request, Candidate) bool
+// Pool gives access to like candidates, in the order of their hash.
+type Pool interface {
+	Len() int
+	At(i int) Candidate
 }
 
-// Scorer returns a cost for a candidate; lower is better.
-type Scorer struct {
-	Name string
-	Cost func(Request, Candidate) float64
-}
+// Candidates is a pool in a slice. It need not be in order: a pool that is
+// looked at as a whole gives the same choice in any order.
+type Candidates []Candidate
 
-// remoteCost is the cost of leaving the entry's data centre, in queued runs.
-const remoteCost = 4
+// Len implements Pool.
+func (c Candidates) Len() int { return len(c) }
 
-// Filters returns the filters in use, in order.
-func Filters() []Filter {
-	return []Filter{
-		{Name: "ready", Keep: func(_ Request, c Candidate) bool { return c.Ready }},
-		{Name: "kind", Keep: func(r Request, c Candidate) bool { return c.Kind == r.Kind }},
-		{Name: "model", Keep: func(r Request, c Candidate) bool { return r.Model == "" || c.Model == r.Model }},
-		{Name: "tried", Keep: func(r Request, c Candidate) bool { return !r.Avoid[c.Endpoint] }},
-	}
-}
+// At implements Pool.
+func (c Candidates) At(i int) Candidate { return c[i] }
 
-// Scorers returns the scorers in use.
-func Scorers() []Scorer {
-	return []Scorer{
-		{Name: "load", Cost: func(_ Request, c Candidate) float64 { return float64(c.Outstanding + c.Queued) }},
-		{Name: "distance", Cost: distanceCost},
-	}
-}
-
-func distanceCost(r Request, c Candidate) float64 {
-	if c.DataCentre == r.DataCentre {
-		return 0
-	}
-	return remoteCost
+// Choose returns the candidate with the lowest cost among all.
+func Choose(request Request, candidates []Candidate) Choice {
+	return ChooseFrom(request, Candidates(candidates))
 }
 
-// Choose returns the candidate with the lowest cost; the first wins a tie.
-func Choose(request Request, candidates []Candidate) Choice {
+// ChooseFrom returns the candidate with the lowest cost among those looked at:
+// the whole of a small pool, else the prefix's homes and a random sample.
+func ChooseFrom(request Request, pool Pool) Choice {
 	choice := Choice{Dropped: make(map[string]int)}
-	filters := Filters()
-	scorers := Scorers()
-	for _, candidate := range candidates {
-		if dropped := droppedBy(filters, request, candidate); dropped != "" {
+	homes := homesOf(request, pool)
+	look := func(i int) {
+		candidate := pool.At(i)
+		choice.Looked++
+		if dropped := droppedBy(request, candidate); dropped != "" {
 			choice.Dropped[dropped]++
-			continue
+			return
 		}
-		cost := totalCost(scorers, request, candidate)
+		home := homes.has(candidate.Endpoint)
+		wait := expectedWait(request, candidate, home)
+		cost := wait + otherCosts(request, candidate)
 		if choice.Endpoint == "" || cost < choice.Score {
 			choice.Endpoint = candidate.Endpoint
 			choice.Score = cost
+			choice.Wait = wait
+			choice.Home = home
 		}
 	}
+	eachLooked(request, pool, look)
 	return choice
 }
 
-func droppedBy(filters []Filter, request Request, candidate Candidate) string {
+func droppedBy(request Request, candidate Candidate) string {
 	for _, filter := range filters {
 		if !filter.Keep(request, candidate) {
 			return filter.Name
@@ -97,7 +109,7 @@
 	return ""
 }
 
-func totalCost(scorers []Scorer, request Request, candidate Candidate) float64 {
+func otherCosts(request Request, candidate Candidate) float64 {
 	total := 0.0
 	for _, scorer := range scorers {
 		total += scorer.Cost(request, candidate)
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -62,7 +62,7 @@
 	go sendHeartbeats(ctx, stream)
 	silent := time.AfterFunc(missedHeartbeat*Heartbeat, cancel)
 	defer silent.Stop()
-	return d.follow(ctx, agent, stream, sink, silent)
+	return d.follow(ctx, agent, start.Team, stream, sink, silent)
 }
 
 // sendFailed tells a failed dial, which is proof that nothing ran, from the rest.
@@ -89,7 +89,7 @@
 	}
 }
 
-func (d *Dispatcher) follow(ctx context.Context, agent *fleet.Agent, stream *runStream, sink Sink, silent *time.Timer) Result {
+func (d *Dispatcher) follow(ctx context.Context, agent *fleet.Agent, team string, stream *runStream, sink Sink, silent *time.Timer) Result {
 	offset := int64(0)
 	for {
 		event, err := stream.Receive()
@@ -99,6 +99,7 @@
 		}
 		silent.Reset(missedHeartbeat * Heartbeat)
 		d.view.Learn(agent, event.Load)
+		d.view.LearnFraction(team, event.TeamFraction)
 		switch message := event.Message.(type) {
 		case *wirev1.RunEvent_Head:
 			err = sink.Head(message.Head)
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -30,6 +30,9 @@
 
 	vm        vms.VM
 	candidate route.Candidate
+	service   *serviceBook
+	toldLock  sync.Mutex
+	told      map[string]float64 // By team: service that the agent knows of.
 }
 
 // View is the entry's view. It is safe for concurrent use.
@@ -37,14 +40,20 @@
 	list   vms.List
 	client *http.Client
 
-	mu      sync.Mutex
-	agents  map[string]*Agent // By VM instance.
-	entries []vms.VM
+	mu        sync.Mutex
+	agents    map[string]*Agent // By VM instance.
+	entries   []vms.VM
+	pools     map[poolKey]pool
+	byID      map[string]*Agent // By endpoint.
+	stale     bool              // The pools no longer fit the agents.
+	started   time.Time
+	services  *serviceBook
+	fractions *fractions
 }
 
 // New returns an empty view that reads list and calls agents through client.
 func New(list vms.List, client *http.Client) *View {
-	return &View{list: list, client: client, agents: make(map[string]*Agent)}
+	return &View{list: list, client: client, agents: make(map[string]*Agent), started: time.Now(), services: newServiceBook(), fractions: newFractions()}
 }
 
 // Run refreshes the view until ctx ends.
@@ -96,6 +105,7 @@
 	for instance := range v.agents {
 		if !listed[instance] {
 			delete(v.agents, instance)
+			v.stale = true
 		}
 	}
 }
@@ -106,7 +116,8 @@
 		return
 	}
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
+	v.agents[vm.Instance] = &Agent{Client: client, vm: vm, service: v.services, told: make(map[string]float64)}
+	v.stale = true
 }
 
 func (v *View) snapshot() []*Agent {
@@ -129,16 +140,14 @@
 		agent.candidate.Ready = false
 		return
 	}
+	if agent.candidate.Endpoint != reply.Msg.Endpoint || agent.candidate.Kind != reply.Msg.Kind {
+		v.stale = true
+	}
 	agent.candidate.Endpoint = reply.Msg.Endpoint
+	agent.candidate.Hash = route.HashOf(reply.Msg.Endpoint)
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
-	agent.applyLoad(reply.Msg.Load)
-}
-
-func (a *Agent) applyLoad(load *wirev1.Load) {
-	a.candidate.Queued = int(load.GetQueued())
-	a.candidate.Model = load.GetModel()
-	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving
+	v.applyLoad(agent, reply.Msg.Load)
 }
 
 // Candidates returns the endpoints to choose from.
@@ -152,26 +161,6 @@
 	return candidates
 }
 
-// Begin returns the agent of an endpoint and counts a run as outstanding until
-// the returned function is called.
-func (v *View) Begin(endpoint string) (agent *Agent, done func(), ok bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, known := range v.agents {
-		if known.candidate.Endpoint == endpoint {
-			known.candidate.Outstanding++
-			return known, func() { v.end(known) }, true
-		}
-	}
-	return nil, nil, false
-}
-
-func (v *View) end(agent *Agent) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	agent.candidate.Outstanding--
-}
-
 // Learn takes the load that came with an agent's answer.
 func (v *View) Learn(agent *Agent, load *wirev1.Load) {
 	if load == nil {
@@ -179,7 +168,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	agent.applyLoad(load)
+	v.applyLoad(agent, load)
 }
 
 // Failed marks an agent as not ready until it answers again.
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -35,6 +35,9 @@
 	Open       bool
 	Deadline   time.Time
 
+	// Shape is set by admit.
+	Shape Shape
+
 	// AnswerBegun is set when the first byte of an answer was written.
 	AnswerBegun bool
 
@@ -45,6 +48,20 @@
 	Refused  *refusal.Refusal // Nil when the caller got the whole answer.
 }
 
+// Shape is what the policy knows of a request's size and rights.
+type Shape struct {
+	Weight       float64 // The team's share relative to others.
+	Class        int     // Urgency; lower is more urgent.
+	PromptTokens int64   // Estimated.
+	OutputTokens int64   // Predicted.
+	Prefix       uint64  // Of the part of the prompt that can be cached; 0: none.
+	PrefixTokens int64
+	FirstTokenBy time.Time // Zero: no bound.
+}
+
+// Tokens returns the prompt and predicted output tokens.
+func (s Shape) Tokens() float64 { return float64(s.PromptTokens + s.OutputTokens) }
+
 // Filter is one step of the entry's pipeline.
 type Filter interface {
 	// Name appears in counters and explanations.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -72,8 +72,10 @@
 		}
 		x.Attempts++
 		start.RunId = fmt.Sprintf("%s/%d", x.ID, x.Attempts)
+		pick.Describe(x, start)
 		result := f.dispatcher.Send(ctx, pick.Agent, start, answer)
 		pick.Done()
+		f.chooser.Served(pick, x, figuresOf(result.Usage))
 		if result.Outcome != refusal.NotRun || ctx.Err() != nil {
 			return result
 		}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,7 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	Policy         Policy             `toml:"policy"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -39,6 +40,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		Policy:       DefaultPolicy(),
 	}
 }
 
@@ -100,5 +102,8 @@
 	if s.MaxBodyBytes <= 0 {
 		return Settings{}, &Problem{Key: "max_body_bytes", What: "is not positive", Remedy: "write a number of bytes"}
 	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -19,6 +19,7 @@
 	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
+	"flamingospar.org/entry/admit"
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
@@ -99,6 +100,7 @@
 		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		authenticate.New(c),
 		match.New(time.Duration(s.Deadline)),
+		admit.New(s.Policy, view, chooser),
 		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
 	)
--- a/standin/engine/batch/batch.go
+++ b/standin/engine/batch/batch.go
@@ -17,8 +17,23 @@
 	PrefillPerStep   int           // Prompt tokens that one step can take.
 	MaxRunning       int
 	PrefixCacheTotal int // Prompt tokens that the prefix cache keeps.
+
+	// PrefillOnlyPerStep is PrefillPerStep of an engine in the role of prefill.
+	PrefillOnlyPerStep int
+	// Slowdown multiplies the time of each step; 0 counts as 1.
+	Slowdown float64
 }
 
+// Role is what an engine does.
+type Role string
+
+// The roles. An empty role is mixed.
+const (
+	Mixed   Role = "mixed"
+	Prefill Role = "prefill" // Processes prompts and hands their KV cache over.
+	Output  Role = "output"  // Generates from imported KV caches.
+)
+
 // DefaultConfig is an engine of about a thousand output tokens a second.
 func DefaultConfig() Config {
 	return Config{
@@ -28,6 +43,8 @@
 		PrefillPerStep:   512,
 		MaxRunning:       64,
 		PrefixCacheTotal: 200_000,
+
+		PrefillOnlyPerStep: 2048,
 	}
 }
 
@@ -40,6 +57,7 @@
 	OutputTokens int
 	Skip         int // Output tokens already delivered elsewhere.
 	Priority     int32
+	Imported     bool // The prompt's KV cache comes from another engine.
 }
 
 // Emission is what one run gained in a step.
@@ -48,6 +66,9 @@
 	Index  int // Of the output token, from 0.
 	Cached int // Prompt tokens taken from the cache.
 	Last   bool
+	// HandOver is set when the engine is done with the prompt and another one
+	// has to generate the rest from the exported KV cache.
+	HandOver bool
 }
 
 type sequence struct {
@@ -60,6 +81,7 @@
 // Batch is the state of one engine.
 type Batch struct {
 	config  Config
+	role    Role
 	waiting []*sequence
 	running []*sequence
 	cache   *prefixCache
@@ -73,6 +95,9 @@
 // Add queues a run by priority, first come first served within one.
 func (b *Batch) Add(run Run) {
 	added := &sequence{run: run, prefill: run.PromptTokens + run.Skip, emitted: run.Skip}
+	if run.Imported {
+		added.prefill = 0
+	}
 	at := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].run.Priority > run.Priority })
 	b.waiting = append(b.waiting, nil)
 	copy(b.waiting[at+1:], b.waiting[at:])
@@ -98,14 +123,33 @@
 	took := b.config.StepBase +
 		time.Duration(prefilled)*b.config.PerPrefillToken +
 		time.Duration(len(emissions))*b.config.PerSequence
+	if b.config.Slowdown > 0 {
+		took = time.Duration(float64(took) * b.config.Slowdown)
+	}
 	return took, emissions
 }
 
+// SetRole changes the role. The engine must be idle.
+func (b *Batch) SetRole(role Role) { b.role = role }
+
+// SetSlowdown makes each step take factor times as long.
+func (b *Batch) SetSlowdown(factor float64) { b.config.Slowdown = factor }
+
+// DropCache empties the prefix cache.
+func (b *Batch) DropCache() { b.cache = newPrefixCache(b.config.PrefixCacheTotal) }
+
+func (b *Batch) prefillBudget() int {
+	if b.role == Prefill {
+		return b.config.PrefillOnlyPerStep
+	}
+	return b.config.PrefillPerStep
+}
+
 func (b *Batch) admit() {
 	for len(b.waiting) > 0 && len(b.running) < b.config.MaxRunning {
 		next := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		if b.cache.use(next.run.Prefix) {
+		if !next.run.Imported && next.run.PrefixTokens > 0 && b.cache.use(next.run.Prefix) {
 			next.cached = next.run.PrefixTokens
 			next.prefill -= next.cached
 		}
@@ -114,7 +158,8 @@
 }
 
 func (b *Batch) prefill() int {
-	budget := b.config.PrefillPerStep
+	limit := b.prefillBudget()
+	budget := limit
 	for _, seq := range b.running {
 		if seq.prefill <= 0 || budget == 0 {
 			continue
@@ -126,7 +171,7 @@
 			b.cache.add(seq.run.Prefix, seq.run.PrefixTokens)
 		}
 	}
-	return b.config.PrefillPerStep - budget
+	return limit - budget
 }
 
 func (b *Batch) decode() []Emission {
@@ -138,9 +183,10 @@
 			continue
 		}
 		last := seq.emitted+1 >= seq.run.OutputTokens
-		emissions = append(emissions, Emission{ID: seq.run.ID, Index: seq.emitted, Cached: seq.cached, Last: last})
+		handOver := !last && b.role == Prefill
+		emissions = append(emissions, Emission{ID: seq.run.ID, Index: seq.emitted, Cached: seq.cached, Last: last, HandOver: handOver})
 		seq.emitted++
-		if !last {
+		if !last && !handOver {
 			kept = append(kept, seq)
 		}
 	}
