Experiment program: policies over seeded loads on virtual time

Cause: no way to tell whether a change of the policy helps.

Change: flamingospar experiment runs core's decisions (route, gate, fair queue, roles) with the engine stand-in over TOML traces at both fleets, with a clairvoyant bound (the dual of a fractional packing), max-min entitlements, table, CSV and plots. Baselines: round robin, least outstanding, static roles.

--- a/core/fair/predict.go
+++ b/core/fair/predict.go
@@ -34,19 +34,8 @@
 func (p *Predictor) Learn(team string, tokens int) {
 	previous, known := p.tokens[team]
 	if !known {
-		p.makeRoom()
+		makeRoom(p.tokens, p.limit)
 		previous = p.start
 	}
 	p.tokens[team] = previous + learnRate*(float64(tokens)-previous)
 }
-
-// makeRoom forgets an arbitrary team when the limit is reached.
-func (p *Predictor) makeRoom() {
-	if len(p.tokens) < p.limit {
-		return
-	}
-	for team := range p.tokens {
-		delete(p.tokens, team)
-		return
-	}
-}
--- a/entry/choose/choose.go
+++ b/entry/choose/choose.go
@@ -71,7 +71,7 @@
 
 // Describe tells the agent what the policy knows of x. It is called again for
 // each attempt, since the time left for the first token shrinks.
-func (p Pick) Describe(x *pipeline.Exchange, start *wirev1.RunStart) {
+func (c *Chooser) Describe(pick Pick, x *pipeline.Exchange, start *wirev1.RunStart) {
 	start.Weight = x.Shape.Weight
 	start.Class = int32(x.Shape.Class)
 	start.PromptTokensEstimate = x.Shape.PromptTokens
@@ -83,5 +83,5 @@
 	if left := time.Until(x.Shape.FirstTokenBy); !x.Shape.FirstTokenBy.IsZero() && left > 0 {
 		start.FirstTokenMillis = max(1, left.Milliseconds())
 	}
-	start.ServiceElsewhere = p.Agent.ServiceElsewhere(x.Team)
+	start.ServiceElsewhere = c.view.ServiceElsewhere(pick.Agent, x.Team)
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -30,9 +30,6 @@
 
 	vm        vms.VM
 	candidate route.Candidate
-	service   *serviceBook
-	toldLock  sync.Mutex
-	told      map[string]float64 // By team: service that the agent knows of.
 }
 
 // View is the entry's view. It is safe for concurrent use.
@@ -105,6 +102,7 @@
 	for instance := range v.agents {
 		if !listed[instance] {
 			delete(v.agents, instance)
+			v.forgetService(instance)
 			v.stale = true
 		}
 	}
@@ -116,7 +114,7 @@
 		return
 	}
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm, service: v.services, told: make(map[string]float64)}
+	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
 	v.stale = true
 }
 
--- a/entry/fleet/service.go
+++ b/entry/fleet/service.go
@@ -1,74 +1,42 @@
 package fleet
 
-import "sync"
+import (
+	"sync"
 
-// bookTeams bounds the teams whose service an entry adds up.
+	"flamingospar.org/core/fair"
+)
+
+// bookTeams bounds the teams whose service and fractions an entry remembers.
 const bookTeams = 4096
 
-// serviceBook adds up the service that each team was given through this entry,
-// in seconds of an endpoint, so that each agent's fair queue learns what its
-// teams got elsewhere.
+// serviceBook is what teams were given through this entry, by agent.
 type serviceBook struct {
-	mu    sync.Mutex
-	given map[string]float64 // By team.
+	mu   sync.Mutex
+	book *fair.Elsewhere
 }
 
 func newServiceBook() *serviceBook {
-	return &serviceBook{given: make(map[string]float64)}
-}
-
-func (b *serviceBook) add(team string, service float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, known := b.given[team]; !known && len(b.given) >= bookTeams {
-		for forgotten := range b.given {
-			delete(b.given, forgotten)
-			break
-		}
-	}
-	b.given[team] += service
-}
-
-func (b *serviceBook) of(team string) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.given[team]
+	return &serviceBook{book: fair.NewElsewhere(bookTeams)}
 }
 
-// Served counts service that a team was given at the agent.
+// Served counts service, in seconds of an endpoint, that a team was given at
+// the agent.
 func (v *View) Served(agent *Agent, team string, service float64) {
-	v.services.add(team, service)
-	agent.toldLock.Lock()
-	defer agent.toldLock.Unlock()
-	if _, known := agent.told[team]; known {
-		agent.told[team] += service
-	}
+	v.services.mu.Lock()
+	defer v.services.mu.Unlock()
+	v.services.book.Served(agent.vm.Instance, team, service)
 }
 
 // ServiceElsewhere returns the service that a team was given at other agents
-// since the last call.
-func (a *Agent) ServiceElsewhere(team string) float64 {
-	given := a.service.of(team)
-	a.toldLock.Lock()
-	defer a.toldLock.Unlock()
-	told, known := a.told[team]
-	if !known {
-		a.forgetTeams()
-	}
-	a.told[team] = given
-	if !known {
-		return 0
-	}
-	return max(0, given-told)
+// since the last call for this one.
+func (v *View) ServiceElsewhere(agent *Agent, team string) float64 {
+	v.services.mu.Lock()
+	defer v.services.mu.Unlock()
+	return v.services.book.Since(agent.vm.Instance, team)
 }
 
-// forgetTeams makes room when too many teams are remembered.
-func (a *Agent) forgetTeams() {
-	if len(a.told) < bookTeams {
-		return
-	}
-	for team := range a.told {
-		delete(a.told, team)
-		return
-	}
+func (v *View) forgetService(instance string) {
+	v.services.mu.Lock()
+	defer v.services.mu.Unlock()
+	v.services.book.Forget(instance)
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -72,7 +72,7 @@
 		}
 		x.Attempts++
 		start.RunId = fmt.Sprintf("%s/%d", x.ID, x.Attempts)
-		pick.Describe(x, start)
+		f.chooser.Describe(pick, x, start)
 		result := f.dispatcher.Send(ctx, pick.Agent, start, answer)
 		pick.Done()
 		f.chooser.Served(pick, x, figuresOf(result.Usage))
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -15,6 +15,7 @@
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
 	"flamingospar.org/flamingospar/dev"
+	"flamingospar.org/flamingospar/experiment"
 )
 
 // Exit codes.
@@ -40,6 +41,16 @@
 	serveCommand := flaggy.NewSubcommand("serve")
 	serveCommand.Description = "Run an entry process."
 	serveCommand.String(&settingsPath, "s", "settings", "TOML settings file")
+	experimentOptions := experiment.DefaultOptions()
+	experimentCommand := flaggy.NewSubcommand("experiment")
+	experimentCommand.Description = "Compare policies over seeded loads on virtual time."
+	experimentCommand.String(&experimentOptions.Trace, "", "trace", "traces, by name or file; all when empty")
+	experimentCommand.String(&experimentOptions.Policies, "", "policies", "policies by name; all when empty")
+	experimentCommand.String(&experimentOptions.Fleet, "", "fleet", "shedline or trust; both when empty")
+	experimentCommand.Int(&experimentOptions.Seeds, "", "seeds", "runs of each, with seeds from 1")
+	experimentCommand.Int(&experimentOptions.Workers, "", "workers", "runs at once")
+	experimentCommand.String(&experimentOptions.Out, "", "out", "directory for CSV and plots")
+	parser.AttachSubcommand(experimentCommand, 1)
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
 	if err := parser.ParseArgs(args); err != nil {
@@ -50,6 +61,8 @@
 	switch {
 	case devCommand.Used:
 		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
+	case experimentCommand.Used:
+		return outcome(stderr, experiment.Run(ctx, experimentOptions, stdout))
 	case serveCommand.Used:
 		return serve(ctx, settingsPath, stderr)
 	default:
--- a/standin/engine/batch/batch.go
+++ b/standin/engine/batch/batch.go
@@ -85,6 +85,7 @@
 	waiting []*sequence
 	running []*sequence
 	cache   *prefixCache
+	emitted []Emission // Reused by each step.
 }
 
 // New returns an idle engine.
@@ -115,7 +116,8 @@
 // Idle reports whether there is nothing to do.
 func (b *Batch) Idle() bool { return len(b.running)+len(b.waiting) == 0 }
 
-// Step runs one step and returns its duration and what it emitted.
+// Step runs one step and returns its duration and what it emitted, which holds
+// until the next step.
 func (b *Batch) Step() (time.Duration, []Emission) {
 	b.admit()
 	prefilled := b.prefill()
@@ -175,7 +177,7 @@
 }
 
 func (b *Batch) decode() []Emission {
-	var emissions []Emission
+	emissions := b.emitted[:0]
 	kept := b.running[:0]
 	for _, seq := range b.running {
 		if seq.prefill > 0 {
@@ -191,6 +193,7 @@
 		}
 	}
 	b.running = kept
+	b.emitted = emissions
 	return emissions
 }
 
