--- a/core/route/alternative.go
+++ b/core/route/alternative.go
@@ -6,26 +6,37 @@
 // Alternative is a candidate that was not chosen.
 type Alternative struct {
 	Endpoint string
-	Score    float64 // Lower is better.
+	Score    float64 // As Choice.Score.
 }
 
-// consider notes a candidate's cost; it becomes the choice or an alternative.
-func (c *Choice) consider(endpoint string, cost float64) {
-	if c.Endpoint == "" || cost < c.Score {
-		if c.Endpoint != "" {
-			c.keep(Alternative{Endpoint: c.Endpoint, Score: c.Score})
-		}
-		c.Endpoint, c.Score = endpoint, cost
-		return
+// consider notes a candidate's cost and reports whether it is the choice now;
+// otherwise it may be an alternative.
+func (c *Choice) consider(endpoint string, cost float64) bool {
+	if c.Endpoint != "" && cost >= c.Score {
+		c.keep(Alternative{Endpoint: endpoint, Score: cost})
+		return false
 	}
-	c.keep(Alternative{Endpoint: endpoint, Score: cost})
+	if c.Endpoint != "" {
+		c.keep(Alternative{Endpoint: c.Endpoint, Score: c.Score})
+	}
+	c.Endpoint, c.Score = endpoint, cost
+	return true
 }
 
-// keep puts an alternative among the best, which are sorted by score.
+// keep puts an alternative among the best, which are sorted by score. A sample
+// may bring a candidate twice.
 func (c *Choice) keep(alternative Alternative) {
+	if alternative.Endpoint == c.Endpoint {
+		return
+	}
 	at := len(c.Alternatives)
-	for at > 0 && alternative.Score < c.Alternatives[at-1].Score {
-		at--
+	for i, known := range c.Alternatives {
+		if known.Endpoint == alternative.Endpoint {
+			return
+		}
+		if alternative.Score < known.Score {
+			at = min(at, i)
+		}
 	}
 	if at >= maxAlternatives {
 		return
@@ -33,7 +44,5 @@
 	c.Alternatives = append(c.Alternatives, Alternative{})
 	copy(c.Alternatives[at+1:], c.Alternatives[at:])
 	c.Alternatives[at] = alternative
-	if len(c.Alternatives) > maxAlternatives {
-		c.Alternatives = c.Alternatives[:maxAlternatives]
-	}
+	c.Alternatives = c.Alternatives[:min(len(c.Alternatives), maxAlternatives)]
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -45,14 +45,28 @@
 
 	member Membership
 
-	mu     sync.Mutex
-	agents map[string]*Agent // By VM instance.
+	mu        sync.Mutex
+	agents    map[string]*Agent // By VM instance.
+	pools     map[poolKey]pool
+	byID      map[string]*Agent // By endpoint.
+	stale     bool              // The pools no longer fit the agents.
+	started   time.Time
+	services  *serviceBook
+	fractions *fractions
 }
 
 // New returns an empty view that reads list and calls agents through client.
 func New(list vms.List, client *http.Client, membership Membership, options ...connect.ClientOption) *View {
-	options = append([]connect.ClientOption{connect.WithGRPC()}, options...)
-	return &View{list: list, client: client, options: options, member: membership.checked(), agents: make(map[string]*Agent)}
+	return &View{
+		list:      list,
+		client:    client,
+		options:   append([]connect.ClientOption{connect.WithGRPC()}, options...),
+		member:    membership.checked(),
+		agents:    make(map[string]*Agent),
+		started:   time.Now(),
+		services:  newServiceBook(),
+		fractions: newFractions(),
+	}
 }
 
 // Run refreshes the view until ctx ends.
@@ -102,6 +116,8 @@
 	for instance := range v.agents {
 		if !listed[instance] {
 			delete(v.agents, instance)
+			v.forgetService(instance)
+			v.stale = true
 		}
 	}
 }
@@ -115,6 +131,7 @@
 	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
 	observe := wirev1connect.NewObserveServiceClient(v.client, "http://"+vm.Address, v.options...)
 	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Observe: observe, vm: vm}
+	v.stale = true
 }
 
 // ask asks an agent for its status. An agent that is stale is asked again at
@@ -138,19 +155,17 @@
 		return false
 	}
 	agent.contact.answered(reply.Msg, v.member.Clock())
+	if agent.candidate.Endpoint != reply.Msg.Endpoint || agent.candidate.Kind != reply.Msg.Kind {
+		v.stale = true
+	}
 	agent.candidate.Endpoint = reply.Msg.Endpoint
+	agent.candidate.Hash = route.HashOf(reply.Msg.Endpoint)
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
-	agent.applyLoad(reply.Msg.Load)
+	v.applyLoad(agent, reply.Msg.Load)
 	return reply.Msg.Stale && request.News != nil && !request.News.Proved
 }
 
-func (a *Agent) applyLoad(load *wirev1.Load) {
-	a.candidate.Queued = int(load.GetQueued())
-	a.candidate.Model = load.GetModel()
-	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving && !a.contact.changing && !a.contact.stale
-}
-
 // Candidates returns the endpoints to choose from.
 func (v *View) Candidates() []route.Candidate {
 	v.mu.Lock()
@@ -162,26 +177,6 @@
 	return candidates
 }
 
-// Begin returns the agent of an endpoint and counts a run as outstanding until
-// the returned function is called.
-func (v *View) Begin(endpoint string) (agent *Agent, done func(), ok bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, known := range v.agents {
-		if known.candidate.Endpoint == endpoint {
-			known.candidate.Outstanding++
-			return known, func() { v.end(known) }, true
-		}
-	}
-	return nil, nil, false
-}
-
-func (v *View) end(agent *Agent) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	agent.candidate.Outstanding--
-}
-
 // Learn takes the load that came with an agent's answer.
 func (v *View) Learn(agent *Agent, load *wirev1.Load) {
 	if load == nil {
@@ -189,7 +184,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	agent.applyLoad(load)
+	v.applyLoad(agent, load)
 }
 
 // Failed marks an agent as not ready until it answers again.
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -29,6 +29,7 @@
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
 	Usage          Usage              `toml:"usage"`
 	Authority      Authority          `toml:"authority"`
+	Policy         Policy             `toml:"policy"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -42,6 +43,7 @@
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
 		Usage:        defaultUsage(),
+		Policy:       DefaultPolicy(),
 	}
 }
 
@@ -106,5 +108,8 @@
 	if s.MaxBodyBytes <= 0 {
 		return Settings{}, &Problem{Key: "max_body_bytes", What: "is not positive", Remedy: "write a number of bytes"}
 	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
