Keep the former choice among the alternatives

Cause: a choice that was overtaken was compared with itself and dropped. Found by reading; TestAlternativesAreTheNextBest fails without the change.

--- a/core/route/alternative.go
+++ b/core/route/alternative.go
@@ -16,10 +16,11 @@
 		c.keep(Alternative{Endpoint: endpoint, Score: cost})
 		return false
 	}
-	if c.Endpoint != "" {
-		c.keep(Alternative{Endpoint: c.Endpoint, Score: c.Score})
-	}
+	former := Alternative{Endpoint: c.Endpoint, Score: c.Score}
 	c.Endpoint, c.Score = endpoint, cost
+	if former.Endpoint != "" {
+		c.keep(former)
+	}
 	return true
 }
 
