Store batches as CBOR columns; measure slopes at the target size

Cause: at 46 runs a second an entry's batches took 2.99 KB/s in JSON columns (49.8 B a run), above the 2 KB/s of control, and the holder 3.45 µs a run to add up (6.2% of a core at 18,000 runs a second).

Ruled out: compression (the holder pays for it), team sums in batches (a duplicate could not be taken out).

Change: the columns in CBOR by fxamacker/cbor; records of one source share one look-up; 'capacity measure' measures 24 slopes and works out the figures.

--- a/core/usage/encode.go
+++ b/core/usage/encode.go
@@ -1,33 +1,38 @@
 package usage
 
 import (
-	"encoding/json"
 	"errors"
 	"sort"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // ErrBatchMalformed means that a stored batch cannot be read.
 var ErrBatchMalformed = errors.New("usage: the batch's columns differ in length; remedy: keep the row and tell the maintainers")
 
-// storedBatch is a batch by columns, which takes a fifth of the space of rows.
+// storedBatch is a batch by columns, in CBOR.
 type storedBatch struct {
-	Instance string         `json:"i"`
-	Sequence int64          `json:"s"`
-	Window   Window         `json:"w"`
-	Teams    []string       `json:"t"`
-	Sources  []storedSource `json:"r"`
+	_ struct{} `cbor:",toarray"`
+
+	Instance string
+	Sequence int64
+	Window   Window
+	Teams    []string
+	Sources  []storedSource
 }
 
 // storedSource holds one source's records; the slices run in parallel.
 type storedSource struct {
-	Source   string  `json:"a"`
-	First    int64   `json:"f"` // The first sequence.
-	Steps    []int64 `json:"n"` // From each sequence to the next.
-	Teams    []int   `json:"t"` // Indexes of the batch's teams.
-	Requests []int64 `json:"q"`
-	Prompt   []int64 `json:"p"`
-	Cached   []int64 `json:"c"`
-	Output   []int64 `json:"o"`
+	_ struct{} `cbor:",toarray"`
+
+	Source   string
+	First    int64   // The first sequence.
+	Steps    []int64 // From each sequence to the next.
+	Teams    []int   // Indexes of the batch's teams.
+	Requests []int64
+	Prompt   []int64
+	Cached   []int64
+	Output   []int64
 }
 
 // EncodeBatch returns the stored form of a batch.
@@ -56,7 +61,7 @@
 		source.Cached = append(source.Cached, record.Figures.CachedTokens)
 		source.Output = append(source.Output, record.Figures.OutputTokens)
 	}
-	return json.Marshal(stored)
+	return cbor.Marshal(stored)
 }
 
 func (b *storedBatch) teamIndex(known map[string]int, team string) int {
@@ -72,10 +77,15 @@
 // DecodeBatch reads the stored form of a batch.
 func DecodeBatch(data []byte) (Batch, error) {
 	var stored storedBatch
-	if err := json.Unmarshal(data, &stored); err != nil {
+	if err := cbor.Unmarshal(data, &stored); err != nil {
 		return Batch{}, err
 	}
 	batch := Batch{Instance: stored.Instance, Sequence: stored.Sequence, Window: stored.Window}
+	records := 0
+	for _, source := range stored.Sources {
+		records += len(source.Steps)
+	}
+	batch.Records = make([]Record, 0, records)
 	for _, source := range stored.Sources {
 		if !source.wellFormed(len(stored.Teams)) {
 			return Batch{}, ErrBatchMalformed
--- a/core/usage/tally.go
+++ b/core/usage/tally.go
@@ -15,7 +15,7 @@
 	keep    int64 // Windows for which sequences are remembered.
 	sources map[string]*Sequences
 	totals  map[string]*TeamTotal
-	touched map[string]bool
+	touched map[*Sequences]bool
 
 	Counted    int64
 	Duplicates int64
@@ -32,7 +32,7 @@
 		keep:    keep,
 		sources: sources,
 		totals:  make(map[string]*TeamTotal),
-		touched: make(map[string]bool),
+		touched: make(map[*Sequences]bool),
 	}
 }
 
@@ -43,24 +43,35 @@
 		t.TooOld += int64(len(batch.Records))
 		return false
 	}
+	var name string
+	var source *Sequences
 	for _, record := range batch.Records {
-		t.add(record)
+		if source == nil || record.Source != name {
+			name, source = record.Source, t.source(record.Source)
+		}
+		t.add(source, record)
 	}
 	return true
 }
 
-func (t *Tally) add(record Record) {
-	source, known := t.sources[record.Source]
+func (t *Tally) source(name string) *Sequences {
+	source, known := t.sources[name]
 	if !known {
 		source = new(Sequences)
-		t.sources[record.Source] = source
+		t.sources[name] = source
 	}
+	return source
+}
+
+func (t *Tally) add(source *Sequences, record Record) {
 	if !source.Add(record.Sequence) {
 		t.Duplicates++
 		return
 	}
-	source.LastWindow = max(source.LastWindow, t.window)
-	t.touched[record.Source] = true
+	if source.LastWindow < t.window {
+		source.LastWindow = t.window
+	}
+	t.touched[source] = true
 	t.Counted++
 	total, known := t.totals[record.Team]
 	if !known {
@@ -83,7 +94,7 @@
 }
 
 // Changed reports whether a record of source was counted.
-func (t *Tally) Changed(source string) bool { return t.touched[source] }
+func (t *Tally) Changed(source string) bool { return t.touched[t.sources[source]] }
 
 // Forget drops the sources that counted nothing for the remembered windows and
 // returns their names.
--- /dev/null
+++ b/flamingospar/capacity/figures.go
@@ -0,0 +1,129 @@
+package capacity
+
+import "fmt"
+
+// The target size.
+const (
+	targetEntries       = 390
+	targetAgents        = 3700
+	targetDataCentres   = 8
+	targetRequests      = 18_000 // A second.
+	targetTeams         = 22_000
+	targetChanges       = 13_000 // A day.
+	targetActiveTeams   = 2_000  // In one window at one entry.
+	secondsADay         = 86_400
+	requestsAnEntry     = float64(targetRequests) / targetEntries
+	requestsAnAgent     = float64(targetRequests) / targetAgents
+	pollersOfAgent      = 3
+	introduceSeconds    = 60
+	configPollSeconds   = 2
+	leaseRenewSeconds   = 3
+	vmListSeconds       = 1
+	flushSeconds        = 5
+	windowSeconds       = 60
+	holdSeconds         = 45
+	outageSeconds       = 3600
+	entryJournalEvents  = 32_768
+	agentJournalEvents  = 4_096
+	countedWindows      = 30
+	eventsARequest      = 3
+	boundCPU            = 22_000 // Microseconds a second: 2.2% of a core.
+	boundMemory         = 256 << 20
+	boundMessages       = 2 << 10 // Bytes a second.
+	jsonValueExpansion  = 4.0 / 3 // Row values travel in base64.
+	bytesAMegabyte      = 1 << 20
+	bytesAKilobyte      = 1 << 10
+	microsecondsPercent = 10_000 // Of one core, a second.
+)
+
+// Figure is what a role costs at the target size.
+type Figure struct {
+	Role  string
+	Kind  string // state, messages, processor time or memory.
+	What  string
+	Value float64
+	Bound float64 // In the unit of Value; 0: none of its own.
+	Unit  string
+}
+
+// Slopes are measured slopes by name.
+type Slopes map[string]float64
+
+// Figures works out the cost of each role at the target size.
+func Figures(s Slopes) []Figure {
+	figures := entryFigures(s)
+	figures = append(figures, holderFigures(s)...)
+	return append(figures, agentFigures(s)...)
+}
+
+const (
+	unitMB      = "MB"
+	unitKB      = "KB/s"
+	unitPercent = "% of a core"
+	unitOps     = "a second"
+)
+
+func megabytes(bytes float64) float64 { return bytes / bytesAMegabyte }
+func kilobytes(bytes float64) float64 { return bytes / bytesAKilobyte }
+func percent(micros float64) float64  { return micros / microsecondsPercent }
+
+// statusCalls is how many status calls an entry makes each second.
+func statusCalls() float64 {
+	return float64(targetAgents)*pollersOfAgent/targetEntries + float64(targetAgents)/introduceSeconds
+}
+
+func entryFigures(s Slopes) []Figure {
+	changes := float64(targetChanges) / secondsADay
+	configMemory := targetTeams * (s["config_key_heap"] + s["config_team_heap"])
+	journalMemory := entryJournalEvents * s["journal_event_heap"]
+	countMemory := countedWindows * targetActiveTeams * s["usage_count_heap"]
+	outageMemory := requestsAnEntry * outageSeconds * s["usage_waiting_heap"]
+	usageMessages := requestsAnEntry * s["usage_record_row"] * jsonValueExpansion
+	control := statusCalls()*s["status_call_cpu"]/2 + s["config_poll_cpu"]/configPollSeconds +
+		s["lease_step_cpu"]/leaseRenewSeconds + requestsAnEntry*s["usage_record_write"] + changes*s["config_key_apply"]
+	return []Figure{
+		{"entry", "state", "configuration of 22,000 teams with a key each", megabytes(configMemory), 0, unitMB},
+		{"entry", "state", "journal", megabytes(journalMemory), 0, unitMB},
+		{"entry", "state", "counts of 2,000 active teams in 30 windows", megabytes(countMemory), 0, unitMB},
+		{"entry", "state", "records kept through an outage of an hour", megabytes(outageMemory), 0, unitMB},
+		{"entry", "memory", "all of these", megabytes(configMemory + journalMemory + countMemory + outageMemory), megabytes(boundMemory), unitMB},
+		{"entry", "messages", fmt.Sprintf("%.0f status calls a second", statusCalls()), kilobytes(statusCalls() * s["status_call"]), kilobytes(boundMessages), unitKB},
+		{"entry", "messages", "reads of the VM list, once a second", kilobytes((targetAgents + targetEntries) * s["vm_list_row"] / vmListSeconds), kilobytes(boundMessages), unitKB},
+		{"entry", "messages", "looks at the configuration's head and changes", kilobytes(s["config_poll"]/configPollSeconds + changes*s["config_key_change"]*jsonValueExpansion), kilobytes(boundMessages), unitKB},
+		{"entry", "messages", "looks at a lease", kilobytes(s["lease_step"] / 2 / leaseRenewSeconds), kilobytes(boundMessages), unitKB},
+		{"entry", "messages", "usage batches", kilobytes(usageMessages), kilobytes(boundMessages), unitKB},
+		{"entry", "processor time", "status calls, configuration, lease and usage", percent(control), percent(boundCPU), unitPercent},
+		{"entry", "processor time", "choices of endpoints (a request's own cost, not control)", percent(requestsAnEntry * s["route_choice"]), 0, unitPercent},
+	}
+}
+
+func holderFigures(s Slopes) []Figure {
+	reportsASecond := float64(targetTeams) / windowSeconds
+	sealed := targetTeams * s["sealed_team_row"] / windowSeconds
+	read := targetRequests * s["usage_record_row"] * jsonValueExpansion
+	return []Figure{
+		{"entry with the usage lease", "state", "sequences of 3,700 agents and totals of 22,000 teams", megabytes(targetAgents*s["seal_source_heap"] + targetTeams*s["usage_count_heap"]), megabytes(boundMemory), unitMB},
+		{"entry with the usage lease", "messages", "batches read", kilobytes(read), kilobytes(boundMessages), unitKB},
+		{"entry with the usage lease", "messages", "sealed windows written and read back", kilobytes(2 * sealed * jsonValueExpansion), kilobytes(boundMessages), unitKB},
+		{"entry with the usage lease", "processor time", "adding up", percent(targetRequests * s["seal_record"]), percent(boundCPU), unitPercent},
+		{"entry with the usage lease", "processor time", fmt.Sprintf("%.0f reports a second", reportsASecond), percent(reportsASecond * s["report"]), percent(boundCPU), unitPercent},
+		{"table service", "writes", "batches of all entries", targetEntries / flushSeconds, 0, unitOps},
+		{"table service", "writes", "deletions of sealed batches, 200 in a transaction", targetEntries / flushSeconds / 200.0, 0, unitOps},
+		{"table service", "reads", "head of the configuration and a lease, all entries", targetEntries/float64(configPollSeconds) + targetEntries/float64(leaseRenewSeconds), 0, unitOps},
+	}
+}
+
+func agentFigures(s Slopes) []Figure {
+	journalMemory := agentJournalEvents * s["journal_event_heap"]
+	held := requestsAnAgent * holdSeconds * s["held_record_heap"]
+	outage := requestsAnAgent * outageSeconds * s["held_record_heap"]
+	calls := float64(pollersOfAgent) + float64(targetEntries)/introduceSeconds
+	return []Figure{
+		{"agent", "state", "journal", megabytes(journalMemory), 0, unitMB},
+		{"agent", "state", "records held for 45 s", megabytes(held), 0, unitMB},
+		{"agent", "state", "records held through an outage of an hour", megabytes(outage), 0, unitMB},
+		{"agent", "memory", "all of these", megabytes(journalMemory + outage), megabytes(boundMemory), unitMB},
+		{"agent", "messages", fmt.Sprintf("%.1f status calls a second", calls), kilobytes(calls * s["status_call"]), kilobytes(boundMessages), unitKB},
+		{"agent", "processor time", "status calls and records", percent(calls*s["status_call_cpu"]/2 + requestsAnAgent*s["agent_record"]), percent(boundCPU), unitPercent},
+	}
+}
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -15,6 +15,7 @@
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
 	"flamingospar.org/flamingospar/ask"
+	"flamingospar.org/flamingospar/capacity"
 	"flamingospar.org/flamingospar/dev"
 	"flamingospar.org/flamingospar/experiment"
 )
@@ -56,6 +57,8 @@
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
 	asked := ask.Attach(parser)
+	capacityOptions := capacity.DefaultOptions()
+	capacityCommand := attachCapacity(parser, &capacityOptions)
 	if err := parser.ParseArgs(args); err != nil {
 		return fail(stderr, exitMisuse, err)
 	}
@@ -64,6 +67,8 @@
 	switch {
 	case devCommand.Used:
 		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
+	case capacityCommand.Used:
+		return outcome(stderr, capacity.Run(capacityOptions, stdout))
 	case asked.Used():
 		return outcome(stderr, asked.Run(ctx, stdout))
 	case experimentCommand.Used:
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -60,6 +60,7 @@
 	// intruders counts changes of what is sealed without the lease.
 	intruders int
 	reports   *meter.Registry
+	teams     int
 }
 
 type process struct {
@@ -94,6 +95,7 @@
 		odds:     o,
 		runs:     make(map[string]*run),
 		reports:  meter.NewRegistry(),
+		teams:    12,
 	}
 	for range entries {
 		w.entries = append(w.entries, w.newEntry())
@@ -133,7 +135,7 @@
 
 // serve runs one request of a team; the entry may not hear of its end.
 func (w *world) serve(a *agent, e *entry, heard bool) {
-	team := fmt.Sprintf("team-%d", w.random.IntN(12))
+	team := fmt.Sprintf("team-%d", w.random.IntN(w.teams))
 	a.ledger.Acknowledge(e.acks.Take(a.address))
 	figures := usage.Figures{Requests: 1, PromptTokens: 1 + w.random.Int64N(2000), OutputTokens: 1 + w.random.Int64N(400)}
 	record := a.ledger.Count(team, figures, window, time.Now())
