--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -49,7 +49,8 @@
 
 	outage, lose, late, slow bool
 	flying                   []tables.Txn // Sent, and still on their way.
-	effect                   lease.Epoch  // Epoch of the last guarded effect.
+	intended                 []Fence
+	effect                   lease.Row // Under which the last guarded effect came.
 }
 
 func (w *world) start(i int) {
@@ -60,7 +61,7 @@
 
 // dawdle lets time pass in the middle of a call, while others act.
 func (w *world) dawdle() {
-	if !w.slow || w.depth > 0 || rapid.IntRange(1, 4).Draw(w.t, "dawdle") > 1 {
+	if !w.slow || w.depth > 0 || rapid.IntRange(1, 4).Draw(w.t, "dawdle") > 2 {
 		return
 	}
 	w.depth++
@@ -117,26 +118,33 @@
 	return err
 }
 
-// act writes a guarded effect, perhaps long after the lease was looked at.
-func (w *world) act() {
+// intend prepares a guarded effect, which is sent at any later time.
+func (w *world) intend() {
 	i := rapid.IntRange(0, len(w.keepers)-1).Draw(w.t, "process")
-	fence, held := w.keepers[i].Fence()
-	if !held {
+	if fence, held := w.keepers[i].Fence(); held {
+		w.intended = append(w.intended, fence)
+	}
+}
+
+// act sends a prepared effect: it has one only while nobody took the lease since.
+func (w *world) act() {
+	if len(w.intended) == 0 {
 		return
 	}
-	w.dawdle()
-	row, _ := w.store.Get(context.Background(), effectKey)
+	i := rapid.IntRange(0, len(w.intended)-1).Draw(w.t, "effect")
+	fence := w.intended[i]
 	txn := tables.Txn{
-		Conditions: []tables.Condition{fence.Guard, {Key: effectKey, Version: row.Version}},
+		Conditions: []tables.Condition{fence.Guard},
 		Writes:     []tables.Write{{Key: effectKey, Value: []byte("{}")}},
 	}
 	if w.store.Commit(context.Background(), txn) != nil {
 		return
 	}
-	if fence.Term.Row.Epoch < w.effect {
-		w.t.Fatalf("epoch %d took effect after epoch %d", fence.Term.Row.Epoch, w.effect)
+	row := fence.Term.Row
+	if row.Epoch < w.effect.Epoch || row.Epoch == w.effect.Epoch && row.Holder != w.effect.Holder {
+		w.t.Fatalf("epoch %d of %s took effect after epoch %d of %s", row.Epoch, row.Holder, w.effect.Epoch, w.effect.Holder)
 	}
-	w.effect = fence.Term.Row.Epoch
+	w.effect = row
 }
 
 func (w *world) check() {
@@ -173,6 +181,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 4).Draw(t, "processes")
 		w := &world{t: t, now: time.Unix(1_000_000, 0), store: platform.NewTables(), keepers: make([]*Keeper, count), paused: make([]bool, count)}
+		w.slow = rapid.Bool().Draw(t, "slow")
 		for i := range w.keepers {
 			w.start(i)
 		}
@@ -184,6 +193,7 @@
 				w.step()
 			},
 			"wait":   func(t *rapid.T) { w.pass(rapid.IntRange(1000, 8000).Draw(t, "ms")) },
+			"intend": func(t *rapid.T) { w.t = t; w.intend() },
 			"act":    func(t *rapid.T) { w.t = t; w.act() },
 			"outage": func(*rapid.T) { w.outage = !w.outage },
 			"lose":   func(*rapid.T) { w.lose = !w.lose },
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -15,8 +15,6 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/base/ring"
-	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/authenticate"
@@ -29,6 +27,7 @@
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/receive"
 	"flamingospar.org/entry/relay"
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
@@ -50,6 +49,7 @@
 	Config   *configview.View
 	Fleet    *fleet.View
 	Chain    *pipeline.Chain
+	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
@@ -74,8 +74,12 @@
 		newConfigView,
 		newFleet,
 		account.NewRing,
+		account.NewAcks,
+		account.NewCounts,
+		newInterceptor,
 		dispatch.New,
 		newChain,
+		newModelsChain,
 		newWriter,
 		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
 		newSealer,
@@ -94,25 +98,17 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
-		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
+		accept.New(),
 		authenticate.New(c),
+		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
-		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
 	)
 }
 
-func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
-	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
-}
-
-func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
-	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
-}
-
 // Ready reports whether the entry serves callers.
 func (e *Entry) Ready() bool {
 	return !e.State.draining.Load() && e.Config.Current() != nil
@@ -149,7 +145,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
-	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
+	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	peerServer := e.peerServer()
 	defer peerServer.Close()
