--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -51,7 +51,7 @@
 	g.watch.Hear(revision, news.WithdrawnKeys, news.Complete, g.clock())
 	if news.Proved && news.AgentInstance == g.instance {
 		after := time.Duration(news.Mark) + time.Duration(news.EvidenceAfterMarkNanos)
-		g.watch.Prove(revision, g.started.Add(after))
+		g.watch.Prove(g.started.Add(after))
 	}
 }
 
--- a/core/config/watch.go
+++ b/core/config/watch.go
@@ -81,10 +81,9 @@
 	}
 }
 
-// Prove notes that the told revision was current at a moment. A revision that
-// is behind the newest proves nothing.
-func (w *Watch) Prove(revision Revision, at time.Time) {
-	if revision >= w.told && at.After(w.proved) {
+// Prove notes that a revision that Hear has taken was current at a moment.
+func (w *Watch) Prove(at time.Time) {
+	if at.After(w.proved) {
 		w.proved = at
 	}
 }
--- a/core/orders/machine.go
+++ b/core/orders/machine.go
@@ -1,6 +1,9 @@
 package orders
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Step is what the process does next.
 type Step int
@@ -38,6 +41,9 @@
 // of an earlier process may still be on its way.
 type Machine struct {
 	target   Target
+	versions map[string]string // By model, from the catalogue.
+	asOf     int64             // Revision of versions.
+	holdOff  time.Time         // No interrupting order before.
 	epoch    int64
 	sequence int64
 
@@ -67,6 +73,33 @@
 	return true
 }
 
+// Versions sets the version that each model should have, as of a revision of
+// the catalogue, and from when on this endpoint may be taken away for one. An
+// older revision has no effect.
+func (m *Machine) Versions(revision int64, versions map[string]string, holdOff time.Time) {
+	if revision <= m.asOf {
+		return
+	}
+	m.asOf = revision
+	if maps.Equal(versions, m.versions) {
+		return
+	}
+	m.versions, m.holdOff = versions, holdOff
+}
+
+// wanted returns the target with the version that the catalogue names.
+func (m *Machine) wanted() Target {
+	wanted := m.target
+	model := wanted.Model
+	if model == "" {
+		model = m.state.Model
+	}
+	if wanted.Version == "" {
+		wanted.Version = m.versions[model]
+	}
+	return wanted
+}
+
 // Target returns the newest decision.
 func (m *Machine) Target() Target { return m.target }
 
@@ -87,7 +120,7 @@
 	if !m.Settled() {
 		return Wait, Order{}
 	}
-	order, differs := m.target.difference(m.state)
+	order, differs := m.wanted().difference(m.state)
 	if !differs {
 		return m.atRest(), Order{}
 	}
@@ -111,7 +144,7 @@
 
 func (m *Machine) toward(order Order, now time.Time) (Step, Order) {
 	switch {
-	case now.Before(m.notBefore):
+	case now.Before(m.notBefore), order.Setting == Version && now.Before(m.holdOff):
 		return Wait, Order{}
 	case order.Interrupts() && !m.shut:
 		return Drain, Order{}
--- a/entry/configview/configview.go
+++ b/entry/configview/configview.go
@@ -41,6 +41,8 @@
 	Counter  Counter
 	// Parallel bounds concurrent calls to other entries.
 	Parallel int
+	// Recent is the number of changes that are kept in memory for others.
+	Recent int
 	// SnapshotEvery is the number of changes between snapshots.
 	SnapshotEvery config.Revision
 }
@@ -75,6 +77,9 @@
 	if options.Parallel == 0 {
 		options.Parallel = defaultParallel
 	}
+	if options.Recent == 0 {
+		options.Recent = recentChanges
+	}
 	if options.SnapshotEvery == 0 {
 		options.SnapshotEvery = defaultSnapshotEvery
 	}
@@ -184,7 +189,7 @@
 		state = next
 		v.recent = append(v.recent, change)
 	}
-	if extra := len(v.recent) - recentChanges; extra > 0 {
+	if extra := len(v.recent) - v.options.Recent; extra > 0 {
 		v.recent = append([]config.Change(nil), v.recent[extra:]...)
 	}
 	v.install(state)
--- a/entry/configview/configview_test.go
+++ b/entry/configview/configview_test.go
@@ -19,8 +19,9 @@
 func TestNothingInForceReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(1, 5).Draw(t, "entries"), 2)
+		w.slow = rapid.Bool().Draw(t, "slow")
 		for _, s := range w.entries {
-			s.view.Step(context.Background())
+			s.step()
 		}
 		w.change(0, w.entries[0])
 		t.Repeat(map[string]func(*rapid.T){
@@ -29,13 +30,19 @@
 				w.t = t
 				w.now = w.now.Add(time.Duration(rapid.IntRange(10, 2500).Draw(t, "ms")) * time.Millisecond)
 				for _, s := range w.entries {
-					if !s.paused {
-						s.view.Step(context.Background())
-					}
+					s.step()
+					w.brief(s, 0)
+					w.brief(s, 1)
 				}
 			},
-			"wait":    func(t *rapid.T) { w.now = w.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "s")) * time.Second) },
-			"change":  func(t *rapid.T) { w.t = t; w.change(0, w.pick()) },
+			"wait":   func(t *rapid.T) { w.now = w.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "s")) * time.Second) },
+			"change": func(t *rapid.T) { w.t = t; w.change(0, w.pick()) },
+			"race": func(t *rapid.T) {
+				w.t = t
+				w.change(config.Revision(len(w.accepted)-rapid.IntRange(0, 1).Draw(t, "behind")), w.pick())
+			},
+			"split":   func(t *rapid.T) { w.t = t; w.split() },
+			"heal":    func(*rapid.T) { w.heal() },
 			"outage":  func(*rapid.T) { w.outage = !w.outage },
 			"lose":    func(*rapid.T) { w.lose = !w.lose },
 			"slow":    func(*rapid.T) { w.slow = !w.slow },
@@ -60,8 +67,8 @@
 					clear(s.marks)
 				}
 			},
-			"brief": func(t *rapid.T) { w.t = t; w.brief(w.pick(), rapid.IntRange(0, 1).Draw(t, "agent")) },
-			"run":   func(t *rapid.T) { w.t = t; w.run(w.pick(), rapid.IntRange(0, 1).Draw(t, "agent")) },
+			"authenticate": func(t *rapid.T) { w.t = t; w.authenticate(w.pick()) },
+			"deliver":      func(t *rapid.T) { w.t = t; w.deliver(rapid.IntRange(0, 1).Draw(t, "agent")) },
 			"spread": func(t *rapid.T) {
 				w.t = t
 				for revision := range w.accepted {
--- a/entry/configview/world_test.go
+++ b/entry/configview/world_test.go
@@ -51,6 +51,7 @@
 	lossy   bool // Answers of entries are lost.
 	entries []*slot
 	agents  []*agent
+	runs    []pendingRun
 	starts  int
 	changes int
 	depth   int
@@ -67,6 +68,7 @@
 	index    int
 	view     *configview.View
 	paused   bool
+	busy     bool // In the middle of a step.
 	noStore  bool
 	cutFrom  map[int]bool // Entries.
 	cutAgent map[int]bool
@@ -96,11 +98,11 @@
 
 func (s *slot) restart() {
 	s.world.starts++
-	s.paused = false
+	s.paused, s.busy = false, false
 	s.marks = make(map[int]mark)
 	s.view = configview.New(storeOf{s}, configview.Options{
 		Instance: fmt.Sprintf("entry-%d-%d", s.index, s.world.starts),
-		Peers:    s, Clock: func() time.Time { return s.world.now }, Parallel: 1,
+		Peers:    s, Clock: func() time.Time { return s.world.now }, Parallel: 1, Recent: 2,
 	})
 }
 
@@ -127,6 +129,9 @@
 		s.world.dawdle()
 		answer := other.view.Answer(question)
 		s.world.dawdle()
+		if s.world.lossy && s.world.chance("changes left out", 4) {
+			answer.Changes, answer.Snapshot = nil, nil
+		}
 		if s.cutFrom[other.index] || s.world.lossy && s.world.chance("peer answer lost", 4) {
 			return configview.Answer{}, errCut
 		}
@@ -147,8 +152,21 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(w.t, "ms")) * time.Millisecond)
 	w.depth++
 	defer func() { w.depth-- }()
-	if other := w.pick(); w.chance("nested step", 2) && !other.paused {
-		other.view.Answer(configview.Question{})
+	if other := w.pick(); w.chance("nested step", 2) {
+		other.step()
+	}
+}
+
+// step renews the evidence, unless the process is paused or in a call.
+func (s *slot) step() {
+	if s.paused || s.busy {
+		return
+	}
+	view := s.view
+	s.busy = true
+	view.Step(context.Background())
+	if s.view == view {
+		s.busy = false
 	}
 }
 
@@ -196,9 +214,11 @@
 
 // change lets an operator change something at an entry.
 func (w *world) change(base config.Revision, s *slot) {
-	if s.paused {
+	if s.paused || s.busy {
 		return
 	}
+	s.busy = true
+	defer func() { s.busy = false }()
 	w.changes++
 	id := fmt.Sprintf("change-%d", w.changes)
 	change := config.Change{ID: id, Operator: "test"}
@@ -228,7 +248,7 @@
 }
 
 func (w *world) spread(s *slot, revision config.Revision) {
-	if since, pending := w.accepted[revision]; !pending || !since.IsZero() || s.paused {
+	if since, pending := w.accepted[revision]; !pending || !since.IsZero() || s.paused || s.view.Held() == nil {
 		return
 	}
 	standing := s.view.Spread(context.Background(), revision)
@@ -255,34 +275,81 @@
 	w.dawdle()
 	watch.Hear(news.Revision, news.Withdrawn, news.Complete, w.now)
 	if proved && marked {
-		watch.Prove(news.Revision, given.given.Add(taken.Add(-age).Sub(given.received)))
+		watch.Prove(given.given.Add(taken.Add(-age).Sub(given.received)))
 	}
 	issued := w.now
 	w.dawdle()
 	s.marks[index] = mark{given: issued, received: w.now}
 }
 
-// run sends a run with a key from an entry to an agent, perhaps much later than
-// the entry looked at the key.
-func (w *world) run(s *slot, index int) {
+// pendingRun is a run that an entry has authenticated and not yet sent.
+type pendingRun struct {
+	slot     *slot
+	revision config.Revision
+	key      string
+}
+
+// authenticate lets a caller with a key come to an entry.
+func (w *world) authenticate(s *slot) {
 	state := s.view.Current()
-	if state == nil || len(w.live) == 0 || s.cutAgent[index] {
+	if state == nil || len(w.live) == 0 {
 		return
 	}
 	id := rapid.SampledFrom(w.live).Draw(w.t, "key")
-	if _, known := state.KeyByHash(config.KeyHash(id)); !known {
+	if _, known := state.KeyByHash(config.KeyHash(id)); known {
+		w.runs = append(w.runs, pendingRun{slot: s, revision: state.Revision, key: id})
+	}
+}
+
+// deliver sends a run to an agent, perhaps long after it was authenticated.
+func (w *world) deliver(index int) {
+	if len(w.runs) == 0 {
 		return
 	}
-	w.dawdle()
-	verdict := w.agents[index].watch.Judge(state.Revision, id, w.now)
-	if verdict != config.VerdictAdmit {
+	run := rapid.SampledFrom(w.runs).Draw(w.t, "run")
+	watch := w.agents[index].watch
+	if run.slot.cutAgent[index] || watch.Judge(run.revision, run.key, w.now) != config.VerdictAdmit {
 		return
 	}
-	since := w.accepted[w.gone[id]]
-	if since.IsZero() || w.now.Sub(since) < config.AgentFreshFor {
+	revision, gone := w.gone[run.key]
+	if !gone {
 		return
 	}
-	w.t.Fatalf("agent %d admitted a run of key %s, withdrawn for %s", index, id, w.now.Sub(since))
+	if watch.Told() >= revision {
+		w.t.Fatalf("agent %d admitted key %s that it knows to be withdrawn", index, run.key)
+	}
+	since := w.accepted[revision]
+	if !since.IsZero() && w.now.Sub(since) >= config.AgentFreshFor {
+		w.t.Fatalf("agent %d admitted a run of key %s, withdrawn for %s", index, run.key, w.now.Sub(since))
+	}
+}
+
+// split parts the entries and agents into two sides, of which one at most
+// reaches the store.
+func (w *world) split() {
+	side := make([]bool, len(w.entries))
+	for i := range side {
+		side[i] = rapid.Bool().Draw(w.t, "side")
+	}
+	store := rapid.IntRange(0, 2).Draw(w.t, "side of the store")
+	for i, s := range w.entries {
+		s.noStore = store == 0 || side[i] != (store == 1)
+		for j := range w.entries {
+			s.cutFrom[j] = side[i] != side[j]
+		}
+		for j := range w.agents {
+			s.cutAgent[j] = side[i] != (j == 0)
+		}
+	}
+}
+
+// heal ends all partitions.
+func (w *world) heal() {
+	for _, s := range w.entries {
+		s.noStore = false
+		clear(s.cutFrom)
+		clear(s.cutAgent)
+	}
 }
 
 // check asserts that no entry shows a revision older than one in force.
@@ -303,10 +370,10 @@
 // settle ends all faults and asserts that everything comes together.
 func (w *world) settle() {
 	w.outage, w.lose, w.slow, w.lossy = false, false, false, false
+	w.heal()
 	for _, s := range w.entries {
-		s.paused, s.noStore = false, false
-		clear(s.cutFrom)
-		s.view.Step(context.Background())
+		s.paused = false
+		s.step()
 	}
 	newest := w.entries[0].view.Current()
 	if newest == nil {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -13,9 +13,13 @@
 	"flamingospar.org/standin/engine/batch"
 )
 
+// defaultOrderTakes is how long an engine is away for an order.
+const defaultOrderTakes = 5 * time.Second
+
 // Engine runs a batch in real (or a test's virtual) time.
 type Engine struct {
-	model string
+	// Control takes orders; it holds the loaded model.
+	Control *Control
 
 	mu    sync.Mutex
 	batch *batch.Batch
@@ -27,11 +31,11 @@
 // New returns an engine that has model loaded. Run must be called for progress.
 func New(model string, config batch.Config) *Engine {
 	return &Engine{
-		model: model,
-		batch: batch.New(config),
-		runs:  make(map[string]chan batch.Emission),
-		wake:  make(chan struct{}, 1),
-		begun: make(map[string]int),
+		Control: NewControl(model, ControlConfig{Takes: defaultOrderTakes}),
+		batch:   batch.New(config),
+		runs:    make(map[string]chan batch.Emission),
+		wake:    make(chan struct{}, 1),
+		begun:   make(map[string]int),
 	}
 }
 
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -42,6 +42,7 @@
 	router.Post("/v1/chat/completions", e.generate)
 	router.Post("/v1/completions", e.generate)
 	router.Get("/load", e.load)
+	e.Control.Routes(router)
 	return router
 }
 
@@ -49,7 +50,7 @@
 	e.mu.Lock()
 	running, queued := e.batch.Counts()
 	e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(port.Load{Running: running, Queued: queued, Model: e.model})
+	_ = json.NewEncoder(w).Encode(port.Load{Running: running, Queued: queued, Model: e.Control.Model(), Role: e.Control.State().Role})
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -58,7 +59,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if body.Model != e.model {
+	if body.Model != e.Control.Model() {
 		http.Error(w, "model not loaded", http.StatusNotFound)
 		return
 	}
@@ -66,7 +67,7 @@
 	run := runOf(r, body, prompt)
 	emissions := e.start(run)
 	defer e.cancel(run.ID)
-	writer := answerWriter{w: w, chat: strings.Contains(r.URL.Path, "chat"), run: run, model: e.model, prompt: prompt}
+	writer := answerWriter{w: w, chat: strings.Contains(r.URL.Path, "chat"), run: run, model: body.Model, prompt: prompt}
 	if body.Stream {
 		writer.stream(r, emissions)
 		return
