--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -5,10 +5,10 @@
 	"net/http"
 
 	"connectrpc.com/connect"
-	"flamingospar.org/entry/account"
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
