--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -11,6 +11,7 @@
 
 	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
@@ -56,6 +57,9 @@
 		newUsageLedger,
 		newUsageWriter,
 		account.NewService,
+		newJournal,
+		newObserver,
+		explain.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -108,8 +112,10 @@
 	return gate.New(s.Endpoint, s.Instance, clock.Now)
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
-	return pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
+	chain := pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
+	chain.SetObserver(observer)
+	return chain
 }
 
 func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
@@ -127,6 +133,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
 	mux.Handle(a.usage.Service.Handler())
+	mux.Handle(a.usage.Observe.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	stopUsage := a.usage.start()
 	defer stopUsage()
