--- a/flamingospar/capacity/figures.go
+++ b/flamingospar/capacity/figures.go
@@ -74,27 +74,39 @@
 
 func entryFigures(s Slopes) []Figure {
 	changes := float64(targetChanges) / secondsADay
-	configMemory := targetTeams * (s["config_key_heap"] + s["config_team_heap"])
-	journalMemory := entryJournalEvents * s["journal_event_heap"]
-	countMemory := countedWindows * targetActiveTeams * s["usage_count_heap"]
-	outageMemory := requestsAnEntry * outageSeconds * s["usage_waiting_heap"]
-	usageMessages := requestsAnEntry * s["usage_record_row"] * jsonValueExpansion
-	control := statusCalls()*s["status_call_cpu"]/2 + s["config_poll_cpu"]/configPollSeconds +
-		s["lease_step_cpu"]/leaseRenewSeconds + requestsAnEntry*s["usage_record_write"] + changes*s["config_key_apply"]
-	return []Figure{
-		{"entry", "state", "configuration of 22,000 teams with a key each", megabytes(configMemory), 0, unitMB},
-		{"entry", "state", "journal", megabytes(journalMemory), 0, unitMB},
-		{"entry", "state", "counts of 2,000 active teams in 30 windows", megabytes(countMemory), 0, unitMB},
-		{"entry", "state", "records kept through an outage of an hour", megabytes(outageMemory), 0, unitMB},
-		{"entry", "memory", "all of these", megabytes(configMemory + journalMemory + countMemory + outageMemory), megabytes(boundMemory), unitMB},
-		{"entry", "messages", fmt.Sprintf("%.0f status calls a second", statusCalls()), kilobytes(statusCalls() * s["status_call"]), kilobytes(boundMessages), unitKB},
-		{"entry", "messages", "reads of the VM list, once a second", kilobytes((targetAgents + targetEntries) * s["vm_list_row"] / vmListSeconds), kilobytes(boundMessages), unitKB},
-		{"entry", "messages", "looks at the configuration's head and changes", kilobytes(s["config_poll"]/configPollSeconds + changes*s["config_key_change"]*jsonValueExpansion), kilobytes(boundMessages), unitKB},
-		{"entry", "messages", "looks at a lease", kilobytes(s["lease_step"] / 2 / leaseRenewSeconds), kilobytes(boundMessages), unitKB},
-		{"entry", "messages", "usage batches", kilobytes(usageMessages), kilobytes(boundMessages), unitKB},
-		{"entry", "processor time", "status calls, configuration, lease and usage", percent(control), percent(boundCPU), unitPercent},
-		{"entry", "processor time", "choices of endpoints (a request's own cost, not control)", percent(requestsAnEntry * s["route_choice"]), 0, unitPercent},
+	memory := []Figure{
+		{"entry", "state", "the process itself", megabytes(s["entry_base_heap"]), 0, unitMB},
+		{"entry", "state", "configuration of 22,000 teams with a key each", megabytes(targetTeams * (s["config_key_heap"] + s["config_team_heap"])), 0, unitMB},
+		{"entry", "state", "view of 3,700 agents", megabytes(targetAgents * s["fleet_agent_heap"]), 0, unitMB},
+		{"entry", "state", "journal", megabytes(entryJournalEvents * s["journal_event_heap"]), 0, unitMB},
+		{"entry", "state", "counts of 2,000 active teams in 30 windows", megabytes(countedWindows * targetActiveTeams * s["usage_count_heap"]), 0, unitMB},
+		{"entry", "state", "records kept through an outage of an hour", megabytes(requestsAnEntry * outageSeconds * s["usage_waiting_heap"]), 0, unitMB},
+	}
+	messages := []Figure{
+		{"entry", "messages", fmt.Sprintf("%.0f status calls a second", statusCalls()), kilobytes(statusCalls() * s["status_call"]), 0, unitKB},
+		{"entry", "messages", "reads of the VM list, once a second", kilobytes((targetAgents + targetEntries) * s["vm_list_row"] / vmListSeconds), 0, unitKB},
+		{"entry", "messages", "looks at the configuration's head and changes", kilobytes(s["config_poll"]/configPollSeconds + changes*s["config_key_change"]*jsonValueExpansion), 0, unitKB},
+		{"entry", "messages", "looks at a lease", kilobytes(s["lease_step"] / 2 / leaseRenewSeconds), 0, unitKB},
+		{"entry", "messages", "usage batches", kilobytes(requestsAnEntry * s["usage_record_row"] * jsonValueExpansion), 0, unitKB},
+	}
+	times := []Figure{
+		{"entry", "processor time", "status calls, half of both ends", percent(statusCalls() * s["status_call_cpu"] / 2), 0, unitPercent},
+		{"entry", "processor time", "configuration and lease", percent(s["config_poll_cpu"]/configPollSeconds + s["lease_step_cpu"]/leaseRenewSeconds + changes*s["config_key_apply"]), 0, unitPercent},
+		{"entry", "processor time", "usage", percent(requestsAnEntry * s["usage_record_write"]), 0, unitPercent},
 	}
+	figures := withTotal(memory, "memory", megabytes(boundMemory))
+	figures = append(figures, withTotal(messages, "messages", kilobytes(boundMessages))...)
+	figures = append(figures, withTotal(times, "processor time", percent(boundCPU))...)
+	return append(figures, Figure{"entry", "a request's own", "choices of endpoints, beside control", percent(requestsAnEntry * s["route_choice"]), 0, unitPercent})
+}
+
+// withTotal adds the sum of figures, which has a bound.
+func withTotal(figures []Figure, kind string, bound float64) []Figure {
+	total := Figure{Role: figures[0].Role, Kind: kind, What: "all of these", Bound: bound, Unit: figures[0].Unit}
+	for _, figure := range figures {
+		total.Value += figure.Value
+	}
+	return append(figures, total)
 }
 
 func holderFigures(s Slopes) []Figure {
@@ -114,16 +126,20 @@
 }
 
 func agentFigures(s Slopes) []Figure {
-	journalMemory := agentJournalEvents * s["journal_event_heap"]
-	held := requestsAnAgent * holdSeconds * s["held_record_heap"]
-	outage := requestsAnAgent * outageSeconds * s["held_record_heap"]
 	calls := float64(pollersOfAgent) + float64(targetEntries)/introduceSeconds
-	return []Figure{
-		{"agent", "state", "journal", megabytes(journalMemory), 0, unitMB},
-		{"agent", "state", "records held for 45 s", megabytes(held), 0, unitMB},
-		{"agent", "state", "records held through an outage of an hour", megabytes(outage), 0, unitMB},
-		{"agent", "memory", "all of these", megabytes(journalMemory + outage), megabytes(boundMemory), unitMB},
-		{"agent", "messages", fmt.Sprintf("%.1f status calls a second", calls), kilobytes(calls * s["status_call"]), kilobytes(boundMessages), unitKB},
-		{"agent", "processor time", "status calls and records", percent(calls*s["status_call_cpu"]/2 + requestsAnAgent*s["agent_record"]), percent(boundCPU), unitPercent},
+	memory := []Figure{
+		{"agent", "state", "journal", megabytes(agentJournalEvents * s["journal_event_heap"]), 0, unitMB},
+		{"agent", "state", "records held for 45 s", megabytes(requestsAnAgent * holdSeconds * s["held_record_heap"]), 0, unitMB},
+		{"agent", "state", "records held through an outage of an hour", megabytes(requestsAnAgent * outageSeconds * s["held_record_heap"]), 0, unitMB},
+	}
+	messages := []Figure{
+		{"agent", "messages", fmt.Sprintf("%.1f status calls a second", calls), kilobytes(calls * s["status_call"]), 0, unitKB},
+	}
+	times := []Figure{
+		{"agent", "processor time", "status calls, half of both ends", percent(calls * s["status_call_cpu"] / 2), 0, unitPercent},
+		{"agent", "processor time", "records", percent(requestsAnAgent * s["agent_record"]), 0, unitPercent},
 	}
+	figures := withTotal(memory, "memory", megabytes(boundMemory))
+	figures = append(figures, withTotal(messages, "messages", kilobytes(boundMessages))...)
+	return append(figures, withTotal(times, "processor time", percent(boundCPU))...)
 }
--- a/flamingospar/capacity/state.go
+++ b/flamingospar/capacity/state.go
@@ -1,16 +1,21 @@
 package capacity
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
 
 	agentaccount "flamingospar.org/agent/account"
 	"flamingospar.org/base/journal"
+	"flamingospar.org/base/netx"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
 	"flamingospar.org/core/route"
 	"flamingospar.org/core/usage"
+	"flamingospar.org/entry/fleet"
+	entrysettings "flamingospar.org/entry/settings"
+	entrywiring "flamingospar.org/entry/wiring"
 	"flamingospar.org/platform/vms"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
@@ -22,6 +27,7 @@
 	batchRecords  = 230
 	batchAgents   = 60
 	batchTeams    = 60
+	fleetLook     = 5 * time.Second
 )
 
 // stateMeasurements are of what a process keeps and how fast it changes.
@@ -37,6 +43,8 @@
 		{"config_key_apply", Microseconds, "a change of a key among 22,000, at each entry", keyChangeTime},
 		{"catalogue_change", Bytes, "a team in a change of the whole catalogue", catalogueBytes},
 		{"route_choice", Microseconds, "a choice among the 463 endpoints of a data centre", choiceTime},
+		{"entry_base_heap", Bytes, "an entry process before any state", entryBase},
+		{"fleet_agent_heap", Bytes, "an agent in the list, at an entry", fleetHeap},
 		{"journal_event_heap", Bytes, "an event of a full journal", func() (float64, error) {
 			return heapOf(sampleRecords, func(n int) any { return fullJournal(n) }), nil
 		}},
@@ -166,3 +174,44 @@
 		ledger.Acknowledge(&wirev1.UsageDurable{Source: record.Source, Sequences: []int64{record.Sequence}})
 	}), nil
 }
+
+func entryBase() (float64, error) {
+	var failed error
+	bytes := heapOf(1, func(int) any {
+		settings := entrysettings.Defaults()
+		settings.DataCentre = "a"
+		settings.Listen = "127.0.0.1:0"
+		settings.OperatorListen = "127.0.0.1:0"
+		settings.PlatformURL = "http://127.0.0.1:1"
+		checked, err := settings.Checked()
+		if err != nil {
+			failed = err
+			return nil
+		}
+		entry, err := entrywiring.Build(checked, netx.TCP{})
+		failed = err
+		return entry
+	})
+	return bytes, failed
+}
+
+// fixedList is a list of VMs that never changes.
+type fixedList []vms.VM
+
+// VMs implements vms.List.
+func (l fixedList) VMs(context.Context) ([]vms.VM, error) { return l, nil }
+
+// fleetHeap builds a view of agents that answer nobody.
+func fleetHeap() (float64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fleetLook)
+	defer cancel()
+	return heapOf(sampleAgents, func(n int) any {
+		list := make(fixedList, n)
+		for i := range list {
+			list[i] = vms.VM{Instance: fmt.Sprintf("%036d", i), Role: vms.Agent, DataCentre: "a", Address: fmt.Sprintf("127.0.0.1:%d", i+1)}
+		}
+		view := fleet.New(list, netx.HTTP2Client(netx.TCP{}), fleet.Membership{})
+		view.Refresh(ctx)
+		return view
+	}), nil
+}
