--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -75,7 +75,7 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.5})
+				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.08})
 				for range steps {
 					w.randomStep()
 				}
@@ -101,13 +101,25 @@
 		a.cut = !a.cut
 	case 4:
 		w.outage = !w.outage
-	case 5:
+	case 5, 6, 7:
 		w.outage = false
+	case 8, 9, 10:
+		w.mend()
 	}
 	time.Sleep(time.Duration(1+w.random.IntN(3)) * time.Second)
 	w.step(context.Background())
 }
 
+// mend ends all partitions.
+func (w *world) mend() {
+	for _, e := range w.entries {
+		e.cut = false
+	}
+	for _, a := range w.agents {
+		a.cut = false
+	}
+}
+
 func (w *world) serveSome(n int) {
 	for range n {
 		a := w.agents[w.random.IntN(len(w.agents))]
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -336,12 +336,7 @@
 func (w *world) heal() {
 	w.odds = odds{}
 	w.outage = false
-	for _, e := range w.entries {
-		e.cut = false
-	}
-	for _, a := range w.agents {
-		a.cut = false
-	}
+	w.mend()
 	for range 60 {
 		time.Sleep(2 * time.Second)
 		w.step(context.Background())
