--- a/agent/wiring/usage.go
+++ b/agent/wiring/usage.go
@@ -27,6 +27,7 @@
 	Service *account.Service
 	Writer  *account.Writer
 	Observe *explain.Service
+	Journal *journal.Journal
 }
 
 // start runs the writer; the returned function makes it write all that is held
@@ -63,3 +64,6 @@
 func newObserver(s settings.Settings, j *journal.Journal) *explain.Observer {
 	return explain.NewObserver(j, s.Endpoint)
 }
+
+// Journal returns the agent's journal, for the process' log lines.
+func (a *Agent) Journal() *journal.Journal { return a.usage.Journal }
--- a/base/journal/journal.go
+++ b/base/journal/journal.go
@@ -59,13 +59,18 @@
 // Note adds an event, in place of the oldest when the journal is full. Process
 // and, if zero, the time are filled in.
 func (j *Journal) Note(event Event) {
+	if event.Code != "" {
+		logEvent(event)
+	}
+	j.add(event, event.Code)
+}
+
+func (j *Journal) add(event Event, code string) {
 	event.Process = j.process
+	event.Code = code
 	if event.At.IsZero() {
 		event.At = time.Now()
 	}
-	if event.Code != "" {
-		logEvent(event)
-	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.events) < j.capacity {
--- a/base/logging/logging.go
+++ b/base/logging/logging.go
@@ -17,9 +17,11 @@
 // Info logs an event of normal operation.
 func (l Logger) Info(sentence string, keysAndValues ...any) {
 	klog.InfoSDepth(1, l.prefix+sentence, keysAndValues...)
+	l.pass(sentence, nil, keysAndValues)
 }
 
 // Error logs a failure and what the process does about it.
 func (l Logger) Error(err error, sentence string, keysAndValues ...any) {
 	klog.ErrorSDepth(1, err, l.prefix+sentence, keysAndValues...)
+	l.pass(sentence, err, keysAndValues)
 }
--- a/entry/wiring/observe.go
+++ b/entry/wiring/observe.go
@@ -56,3 +56,6 @@
 	e.Chain.SetObserver(e.Observe.Observer)
 	api.Mount(observe.NewAPI(e.observeServer(), e.Observe.Platform).Mount)
 }
+
+// Journal returns the entry's journal, for the process' log lines.
+func (e *Entry) Journal() *journal.Journal { return e.Observe.Journal }
--- a/flamingospar-agent/main.go
+++ b/flamingospar-agent/main.go
@@ -13,6 +13,7 @@
 
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/wiring"
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
 )
 
@@ -53,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	logging.SetSink(agent.Journal().Log)
 	listener, err := agent.Listen()
 	if err != nil {
 		return err
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
@@ -94,6 +95,7 @@
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
+	logging.SetSink(entry.Journal().Log)
 	listeners, err := entry.Listen()
 	if err != nil {
 		return fail(stderr, exitFailed, err)
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -13,6 +13,7 @@
 
 	agentsettings "flamingospar.org/agent/settings"
 	agentwiring "flamingospar.org/agent/wiring"
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
@@ -91,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if len(system.Entries) > 0 { // All processes share one log here.
+		logging.SetSink(system.Entries[0].Journal().Log)
+	}
 	system.announce(stdout, options)
 	<-ctx.Done()
 	system.Wait()
