--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -40,6 +40,9 @@
 	return &Gate{endpoint: endpoint, instance: instance, clock: c, started: c(), watch: config.NewWatch()}
 }
 
+// Instance names the agent's process.
+func (g *Gate) Instance() string { return g.instance }
+
 // Hear takes an entry's news of the configuration.
 func (g *Gate) Hear(news *wirev1.ConfigNews) {
 	if news == nil {
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -11,9 +11,11 @@
 	"connectrpc.com/connect"
 
 	"flamingospar.org/agent/gate"
+	"flamingospar.org/agent/orders"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/status"
 	"flamingospar.org/core/refusal"
+	"flamingospar.org/core/turns"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
@@ -30,12 +32,13 @@
 	chain  *pipeline.Chain
 	status *status.Status
 	gate   *gate.Gate
+	orders *orders.Duty
 	active sync.WaitGroup
 }
 
 // New returns the server of a chain.
-func New(chain *pipeline.Chain, s *status.Status, g *gate.Gate) *Server {
-	return &Server{chain: chain, status: s, gate: g}
+func New(chain *pipeline.Chain, s *status.Status, g *gate.Gate, duty *orders.Duty) *Server {
+	return &Server{chain: chain, status: s, gate: g, orders: duty}
 }
 
 // Handler returns the path prefix and handler to mount.
@@ -49,7 +52,9 @@
 // Status implements the service. It takes the entry's news of the configuration.
 func (s *Server) Status(_ context.Context, request *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
 	s.gate.Hear(request.Msg.News)
+	s.hearVersions(request.Msg.News)
 	reply := s.status.Reply()
+	reply.Instance = s.gate.Instance()
 	reply.Revision = s.gate.Revision()
 	reply.Changing = s.gate.Changing()
 	reply.Stale = s.gate.Stale()
@@ -57,6 +62,18 @@
 	return connect.NewResponse(reply), nil
 }
 
+// hearVersions passes on which versions the catalogue names.
+func (s *Server) hearVersions(news *wirev1.ConfigNews) {
+	if len(news.GetVersions()) == 0 {
+		return
+	}
+	versions := make(map[string]string, len(news.Versions))
+	for _, each := range news.Versions {
+		versions[each.Model] = each.Version
+	}
+	s.orders.Versions(news.Revision, versions, turns.HoldOff(int(news.Turn)))
+}
+
 type runStream = connect.BidiStream[wirev1.RunCall, wirev1.RunEvent]
 
 // Run implements the service.
@@ -80,7 +97,7 @@
 	go sender.heartbeats(ctx, interval)
 	run := &pipeline.Run{Start: start, Arrived: time.Now(), Deadline: deadline, Send: sender.send}
 	finished, refused := s.chain.Handle(ctx, run)
-	return sender.last(finished, refused)
+	return sender.last(run, finished, refused)
 }
 
 func heartbeatInterval(start *wirev1.RunStart) time.Duration {
@@ -136,8 +153,8 @@
 	}
 }
 
-func (s *sender) last(finished *wirev1.Finished, refused *refusal.Refusal) error {
-	event := &wirev1.RunEvent{Load: s.status.Load()}
+func (s *sender) last(run *pipeline.Run, finished *wirev1.Finished, refused *refusal.Refusal) error {
+	event := &wirev1.RunEvent{Load: s.status.Load(), TeamFraction: run.TeamFraction}
 	if refused != nil {
 		event.Message = &wirev1.RunEvent_Refused{Refused: &wirev1.Refused{
 			Code:             string(refused.Code),
--- a/core/turns/turns.go
+++ b/core/turns/turns.go
@@ -3,11 +3,7 @@
 // lease and with the platform's store down.
 package turns
 
-import (
-	"time"
-
-	"flamingospar.org/core/member"
-)
+import "time"
 
 const (
 	// AtOnce is how many endpoints of a data centre change at the same time.
@@ -16,19 +12,6 @@
 	Slot = 60 * time.Second
 )
 
-// Rank returns how many of members come before self in the order for key.
-func Rank(key, self string, members []string) int {
-	own := member.Weight(key, self)
-	ahead := 0
-	for _, other := range members {
-		weight := member.Weight(key, other)
-		if weight > own || weight == own && other < self {
-			ahead++
-		}
-	}
-	return ahead
-}
-
 // HoldOff returns how long the endpoint with a rank waits after it has learned
 // of a change.
 func HoldOff(rank int) time.Duration {
--- a/entry/authenticate/authenticate.go
+++ b/entry/authenticate/authenticate.go
@@ -50,12 +50,12 @@
 		return refused
 	}
 	if !isOpen(x) {
-		key, refused := liveKey(x)
+		found, refused := keyInForce(x)
 		if refused != nil {
 			return refused
 		}
-		x.Team = key.Team
-		x.KeyID = key.ID
+		x.Team = found.Team
+		x.KeyID = found.ID
 	}
 	stripCredentials(x.Request.Header)
 	return nil
@@ -73,7 +73,7 @@
 	return ok && route.Open
 }
 
-func liveKey(x *pipeline.Exchange) (config.Key, *refusal.Refusal) {
+func keyInForce(x *pipeline.Exchange) (config.Key, *refusal.Refusal) {
 	given, refused := keyOf(x.Request.Header)
 	if refused != nil {
 		return config.Key{}, refused
--- a/entry/fleet/membership.go
+++ b/entry/fleet/membership.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	turnsKey = "turns"
 	// pollers is how many entries ask each agent at every refresh.
 	pollers = 3
 	// introduceEvery is how often an entry asks the other agents.
@@ -55,6 +56,21 @@
 	adoptUntil time.Time
 	changing   bool
 	stale      bool
+	turn       int // Rank among the agents of its data centre.
+}
+
+// rank tells each agent its turn among those of its data centre. It is called
+// with mu held, after the list has changed.
+func (v *View) rank() {
+	byDataCentre := make(map[string][]string)
+	for instance, agent := range v.agents {
+		byDataCentre[agent.vm.DataCentre] = append(byDataCentre[agent.vm.DataCentre], instance)
+	}
+	for _, instances := range byDataCentre {
+		for turn, instance := range member.Rank(turnsKey, instances) {
+			v.agents[instance].contact.turn = turn
+		}
+	}
 }
 
 // answered notes an agent's answer. A new instance at the same address is
@@ -87,6 +103,10 @@
 		Revision:      int64(news.Revision),
 		WithdrawnKeys: news.Withdrawn,
 		Complete:      news.Complete,
+		Turn:          int32(known.turn),
+	}
+	for _, model := range news.Models {
+		request.News.Versions = append(request.News.Versions, &wirev1.ModelVersion{Model: model.Name, Version: model.Version})
 	}
 	if proved && known.instance != "" {
 		request.News.Proved = true
@@ -136,6 +156,6 @@
 		agent.candidate.Ready = false
 	case refusal.WrongEndpoint:
 		agent.candidate.Ready = false
-		agent.contact = contact{}
+		agent.contact = contact{turn: agent.contact.turn}
 	}
 }
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -18,16 +19,16 @@
 
 func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
-		Instance: s.Instance,
+		Instance: s.Instance + "." + uuid.NewString()[:8],
 		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, i *account.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, netx.HTTP2Client(network), membership, connect.WithInterceptors(i))
+	return fleet.New(c, netx.HTTP2Client(network), membership, connect.WithInterceptors(usage))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -17,6 +17,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
+	"flamingospar.org/entry/admit"
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
@@ -105,6 +106,7 @@
 		authenticate.New(c),
 		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
+		admit.New(s.Policy, view, chooser),
 		relay.New(s.Instance, chooser, d, registry),
 	)
 }
