Drains announce themselves; changes take turns in a pool; engines are put right after a crash

Cause, found by the rollout under load: agents ranked by data centre changed six of nine engines in the same second, so that a request met three refusals; an engine that crashed in mid-change came back without its model and stayed so.

Change: turns within the agents of one model, at most a tenth at once; 2.5 s of notice before an endpoint refuses; the model and role that were loaded when all was last well are wanted again.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// announceFor is longer than the interval of entries' status calls.
+	announceFor   = 2500 * time.Millisecond
 	staleAfter    = 1 * time.Second // Retry-After of a stale agent.
 	changingAfter = 3 * time.Second // Retry-After while an order is under way.
 )
@@ -30,6 +32,7 @@
 
 	mu       sync.Mutex
 	watch    *config.Watch
+	leaving  bool // Announced to entries; runs are still admitted.
 	changing bool
 	active   int           // Runs past the queue.
 	idle     chan struct{} // Closed when active falls to zero while changing.
@@ -76,11 +79,11 @@
 	return !g.watch.Fresh(g.clock())
 }
 
-// Changing reports whether an order keeps runs out.
+// Changing reports whether an order keeps runs out, or soon will.
 func (g *Gate) Changing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.changing
+	return g.leaving || g.changing
 }
 
 // Arrival is the filter before the queue.
@@ -168,9 +171,18 @@
 	}
 }
 
-// Drain keeps new runs out and returns when the running ones have ended, or
-// when ctx ends. It leaves the gate shut either way; Resume opens it.
+// Drain announces that the endpoint will be away, keeps new runs out a little
+// later, and returns when the running ones have ended, or when ctx ends. It
+// leaves the gate as it is then; Resume opens it.
 func (g *Gate) Drain(ctx context.Context) error {
+	g.announce()
+	announced := time.NewTimer(announceFor)
+	defer announced.Stop()
+	select {
+	case <-announced.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	idle := g.shut()
 	if idle == nil {
 		return nil
@@ -183,6 +195,12 @@
 	}
 }
 
+func (g *Gate) announce() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
 func (g *Gate) shut() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -207,5 +225,6 @@
 func (g *Gate) Resume() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.leaving = false
 	g.changing = false
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -71,7 +71,7 @@
 	for _, each := range news.Versions {
 		versions[each.Model] = each.Version
 	}
-	s.orders.Versions(news.Revision, versions, turns.HoldOff(int(news.Turn)))
+	s.orders.Versions(news.Revision, versions, turns.HoldOff(int(news.Turn), int(news.Pool)))
 }
 
 type runStream = connect.BidiStream[wirev1.RunCall, wirev1.RunEvent]
--- a/core/orders/machine.go
+++ b/core/orders/machine.go
@@ -41,6 +41,7 @@
 // of an earlier process may still be on its way.
 type Machine struct {
 	target   Target
+	settled  Target            // What was loaded when all was last well.
 	versions map[string]string // By model, from the catalogue.
 	asOf     int64             // Revision of versions.
 	holdOff  time.Time         // No interrupting order before.
@@ -87,15 +88,18 @@
 	m.versions, m.holdOff = versions, holdOff
 }
 
-// wanted returns the target with the version that the catalogue names.
+// wanted returns the target, filled up with what was loaded when all was last
+// well and with the version that the catalogue names.
 func (m *Machine) wanted() Target {
 	wanted := m.target
-	model := wanted.Model
-	if model == "" {
-		model = m.state.Model
+	if wanted.Model == "" {
+		wanted.Model = m.settled.Model
+	}
+	if wanted.Role == "" {
+		wanted.Role = m.settled.Role
 	}
 	if wanted.Version == "" {
-		wanted.Version = m.versions[model]
+		wanted.Version = m.versions[wanted.Model]
 	}
 	return wanted
 }
@@ -120,8 +124,12 @@
 	if !m.Settled() {
 		return Wait, Order{}
 	}
+	if m.settled.Model == "" {
+		m.settled = Target{Model: m.state.Model, Role: m.state.Role}
+	}
 	order, differs := m.wanted().difference(m.state)
 	if !differs {
+		m.settled = Target{Model: m.state.Model, Role: m.state.Role}
 		return m.atRest(), Order{}
 	}
 	return m.toward(order, now)
--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -99,7 +99,7 @@
 	// way to an endpoint on the same VM.
 	QuietFor = 10 * time.Second
 	// LookEvery is the interval between looks at an endpoint at rest.
-	LookEvery = 1 * time.Second
+	LookEvery = 2 * time.Second
 	// LookOften is the interval while an order or a doubt is open.
 	LookOften = 250 * time.Millisecond
 	// backOff is the wait after an order that was refused.
--- a/entry/fleet/membership.go
+++ b/entry/fleet/membership.go
@@ -56,19 +56,22 @@
 	adoptUntil time.Time
 	changing   bool
 	stale      bool
-	turn       int // Rank among the agents of its data centre.
+	turn       int // Rank in its pool.
+	pool       int // Agents of its pool.
 }
 
-// rank tells each agent its turn among those of its data centre. It is called
-// with mu held, after the list has changed.
+// rank tells each agent its turn in its pool, the agents of one model. It is
+// called with mu held, after the list has changed.
 func (v *View) rank() {
-	byDataCentre := make(map[string][]string)
+	pools := make(map[string][]string)
 	for instance, agent := range v.agents {
-		byDataCentre[agent.vm.DataCentre] = append(byDataCentre[agent.vm.DataCentre], instance)
+		pool := agent.candidate.Kind + "/" + agent.candidate.Model
+		pools[pool] = append(pools[pool], instance)
 	}
-	for _, instances := range byDataCentre {
+	for _, instances := range pools {
 		for turn, instance := range member.Rank(turnsKey, instances) {
 			v.agents[instance].contact.turn = turn
+			v.agents[instance].contact.pool = len(instances)
 		}
 	}
 }
@@ -104,6 +107,7 @@
 		WithdrawnKeys: news.Withdrawn,
 		Complete:      news.Complete,
 		Turn:          int32(known.turn),
+		Pool:          int32(known.pool),
 	}
 	for _, model := range news.Models {
 		request.News.Versions = append(request.News.Versions, &wirev1.ModelVersion{Model: model.Name, Version: model.Version})
@@ -156,6 +160,6 @@
 		agent.candidate.Ready = false
 	case refusal.WrongEndpoint:
 		agent.candidate.Ready = false
-		agent.contact = contact{turn: agent.contact.turn}
+		agent.contact = contact{turn: agent.contact.turn, pool: agent.contact.pool}
 	}
 }
--- a/entry/fleet/roster.go
+++ b/entry/fleet/roster.go
@@ -8,9 +8,8 @@
 
 // Roster is the listed entries. It is safe for concurrent use.
 type Roster struct {
-	self string
-
 	mu      sync.Mutex
+	self    string
 	entries []string
 }
 
@@ -19,14 +18,26 @@
 func NewRoster(self string) *Roster { return &Roster{self: self} }
 
 // Self returns this entry's address in the list of VMs.
-func (r *Roster) Self() string { return r.self }
+func (r *Roster) Self() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// SetSelf sets this entry's address once it listens there.
+func (r *Roster) SetSelf(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self = address
+}
 
 // Others returns the addresses of the other listed entries. A leaving entry
 // counts as long as it is listed, since it may still act.
 func (r *Roster) Others() []string {
 	var others []string
+	self := r.Self()
 	for _, address := range r.all() {
-		if address != r.self {
+		if address != self {
 			others = append(others, address)
 		}
 	}
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -36,7 +36,14 @@
 	if e.Settings.Authority.PeerListen == "" {
 		return nil, nil
 	}
-	return e.Network.Listen(e.Settings.Authority.PeerListen)
+	listener, err := e.Network.Listen(e.Settings.Authority.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	if e.Settings.Authority.PeerAddress == "" {
+		e.Roster.SetSelf(listener.Addr().String())
+	}
+	return listener, nil
 }
 
 func (e *Entry) peerServer() *http.Server {
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -49,6 +49,7 @@
 	Meter    *meter.Registry
 	Config   *configview.View
 	Fleet    *fleet.View
+	Roster   *fleet.Roster
 	Chain    *pipeline.Chain
 	Models   *modelsChain
 	Writer   *account.Writer
--- /dev/null
+++ b/flamingospar/dev/authority_test.go
@@ -0,0 +1,135 @@
+package dev
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/core/catalogue"
+	"flamingospar.org/core/orders"
+	"flamingospar.org/standin/engine"
+)
+
+func callOperator(t *testing.T, client *http.Client, method, url string, body, answer any) int {
+	t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	request, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader(data))
+	require.NoError(t, err)
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	if answer != nil {
+		require.NoError(t, json.NewDecoder(response.Body).Decode(answer))
+	}
+	return response.StatusCode
+}
+
+// TestVersionChangeCutsNothing rolls out a new version under load, at engines
+// that ignore fencing numbers, with an engine that crashes in mid-change.
+func TestVersionChangeCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, client := startTestSystem(t, "shedline")
+		var engines []*engine.Engine
+		for _, endpoint := range system.Standins.Endpoints {
+			if endpoint.Model == "assessment" {
+				engines = append(engines, endpoint.Engine)
+			}
+		}
+		engines[0].Control.Configure(engine.ControlConfig{Takes: 20 * time.Second, CrashOn: 1, DownFor: 15 * time.Second})
+		engines[1].Control.Configure(engine.ControlConfig{Takes: 20 * time.Second, ChecksFencing: true})
+
+		var served atomic.Int64
+		refused := make(chan string, 1000)
+		load := func() {
+			for t.Context().Err() == nil && served.Load() >= 0 {
+				answer := post(t, client, system.URL+"/v1/chat/completions", system.Keys[0].Key,
+					`{"model":"assessment","max_tokens":12,"messages":[{"role":"user","content":"hello"}]}`)
+				if answer.StatusCode == http.StatusOK {
+					served.Add(1)
+				} else {
+					detail, _ := io.ReadAll(answer.Body)
+					refused <- string(detail)
+				}
+				answer.Body.Close()
+				time.Sleep(5 * time.Second)
+			}
+		}
+		for range 3 {
+			go load()
+		}
+		time.Sleep(20 * time.Second)
+
+		var shown struct {
+			Revision  int64               `json:"revision"`
+			Catalogue *catalogue.Document `json:"catalogue"`
+		}
+		require.Equal(t, http.StatusOK, callOperator(t, client, http.MethodGet, system.OperatorURL+"/v1/catalogue", nil, &shown))
+		for i := range shown.Catalogue.Models {
+			if shown.Catalogue.Models[i].Name == "assessment" {
+				shown.Catalogue.Models[i].Version = "2"
+			}
+		}
+		change := map[string]any{"base": shown.Revision, "operator": "test", "catalogue": shown.Catalogue}
+		var accepted struct {
+			InForce bool `json:"in_force"`
+		}
+		require.Equal(t, http.StatusOK, callOperator(t, client, http.MethodPut, system.OperatorURL+"/v1/catalogue", change, &accepted))
+		require.True(t, accepted.InForce)
+		time.Sleep(7 * time.Minute)
+		for i, each := range engines {
+			state := each.Control.State()
+			require.Equal(t, orders.State{Instance: state.Instance, Role: "mixed", Model: "assessment", Version: "2", LastOrder: state.LastOrder}, state, "engine %d", i)
+			require.Empty(t, each.Control.Violations())
+		}
+		if len(refused) > 0 {
+			t.Fatalf("%d requests were refused or cut, the first: %s", len(refused), <-refused)
+		}
+		require.Greater(t, served.Load(), int64(150))
+		served.Store(-1 << 40)
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestWithdrawnKeyStops withdraws a key between two requests on a connection.
+func TestWithdrawnKeyStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, client := startTestSystem(t, "shedline")
+		body := `{"model":"assessment","max_tokens":2,"messages":[{"role":"user","content":"hello"}]}`
+		before := post(t, client, system.URL+"/v1/chat/completions", system.Keys[0].Key, body)
+		before.Body.Close()
+		require.Equal(t, http.StatusOK, before.StatusCode)
+		require.Equal(t, http.StatusOK, callOperator(t, client, http.MethodDelete, system.OperatorURL+"/v1/keys/key-dev-1?operator=test", nil, nil))
+		after := post(t, client, system.URL+"/v1/chat/completions", system.Keys[0].Key, body)
+		after.Body.Close()
+		require.Equal(t, http.StatusUnauthorized, after.StatusCode)
+		require.Equal(t, "not-run", after.Header.Get("Flamingospar-Outcome"))
+		require.Equal(t, http.StatusNotFound, callOperator(t, client, http.MethodDelete, system.OperatorURL+"/v1/keys/key-dev-1?operator=test", nil, nil))
+	})
+}
+
+// TestStoreOutageAloneStopsNothing serves through minutes without the store.
+func TestStoreOutageAloneStopsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		system, client := startTestSystem(t, "trust")
+		faults := system.Standins.Platform.CurrentFaults()
+		faults.Outage = true
+		system.Standins.Platform.SetFaults(faults)
+		for range 4 {
+			time.Sleep(time.Minute)
+			answer := post(t, client, system.URL+"/v1/chat/completions", system.Keys[0].Key,
+				`{"model":"notice","max_tokens":2,"messages":[{"role":"user","content":"hello"}]}`)
+			detail, err := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer.StatusCode, "%s", detail)
+		}
+	})
+}
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -264,7 +264,7 @@
 		Instance:   entry.Settings.Instance,
 		Role:       vms.Entry,
 		DataCentre: entry.Settings.DataCentre,
-		Address:    entry.listeners.Callers.Addr().String(),
+		Address:    entry.listeners.Peers.Addr().String(),
 	}
 }
 
@@ -272,6 +272,7 @@
 	var entries []builtEntry
 	for i := range max(options.Entries, 1) {
 		settings := s.entrySettings(options)
+		settings.Authority.PeerListen = anyPort
 		settings.DataCentre = described.DataCentres[i%len(described.DataCentres)]
 		if i > 0 {
 			settings.Listen = anyPort
