Seal only windows that have batches; let a refused report hold nobody back

Cause: a holder whose clock is hours ahead stepped over empty windows to its own now, and nothing was sealed until the others' clocks came there; a report that the platform refuses for good held back all that came after it; entries with another window length would have numbered windows differently. Found by reading.

Ruled out: comparing clocks with other entries (a partition leaves one alone).

Change: the next window is that of the oldest batch, or the one after the last sealed; refused reports move to rows of their own; the progress row keeps the windows' length and another length seals nothing.

The clock and the length have no test of their own.

--- a/entry/sealing/report.go
+++ b/entry/sealing/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,6 +14,9 @@
 	"flamingospar.org/platform/usagestore"
 )
 
+// refusedAtOnce bounds how many refused reports are tried in one step.
+const refusedAtOnce = 50
+
 // reportDue reports the sealed parts that come after the last acknowledged one.
 func (s *Sealer) reportDue(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -26,13 +31,14 @@
 			return err
 		}
 		if len(parts) == 0 {
-			return s.forget(ctx, progress)
+			return s.afterReports(ctx, progress)
 		}
-		if err := s.reportPart(ctx, parts[0]); err != nil {
+		refused, err := s.reportPart(ctx, parts[0])
+		if err != nil {
 			return err
 		}
 		progress.Reported = parts[0].Key.Row
-		if err := s.putProgress(ctx, progress, version); err != nil {
+		if err := s.putProgress(ctx, progress, version, parts[0].Window, refused); err != nil {
 			return err
 		}
 		s.observeLag(parts[0].Window)
@@ -40,25 +46,54 @@
 	return ctx.Err()
 }
 
-func (s *Sealer) reportPart(ctx context.Context, part usagestore.SealedRow) error {
+// reportPart reports the teams of a part. What the platform refuses for good
+// does not hold the others back: it is returned, to be kept and tried again.
+func (s *Sealer) reportPart(ctx context.Context, part usagestore.SealedRow) ([]usage.TeamTotal, error) {
 	invariant.Check(part.Version == 1, invariant.WindowWrittenOnce, "row %s has version %d", part.Key.Row, part.Version)
-	failures := make(chan error, len(part.Teams))
+	results := make([]error, len(part.Teams))
 	slots := make(chan struct{}, s.config.AtOnce)
 	var sending sync.WaitGroup
-	for _, total := range part.Teams {
+	for i, total := range part.Teams {
 		slots <- struct{}{}
 		sending.Add(1)
 		go func() {
 			defer sending.Done()
 			defer func() { <-slots }()
-			if err := s.reportTeam(ctx, part.Window, total); err != nil {
-				failures <- err
-			}
+			results[i] = s.reportTeam(ctx, part.Window, total)
 		}()
 	}
 	sending.Wait()
-	close(failures)
-	return <-failures
+	var refused []usage.TeamTotal
+	for i, err := range results {
+		switch {
+		case errors.Is(err, usagereport.ErrRefused):
+			log.Error(err, "A report was refused; it is kept and tried again.", "team", part.Teams[i].Team, "window", part.Window)
+			refused = append(refused, part.Teams[i])
+		case err != nil:
+			return nil, err
+		}
+	}
+	return refused, nil
+}
+
+// reportRefused tries the refused reports again.
+func (s *Sealer) reportRefused(ctx context.Context) error {
+	rows, err := usagestore.Refused(ctx, s.tables, refusedAtOnce)
+	if err != nil {
+		return err
+	}
+	s.meter.Gauge(int64(len(rows)), "usage", "reports_refused")
+	for _, row := range rows {
+		for _, total := range row.Teams {
+			if err := s.reportTeam(ctx, row.Window, total); err != nil {
+				return err
+			}
+		}
+		if err := s.remove(ctx, []tables.Write{{Key: row.Key, Delete: true}}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (s *Sealer) reportTeam(ctx context.Context, window usage.Window, total usage.TeamTotal) error {
@@ -82,15 +117,23 @@
 	return err
 }
 
-func (s *Sealer) putProgress(ctx context.Context, progress usagestore.Progress, version int64) error {
+func (s *Sealer) putProgress(ctx context.Context, progress usagestore.Progress, version int64, window usage.Window, refused []usage.TeamTotal) error {
 	condition, write, err := usagestore.PutProgress(progress, version)
 	if err != nil {
 		return err
 	}
-	return s.tables.Commit(ctx, tables.Txn{
+	txn := tables.Txn{
 		Conditions: []tables.Condition{s.lease.Guard(), condition},
 		Writes:     []tables.Write{write},
-	})
+	}
+	for _, total := range refused {
+		value, err := json.Marshal(usagestore.Sealed{Window: window, Teams: []usage.TeamTotal{total}})
+		if err != nil {
+			return err
+		}
+		txn.Writes = append(txn.Writes, tables.Write{Key: usagestore.RefusedKey(window, total.Team), Value: value})
+	}
+	return s.tables.Commit(ctx, txn)
 }
 
 // observeLag records how long after its end a window was reported.
@@ -102,8 +145,9 @@
 	}
 }
 
-// forget deletes reported windows that were kept long enough.
-func (s *Sealer) forget(ctx context.Context, progress usagestore.Progress) error {
+// afterReports does, once a window, what is not urgent: it tries refused
+// reports again and deletes reported windows that were kept long enough.
+func (s *Sealer) afterReports(ctx context.Context, progress usagestore.Progress) error {
 	if progress.Sealed == s.forgotten {
 		return nil
 	}
@@ -122,5 +166,5 @@
 		return err
 	}
 	s.forgotten = progress.Sealed
-	return nil
+	return s.reportRefused(ctx)
 }
--- a/entry/sealing/seal.go
+++ b/entry/sealing/seal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"time"
 
@@ -18,7 +19,11 @@
 	windowsPerStep = 10
 )
 
-// sealDue seals the closed windows, oldest first, some at a time.
+// ErrWindowLength means that the stored windows have another length.
+var ErrWindowLength = errors.New("sealing: the table service holds windows of another length; remedy: set usage_window to the length that all entries had before")
+
+// sealDue seals the closed windows that have batches, oldest first, some at a
+// time.
 func (s *Sealer) sealDue(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, sealTimeout)
 	defer cancel()
@@ -27,26 +32,40 @@
 		if err != nil {
 			return err
 		}
+		if version > 0 && progress.WindowMillis != s.config.Window.Milliseconds() {
+			return ErrWindowLength
+		}
 		now := time.Now()
 		newest := s.newest(now)
 		if !s.settled(now) || (version > 0 && progress.Sealed >= newest) {
 			return nil
 		}
-		window := progress.Sealed + 1
-		if version == 0 {
-			window = newest
+		window, found, err := s.nextWindow(ctx, progress, version)
+		if err != nil || !found || window > newest {
+			return err
 		}
-		if err := s.seal(ctx, window, newest, progress, version); err != nil {
+		if err := s.seal(ctx, window, progress, version); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// nextWindow returns the window to seal: that of the oldest batch, or the one
+// after the last sealed when the oldest batch is late. Windows without batches
+// are stepped over, and never beyond the batches, so that a holder whose clock
+// is ahead seals at most one open window early.
+func (s *Sealer) nextWindow(ctx context.Context, progress usagestore.Progress, version int64) (usage.Window, bool, error) {
+	oldest, found, err := usagestore.Oldest(ctx, s.tables)
+	if version == 0 {
+		return oldest, found, err
+	}
+	return max(oldest, progress.Sealed+1), found, err
+}
+
 // seal adds the window up and writes its figures, what was counted and the
-// progress in one transaction; the batches are deleted only after it. Without
-// any batch up to newest, it steps over the windows between.
-func (s *Sealer) seal(ctx context.Context, window, newest usage.Window, progress usagestore.Progress, version int64) error {
+// progress in one transaction; the batches are deleted only after it.
+func (s *Sealer) seal(ctx context.Context, window usage.Window, progress usagestore.Progress, version int64) error {
 	sources, err := usagestore.ReadSources(ctx, s.tables)
 	if err != nil {
 		return err
@@ -57,12 +76,7 @@
 		return err
 	}
 	progress.Sealed = window
-	if len(summed) == 0 {
-		progress.Sealed, err = s.stepOver(ctx, window, newest)
-		if err != nil {
-			return err
-		}
-	}
+	progress.WindowMillis = s.config.Window.Milliseconds()
 	txn, err := s.sealTxn(tally, sources, window, progress, version)
 	if err != nil {
 		return err
@@ -90,18 +104,6 @@
 	return removal, err
 }
 
-// stepOver returns the last window before the oldest batch, newest at most.
-func (s *Sealer) stepOver(ctx context.Context, window, newest usage.Window) (usage.Window, error) {
-	oldest, found, err := usagestore.Oldest(ctx, s.tables)
-	if err != nil {
-		return window, err
-	}
-	if found && oldest <= newest {
-		return max(window, oldest-1), nil
-	}
-	return max(window, newest), nil
-}
-
 func (s *Sealer) sealTxn(tally *usage.Tally, sources map[string]*usage.Sequences, window usage.Window, progress usagestore.Progress, version int64) (tables.Txn, error) {
 	condition, write, err := usagestore.PutProgress(progress, version)
 	if err != nil {
--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -152,6 +152,27 @@
 	})
 }
 
+// TestRefusedReportHoldsNobodyBack has the platform refuse one team for a time.
+func TestRefusedReportHoldsNobodyBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, 2, 2, odds{})
+		w.refuse = "team-3"
+		serve := func() {
+			for range 24 {
+				w.serveSome(6)
+				time.Sleep(5 * time.Second)
+				w.step(context.Background())
+			}
+		}
+		serve()
+		reported := w.reportedFigures()
+		require.Len(t, reported, w.teams-1)
+		w.refuse = ""
+		serve()
+		requireExact(t, w)
+	})
+}
+
 // TestStateMachine lets rapid choose and shrink the order of faults.
 func TestStateMachine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -61,6 +61,7 @@
 	intruders int
 	reports   *meter.Registry
 	teams     int
+	refuse    string // The team whose reports the platform refuses.
 }
 
 type process struct {
@@ -328,6 +329,9 @@
 		if time.Since(checked) >= idleClose {
 			return errInjected
 		}
+		if report.Team == r.e.world.refuse {
+			return usagereport.ErrRefused
+		}
 		return r.e.world.platform.Report(ctx, report)
 	})
 }
