--- a/agent/status/status.go
+++ b/agent/status/status.go
@@ -36,6 +36,9 @@
 	return s
 }
 
+// SetModel sets the model that the endpoint has loaded.
+func (s *Status) SetModel(model string) { s.model.Store(model) }
+
 // SetLeaving announces that the endpoint takes no new work.
 func (s *Status) SetLeaving() { s.leaving.Store(true) }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -120,6 +120,7 @@
 			v.stale = true
 		}
 	}
+	v.rank()
 }
 
 func (v *View) mergeAgent(vm vms.VM) {
