Measure the residue, close the pause before a report, show roles and spending

Cause: the loss when an agent and its entries die together was argued and not measured; the pause between the last check and the bytes leaving was closed by reasoning alone; the stand-in kept silent connections for 90 s, longer than usage.idle_close says; status showed neither roles nor spending.

--- a/entry/observe/status.go
+++ b/entry/observe/status.go
@@ -18,6 +18,7 @@
 	Entries     []EntryStatus      `json:"entries"`
 	DataCentres []DataCentreStatus `json:"data_centres"`
 	Endpoints   []EndpointStatus   `json:"endpoints"`
+	Spending    Spending           `json:"spending"`
 	Teams       []TeamStatus       `json:"teams"`
 	Revisions   []RevisionCount    `json:"revisions"`
 	Counters    []Counter          `json:"counters"` // Refusals, retries and failures, over all entries.
@@ -46,6 +47,7 @@
 	Name        string `json:"name"`
 	Kind        string `json:"kind"`
 	Model       string `json:"model,omitempty"`
+	Role        string `json:"role,omitempty"`
 	Ready       int    `json:"ready"`
 	Endpoints   int    `json:"endpoints"`
 	Outstanding int    `json:"outstanding"` // Sent by this entry.
@@ -58,6 +60,7 @@
 	DataCentre  string `json:"data_centre"`
 	Kind        string `json:"kind"`
 	Model       string `json:"model,omitempty"`
+	Role        string `json:"role,omitempty"`
 	Ready       bool   `json:"ready"`
 	Leaving     bool   `json:"leaving"`
 	Outstanding int    `json:"outstanding"`
@@ -74,6 +77,15 @@
 	Share        float64 `json:"share"`  // Part of all weights.
 }
 
+// Spending compares the endpoints that are paid for with the service they gave.
+type Spending struct {
+	Endpoints int `json:"endpoints"`
+	Idle      int `json:"idle"` // Ready, with nothing outstanding or queued.
+	NotReady  int `json:"not_ready"`
+	// TokensPerEngineMinute is over the windows that entries remember.
+	TokensPerEngineMinute float64 `json:"tokens_per_engine_minute"`
+}
+
 // RevisionCount is how many entries hold a revision.
 type RevisionCount struct {
 	Revision int64 `json:"revision"`
@@ -107,6 +119,7 @@
 	}
 	status.addAgents(s.Fleet.Observed())
 	status.addTeams(replies, s.weights())
+	status.addSpending(replies, s.Identity.Window)
 	status.addCounters(replies)
 	return status
 }
@@ -158,7 +171,7 @@
 }
 
 func (st *Status) addAgents(agents []fleet.Observed) {
-	type groupKey struct{ dataCentre, kind, model string }
+	type groupKey struct{ dataCentre, kind, model, role string }
 	groups := make(map[groupKey]*DataCentreStatus)
 	for _, agent := range agents {
 		st.Endpoints = append(st.Endpoints, EndpointStatus{
@@ -166,14 +179,15 @@
 			DataCentre:  agent.DataCentre,
 			Kind:        agent.Kind,
 			Model:       agent.Model,
+			Role:        string(agent.Role),
 			Ready:       agent.Ready,
 			Leaving:     agent.Leaving,
 			Outstanding: agent.Outstanding,
 			Queued:      agent.Queued,
 		})
-		key := groupKey{agent.DataCentre, agent.Kind, agent.Model}
+		key := groupKey{agent.DataCentre, agent.Kind, agent.Model, string(agent.Role)}
 		if groups[key] == nil {
-			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model}
+			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model, Role: string(agent.Role)}
 		}
 		group := groups[key]
 		group.Endpoints++
@@ -195,7 +209,7 @@
 	sort.Slice(st.Endpoints, func(i, j int) bool { return st.Endpoints[i].ID < st.Endpoints[j].ID })
 	sort.Slice(st.DataCentres, func(i, j int) bool {
 		a, b := st.DataCentres[i], st.DataCentres[j]
-		return a.Name+a.Kind+a.Model < b.Name+b.Kind+b.Model
+		return a.Name+a.Kind+a.Model+a.Role < b.Name+b.Kind+b.Model+b.Role
 	})
 }
 
--- a/flamingospar/ask/print.go
+++ b/flamingospar/ask/print.go
@@ -50,10 +50,12 @@
 	out := tabwriter.NewWriter(stdout, 0, 0, 2, ' ', 0)
 	defer out.Flush()
 	fmt.Fprintf(out, "As seen by entry %s at %s\n\n", status.AskedEntry, status.At.Format(time.TimeOnly))
-	fmt.Fprintln(out, "DATA CENTRE\tKIND\tMODEL\tREADY\tOUTSTANDING\tQUEUED")
+	fmt.Fprintln(out, "DATA CENTRE\tKIND\tMODEL\tROLE\tREADY\tOUTSTANDING\tQUEUED")
 	for _, group := range status.DataCentres {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%d/%d\t%d\t%d\n", group.Name, group.Kind, group.Model, group.Ready, group.Endpoints, group.Outstanding, group.Queued)
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d\n", group.Name, group.Kind, group.Model, group.Role, group.Ready, group.Endpoints, group.Outstanding, group.Queued)
 	}
+	fmt.Fprintf(out, "\n%d endpoints are paid for: %d idle, %d not ready; %.0f tokens an engine and minute with traffic\n",
+		status.Spending.Endpoints, status.Spending.Idle, status.Spending.NotReady, status.Spending.TokensPerEngineMinute)
 	fmt.Fprintln(out, "\nENTRY\tDATA CENTRE\tREADY\tREVISION\tMEMORY\tLEASES")
 	for _, entry := range status.Entries {
 		fmt.Fprintf(out, "%s\t%s\t%t\t%d\t%d MB\t%s\n", entry.Instance, entry.DataCentre, entry.Ready, entry.Revision, entry.HeapBytes>>20, leasesOf(entry))
--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -124,7 +124,7 @@
 	for range n {
 		a := w.agents[w.random.IntN(len(w.agents))]
 		e := w.entries[w.random.IntN(len(w.entries))]
-		w.serve(a, e, !w.chance(0.02))
+		w.serve(a, e, w.odds == (odds{}) || !w.chance(0.02))
 	}
 }
 
--- a/standin/fleet/start.go
+++ b/standin/fleet/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"flamingospar.org/base/netx"
 	"flamingospar.org/standin/engine"
@@ -12,6 +13,12 @@
 	"flamingospar.org/standin/platform"
 )
 
+// After how long of silence the stand-ins close a connection.
+const (
+	platformIdle = 5 * time.Second
+	endpointIdle = 90 * time.Second
+)
+
 // Started is a running fleet of stand-ins.
 type Started struct {
 	Platform    *platform.Platform
@@ -37,7 +44,7 @@
 // Start runs the platform and all endpoints until ctx ends.
 func Start(ctx context.Context, network netx.Network, f Fleet, addresses Addresses) (*Started, error) {
 	started := &Started{Platform: platform.New()}
-	url, err := serve(ctx, network, addresses.Platform, started.Platform.Handler())
+	url, err := serve(ctx, network, addresses.Platform, started.Platform.Handler(), platformIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -63,17 +70,18 @@
 		started.Service = plain.New(endpoint.Kind)
 		handler = started.Service
 	}
-	url, err := serve(ctx, network, address, handler)
+	url, err := serve(ctx, network, address, handler, endpointIdle)
 	started.URL = url
 	return started, err
 }
 
-func serve(ctx context.Context, network netx.Network, address string, handler http.Handler) (string, error) {
+func serve(ctx context.Context, network netx.Network, address string, handler http.Handler, idle time.Duration) (string, error) {
 	listener, err := network.Listen(address)
 	if err != nil {
 		return "", fmt.Errorf("stand-in at %s: %w; remedy: free the port or choose another", address, err)
 	}
 	server := netx.Server(handler)
+	server.IdleTimeout = idle
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return "http://" + listener.Addr().String(), nil
