Measure an agent's base; name the role of engines that never changed it

Cause: the page had no figure for an agent process itself; status left the role of mixed engines empty.

--- a/entry/observe/status.go
+++ b/entry/observe/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"flamingospar.org/core/route"
 	"flamingospar.org/entry/fleet"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
@@ -170,6 +171,14 @@
 	}
 }
 
+// roleOf returns an engine's role; one that was never changed is mixed.
+func roleOf(agent fleet.Observed) string {
+	if agent.Kind == modelKind && agent.Role == "" {
+		return string(route.Mixed)
+	}
+	return string(agent.Role)
+}
+
 func (st *Status) addAgents(agents []fleet.Observed) {
 	type groupKey struct{ dataCentre, kind, model, role string }
 	groups := make(map[groupKey]*DataCentreStatus)
@@ -179,15 +188,15 @@
 			DataCentre:  agent.DataCentre,
 			Kind:        agent.Kind,
 			Model:       agent.Model,
-			Role:        string(agent.Role),
+			Role:        roleOf(agent),
 			Ready:       agent.Ready,
 			Leaving:     agent.Leaving,
 			Outstanding: agent.Outstanding,
 			Queued:      agent.Queued,
 		})
-		key := groupKey{agent.DataCentre, agent.Kind, agent.Model, string(agent.Role)}
+		key := groupKey{agent.DataCentre, agent.Kind, agent.Model, roleOf(agent)}
 		if groups[key] == nil {
-			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model, Role: string(agent.Role)}
+			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model, Role: roleOf(agent)}
 		}
 		group := groups[key]
 		group.Endpoints++
--- a/flamingospar/capacity/figures.go
+++ b/flamingospar/capacity/figures.go
@@ -128,6 +128,7 @@
 func agentFigures(s Slopes) []Figure {
 	calls := float64(pollersOfAgent) + float64(targetEntries)/introduceSeconds
 	memory := []Figure{
+		{"agent", "state", "the process itself", megabytes(s["agent_base_heap"]), 0, unitMB},
 		{"agent", "state", "journal", megabytes(agentJournalEvents * s["journal_event_heap"]), 0, unitMB},
 		{"agent", "state", "records held for 45 s", megabytes(requestsAnAgent * holdSeconds * s["held_record_heap"]), 0, unitMB},
 		{"agent", "state", "records held through an outage of an hour", megabytes(requestsAnAgent * outageSeconds * s["held_record_heap"]), 0, unitMB},
--- a/flamingospar/capacity/state.go
+++ b/flamingospar/capacity/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	agentaccount "flamingospar.org/agent/account"
+	agentwiring "flamingospar.org/agent/wiring"
 	"flamingospar.org/base/journal"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/core/catalogue"
@@ -45,6 +46,7 @@
 		{"route_choice", Microseconds, "a choice among the 463 endpoints of a data centre", choiceTime},
 		{"entry_base_heap", Bytes, "an entry process before any state", entryBase},
 		{"fleet_agent_heap", Bytes, "an agent in the list, at an entry", fleetHeap},
+		{"agent_base_heap", Bytes, "an agent process before any state", agentBase},
 		{"journal_event_heap", Bytes, "an event of a full journal", func() (float64, error) {
 			return heapOf(sampleRecords, func(n int) any { return fullJournal(n) }), nil
 		}},
@@ -215,3 +217,18 @@
 		return view
 	}), nil
 }
+
+func agentBase() (float64, error) {
+	var failed error
+	bytes := heapOf(1, func(int) any {
+		settings, err := agentSettings("127.0.0.1:1", "127.0.0.1:1")
+		if err != nil {
+			failed = err
+			return nil
+		}
+		agent, err := agentwiring.Build(settings, netx.TCP{})
+		failed = err
+		return agent
+	})
+	return bytes, failed
+}
--- a/flamingospar/capacity/wire.go
+++ b/flamingospar/capacity/wire.go
@@ -90,8 +90,8 @@
 	})
 }
 
-func startAgent(ctx context.Context, service, store string) (string, error) {
-	settings, err := agentsettings.Settings{
+func agentSettings(service, store string) (agentsettings.Settings, error) {
+	return agentsettings.Settings{
 		DataCentre:   "a",
 		Listen:       "127.0.0.1:0",
 		Endpoint:     "status-1",
@@ -101,6 +101,10 @@
 		Running:      agentsettings.DefaultRunning,
 		Waiting:      agentsettings.DefaultWaiting,
 	}.Checked()
+}
+
+func startAgent(ctx context.Context, service, store string) (string, error) {
+	settings, err := agentSettings(service, store)
 	if err != nil {
 		return "", err
 	}
