Write only what can change of a known VM

Cause: race of the whole system under -race (TestVersionChangeCutsNothing): the fleet view overwrote an agent's VM under its lock while the service book read the instance without it.

Ruled out: a lock around the read (the two locks would nest in both orders).

Change: only Leaving is written; instance, address and data centre never change for an instance, and the client was bound to the first address anyway.

--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -125,7 +125,7 @@
 
 func (v *View) mergeAgent(vm vms.VM) {
 	if agent, known := v.agents[vm.Instance]; known {
-		agent.vm = vm
+		agent.vm.Leaving = vm.Leaving // All else is fixed for an instance.
 		return
 	}
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
