Kill processes inside a call as well

Cause: the runs killed processes between steps only.

Change: with three in a thousand calls the process dies before or after the call's effect and is replaced after the step.

--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -75,7 +75,7 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.08})
+				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.08, die: 0.003})
 				for range steps {
 					w.randomStep()
 				}
@@ -190,6 +190,7 @@
 				"cutAgent":    func(t *rapid.T) { w.agents[index.Draw(t, "agent")].cut = rapid.Bool().Draw(t, "cut") },
 				"outage":      func(t *rapid.T) { w.outage = rapid.Bool().Draw(t, "outage") },
 				"loseAnswers": func(t *rapid.T) { w.odds.loseAnswer = rapid.Float64Range(0, 0.5).Draw(t, "odds") },
+				"deaths":      func(t *rapid.T) { w.odds.die = rapid.Float64Range(0, 0.02).Draw(t, "odds") },
 				"pauses":      func(t *rapid.T) { w.odds.pause = rapid.Float64Range(0, 0.1).Draw(t, "odds") },
 			})
 			requireExact(t, w)
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -35,7 +35,7 @@
 var errInjected = errors.New("injected fault")
 
 // odds are the chances of a fault at each call of the platform.
-type odds struct{ loseAnswer, loseCall, pause, slowReport float64 }
+type odds struct{ loseAnswer, loseCall, pause, slowReport, die float64 }
 
 // run is one run as it truly happened.
 type run struct {
@@ -68,6 +68,7 @@
 	world *world
 	id    string
 	cut   bool // Partitioned from the platform.
+	dead  bool // Killed inside a call; replaced after the step.
 	busy  bool // Paused inside a call.
 }
 
@@ -212,6 +213,21 @@
 			a.writer.Step(ctx, time.Now())
 		}
 	}
+	w.bury()
+}
+
+// bury replaces the processes that were killed inside a call.
+func (w *world) bury() {
+	for i, e := range w.entries {
+		if e.dead && !e.busy {
+			w.killEntry(i)
+		}
+	}
+	for i, a := range w.agents {
+		if a.dead && !a.busy {
+			w.killAgent(i)
+		}
+	}
 }
 
 func (e *entry) step(ctx context.Context) {
@@ -233,12 +249,16 @@
 // call passes one call to the platform with the faults in force.
 func (p *process) call(ctx context.Context, effect func() error) error {
 	w := p.world
+	if p.dead {
+		return errInjected
+	}
 	p.maybePause(ctx)
-	if w.chance(w.odds.loseCall) {
+	p.dead = w.chance(w.odds.die)
+	if p.dead && w.chance(0.5) || w.chance(w.odds.loseCall) {
 		return errors.Join(tables.ErrUnavailable, errInjected)
 	}
 	err := effect()
-	if w.chance(w.odds.loseAnswer) {
+	if p.dead || w.chance(w.odds.loseAnswer) {
 		return errors.Join(tables.ErrUnavailable, errInjected)
 	}
 	p.maybePause(ctx)
