Seal the windows of an outage in one step

Cause: ten windows a step made an hour of one-minute windows take six steps; the aim is that all are reported within one window after the outage.

--- a/entry/sealing/seal.go
+++ b/entry/sealing/seal.go
@@ -16,7 +16,7 @@
 const (
 	teamsPerPart   = 200
 	deletesAtOnce  = 200
-	windowsPerStep = 10
+	windowsPerStep = 60
 )
 
 // ErrWindowLength means that the stored windows have another length.
--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -145,6 +145,9 @@
 			minute()
 		}
 		w.outage = false
+		seconds := w.secondsUntilReported(t)
+		t.Logf("all windows of the outage were reported %d s after it", seconds)
+		require.LessOrEqual(t, seconds, 60, "a window of the default length")
 		minute()
 		res := requireExact(t, w)
 		require.Zero(t, res.residue)
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -442,3 +442,21 @@
 	}
 	require.Equal(t, ended, sealed)
 }
+
+// secondsUntilReported steps each second until every run that has ended by now
+// is sealed and reported.
+func (w *world) secondsUntilReported(t require.TestingT) int {
+	last := usage.WindowAt(time.Now(), window)
+	for seconds := 1; ; seconds++ {
+		require.Less(t, seconds, 3600)
+		time.Sleep(time.Second)
+		w.step(context.Background())
+		progress, _, err := usagestore.ReadProgress(context.Background(), w.platform.Tables)
+		require.NoError(t, err)
+		parts, err := usagestore.SealedAfter(context.Background(), w.platform.Tables, progress.Reported, 1)
+		require.NoError(t, err)
+		if progress.Sealed >= last && len(parts) == 0 {
+			return seconds
+		}
+	}
+}
