Type the ends of runs: proof of not run, resume, crash marks

Cause: a failed dial was told as unknown (the stream's first Send returns io.EOF), any transport error of code Unavailable was taken as proof that nothing ran, a duplicate run id was told as not run although its first copy may have run, and a caller that left marked its agent as failed. Ruled out: reading the code of connect's errors; it does not tell a failed dial from a connection that broke after the request. Change: a guard on the run's body decides whether its bytes may leave; retries follow core/retry; an answer cut short is resumed elsewhere; crash marks spread through the agents; a leaving agent hands its queue over and listens on.

--- a/agent/execute/model.go
+++ b/agent/execute/model.go
@@ -8,7 +8,6 @@
 	"io"
 
 	"flamingospar.org/agent/pipeline"
-	"flamingospar.org/core/refusal"
 	"flamingospar.org/platform/engine"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
@@ -16,13 +15,18 @@
 // Model executes generations.
 type Model struct {
 	engine engine.Engine
+	ends   ends
 }
 
 // NewModel returns the executor of an engine.
-func NewModel(e engine.Engine) *Model { return &Model{engine: e} }
+func NewModel(e engine.Engine, crashes *Crashes, limits Limits) *Model {
+	return &Model{engine: e, ends: ends{crashes: crashes, limits: limits}}
+}
 
 // Execute implements pipeline.Executor.
-func (m *Model) Execute(ctx context.Context, run *pipeline.Run) *wirev1.Finished {
+func (m *Model) Execute(parent context.Context, run *pipeline.Run) *wirev1.Finished {
+	ctx := watch(parent, m.ends.limits.First)
+	defer ctx.end()
 	start := run.Start
 	stream, err := m.engine.Generate(ctx, engine.Generation{
 		RunID:        start.RunId,
@@ -30,44 +34,52 @@
 		Body:         start.Body,
 		Priority:     start.Priority,
 		ResumeTokens: start.ResumeTokens,
+		ResumeText:   start.ResumeText,
 	})
 	if err != nil {
-		return failedBeforeAnswer(err)
+		return m.ends.beforeAnswer(ctx, run, err)
 	}
 	defer stream.Close()
 	run.Began = true
-	return relay(run, stream)
+	return m.relay(ctx, run, stream)
 }
 
-func relay(run *pipeline.Run, stream engine.Stream) *wirev1.Finished {
-	finished := &wirev1.Finished{Outcome: wirev1.Outcome_OUTCOME_RAN}
-	offset := int64(0)
+func (m *Model) relay(ctx *watched, run *pipeline.Run, stream engine.Stream) *wirev1.Finished {
+	finishReason := ""
+	offset := run.Start.ResumeOffset
 	for {
 		delta, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
-			finished.Usage = run.Usage
+			finished := m.ends.ran(run)
+			finished.FinishReason = finishReason
 			return finished
 		}
 		if err != nil {
-			return unknown(refusal.EndpointFailed, err)
+			return m.ends.broken(ctx, run, err)
 		}
 		if delta.Usage != nil {
 			run.Usage = wireUsage(delta.Usage)
 		}
 		if delta.FinishReason != "" {
-			finished.FinishReason = delta.FinishReason
-		}
-		if delta.Text == "" {
-			continue
+			finishReason = delta.FinishReason
 		}
-		chunk := &wirev1.Chunk{Offset: offset, Data: []byte(delta.Text), Tokens: delta.Tokens}
-		offset += int64(len(chunk.Data))
-		if err := run.Send(&wirev1.RunEvent{Message: &wirev1.RunEvent_Chunk{Chunk: chunk}}); err != nil {
-			return unknown(refusal.EndpointFailed, err)
+		ctx.pause()
+		if err := sendDelta(run, delta, &offset); err != nil {
+			return m.ends.broken(ctx, run, err)
 		}
+		ctx.resume(m.ends.limits.Next)
 	}
 }
 
+func sendDelta(run *pipeline.Run, delta engine.Delta, offset *int64) error {
+	if delta.Text == "" {
+		return nil
+	}
+	chunk := &wirev1.Chunk{Offset: *offset, Data: []byte(delta.Text), Tokens: delta.Tokens}
+	*offset += int64(len(chunk.Data))
+	return run.Send(&wirev1.RunEvent{Message: &wirev1.RunEvent_Chunk{Chunk: chunk}})
+}
+
 func wireUsage(usage *engine.Usage) *wirev1.Usage {
 	return &wirev1.Usage{
 		PromptTokens: usage.PromptTokens,
@@ -75,26 +87,3 @@
 		OutputTokens: usage.OutputTokens,
 	}
 }
-
-func failedBeforeAnswer(err error) *wirev1.Finished {
-	if errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrRefused) {
-		return notRun(err)
-	}
-	return unknown(refusal.EndpointFailed, err)
-}
-
-func notRun(err error) *wirev1.Finished {
-	return &wirev1.Finished{
-		Outcome: wirev1.Outcome_OUTCOME_NOT_RUN,
-		Code:    string(refusal.NoEndpoint),
-		Detail:  err.Error(),
-	}
-}
-
-func unknown(code refusal.Code, err error) *wirev1.Finished {
-	return &wirev1.Finished{
-		Outcome: wirev1.Outcome_OUTCOME_UNKNOWN,
-		Code:    string(code),
-		Detail:  err.Error(),
-	}
-}
--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"flamingospar.org/base/invariant"
 	"flamingospar.org/core/refusal"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
@@ -22,8 +24,24 @@
 	Began bool
 	// Usage is what the endpoint reported, set by the executor.
 	Usage *wirev1.Usage
+
+	state atomic.Int32
 }
 
+// States of a run: it leaves the queue for the endpoint, or is withdrawn.
+const (
+	stateQueued int32 = iota
+	stateLeftQueue
+	stateWithdrawn
+)
+
+// Withdraw takes a run back that has not left the queue and reports whether it
+// did. The run's context is then to be cancelled.
+func (r *Run) Withdraw() bool { return r.state.CompareAndSwap(stateQueued, stateWithdrawn) }
+
+// leaveQueue reports whether the run may go on to the endpoint.
+func (r *Run) leaveQueue() bool { return r.state.CompareAndSwap(stateQueued, stateLeftQueue) }
+
 // Filter is one step before the endpoint.
 type Filter interface {
 	// Name appears in counters and explanations.
@@ -60,18 +78,36 @@
 func (c *Chain) Handle(ctx context.Context, run *Run) (*wirev1.Finished, *refusal.Refusal) {
 	for i, filter := range c.filters {
 		if refused := filter.Admit(ctx, run); refused != nil {
+			refused = run.reasonOf(refused)
 			c.counter.Count("refused", string(refused.Code))
 			c.done(run, i)
 			return nil, refused
 		}
 		c.counter.Count("filter", filter.Name())
 	}
+	if !run.leaveQueue() {
+		refused := run.reasonOf(nil)
+		c.counter.Count("refused", string(refused.Code))
+		c.done(run, len(c.filters))
+		return nil, refused
+	}
 	finished := c.executor.Execute(ctx, run)
+	proven := finished.Outcome != wirev1.Outcome_OUTCOME_NOT_RUN || !run.Began
+	invariant.Check(proven, invariant.NotRunMeansNotRun, "run %s began and ended as not run", run.Start.RunId)
 	c.counter.Count("finished", finished.Outcome.String())
 	c.done(run, len(c.filters))
 	return finished, nil
 }
 
+// reasonOf returns why a run was refused: a withdrawn one for its withdrawal,
+// whatever the filter that gave it up says.
+func (r *Run) reasonOf(refused *refusal.Refusal) *refusal.Refusal {
+	if r.state.Load() != stateWithdrawn {
+		return refused
+	}
+	return refusal.New(refusal.Draining, "run %s was queued at an endpoint that is leaving", r.Start.RunId)
+}
+
 func (c *Chain) done(run *Run, admitted int) {
 	for i := admitted - 1; i >= 0; i-- {
 		c.filters[i].Done(run)
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,12 +27,12 @@
 type Server struct {
 	chain  *pipeline.Chain
 	status *status.Status
-	active sync.WaitGroup
+	runs   *runs
 }
 
 // New returns the server of a chain.
 func New(chain *pipeline.Chain, s *status.Status) *Server {
-	return &Server{chain: chain, status: s}
+	return &Server{chain: chain, status: s, runs: newRuns()}
 }
 
 // Handler returns the path prefix and handler to mount.
@@ -41,8 +40,12 @@
 	return wirev1connect.NewAgentServiceHandler(s)
 }
 
+// HandOver refuses the runs that wait, with proof that they did not begin, and
+// returns their number. It is called after the status says leaving.
+func (s *Server) HandOver() int { return s.runs.handOver() }
+
 // Wait returns when no run is active.
-func (s *Server) Wait() { s.active.Wait() }
+func (s *Server) Wait() { s.runs.wait() }
 
 // Status implements the service.
 func (s *Server) Status(context.Context, *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
@@ -53,8 +56,6 @@
 
 // Run implements the service.
 func (s *Server) Run(ctx context.Context, stream *runStream) error {
-	s.active.Add(1)
-	defer s.active.Done()
 	first, err := stream.Receive()
 	if err != nil {
 		return err
@@ -64,17 +65,37 @@
 		return connect.NewError(connect.CodeInvalidArgument, errNoStart)
 	}
 	deadline := time.UnixMilli(start.DeadlineUnixMillis)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	sender := &sender{stream: stream, status: s.status}
 	interval := heartbeatInterval(start)
 	go watchHeartbeats(ctx, cancel, stream, interval)
 	go sender.heartbeats(ctx, interval)
 	run := &pipeline.Run{Start: start, Arrived: time.Now(), Deadline: deadline, Send: sender.send}
+	s.runs.add(run, cancel)
+	defer s.runs.remove(run)
+	if refused := s.refuse(start); refused != nil {
+		return sender.last(nil, refused)
+	}
 	finished, refused := s.chain.Handle(ctx, run)
 	return sender.last(finished, refused)
 }
 
+// refuse returns why a run is not taken at all. A run for another process of
+// this agent may be a late copy that the other one has run: this process would
+// not know its id.
+func (s *Server) refuse(start *wirev1.RunStart) *refusal.Refusal {
+	if own := s.status.Instance(); start.AgentInstance != "" && start.AgentInstance != own {
+		return refusal.New(refusal.RunOtherInstance, "run %s is meant for process %s of the agent, this is %s", start.RunId, start.AgentInstance, own)
+	}
+	if s.status.Leaving() {
+		return refusal.New(refusal.Draining, "the endpoint is leaving")
+	}
+	return nil
+}
+
 func heartbeatInterval(start *wirev1.RunStart) time.Duration {
 	if start.HeartbeatMillis <= 0 {
 		return defaultHeartbeat
@@ -82,65 +103,19 @@
 	return time.Duration(start.HeartbeatMillis) * time.Millisecond
 }
 
-// watchHeartbeats cancels the run when the entry falls silent or closes.
-func watchHeartbeats(ctx context.Context, cancel context.CancelFunc, stream *runStream, interval time.Duration) {
-	silent := time.AfterFunc(missedHeartbeats*interval, cancel)
+// watchHeartbeats cancels the run when the entry says so, falls silent or closes.
+func watchHeartbeats(ctx context.Context, cancel context.CancelCauseFunc, stream *runStream, interval time.Duration) {
+	silent := time.AfterFunc(missedHeartbeats*interval, func() { cancel(errSilent) })
 	defer silent.Stop()
 	for ctx.Err() == nil {
-		if _, err := stream.Receive(); err != nil {
-			cancel()
+		call, err := stream.Receive()
+		if err != nil {
+			cancel(errGone)
 			return
 		}
-		silent.Reset(missedHeartbeats * interval)
-	}
-}
-
-// sender serialises the events of one stream.
-type sender struct {
-	mu     sync.Mutex
-	stream *runStream
-	status *status.Status
-	closed bool
-}
-
-func (s *sender) send(event *wirev1.RunEvent) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return errClosed
-	}
-	return s.stream.Send(event)
-}
-
-func (s *sender) heartbeats(ctx context.Context, interval time.Duration) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			event := &wirev1.RunEvent{Message: &wirev1.RunEvent_Heartbeat{Heartbeat: new(wirev1.Heartbeat)}, Load: s.status.Load()}
-			if s.send(event) != nil {
-				return
-			}
+		if call.GetCancel() != nil {
+			cancel(errCancelled)
 		}
+		silent.Reset(missedHeartbeats * interval)
 	}
 }
-
-func (s *sender) last(finished *wirev1.Finished, refused *refusal.Refusal) error {
-	event := &wirev1.RunEvent{Load: s.status.Load()}
-	if refused != nil {
-		event.Message = &wirev1.RunEvent_Refused{Refused: &wirev1.Refused{
-			Code:             string(refused.Code),
-			Detail:           refused.Detail,
-			RetryAfterMillis: refused.RetryAfter.Milliseconds(),
-		}}
-	} else {
-		event.Message = &wirev1.RunEvent_Finished{Finished: finished}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	return s.stream.Send(event)
-}
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/uuid"
 	"github.com/pelletier/go-toml/v2"
+
+	"flamingospar.org/core/catalogue"
 )
 
 // Settings configures one agent process.
@@ -20,6 +22,10 @@
 	PlatformURL  string `toml:"platform_url"`
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
+	// AnnounceTime is how long a leaving agent still listens, for the entries
+	// to learn that it is leaving.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	Silence      Silence            `toml:"silence"`
 }
 
 // Default sizes of the queue.
@@ -42,7 +48,7 @@
 
 // Parse reads strict TOML, fills defaults and checks the result.
 func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting}
+	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting}.withRunDefaults()
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&settings); err != nil {
@@ -56,6 +62,7 @@
 	if s.Instance == "" {
 		s.Instance = uuid.NewString()
 	}
+	s = s.withRunDefaults()
 	required := []struct{ key, value string }{
 		{"data_centre", s.DataCentre},
 		{"listen", s.Listen},
@@ -71,5 +78,5 @@
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
 	}
-	return s, nil
+	return s, s.checkRuns()
 }
--- a/agent/status/status.go
+++ b/agent/status/status.go
@@ -42,6 +42,9 @@
 // Leaving reports whether the endpoint takes no new work.
 func (s *Status) Leaving() bool { return s.leaving.Load() }
 
+// Instance returns the id of this agent process.
+func (s *Status) Instance() string { return s.identity.Instance }
+
 // Load returns the load to piggyback on answers.
 func (s *Status) Load() *wirev1.Load {
 	running, waiting := s.queue.Counts()
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/dig"
 
+	"flamingospar.org/agent/crashmarks"
 	"flamingospar.org/agent/execute"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
@@ -21,13 +22,18 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/platform/engine"
 	"flamingospar.org/platform/plain"
+	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
 
 // modelKind is the endpoint kind of engines.
 const modelKind = "model"
 
-// loadTimeout bounds the first look at the engine.
-const loadTimeout = 5 * time.Second
+const (
+	// loadTimeout bounds the first look at the engine.
+	loadTimeout = 5 * time.Second
+	// shutdownTimeout bounds the closing of connections without runs.
+	shutdownTimeout = 5 * time.Second
+)
 
 var log = logging.For("agent")
 
@@ -38,6 +44,7 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	marks    *crashmarks.Filter
 }
 
 // Build wires an agent.
@@ -49,6 +56,7 @@
 		meter.NewRegistry,
 		ledger.New,
 		newQueue,
+		crashmarks.New,
 		newExecutor,
 		newStatus,
 		newChain,
@@ -69,12 +77,14 @@
 	return queue.New(s.Running, s.Waiting)
 }
 
-func newExecutor(s settings.Settings, network netx.Network) pipeline.Executor {
+func newExecutor(s settings.Settings, network netx.Network, marks *crashmarks.Filter) pipeline.Executor {
 	client := netx.HTTP1Client(network)
+	crashes := execute.NewCrashes(network, s.EndpointURL, s.Instance, marks)
+	limits := execute.Limits{First: time.Duration(s.Silence.First), Next: time.Duration(s.Silence.Next)}
 	if s.EndpointKind == modelKind {
-		return execute.NewModel(engine.NewClient(s.EndpointURL, client))
+		return execute.NewModel(engine.NewClient(s.EndpointURL, client), crashes, limits)
 	}
-	return execute.NewService(plain.NewClient(s.EndpointURL, client))
+	return execute.NewService(plain.NewClient(s.EndpointURL, client, netx.FreshClient(network)), crashes, limits)
 }
 
 func newStatus(s settings.Settings, network netx.Network, q *queue.Queue) *status.Status {
@@ -96,12 +106,12 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, q)
+func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue) *pipeline.Chain {
+	return pipeline.New(registry, executor, l, marks, q)
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, marks *crashmarks.Filter) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, marks: marks}
 }
 
 // Meter returns the agent's metrics.
@@ -110,10 +120,13 @@
 // Listen opens the agent's address.
 func (a *Agent) Listen() (net.Listener, error) { return a.network.Listen(a.settings.Listen) }
 
-// Serve accepts runs on listener until ctx ends, then finishes what is running.
+// Serve accepts runs on listener until ctx ends, then leaves: it says so, hands
+// its queue over, finishes what is running and listens on until the entries
+// have had time to learn that it is leaving.
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
+	mux.Handle(wirev1connect.NewCrashMarkServiceHandler(a.marks))
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
@@ -124,7 +137,25 @@
 		return err
 	case <-ctx.Done():
 	}
+	a.leave()
+	return a.shutdown(httpServer)
+}
+
+func (a *Agent) leave() {
 	a.status.SetLeaving()
+	known := time.NewTimer(time.Duration(a.settings.AnnounceTime))
+	defer known.Stop()
+	log.Info("The agent leaves.", "endpoint", a.settings.Endpoint, "handed_over", a.server.HandOver())
+	a.server.Wait()
+	<-known.C
 	a.server.Wait()
-	return httpServer.Close()
+}
+
+func (a *Agent) shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return server.Close()
+	}
+	return nil
 }
--- a/base/netx/netx.go
+++ b/base/netx/netx.go
@@ -23,6 +23,8 @@
 	readHeaderTimeout   = 5 * time.Second
 	serverIdleTimeout   = 90 * time.Second
 	http2WriteByteLimit = 5 * time.Second
+	// http2StreamBuffer bounds what one slow receiver holds, in bytes.
+	http2StreamBuffer = 256 << 10
 )
 
 // Network opens and accepts stream connections.
@@ -67,6 +69,13 @@
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
+// FreshClient returns a client for HTTP/1.1 peers that opens a connection for
+// each call, so that its transport never sends a call twice.
+func FreshClient(network Network) *http.Client {
+	transport := &http.Transport{DialContext: network.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+}
+
 // HTTP2Client returns a client for our own processes, which speak HTTP/2 with
 // prior knowledge. A connection that answers no ping is closed.
 func HTTP2Client(network Network) *http.Client {
@@ -77,9 +86,10 @@
 		Protocols:          protocols,
 		DisableCompression: true,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  http2PingIdle,
-			PingTimeout:      http2PingTimeout,
-			WriteByteTimeout: http2WriteByteLimit,
+			SendPingTimeout:           http2PingIdle,
+			PingTimeout:               http2PingTimeout,
+			WriteByteTimeout:          http2WriteByteLimit,
+			MaxReceiveBufferPerStream: http2StreamBuffer,
 		},
 	}
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
--- a/core/refusal/reasons.go
+++ b/core/refusal/reasons.go
@@ -4,7 +4,7 @@
 
 // Reasons describes each code. docs/REASONS.md lists the same codes. Each area
 // keeps its codes in a file of its own.
-var Reasons = merged(requestReasons)
+var Reasons = merged(requestReasons, runReasons)
 
 func merged(areas ...map[Code]Reason) map[Code]Reason {
 	all := make(map[Code]Reason)
--- /dev/null
+++ b/entry/dispatch/result.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"time"
+
+	"flamingospar.org/core/refusal"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+// Result is the end of one attempt.
+type Result struct {
+	Outcome      refusal.Outcome
+	Refused      *refusal.Refusal // Nil when Outcome is Ran.
+	FinishReason string
+	Usage        *wirev1.Usage // What the engine counted, also of a run cut short.
+	CrashID      string        // The endpoint's crash that ended the run, if one did.
+	Better       string        // Another endpoint that would take the run, if known.
+}
+
+func refusedResult(refused *wirev1.Refused) Result {
+	wait := time.Duration(refused.RetryAfterMillis) * time.Millisecond
+	code := refusal.Code(refused.Code)
+	if code == refusal.RunDuplicate {
+		// The copy that was seen before may have run.
+		return unknown(code, "%s", refused.Detail)
+	}
+	result := notRun(refusal.New(code, "%s", refused.Detail).After(wait))
+	result.Better = refused.BetterEndpoint
+	return result
+}
+
+func finishedResult(finished *wirev1.Finished) Result {
+	result := Result{Usage: finished.Usage, FinishReason: finished.FinishReason, CrashID: finished.CrashId}
+	switch finished.Outcome {
+	case wirev1.Outcome_OUTCOME_RAN:
+		result.Outcome = refusal.Ran
+	case wirev1.Outcome_OUTCOME_NOT_RUN:
+		result.Outcome = refusal.NotRun
+		result.Refused = refusal.New(refusal.Code(finished.Code), "%s", finished.Detail)
+	default:
+		result.Outcome = refusal.Unknown
+		result.Refused = refusal.NewUnknown(refusal.Code(finished.Code), "%s", finished.Detail)
+	}
+	return result
+}
+
+func notRun(refused *refusal.Refusal) Result {
+	return Result{Outcome: refusal.NotRun, Refused: refused}
+}
+
+func unknown(code refusal.Code, format string, args ...any) Result {
+	return Result{Outcome: refusal.Unknown, Refused: refusal.NewUnknown(code, format, args...)}
+}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,8 +29,22 @@
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
 
+	// Marks exchanges crash marks with the agent.
+	Marks wirev1connect.CrashMarkServiceClient
+
 	vm        vms.VM
 	candidate route.Candidate
+	process   atomic.Pointer[string]
+}
+
+// Process returns the instance of the agent process that answered last, empty
+// before its first answer.
+func (a *Agent) Process() string {
+	process := a.process.Load()
+	if process == nil {
+		return ""
+	}
+	return *process
 }
 
 // View is the entry's view. It is safe for concurrent use.
@@ -106,9 +121,13 @@
 		return
 	}
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
+	marks := wirev1connect.NewCrashMarkServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
+	v.agents[vm.Instance] = &Agent{Client: client, Marks: marks, vm: vm}
 }
 
+// Agents returns the known agents in no particular order.
+func (v *View) Agents() []*Agent { return v.snapshot() }
+
 func (v *View) snapshot() []*Agent {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -129,6 +148,7 @@
 		agent.candidate.Ready = false
 		return
 	}
+	agent.process.Store(&reply.Msg.Instance)
 	agent.candidate.Endpoint = reply.Msg.Endpoint
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"flamingospar.org/core/config"
+	"flamingospar.org/core/crash"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/core/usage"
 )
@@ -34,11 +35,14 @@
 	Repeatable bool
 	Open       bool
 	Deadline   time.Time
+	// Fingerprint names the request by its team and content.
+	Fingerprint crash.Fingerprint
 
 	// AnswerBegun is set when the first byte of an answer was written.
 	AnswerBegun bool
 
-	// Set by relay.
+	// Set by relay. Figures is what is billed: the whole answer, or what was
+	// generated for a caller that left. Outcome is then Ran.
 	Outcome  refusal.Outcome
 	Figures  usage.Figures
 	Attempts int
@@ -76,6 +80,12 @@
 func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &Exchange{Writer: w, Request: r}
 	passed := 0
+	// Also after the panic that breaks an incomplete answer off.
+	defer func() {
+		for i := passed - 1; i >= 0; i-- {
+			c.filters[i].Response(r.Context(), x)
+		}
+	}()
 	for _, filter := range c.filters {
 		refused := filter.Request(r.Context(), x)
 		if refused != nil {
@@ -88,7 +98,4 @@
 		c.counter.Count("filter", filter.Name())
 		passed++
 	}
-	for i := passed - 1; i >= 0; i-- {
-		c.filters[i].Response(r.Context(), x)
-	}
 }
--- a/entry/relay/body.go
+++ b/entry/relay/body.go
@@ -10,6 +10,6 @@
 		return nil, err
 	}
 	fields["stream"] = json.RawMessage("true")
-	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true,"continuous_usage_stats":true}`)
 	return json.Marshal(fields)
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -1,39 +1,57 @@
 // Package relay chooses an endpoint, runs the request there and passes the
-// answer on. It tries again elsewhere only with proof that nothing ran.
+// answer on. What follows a failed attempt is core/retry's decision: again
+// elsewhere, on from the tokens that came, or no more.
 package relay
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"time"
 
+	"flamingospar.org/core/crash"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/pipeline"
-	"flamingospar.org/entry/render"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
-const (
-	maxAttempts     = 3
-	noEndpointAfter = 1 * time.Second
-)
+const noEndpointAfter = 1 * time.Second
+
+// CrashMarks knows the requests that were running when endpoints crashed.
+type CrashMarks interface {
+	// Refused returns the refusal of a request that is run no more, else nil.
+	Refused(crash.Fingerprint) *refusal.Refusal
+	// Suspect reports whether the request was running at a crash.
+	Suspect(crash.Fingerprint) bool
+	// Crashed records that the request was running at a crash and returns when
+	// the agents have been told or a short time has passed.
+	Crashed(ctx context.Context, fingerprint crash.Fingerprint, team, crashID string)
+	// Survived records that a suspect ran to its end.
+	Survived(crash.Fingerprint)
+}
 
 // Filter is the last filter of the chain.
 type Filter struct {
 	chooser    *choose.Chooser
 	dispatcher *dispatch.Dispatcher
+	marks      CrashMarks
 	counter    pipeline.Counter
 	instance   string
+	budget     *budget
 }
 
 // New returns the filter of the entry process instance.
-func New(instance string, chooser *choose.Chooser, dispatcher *dispatch.Dispatcher, counter pipeline.Counter) *Filter {
-	return &Filter{instance: instance, chooser: chooser, dispatcher: dispatcher, counter: counter}
+func New(instance string, chooser *choose.Chooser, dispatcher *dispatch.Dispatcher, marks CrashMarks, counter pipeline.Counter) *Filter {
+	return &Filter{
+		chooser:    chooser,
+		dispatcher: dispatcher,
+		marks:      marks,
+		counter:    counter,
+		instance:   instance,
+		budget:     newBudget(),
+	}
 }
 
 // Name implements pipeline.Filter.
@@ -44,15 +62,21 @@
 
 // Request implements pipeline.Filter.
 func (f *Filter) Request(ctx context.Context, x *pipeline.Exchange) *refusal.Refusal {
+	if !x.Repeatable {
+		// The run goes on when its caller leaves, so that its end is known.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.Deadline)
 	defer cancel()
 	answer, start, refused := f.prepare(x)
 	if refused != nil {
 		return refused
 	}
-	result := f.attempts(ctx, x, start, answer)
+	p := &progress{answer: answer, isModel: x.Kind == match.ModelKind}
+	all := &attempts{filter: f, x: x, base: start, progress: p, tried: make(map[string]bool)}
+	result := all.run(ctx)
 	if result.Refused != nil {
-		return result.Refused
+		return f.notAnswered(x, result, p)
 	}
 	x.Outcome = refusal.Ran
 	x.Figures = figuresOf(result.Usage)
@@ -62,70 +86,21 @@
 	return nil
 }
 
-func (f *Filter) attempts(ctx context.Context, x *pipeline.Exchange, start *wirev1.RunStart, answer render.Answer) dispatch.Result {
-	tried := make(map[string]bool)
-	var last *refusal.Refusal
-	for x.Attempts < maxAttempts {
-		pick, ok := f.chooser.Pick(x, tried)
-		if !ok {
-			break
-		}
-		x.Attempts++
-		start.RunId = fmt.Sprintf("%s/%d", x.ID, x.Attempts)
-		result := f.dispatcher.Send(ctx, pick.Agent, start, answer)
-		pick.Done()
-		if result.Outcome != refusal.NotRun || ctx.Err() != nil {
-			return result
-		}
-		tried[pick.Choice.Endpoint] = true
-		last = result.Refused
-		f.counter.Count("retried", string(last.Code))
-	}
-	if last == nil {
-		last = refusal.New(refusal.NoEndpoint, "no endpoint is ready for %s %s", x.Kind, x.Model).After(noEndpointAfter)
-	}
-	return dispatch.Result{Outcome: refusal.NotRun, Refused: last}
-}
-
-func (f *Filter) prepare(x *pipeline.Exchange) (render.Answer, *wirev1.RunStart, *refusal.Refusal) {
-	start := &wirev1.RunStart{
-		Team:               x.Team,
-		Route:              x.Route,
-		Model:              x.Model,
-		DeadlineUnixMillis: x.Deadline.UnixMilli(),
-		Repeatable:         x.Repeatable,
-		Method:             x.Request.Method,
-		Path:               x.Request.URL.RequestURI(),
-		Body:               x.Body,
-		Revision:           int64(x.State.Revision),
-		EntryInstance:      f.instance,
-	}
-	if x.Kind != match.ModelKind {
-		start.Headers = wireHeaders(x.Request.Header)
-		return render.ForService(x), start, nil
-	}
-	request, err := match.Decode(x.Body)
-	if err != nil {
-		return nil, nil, refusal.New(refusal.BodyInvalid, "the body is no JSON object: %v", err)
+// notAnswered bills a run that was cut short because its caller left: for what
+// was generated until then. Nobody pays for a run that failed on our side.
+func (f *Filter) notAnswered(x *pipeline.Exchange, result dispatch.Result, p *progress) *refusal.Refusal {
+	refused := *result.Refused
+	if refused.Code != refusal.CallerLeft || result.Outcome == refusal.NotRun {
+		return &refused
 	}
-	start.Path = x.Request.URL.Path
-	start.Body, err = streamingBody(x.Body)
-	if err != nil {
-		return nil, nil, refusal.New(refusal.BodyInvalid, "the body is no JSON object: %v", err)
-	}
-	return render.ForModel(x, request), start, nil
-}
-
-func wireHeaders(header http.Header) []*wirev1.Header {
-	passed := header.Clone()
-	render.StripHopHeaders(passed)
-	var fields []*wirev1.Header
-	for name, values := range passed {
-		for _, value := range values {
-			fields = append(fields, &wirev1.Header{Name: name, Value: value})
-		}
+	f.counter.Count("caller_left")
+	reported := result.Usage
+	if reported == nil {
+		reported = &wirev1.Usage{OutputTokens: p.tokens}
 	}
-	return fields
+	x.Figures = figuresOf(reported)
+	refused.Outcome = refusal.Ran
+	return &refused
 }
 
 func figuresOf(reported *wirev1.Usage) usage.Figures {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,9 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	// AnnounceTime is how long a leaving entry, no longer ready, still takes
+	// connections, for the balancer to notice.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -39,6 +42,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		AnnounceTime: catalogue.Duration(5 * time.Second),
 	}
 }
 
@@ -91,6 +95,7 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"announce_time", s.AnnounceTime},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -23,6 +23,7 @@
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/crashmarks"
 	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
@@ -33,6 +34,7 @@
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
 	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/stall"
 	"flamingospar.org/platform/httpapi"
 )
 
@@ -53,6 +55,7 @@
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
+	Crashes  *crashmarks.Filter
 	State    *runState
 }
 
@@ -71,7 +74,12 @@
 		meter.NewRegistry,
 		newPlatform,
 		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network) *fleet.View { return fleet.New(c, netx.HTTP2Client(n)) },
+		func(c *httpapi.Client, n netx.Network) *fleet.View {
+			return fleet.New(c, dispatch.Client(netx.HTTP2Client(n)))
+		},
+		func(c *httpapi.Client, view *fleet.View) *crashmarks.Filter {
+			return crashmarks.New(crashmarks.NewAgents(view), c)
+		},
 		account.NewRing,
 		dispatch.New,
 		newChain,
@@ -93,14 +101,15 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, records *ring.Ring[usage.Record]) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		authenticate.New(c),
 		match.New(time.Duration(s.Deadline)),
+		marks,
 		account.NewFilter(records, registry),
-		relay.New(s.Instance, chooser, d, registry),
+		relay.New(s.Instance, chooser, d, marks, registry),
 	)
 }
 
@@ -143,7 +152,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
-	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
+	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Config))))
 	operatorServer := netx.Server(api.Handler())
 	failed := make(chan error, 2)
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
@@ -161,8 +170,22 @@
 	return errors.Join(err, operatorServer.Close())
 }
 
+// announceLeaving tells callers on kept connections to open another one, which
+// the balancer sends to another entry, once this entry is leaving.
+func (e *Entry) announceLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.State.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drain serves on until the balancer has seen that the entry is not ready, then
+// takes no more connections and finishes the requests it has.
 func (e *Entry) drain(server *http.Server) error {
 	log.Info("The entry drains.")
+	time.Sleep(time.Duration(e.Settings.AnnounceTime))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.Settings.DrainTime))
 	defer cancel()
 	return server.Shutdown(ctx)
@@ -170,7 +193,7 @@
 
 func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run} {
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Crashes.Run} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,6 +22,10 @@
 	runs  map[string]chan batch.Emission
 	wake  chan struct{}
 	begun map[string]int // Times each run id was begun.
+
+	faults Faults
+	// prompts counts the runs begun by prompt.
+	prompts map[string]int
 }
 
 // New returns an engine that has model loaded. Run must be called for progress.
@@ -32,6 +36,8 @@
 		runs:  make(map[string]chan batch.Emission),
 		wake:  make(chan struct{}, 1),
 		begun: make(map[string]int),
+
+		prompts: make(map[string]int),
 	}
 }
 
@@ -55,6 +61,7 @@
 func (e *Engine) step() {
 	e.mu.Lock()
 	took, emissions := e.batch.Step()
+	took += e.faults.Slow
 	e.mu.Unlock()
 	time.Sleep(took)
 	e.mu.Lock()
@@ -71,10 +78,11 @@
 
 // start queues a run; its emissions arrive on the returned channel, which has
 // room for all of them.
-func (e *Engine) start(run batch.Run) <-chan batch.Emission {
+func (e *Engine) start(run batch.Run, prompt string) <-chan batch.Emission {
 	out := make(chan batch.Emission, run.OutputTokens+1)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.prompts[prompt]++
 	e.runs[run.ID] = out
 	e.begun[run.ID]++
 	e.batch.Add(run)
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -32,6 +32,9 @@
 	MaxTokens           int    `json:"max_tokens"`
 	MaxCompletionTokens int    `json:"max_completion_tokens"`
 	Stream              bool   `json:"stream"`
+	StreamOptions       struct {
+		ContinuousUsage bool `json:"continuous_usage_stats"`
+	} `json:"stream_options"`
 }
 
 var runNumber atomic.Int64
@@ -64,9 +67,26 @@
 	}
 	prompt := promptOf(body)
 	run := runOf(r, body, prompt)
-	emissions := e.start(run)
+	seed := e.currentFaults().Variant + prompt
+	if run.Skip > 0 && !continues(seed, run.Skip, r.Header.Get(port.HeaderResumeDigest)) {
+		http.Error(w, "the answer would differ", http.StatusConflict)
+		return
+	}
+	emissions := e.start(run, prompt)
 	defer e.cancel(run.ID)
-	writer := answerWriter{w: w, chat: strings.Contains(r.URL.Path, "chat"), run: run, model: e.model, prompt: prompt}
+	if e.crashes(prompt) {
+		<-r.Context().Done()
+		return
+	}
+	writer := answerWriter{
+		w:          w,
+		engine:     e,
+		chat:       strings.Contains(r.URL.Path, "chat"),
+		run:        run,
+		model:      e.model,
+		prompt:     seed,
+		continuous: body.StreamOptions.ContinuousUsage,
+	}
 	if body.Stream {
 		writer.stream(r, emissions)
 		return
@@ -113,11 +133,13 @@
 }
 
 type answerWriter struct {
-	w      http.ResponseWriter
-	chat   bool
-	run    batch.Run
-	model  string
-	prompt string
+	w          http.ResponseWriter
+	engine     *Engine
+	chat       bool
+	run        batch.Run
+	model      string
+	prompt     string
+	continuous bool // Each event carries the usage until there.
 }
 
 func (a answerWriter) stream(r *http.Request, emissions <-chan batch.Emission) {
@@ -126,6 +148,10 @@
 	for {
 		select {
 		case emission := <-emissions:
+			if a.engine.currentFaults().Mute {
+				<-r.Context().Done()
+				return
+			}
 			a.event(a.deltaBody(emission))
 			if emission.Last {
 				a.event(map[string]any{"choices": []any{}, "usage": a.usage(emission)})
@@ -155,7 +181,11 @@
 	} else {
 		choice["text"] = word
 	}
-	return map[string]any{"id": a.run.ID, "model": a.model, "tokens": 1, "choices": []any{choice}}
+	body := map[string]any{"id": a.run.ID, "model": a.model, "tokens": 1, "choices": []any{choice}}
+	if a.continuous {
+		body["usage"] = a.usage(emission)
+	}
+	return body
 }
 
 func (a answerWriter) usage(emission batch.Emission) any {
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -120,6 +120,7 @@
 // conn is one end of a connection.
 type conn struct {
 	network *Network
+	host    *Host // Whose end this is.
 	local   string
 	remote  string
 	in      *pipe
@@ -144,7 +145,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
 	for {
+		c.host.awaitResume()
 		n, changed, wait, err := c.in.tryRead(buffer)
+		c.host.awaitResume()
 		if n > 0 || err != nil || len(buffer) == 0 {
 			return n, err
 		}
@@ -158,6 +161,7 @@
 func (c *conn) Write(data []byte) (int, error) {
 	written := 0
 	for written < len(data) {
+		c.host.awaitResume()
 		n, changed, err := c.out.tryWrite(data[written:])
 		written += n
 		if err != nil {
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -97,10 +98,16 @@
 	return host
 }
 
-// Host is one host's view of the network.
-type Host struct {
-	network *Network
-	name    string
+// SilenceOneWay makes the connections that are open now between two hosts
+// swallow the bytes that from sends to to; the other direction still works.
+func (n *Network) SilenceOneWay(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.local == from && c.remote == to {
+			c.out.silence()
+		}
+	}
 }
 
 // Listen implements netx.Network.
@@ -111,7 +118,10 @@
 	if _, taken := n.listeners[address]; taken {
 		return nil, fmt.Errorf("memnet: address %s in use", address)
 	}
-	l := &listener{network: n, address: address, accept: make(chan net.Conn), done: make(chan struct{})}
+	if h.dead {
+		return nil, net.ErrClosed
+	}
+	l := &listener{network: n, host: h, address: address, accept: make(chan net.Conn), done: make(chan struct{})}
 	n.listeners[address] = l
 	return l, nil
 }
@@ -119,14 +129,18 @@
 // DialContext implements netx.Network.
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n := h.network
+	h.awaitResume()
 	n.mu.Lock()
 	l := n.listeners[address]
-	cut := n.cut[pair(h.name, hostOf(address))]
+	cut := h.dead || n.cut[pair(h.name, hostOf(address))]
 	n.mu.Unlock()
-	if l == nil || cut {
+	if cut {
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: fmt.Errorf("%w: %s", ErrUnreachable, address)}
 	}
-	near, far := n.connect(h.name, hostOf(address))
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: fmt.Errorf("%w: %s", syscall.ECONNREFUSED, address)}
+	}
+	near, far := n.connect(h, l.host)
 	select {
 	case l.accept <- far:
 		return near, nil
@@ -139,10 +153,10 @@
 	}
 }
 
-func (n *Network) connect(local, remote string) (*conn, *conn) {
+func (n *Network) connect(local, remote *Host) (*conn, *conn) {
 	there, back := newPipe(n.latency), newPipe(n.latency)
-	near := &conn{network: n, local: local, remote: remote, in: back, out: there}
-	far := &conn{network: n, local: remote, remote: local, in: there, out: back}
+	near := &conn{network: n, host: local, local: local.name, remote: remote.name, in: back, out: there}
+	far := &conn{network: n, host: remote, local: remote.name, remote: local.name, in: there, out: back}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[near] = struct{}{}
@@ -152,6 +166,7 @@
 
 type listener struct {
 	network *Network
+	host    *Host
 	address string
 	accept  chan net.Conn
 	once    sync.Once
