--- /dev/null
+++ b/entry/claim/taken.go
@@ -0,0 +1,72 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	core "flamingospar.org/core/claim"
+	"flamingospar.org/core/refusal"
+	"flamingospar.org/entry/pipeline"
+)
+
+// actionNames are the counters of submissions whose key was taken.
+var actionNames = map[core.Action]string{
+	core.Replay:       "replayed",
+	core.NoAnswer:     "answer_not_stored",
+	core.Mismatch:     "mismatch",
+	core.InProgress:   "in_progress",
+	core.Doubtful:     "unknown",
+	core.TurnDoubtful: "turned_unknown",
+}
+
+// answerTaken answers a submission whose key was claimed before.
+func (f *Filter) answerTaken(ctx context.Context, x *pipeline.Exchange, row core.Row, request string) *refusal.Refusal {
+	now := time.Now()
+	action := core.Decide(row, request, now)
+	f.counter.Count("claim", actionNames[action])
+	switch action {
+	case core.Replay:
+		return f.replay(ctx, x, *row.Answer)
+	case core.NoAnswer:
+		refused := refusal.New(refusal.IdempotencyNoAnswer, "the request of this key ran")
+		refused.Outcome = refusal.Ran
+		return refused
+	case core.Mismatch:
+		return refusal.New(refusal.IdempotencyMismatch, "the key was used for another request")
+	case core.InProgress:
+		wait := min(max(row.Left(now), time.Second), maxRunningWait)
+		return refusal.NewUnknown(refusal.IdempotencyRunning, "the request of this key is in progress").After(wait)
+	case core.TurnDoubtful:
+		f.finisher.unknown(row)
+	}
+	return refusal.NewUnknown(refusal.IdempotencyUnknown, "the request of this key may have run")
+}
+
+// replay sends a stored answer.
+func (f *Filter) replay(ctx context.Context, x *pipeline.Exchange, answer core.Answer) *refusal.Refusal {
+	body := answer.Body
+	if answer.Object != "" {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		stored, err := f.objects.Get(ctx, answer.Object)
+		if err != nil {
+			refused := refusal.New(refusal.StoreUnavailable, "the stored answer could not be read: %v", err).After(storeRetryAfter)
+			refused.Outcome = refusal.Ran
+			return refused
+		}
+		body = stored
+	}
+	header := x.Writer.Header()
+	for name, values := range answer.Headers {
+		header[name] = append(header[name], values...)
+	}
+	header.Set(HeaderReplayed, "true")
+	x.AnswerBegun = true
+	x.Answered = true
+	x.Outcome = refusal.Ran
+	x.Writer.WriteHeader(answer.Status)
+	if _, err := x.Writer.Write(body); err != nil {
+		f.counter.Count("caller_left")
+	}
+	return nil
+}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -39,6 +39,7 @@
 	meter  *meter.Registry
 	token  string
 	ready  func() bool
+	routes []func(chi.Router) // Behind the same authorisation.
 }
 
 // New returns the interface. An empty token lets everybody in; ready reports
@@ -61,6 +62,9 @@
 		private.Get("/v1/keys", a.listKeys)
 		private.Post("/v1/keys", a.issueKey)
 		private.Delete("/v1/keys/{id}", a.withdrawKey)
+		for _, add := range a.routes {
+			add(private)
+		}
 	})
 	return router
 }
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -40,6 +40,12 @@
 
 	// AnswerBegun is set when the first byte of an answer was written.
 	AnswerBegun bool
+	// Answered is set by a filter that has sent the whole answer itself: no
+	// later filter sees the exchange.
+	Answered bool
+
+	// Claim is set by claim, to a type of its own.
+	Claim any
 
 	// Set by relay. Figures is what is billed: the whole answer, or what was
 	// generated for a caller that left. Outcome is then Ran.
@@ -96,6 +102,9 @@
 			break
 		}
 		c.counter.Count("filter", filter.Name())
+		if x.Answered {
+			break
+		}
 		passed++
 	}
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -30,6 +30,8 @@
 	// AnnounceTime is how long a leaving entry, no longer ready, still takes
 	// connections, for the balancer to notice.
 	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	// ClaimRetention is how long an idempotency key's answer is kept.
+	ClaimRetention catalogue.Duration `toml:"claim_retention"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -43,6 +45,8 @@
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
 		AnnounceTime: catalogue.Duration(5 * time.Second),
+
+		ClaimRetention: catalogue.Duration(24 * time.Hour),
 	}
 }
 
@@ -96,6 +100,7 @@
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
 		{"announce_time", s.AnnounceTime},
+		{"claim_retention", s.ClaimRetention},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -22,6 +22,7 @@
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
+	"flamingospar.org/entry/claim"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/crashmarks"
 	"flamingospar.org/entry/dispatch"
@@ -56,6 +57,8 @@
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
 	Crashes  *crashmarks.Filter
+	Finisher *claim.Finisher
+	Claims   *claim.Register
 	State    *runState
 }
 
@@ -80,6 +83,11 @@
 		func(c *httpapi.Client, view *fleet.View) *crashmarks.Filter {
 			return crashmarks.New(crashmarks.NewAgents(view), c)
 		},
+		func(c *httpapi.Client, registry *meter.Registry) *claim.Finisher {
+			return claim.NewFinisher(c, c.Objects(), registry)
+		},
+		func(c *httpapi.Client) *claim.Register { return claim.NewRegister(c, c.Objects()) },
+		newClaims,
 		account.NewRing,
 		dispatch.New,
 		newChain,
@@ -101,18 +109,23 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter, records *ring.Ring[usage.Record]) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		authenticate.New(c),
 		match.New(time.Duration(s.Deadline)),
 		marks,
+		claims,
 		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, marks, registry),
 	)
 }
 
+func newClaims(s settings.Settings, c *httpapi.Client, finisher *claim.Finisher, registry *meter.Registry) *claim.Filter {
+	return claim.New(c, c.Objects(), finisher, registry, time.Duration(s.ClaimRetention))
+}
+
 func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
 	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
 }
@@ -152,6 +165,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	api.WithRequests(e.Claims, e.Crashes)
 	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Config))))
 	operatorServer := netx.Server(api.Handler())
 	failed := make(chan error, 2)
@@ -193,7 +207,7 @@
 
 func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Crashes.Run} {
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Crashes.Run, e.Finisher.Run, e.Claims.Run} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -20,6 +20,7 @@
 type pipe struct {
 	mu       sync.Mutex
 	latency  time.Duration
+	ends     [2]*Host
 	segments []segment
 	held     int
 	silent   bool
@@ -28,8 +29,16 @@
 	changed  chan struct{}
 }
 
-func newPipe(latency time.Duration) *pipe {
-	return &pipe{latency: latency, changed: make(chan struct{})}
+func newPipe(latency time.Duration, from, to *Host) *pipe {
+	return &pipe{latency: latency, ends: [2]*Host{from, to}, changed: make(chan struct{})}
+}
+
+func (p *pipe) paused() bool { return p.ends[0].paused() || p.ends[1].paused() }
+
+func (p *pipe) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notify()
 }
 
 // notify wakes all waiters. The caller holds mu.
@@ -73,17 +82,19 @@
 	if p.closed {
 		return 0, nil, io.ErrClosedPipe
 	}
+	if p.silent {
+		return len(data), nil, nil
+	}
 	room := pipeBytes - p.held
+	if p.paused() {
+		room = len(data)
+	}
 	if room <= 0 {
 		return 0, p.changed, nil
 	}
 	if len(data) > room {
 		data = data[:room]
 	}
-	if p.silent {
-		p.held += len(data)
-		return len(data), nil, nil
-	}
 	p.segments = append(p.segments, segment{data: append([]byte(nil), data...), ready: time.Now().Add(p.latency)})
 	p.held += len(data)
 	p.notify()
@@ -97,6 +108,9 @@
 	if p.broken != nil {
 		return 0, nil, 0, p.broken
 	}
+	if p.paused() {
+		return 0, p.changed, 0, nil
+	}
 	if len(p.segments) == 0 {
 		if p.closed && !p.silent {
 			return 0, nil, 0, io.EOF
@@ -145,9 +159,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
 	for {
-		c.host.awaitResume()
 		n, changed, wait, err := c.in.tryRead(buffer)
-		c.host.awaitResume()
 		if n > 0 || err != nil || len(buffer) == 0 {
 			return n, err
 		}
@@ -161,7 +173,6 @@
 func (c *conn) Write(data []byte) (int, error) {
 	written := 0
 	for written < len(data) {
-		c.host.awaitResume()
 		n, changed, err := c.out.tryWrite(data[written:])
 		written += n
 		if err != nil {
--- a/standin/memnet/host.go
+++ b/standin/memnet/host.go
@@ -31,11 +31,13 @@
 			c.fail(ErrUnreachable)
 		}
 	}
-	h.Resume()
+	h.wake()
 }
 
-// Pause stops the process's reads, writes and dials until Resume. Its timers
-// run on, as they do for a process that finds them expired when it wakes.
+// Pause stops the process's traffic until Resume: it reads nothing, what it
+// writes stays unsent, and its dials wait. Its timers run on, as for a process
+// that finds them expired when it wakes. Writes do not block, since a goroutine
+// that holds a mutex meanwhile would stop a test's virtual time.
 func (h *Host) Pause() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -46,6 +48,19 @@
 
 // Resume ends a pause.
 func (h *Host) Resume() {
+	n := h.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h.wake()
+	for c := range n.conns {
+		if c.host == h {
+			c.in.wake()
+			c.out.wake()
+		}
+	}
+}
+
+func (h *Host) wake() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.resumed != nil {
@@ -54,6 +69,12 @@
 	}
 }
 
+func (h *Host) paused() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.resumed != nil
+}
+
 func (h *Host) awaitResume() {
 	h.mu.Lock()
 	resumed := h.resumed
--- a/standin/memnet/memnet.go
+++ b/standin/memnet/memnet.go
@@ -154,7 +154,7 @@
 }
 
 func (n *Network) connect(local, remote *Host) (*conn, *conn) {
-	there, back := newPipe(n.latency), newPipe(n.latency)
+	there, back := newPipe(n.latency, local, remote), newPipe(n.latency, remote, local)
 	near := &conn{network: n, host: local, local: local.name, remote: remote.name, in: back, out: there}
 	far := &conn{network: n, host: remote, local: remote.name, remote: local.name, in: there, out: back}
 	n.mu.Lock()
