--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -24,6 +24,10 @@
 	Began bool
 	// Usage is what the endpoint reported, set by the executor.
 	Usage *wirev1.Usage
+	// PassedOn is the number of output tokens sent to the entry.
+	PassedOn int64
+	// Finished is the executor's result; nil while the run has none.
+	Finished *wirev1.Finished
 
 	state atomic.Int32
 }
@@ -94,6 +98,7 @@
 	finished := c.executor.Execute(ctx, run)
 	proven := finished.Outcome != wirev1.Outcome_OUTCOME_NOT_RUN || !run.Began
 	invariant.Check(proven, invariant.NotRunMeansNotRun, "run %s began and ended as not run", run.Start.RunId)
+	run.Finished = finished
 	c.counter.Count("finished", finished.Outcome.String())
 	c.done(run, len(c.filters))
 	return finished, nil
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/status"
 	"flamingospar.org/core/refusal"
@@ -27,12 +28,13 @@
 type Server struct {
 	chain  *pipeline.Chain
 	status *status.Status
+	gate   *gate.Gate
 	runs   *runs
 }
 
 // New returns the server of a chain.
-func New(chain *pipeline.Chain, s *status.Status) *Server {
-	return &Server{chain: chain, status: s, runs: newRuns()}
+func New(chain *pipeline.Chain, s *status.Status, g *gate.Gate) *Server {
+	return &Server{chain: chain, status: s, gate: g, runs: newRuns()}
 }
 
 // Handler returns the path prefix and handler to mount.
@@ -47,9 +49,15 @@
 // Wait returns when no run is active.
 func (s *Server) Wait() { s.runs.wait() }
 
-// Status implements the service.
-func (s *Server) Status(context.Context, *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
-	return connect.NewResponse(s.status.Reply()), nil
+// Status implements the service. It takes the entry's news of the configuration.
+func (s *Server) Status(_ context.Context, request *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
+	s.gate.Hear(request.Msg.News)
+	reply := s.status.Reply()
+	reply.Revision = s.gate.Revision()
+	reply.Changing = s.gate.Changing()
+	reply.Stale = s.gate.Stale()
+	reply.Mark = s.gate.Mark()
+	return connect.NewResponse(reply), nil
 }
 
 type runStream = connect.BidiStream[wirev1.RunCall, wirev1.RunEvent]
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -26,6 +26,7 @@
 	// to learn that it is leaving.
 	AnnounceTime catalogue.Duration `toml:"announce_time"`
 	Silence      Silence            `toml:"silence"`
+	Usage        Usage              `toml:"usage"`
 }
 
 // Default sizes of the queue.
@@ -63,6 +64,7 @@
 		s.Instance = uuid.NewString()
 	}
 	s = s.withRunDefaults()
+	s.Usage = s.Usage.withDefaults()
 	required := []struct{ key, value string }{
 		{"data_centre", s.DataCentre},
 		{"listen", s.Listen},
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -9,14 +9,17 @@
 
 	"go.uber.org/dig"
 
+	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/crashmarks"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -45,6 +48,7 @@
 	status   *status.Status
 	meter    *meter.Registry
 	marks    *crashmarks.Filter
+	usage    usageParts
 }
 
 // Build wires an agent.
@@ -54,7 +58,11 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newGate,
 		ledger.New,
+		newUsageLedger,
+		newUsageWriter,
+		account.NewService,
 		newQueue,
 		crashmarks.New,
 		newExecutor,
@@ -106,12 +114,16 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, marks, q)
+func newGate(s settings.Settings) *gate.Gate {
+	return gate.New(s.Endpoint, s.Instance, clock.Now)
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, marks *crashmarks.Filter) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, marks: marks}
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
+	return pipeline.New(registry, executor, g.Arrival(), l, u, marks, q, g.Departure())
+}
+
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, marks *crashmarks.Filter) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, marks: marks}
 }
 
 // Meter returns the agent's metrics.
@@ -127,7 +139,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
 	mux.Handle(wirev1connect.NewCrashMarkServiceHandler(a.marks))
+	mux.Handle(a.usage.Service.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	stopUsage := a.usage.start()
+	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- httpServer.Serve(listener) }()
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -148,6 +148,7 @@
 			offset += int64(len(message.Chunk.Data))
 			a.take(func() error { return a.sink.Chunk(message.Chunk) })
 		case *wirev1.RunEvent_Refused:
+			a.dispatcher.view.Refused(a.agent, refusal.Code(message.Refused.Code))
 			return refusedResult(message.Refused)
 		case *wirev1.RunEvent_Finished:
 			return finishedResult(message.Finished)
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -28,6 +28,7 @@
 // Agent is one known agent.
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
+	Usage  wirev1connect.UsageServiceClient
 
 	// Marks exchanges crash marks with the agent.
 	Marks wirev1connect.CrashMarkServiceClient
@@ -35,6 +36,7 @@
 	vm        vms.VM
 	candidate route.Candidate
 	process   atomic.Pointer[string]
+	contact   contact
 }
 
 // Process returns the instance of the agent process that answered last, empty
@@ -51,15 +53,19 @@
 type View struct {
 	list   vms.List
 	client *http.Client
+	// options are given to every client of an agent.
+	options []connect.ClientOption
 
-	mu      sync.Mutex
-	agents  map[string]*Agent // By VM instance.
-	entries []vms.VM
+	member Membership
+
+	mu     sync.Mutex
+	agents map[string]*Agent // By VM instance.
 }
 
 // New returns an empty view that reads list and calls agents through client.
-func New(list vms.List, client *http.Client) *View {
-	return &View{list: list, client: client, agents: make(map[string]*Agent)}
+func New(list vms.List, client *http.Client, membership Membership, options ...connect.ClientOption) *View {
+	options = append([]connect.ClientOption{connect.WithGRPC()}, options...)
+	return &View{list: list, client: client, options: options, member: membership.checked(), agents: make(map[string]*Agent)}
 }
 
 // Run refreshes the view until ctx ends.
@@ -85,7 +91,7 @@
 		v.merge(list)
 	}
 	var asking sync.WaitGroup
-	for _, agent := range v.snapshot() {
+	for _, agent := range v.due() {
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
@@ -99,14 +105,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	listed := make(map[string]bool, len(list))
-	v.entries = v.entries[:0]
+	v.member.Roster.merge(list)
 	for _, vm := range list {
 		listed[vm.Instance] = true
-		if vm.Role == vms.Entry {
-			v.entries = append(v.entries, vm)
-			continue
+		if vm.Role == vms.Agent {
+			v.mergeAgent(vm)
 		}
-		v.mergeAgent(vm)
 	}
 	for instance := range v.agents {
 		if !listed[instance] {
@@ -120,15 +124,14 @@
 		agent.vm = vm
 		return
 	}
-	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	marks := wirev1connect.NewCrashMarkServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, Marks: marks, vm: vm}
+	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
+	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
+	marks := wirev1connect.NewCrashMarkServiceClient(v.client, "http://"+vm.Address, v.options...)
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Marks: marks, vm: vm}
 }
 
 // Agents returns the known agents in no particular order.
-func (v *View) Agents() []*Agent { return v.snapshot() }
-
-func (v *View) snapshot() []*Agent {
+func (v *View) Agents() []*Agent {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	agents := make([]*Agent, 0, len(v.agents))
@@ -138,27 +141,39 @@
 	return agents
 }
 
+// ask asks an agent for its status. An agent that is stale is asked again at
+// once, since the second call carries the mark of the first and so the proof.
 func (v *View) ask(ctx context.Context, agent *Agent) {
+	if v.askOnce(ctx, agent) {
+		v.askOnce(ctx, agent)
+	}
+}
+
+// askOnce reports whether the agent is stale and this entry could prove more.
+func (v *View) askOnce(ctx context.Context, agent *Agent) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	reply, err := agent.Client.Status(ctx, connect.NewRequest(new(wirev1.StatusRequest)))
+	request := v.statusRequest(agent)
+	reply, err := agent.Client.Status(ctx, connect.NewRequest(request))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if err != nil {
 		agent.candidate.Ready = false
-		return
+		return false
 	}
 	agent.process.Store(&reply.Msg.Instance)
+	agent.contact.answered(reply.Msg, v.member.Clock())
 	agent.candidate.Endpoint = reply.Msg.Endpoint
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
 	agent.applyLoad(reply.Msg.Load)
+	return reply.Msg.Stale && request.News != nil && !request.News.Proved
 }
 
 func (a *Agent) applyLoad(load *wirev1.Load) {
 	a.candidate.Queued = int(load.GetQueued())
 	a.candidate.Model = load.GetModel()
-	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving
+	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving && !a.contact.changing && !a.contact.stale
 }
 
 // Candidates returns the endpoints to choose from.
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
-	"encoding/base32"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -18,19 +17,19 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
-	"flamingospar.org/entry/authenticate"
+	"flamingospar.org/core/key"
 	"flamingospar.org/entry/configview"
 )
 
-const (
-	keyBytes     = 20
-	maxBodyBytes = 8 << 20
-)
+const maxBodyBytes = 8 << 20
 
 // Config is the configuration that operators read and change.
 type Config interface {
 	Current() *config.State
 	Write(ctx context.Context, base config.Revision, change config.Change) (config.Revision, error)
+	Rollback(ctx context.Context, base, to config.Revision, operator string) (config.Revision, error)
+	History(ctx context.Context, from config.Revision, limit int) ([]config.Change, error)
+	AwaitInForce(ctx context.Context, revision config.Revision) configview.Standing
 }
 
 // API is the operators' HTTP interface.
@@ -59,6 +58,8 @@
 		private.Get("/metrics.json", a.meter.ServeJSON)
 		private.Get("/v1/catalogue", a.showCatalogue)
 		private.Put("/v1/catalogue", a.applyCatalogue)
+		private.Post("/v1/catalogue/rollback", a.rollBack)
+		private.Get("/v1/history", a.showHistory)
 		private.Get("/v1/keys", a.listKeys)
 		private.Post("/v1/keys", a.issueKey)
 		private.Delete("/v1/keys/{id}", a.withdrawKey)
@@ -102,9 +103,10 @@
 	Catalogue *catalogue.Document `json:"catalogue"`
 }
 
-// RevisionAnswer tells which revision a change became.
+// RevisionAnswer tells which revision a change became and how far it has come.
 type RevisionAnswer struct {
 	Revision config.Revision `json:"revision"`
+	configview.Standing
 }
 
 // KeyRequest asks for a new key.
@@ -136,14 +138,7 @@
 		return
 	}
 	revision, err := a.config.Write(r.Context(), change.Base, config.Change{Operator: change.Operator, Catalogue: change.Catalogue})
-	a.answerRevision(w, revision, err)
-}
-
-func (a *API) answerRevision(w http.ResponseWriter, revision config.Revision, err error) {
-	if refuse(w, err) {
-		return
-	}
-	write(w, RevisionAnswer{Revision: revision})
+	a.answerRevision(w, r, revision, err)
 }
 
 func (a *API) listKeys(w http.ResponseWriter, _ *http.Request) {
@@ -174,25 +169,25 @@
 		return
 	}
 	secret := NewKey()
-	key := config.Key{ID: "key-" + uuid.NewString(), Team: request.Team, Hash: config.HashKey(secret)}
-	revision, err := a.config.Write(r.Context(), 0, config.Change{Operator: request.Operator, IssueKey: &key})
+	issued := config.Key{ID: "key-" + uuid.NewString(), Team: request.Team, Hash: config.HashKey(secret)}
+	revision, err := a.config.Write(r.Context(), 0, config.Change{Operator: request.Operator, IssueKey: &issued})
 	if refuse(w, err) {
 		return
 	}
-	write(w, KeyAnswer{ID: key.ID, Team: key.Team, Key: secret, Revision: revision})
+	write(w, KeyAnswer{ID: issued.ID, Team: issued.Team, Key: secret, Revision: revision})
 }
 
 // NewKey returns a fresh caller's key.
 func NewKey() string {
-	secret := make([]byte, keyBytes)
-	_, _ = rand.Read(secret)
-	return authenticate.KeyPrefix + strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(secret))
+	var random [key.RandomBytes]byte
+	_, _ = rand.Read(random[:])
+	return key.Format(key.CallerPrefix, random)
 }
 
 func (a *API) withdrawKey(w http.ResponseWriter, r *http.Request) {
 	change := config.Change{Operator: r.URL.Query().Get("operator"), WithdrawKey: chi.URLParam(r, "id")}
 	revision, err := a.config.Write(r.Context(), 0, change)
-	a.answerRevision(w, revision, err)
+	a.answerRevision(w, r, revision, err)
 }
 
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
@@ -214,8 +209,12 @@
 	switch {
 	case err == nil:
 		return false
-	case errors.Is(err, configview.ErrRaced):
+	case errors.Is(err, configview.ErrRaced), errors.Is(err, config.ErrKeyExists), errors.Is(err, configview.ErrIDReused):
 		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, config.ErrKeyUnknown), errors.Is(err, configview.ErrNoCatalogue):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, config.ErrEmpty):
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
--- a/entry/relay/attempts.go
+++ b/entry/relay/attempts.go
@@ -52,6 +52,7 @@
 	a.x.Attempts++
 	start := proto.Clone(a.base).(*wirev1.RunStart)
 	start.RunId = fmt.Sprintf("%s/%d", a.x.ID, a.x.Attempts)
+	start.Endpoint = pick.Choice.Endpoint
 	start.Suspect = a.filter.marks.Suspect(a.x.Fingerprint)
 	a.progress.continueIn(start)
 	result := a.filter.dispatcher.Send(ctx, pick.Agent, start, a.progress)
--- a/entry/relay/prepare.go
+++ b/entry/relay/prepare.go
@@ -23,6 +23,7 @@
 		Body:               x.Body,
 		Revision:           int64(x.State.Revision),
 		EntryInstance:      f.instance,
+		KeyId:              x.KeyID,
 		Fingerprint:        string(x.Fingerprint),
 	}
 	if x.Kind != match.ModelKind {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -32,6 +32,8 @@
 	AnnounceTime catalogue.Duration `toml:"announce_time"`
 	// ClaimRetention is how long an idempotency key's answer is kept.
 	ClaimRetention catalogue.Duration `toml:"claim_retention"`
+	Usage          Usage              `toml:"usage"`
+	Authority      Authority          `toml:"authority"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -47,6 +49,7 @@
 		AnnounceTime: catalogue.Duration(5 * time.Second),
 
 		ClaimRetention: catalogue.Duration(24 * time.Hour),
+		Usage:          defaultUsage(),
 	}
 }
 
@@ -101,6 +104,9 @@
 		{"drain_time", s.DrainTime},
 		{"announce_time", s.AnnounceTime},
 		{"claim_retention", s.ClaimRetention},
+		{"usage.idle_close", s.Usage.IdleClose},
+		{"usage.remember", s.Usage.Remember},
+		{"usage.keep", s.Usage.Keep},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -15,8 +15,6 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/base/ring"
-	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/authenticate"
@@ -31,6 +29,7 @@
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/receive"
 	"flamingospar.org/entry/relay"
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
@@ -53,6 +52,7 @@
 	Config   *configview.View
 	Fleet    *fleet.View
 	Chain    *pipeline.Chain
+	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
@@ -76,21 +76,20 @@
 		func() *runState { return new(runState) },
 		meter.NewRegistry,
 		newPlatform,
-		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network) *fleet.View {
-			return fleet.New(c, dispatch.Client(netx.HTTP2Client(n)))
-		},
-		func(c *httpapi.Client, view *fleet.View) *crashmarks.Filter {
-			return crashmarks.New(crashmarks.NewAgents(view), c)
-		},
-		func(c *httpapi.Client, registry *meter.Registry) *claim.Finisher {
-			return claim.NewFinisher(c, c.Objects(), registry)
-		},
-		func(c *httpapi.Client) *claim.Register { return claim.NewRegister(c, c.Objects()) },
+		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
+		newConfigView,
+		newFleet,
+		newCrashMarks,
+		newClaimFinisher,
+		newClaimRegister,
 		newClaims,
 		account.NewRing,
+		account.NewAcks,
+		account.NewCounts,
+		newInterceptor,
 		dispatch.New,
 		newChain,
+		newModelsChain,
 		newWriter,
 		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
 		newSealer,
@@ -109,31 +108,19 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
-		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
+		accept.New(),
 		authenticate.New(c),
+		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
 		marks,
 		claims,
-		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, marks, registry),
 	)
 }
 
-func newClaims(s settings.Settings, c *httpapi.Client, finisher *claim.Finisher, registry *meter.Registry) *claim.Filter {
-	return claim.New(c, c.Objects(), finisher, registry, time.Duration(s.ClaimRetention))
-}
-
-func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
-	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
-}
-
-func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
-	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
-}
-
 // Ready reports whether the entry serves callers.
 func (e *Entry) Ready() bool {
 	return !e.State.draining.Load() && e.Config.Current() != nil
@@ -143,6 +130,7 @@
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	Peers     net.Listener // Nil when no other entry may call.
 }
 
 // Listen opens both addresses.
@@ -155,7 +143,11 @@
 	if err != nil {
 		return Listeners{}, errors.Join(err, callersListener.Close())
 	}
-	return Listeners{Callers: callersListener, Operators: operators}, nil
+	peers, err := e.listenPeers()
+	if err != nil {
+		return Listeners{}, errors.Join(err, callersListener.Close(), operators.Close())
+	}
+	return Listeners{Callers: callersListener, Operators: operators, Peers: peers}, nil
 }
 
 // Serve runs the entry until ctx ends, then drains: it is not ready first,
@@ -166,11 +158,16 @@
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
 	api.WithRequests(e.Claims, e.Crashes)
-	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Config))))
+	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Models))))
 	operatorServer := netx.Server(api.Handler())
-	failed := make(chan error, 2)
+	peerServer := e.peerServer()
+	defer peerServer.Close()
+	failed := make(chan error, 3)
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
 	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
+	if listeners.Peers != nil {
+		go func() { failed <- peerServer.Serve(listeners.Peers) }()
+	}
 	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
 	select {
 	case err := <-failed:
