--- a/agent/server/sender.go
+++ b/agent/server/sender.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/status"
 	"flamingospar.org/core/refusal"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -44,8 +45,8 @@
 }
 
 // last sends the end of the run; nothing follows it.
-func (s *sender) last(finished *wirev1.Finished, refused *refusal.Refusal) error {
-	event := &wirev1.RunEvent{Load: s.status.Load()}
+func (s *sender) last(run *pipeline.Run, finished *wirev1.Finished, refused *refusal.Refusal) error {
+	event := &wirev1.RunEvent{Load: s.status.Load(), TeamFraction: run.TeamFraction}
 	if refused != nil {
 		event.Message = &wirev1.RunEvent_Refused{Refused: &wirev1.Refused{
 			Code:             string(refused.Code),
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -85,10 +85,10 @@
 	s.runs.add(run, cancel)
 	defer s.runs.remove(run)
 	if refused := s.refuse(start); refused != nil {
-		return sender.last(nil, refused)
+		return sender.last(run, nil, refused)
 	}
 	finished, refused := s.chain.Handle(ctx, run)
-	return sender.last(finished, refused)
+	return sender.last(run, finished, refused)
 }
 
 // refuse returns why a run is not taken at all. A run for another process of
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -27,6 +27,7 @@
 	AnnounceTime catalogue.Duration `toml:"announce_time"`
 	Silence      Silence            `toml:"silence"`
 	Usage        Usage              `toml:"usage"`
+	Policy       Policy             `toml:"policy"`
 }
 
 // Default sizes of the queue.
@@ -49,7 +50,7 @@
 
 // Parse reads strict TOML, fills defaults and checks the result.
 func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting}.withRunDefaults()
+	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}.withRunDefaults()
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&settings); err != nil {
@@ -80,5 +81,11 @@
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
 	}
+	if s.Policy == (Policy{}) {
+		s.Policy = DefaultPolicy()
+	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, s.checkRuns()
 }
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -82,7 +82,7 @@
 }
 
 func newQueue(s settings.Settings) *queue.Queue {
-	return queue.New(s.Running, s.Waiting)
+	return queue.New(s.Gate())
 }
 
 func newExecutor(s settings.Settings, network netx.Network, marks *crashmarks.Filter) pipeline.Executor {
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -140,6 +140,7 @@
 		}
 		a.silent.Stop()
 		a.dispatcher.view.Learn(a.agent, event.Load)
+		a.dispatcher.view.LearnFraction(a.start.Team, event.TeamFraction)
 		switch message := event.Message.(type) {
 		case *wirev1.RunEvent_Head:
 			a.take(func() error { return a.sink.Head(message.Head) })
--- a/entry/relay/attempts.go
+++ b/entry/relay/attempts.go
@@ -54,9 +54,11 @@
 	start.RunId = fmt.Sprintf("%s/%d", a.x.ID, a.x.Attempts)
 	start.Endpoint = pick.Choice.Endpoint
 	start.Suspect = a.filter.marks.Suspect(a.x.Fingerprint)
+	a.filter.chooser.Describe(pick, a.x, start)
 	a.progress.continueIn(start)
 	result := a.filter.dispatcher.Send(ctx, pick.Agent, start, a.progress)
 	pick.Done()
+	a.filter.chooser.Served(pick, a.x, figuresOf(result.Usage))
 	a.tried[pick.Choice.Endpoint] = true
 	a.began = a.began || result.Outcome != refusal.NotRun
 	if result.CrashID != "" {
--- a/entry/relay/progress.go
+++ b/entry/relay/progress.go
@@ -39,4 +39,7 @@
 	start.ResumeTokens = p.tokens
 	start.ResumeOffset = p.bytes
 	start.ResumeText = p.text
+	if p.received() {
+		start.FirstTokenMillis = 0
+	}
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -34,6 +34,7 @@
 	ClaimRetention catalogue.Duration `toml:"claim_retention"`
 	Usage          Usage              `toml:"usage"`
 	Authority      Authority          `toml:"authority"`
+	Policy         Policy             `toml:"policy"`
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -50,6 +51,7 @@
 
 		ClaimRetention: catalogue.Duration(24 * time.Hour),
 		Usage:          defaultUsage(),
+		Policy:         DefaultPolicy(),
 	}
 }
 
@@ -116,5 +118,8 @@
 	if s.MaxBodyBytes <= 0 {
 		return Settings{}, &Problem{Key: "max_body_bytes", What: "is not positive", Remedy: "write a number of bytes"}
 	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -17,6 +17,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
+	"flamingospar.org/entry/admit"
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
@@ -116,6 +117,7 @@
 		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
 		marks,
+		admit.New(s.Policy, view, chooser),
 		claims,
 		relay.New(s.Instance, chooser, d, marks, registry),
 	)
