--- a/flamingospar/wholesystem/whole_test.go
+++ b/flamingospar/wholesystem/whole_test.go
@@ -70,6 +70,9 @@
 	for _, r := range healed {
 		require.True(t, r.answered(), "after all faults had ended, %d %q was told %v", r.kind, r.content, r.told)
 	}
+	for _, name := range []string{"retried.no_endpoint", "retried.endpoint_crashed", "resumed.endpoint_crashed", "resumed.endpoint_silent", "handed_over.draining"} {
+		t.Logf("%5d %s", w.counter(name), name)
+	}
 	counts := summary(requests)
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		t.Logf("%5d %s", counts[name], name)
--- a/flamingospar/wholesystem/world_test.go
+++ b/flamingospar/wholesystem/world_test.go
@@ -105,7 +105,6 @@
 	tuneAgent func(*agentsettings.Settings)
 	// replaced engines start after this time.
 	restartAfter time.Duration
-	enginePoison bool
 }
 
 func newWorld(t *testing.T, seed uint64, size shape) *world {
