--- a/flamingospar/wholesystem/world_test.go
+++ b/flamingospar/wholesystem/world_test.go
@@ -169,16 +169,24 @@
 }
 
 func (w *world) listVMs(entries int) {
-	var list []vms.VM
-	for _, e := range w.endpoints {
-		list = append(list, vms.VM{Instance: "agent-" + e.id, Role: vms.Agent, DataCentre: "waco", Address: "agent-" + e.id + ":80"})
-	}
+	list := w.vmsWithout(nil)
 	for i := range entries {
 		list = append(list, vms.VM{Instance: fmt.Sprintf("entry-%d", i), Role: vms.Entry, DataCentre: "waco", Address: fmt.Sprintf("entry-%d:82", i)})
 	}
 	w.platform.SetVMs(list)
 }
 
+// vmsWithout lists the agents' VMs but for one.
+func (w *world) vmsWithout(left *endpoint) []vms.VM {
+	var list []vms.VM
+	for _, e := range w.endpoints {
+		if e != left {
+			list = append(list, vms.VM{Instance: "agent-" + e.id, Role: vms.Agent, DataCentre: "waco", Address: "agent-" + e.id + ":80"})
+		}
+	}
+	return list
+}
+
 func (w *world) startEndpoint(e *endpoint) {
 	ctx, stop := context.WithCancel(w.ctx)
 	host := w.network.Host("endpoint-" + e.id)
