Keep runs off endpoints that are down; replace silent connections at once

Change: the agent says that its endpoint is down; the entry sets a connection aside when a stream or a status call on it fell silent, waits a little for an endpoint after a fault, and an agent opens a connection for each generation.

--- a/agent/execute/ends.go
+++ b/agent/execute/ends.go
@@ -45,6 +45,7 @@
 // ends turns errors into the typed ends of runs.
 type ends struct {
 	crashes *Crashes
+	health  *Health
 	limits  Limits
 }
 
@@ -53,6 +54,7 @@
 }
 
 func (e ends) notRun(code refusal.Code, err error) *wirev1.Finished {
+	e.health.Suspect()
 	return &wirev1.Finished{Outcome: wirev1.Outcome_OUTCOME_NOT_RUN, Code: string(code), Detail: err.Error()}
 }
 
@@ -70,6 +72,7 @@
 	default:
 		finished.Code = string(refusal.EndpointFailed)
 		finished.CrashId = e.crashes.BrokeOff(run)
+		e.health.Suspect()
 		if finished.CrashId != "" {
 			finished.Code = string(refusal.EndpointCrashed)
 		}
@@ -85,7 +88,7 @@
 	case errors.Is(err, engine.ErrRejected):
 		return e.notRun(refusal.EndpointRejected, err)
 	case errors.Is(err, engine.ErrNotSent), errors.Is(err, engine.ErrRefused):
-		return e.notRun(refusal.NoEndpoint, err)
+		return e.notRun(refusal.EndpointDown, err)
 	default:
 		run.Began = true
 		return e.broken(ctx, run, err)
--- a/agent/execute/service.go
+++ b/agent/execute/service.go
@@ -23,8 +23,8 @@
 }
 
 // NewService returns the executor of a plain service.
-func NewService(s plain.Service, crashes *Crashes, limits Limits) *Service {
-	return &Service{service: s, ends: ends{crashes: crashes, limits: limits}}
+func NewService(s plain.Service, crashes *Crashes, health *Health, limits Limits) *Service {
+	return &Service{service: s, ends: ends{crashes: crashes, health: health, limits: limits}}
 }
 
 // Execute implements pipeline.Executor. A call that may not be repeated is
@@ -38,7 +38,7 @@
 	defer ctx.end()
 	response, err := s.service.Do(ctx, callOf(run.Start))
 	if errors.Is(err, plain.ErrNotSent) {
-		return s.ends.notRun(refusal.NoEndpoint, err)
+		return s.ends.notRun(refusal.EndpointDown, err)
 	}
 	run.Began = true
 	if err != nil {
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -22,6 +22,7 @@
 	defaultHeartbeat = 1 * time.Second
 	// missedHeartbeats without any message make a stream silent.
 	missedHeartbeats = 3
+	downRetryAfter   = 1 * time.Second
 )
 
 // Server implements the agent's service.
@@ -98,6 +99,9 @@
 	if own := s.status.Instance(); start.AgentInstance != "" && start.AgentInstance != own {
 		return refusal.New(refusal.RunOtherInstance, "run %s is meant for process %s of the agent, this is %s", start.RunId, start.AgentInstance, own)
 	}
+	if s.status.Down() {
+		return refusal.New(refusal.EndpointDown, "the endpoint refuses connections").After(downRetryAfter)
+	}
 	if s.status.Leaving() {
 		return refusal.New(refusal.Draining, "the endpoint is leaving")
 	}
--- a/agent/settings/runs.go
+++ b/agent/settings/runs.go
@@ -9,7 +9,7 @@
 // Defaults of how runs are followed and ended.
 const (
 	defaultAnnounceTime = catalogue.Duration(4 * time.Second)
-	defaultFirst        = catalogue.Duration(30 * time.Second)
+	defaultFirst        = catalogue.Duration(15 * time.Second)
 	defaultNext         = catalogue.Duration(5 * time.Second)
 )
 
--- a/agent/status/status.go
+++ b/agent/status/status.go
@@ -27,6 +27,7 @@
 	queue    Queue
 	model    atomic.Value // string
 	leaving  atomic.Bool
+	down     atomic.Bool
 }
 
 // New returns the status of an agent whose endpoint has model loaded.
@@ -42,6 +43,12 @@
 // Leaving reports whether the endpoint takes no new work.
 func (s *Status) Leaving() bool { return s.leaving.Load() }
 
+// SetDown says whether the endpoint refuses connections.
+func (s *Status) SetDown(down bool) { s.down.Store(down) }
+
+// Down reports whether the endpoint refuses connections.
+func (s *Status) Down() bool { return s.down.Load() }
+
 // Instance returns the id of this agent process.
 func (s *Status) Instance() string { return s.identity.Instance }
 
@@ -53,6 +60,7 @@
 		Queued:        int32(load.Waiting),
 		Model:         s.model.Load().(string),
 		Leaving:       s.leaving.Load(),
+		Down:          s.down.Load(),
 		BacklogTokens: load.Backlog,
 		PromptRate:    load.PromptRate,
 		MaxRunning:    int32(load.MaxRunning),
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -24,7 +24,6 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/platform/engine"
-	"flamingospar.org/platform/plain"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
 
@@ -48,6 +47,7 @@
 	status   *status.Status
 	meter    *meter.Registry
 	marks    *crashmarks.Filter
+	health   *execute.Health
 	usage    usageParts
 }
 
@@ -65,6 +65,8 @@
 		account.NewService,
 		newQueue,
 		crashmarks.New,
+		newCrashes,
+		newHealth,
 		newExecutor,
 		newStatus,
 		newChain,
@@ -85,16 +87,6 @@
 	return queue.New(s.Gate())
 }
 
-func newExecutor(s settings.Settings, network netx.Network, marks *crashmarks.Filter) pipeline.Executor {
-	client := netx.HTTP1Client(network)
-	crashes := execute.NewCrashes(network, s.EndpointURL, s.Instance, marks)
-	limits := execute.Limits{First: time.Duration(s.Silence.First), Next: time.Duration(s.Silence.Next)}
-	if s.EndpointKind == modelKind {
-		return execute.NewModel(engine.NewClient(s.EndpointURL, client), crashes, limits)
-	}
-	return execute.NewService(plain.NewClient(s.EndpointURL, client, netx.FreshClient(network)), crashes, limits)
-}
-
 func newStatus(s settings.Settings, network netx.Network, q *queue.Queue) *status.Status {
 	identity := status.Identity{Endpoint: s.Endpoint, DataCentre: s.DataCentre, Instance: s.Instance, Kind: s.EndpointKind}
 	return status.New(identity, q, loadedModel(s, network))
@@ -122,8 +114,8 @@
 	return pipeline.New(registry, executor, g.Arrival(), l, u, marks, q, g.Departure())
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, marks *crashmarks.Filter) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, marks: marks}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, marks *crashmarks.Filter, health *execute.Health) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, marks: marks, health: health}
 }
 
 // Meter returns the agent's metrics.
@@ -141,6 +133,9 @@
 	mux.Handle(wirev1connect.NewCrashMarkServiceHandler(a.marks))
 	mux.Handle(a.usage.Service.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	healthContext, stopHealth := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHealth()
+	go a.health.Run(healthContext)
 	stopUsage := a.usage.start()
 	defer stopUsage()
 	httpServer := netx.Server(mux)
--- a/base/netx/netx.go
+++ b/base/netx/netx.go
@@ -79,9 +79,14 @@
 // HTTP2Client returns a client for our own processes, which speak HTTP/2 with
 // prior knowledge. A connection that answers no ping is closed.
 func HTTP2Client(network Network) *http.Client {
+	return &http.Client{Transport: HTTP2Transport(network), CheckRedirect: noRedirect}
+}
+
+// HTTP2Transport returns the transport of an HTTP2Client.
+func HTTP2Transport(network Network) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{
+	return &http.Transport{
 		DialContext:        network.DialContext,
 		Protocols:          protocols,
 		DisableCompression: true,
@@ -92,7 +97,6 @@
 			MaxReceiveBufferPerStream: http2StreamBuffer,
 		},
 	}
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
 // Server returns an HTTP server that speaks HTTP/1.1 and HTTP/2 with prior knowledge.
--- a/core/refusal/run.go
+++ b/core/refusal/run.go
@@ -5,6 +5,7 @@
 // Codes of runs, retries, claims and crash marks.
 const (
 	EndpointCrashed     Code = "endpoint_crashed"
+	EndpointDown        Code = "endpoint_down"
 	EndpointSilent      Code = "endpoint_silent"
 	EndpointRejected    Code = "endpoint_rejected"
 	ResumeInconsistent  Code = "resume_inconsistent"
@@ -22,6 +23,7 @@
 
 var runReasons = map[Code]Reason{
 	EndpointCrashed:     {http.StatusBadGateway, typeUnavailable, "the endpoint crashed during the run; repeat only if the request may be repeated"},
+	EndpointDown:        {http.StatusServiceUnavailable, typeUnavailable, "come back after Retry-After; the endpoint does not accept connections"},
 	EndpointSilent:      {http.StatusGatewayTimeout, typeTimeout, "the connection to the endpoint went silent; repeat only if the request may be repeated"},
 	EndpointRejected:    {http.StatusBadRequest, typeInvalid, "correct the request; the endpoint did not accept its body"},
 	ResumeInconsistent:  {http.StatusBadGateway, typeUnavailable, "send the request again; another endpoint would have continued with another answer"},
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -5,9 +5,9 @@
 	// Ratio is the share of requests that may be retried in the long run.
 	Ratio = 0.08
 	// Burst is how many retries may come at once after a quiet time.
-	Burst = 32
+	Burst = 64
 	// resumeReserve is the part of the burst that only resumed answers may use.
-	resumeReserve = 8
+	resumeReserve = 16
 )
 
 // Budget is a token bucket that each request fills by Ratio and each retry
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -212,9 +212,11 @@
 	v.applyLoad(agent, load)
 }
 
-// Failed marks an agent as not ready until it answers again.
+// Failed marks an agent as not ready until it answers again. This entry asks it
+// at each refresh meanwhile.
 func (v *View) Failed(agent *Agent) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	agent.candidate.Ready = false
+	agent.contact.adoptUntil = v.member.Clock().Add(adoptFor)
 }
--- a/entry/fleet/load.go
+++ b/entry/fleet/load.go
@@ -64,7 +64,7 @@
 	a.candidate.Running = int(load.GetRunning())
 	a.candidate.MaxRunning = int(load.GetMaxRunning())
 	a.candidate.Model = load.GetModel()
-	a.candidate.Ready = !load.GetLeaving() && !a.vm.Leaving && !a.contact.changing && !a.contact.stale
+	a.candidate.Ready = !load.GetLeaving() && !load.GetDown() && !a.vm.Leaving && !a.contact.changing && !a.contact.stale
 	a.candidate.Ledger = a.candidate.Ledger.Reported(v.now(), load.GetBacklogTokens(), load.GetPromptRate())
 }
 
--- a/entry/fleet/membership.go
+++ b/entry/fleet/membership.go
@@ -132,9 +132,10 @@
 	switch code {
 	case refusal.ConfigStale:
 		agent.contact.adoptUntil = v.member.Clock().Add(adoptFor)
-	case refusal.EndpointChanging, refusal.Draining:
+	case refusal.EndpointChanging, refusal.Draining, refusal.EndpointDown:
 		agent.candidate.Ready = false
-	case refusal.WrongEndpoint:
+		agent.contact.adoptUntil = v.member.Clock().Add(adoptFor)
+	case refusal.WrongEndpoint, refusal.RunOtherInstance:
 		agent.candidate.Ready = false
 		agent.contact = contact{}
 	}
--- a/entry/relay/attempts.go
+++ b/entry/relay/attempts.go
@@ -34,7 +34,7 @@
 	f := a.filter
 	f.budget.request()
 	for {
-		pick, ok := f.chooser.Pick(a.x, a.tried)
+		pick, ok := a.pick(ctx)
 		if !ok {
 			return a.noneReady()
 		}
@@ -48,6 +48,34 @@
 	}
 }
 
+// pick chooses an endpoint. A request that has lost an attempt waits a little
+// for one to become ready again, since a fault may have hit all of them; then
+// it may also go where it failed before.
+func (a *attempts) pick(ctx context.Context) (choose.Pick, bool) {
+	pick, ok := a.filter.chooser.Pick(a.x, a.tried)
+	for waited := time.Duration(0); !ok && a.lost() && waited < readyWait; waited += readyPoll {
+		if !wait(ctx, readyPoll) {
+			return choose.Pick{}, false
+		}
+		pick, ok = a.filter.chooser.Pick(a.x, nil)
+	}
+	return pick, ok
+}
+
+// faults are the codes of attempts lost to a fault, unlike those refused by an
+// endpoint that is at work.
+var faults = map[refusal.Code]bool{
+	refusal.EndpointCrashed:  true,
+	refusal.EndpointDown:     true,
+	refusal.EndpointFailed:   true,
+	refusal.EndpointSilent:   true,
+	refusal.NoEndpoint:       true,
+	refusal.RunOtherInstance: true,
+	refusal.Draining:         true,
+}
+
+func (a *attempts) lost() bool { return a.last.Refused != nil && faults[a.last.Refused.Code] }
+
 func (a *attempts) send(ctx context.Context, pick choose.Pick) dispatch.Result {
 	a.x.Attempts++
 	start := proto.Clone(a.base).(*wirev1.RunStart)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -17,7 +17,13 @@
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
-const noEndpointAfter = 1 * time.Second
+const (
+	noEndpointAfter = 1 * time.Second
+	// readyWait is how long a request that lost an attempt waits for an
+	// endpoint to become ready.
+	readyWait = 4 * time.Second
+	readyPoll = 100 * time.Millisecond
+)
 
 // CrashMarks knows the requests that were running when endpoints crashed.
 type CrashMarks interface {
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -28,7 +28,8 @@
 
 func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, dispatch.Client(netx.HTTP2Client(network)), membership, connect.WithInterceptors(usage))
+	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(network) })
+	return fleet.New(c, client, membership, connect.WithInterceptors(usage))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
