--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -12,14 +12,15 @@
 	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/crashmarks"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
+	"flamingospar.org/agent/orders"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
-	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -49,6 +50,7 @@
 	marks    *crashmarks.Filter
 	health   *execute.Health
 	usage    usageParts
+	orders   *orders.Duty
 }
 
 // Build wires an agent.
@@ -58,11 +60,16 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newProcess,
 		newGate,
+		newOrders,
 		ledger.New,
 		newUsageLedger,
 		newUsageWriter,
 		account.NewService,
+		newJournal,
+		newObserver,
+		explain.NewService,
 		newQueue,
 		crashmarks.New,
 		newCrashes,
@@ -106,16 +113,14 @@
 	return load.Model
 }
 
-func newGate(s settings.Settings) *gate.Gate {
-	return gate.New(s.Endpoint, s.Instance, clock.Now)
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
+	chain := pipeline.New(registry, executor, g.Arrival(), l, u, marks, q, g.Departure())
+	chain.SetObserver(observer)
+	return chain
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
-	return pipeline.New(registry, executor, g.Arrival(), l, u, marks, q, g.Departure())
-}
-
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, marks *crashmarks.Filter, health *execute.Health) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, marks: marks, health: health}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty, marks *crashmarks.Filter, health *execute.Health) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty, marks: marks, health: health}
 }
 
 // Meter returns the agent's metrics.
@@ -132,6 +137,7 @@
 	mux.Handle(a.server.Handler())
 	mux.Handle(wirev1connect.NewCrashMarkServiceHandler(a.marks))
 	mux.Handle(a.usage.Service.Handler())
+	mux.Handle(a.usage.Observe.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	healthContext, stopHealth := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopHealth()
@@ -141,6 +147,8 @@
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- httpServer.Serve(listener) }()
+	stopOrders := a.startOrders()
+	defer stopOrders()
 	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
 	select {
 	case err := <-failed:
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -51,6 +51,8 @@
 	Wait     float64        // Expected seconds to the first token there.
 	Looked   int            // Candidates looked at.
 	Home     bool           // The prompt's prefix is probably cached there.
+	// Alternatives are the next best that were looked at.
+	Alternatives []Alternative
 }
 
 // Pool gives access to like candidates, in the order of their hash.
@@ -89,9 +91,7 @@
 		home := homes.has(candidate.Endpoint)
 		wait := expectedWait(request, candidate, home)
 		cost := wait + otherCosts(request, candidate)
-		if choice.Endpoint == "" || cost < choice.Score {
-			choice.Endpoint = candidate.Endpoint
-			choice.Score = cost
+		if choice.consider(candidate.Endpoint, cost) {
 			choice.Wait = wait
 			choice.Home = home
 		}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -29,6 +29,8 @@
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
 	Usage  wirev1connect.UsageServiceClient
+	// Observe answers operators' questions.
+	Observe wirev1connect.ObserveServiceClient
 
 	// Marks exchanges crash marks with the agent.
 	Marks wirev1connect.CrashMarkServiceClient
@@ -133,6 +135,7 @@
 			v.stale = true
 		}
 	}
+	v.rank()
 }
 
 func (v *View) mergeAgent(vm vms.VM) {
@@ -142,8 +145,9 @@
 	}
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
 	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
+	observe := wirev1connect.NewObserveServiceClient(v.client, "http://"+vm.Address, v.options...)
 	marks := wirev1connect.NewCrashMarkServiceClient(v.client, "http://"+vm.Address, v.options...)
-	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Marks: marks, vm: vm}
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Observe: observe, Marks: marks, vm: vm}
 	v.stale = true
 }
 
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -38,9 +38,12 @@
 	meter  *meter.Registry
 	token  string
 	ready  func() bool
-	routes []func(chi.Router) // Behind the same authorisation.
+	mounts []func(chi.Router)
 }
 
+// Mount adds routes of another part behind the operators' token.
+func (a *API) Mount(mount func(chi.Router)) { a.mounts = append(a.mounts, mount) }
+
 // New returns the interface. An empty token lets everybody in; ready reports
 // whether callers are served.
 func New(c Config, registry *meter.Registry, token string, ready func() bool) *API {
@@ -63,8 +66,8 @@
 		private.Get("/v1/keys", a.listKeys)
 		private.Post("/v1/keys", a.issueKey)
 		private.Delete("/v1/keys/{id}", a.withdrawKey)
-		for _, add := range a.routes {
-			add(private)
+		for _, mount := range a.mounts {
+			mount(private)
 		}
 	})
 	return router
--- a/entry/operator/requests.go
+++ b/entry/operator/requests.go
@@ -33,7 +33,7 @@
 
 // WithRequests adds the operators' view of single requests.
 func (a *API) WithRequests(claims Claims, crashes Crashes) *API {
-	a.routes = append(a.routes, func(router chi.Router) {
+	a.Mount(func(router chi.Router) {
 		router.Get("/v1/claims/unknown", listClaims(claims))
 		router.Post("/v1/claims/settle", settleClaim(claims))
 		router.Get("/v1/crashes", func(w http.ResponseWriter, _ *http.Request) { write(w, marksOf(crashes)) })
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -5,12 +5,14 @@
 	"net/http"
 
 	"connectrpc.com/connect"
-	"flamingospar.org/entry/account"
+	"github.com/google/uuid"
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
 	"flamingospar.org/entry/settings"
@@ -19,17 +21,17 @@
 
 func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
-		Instance: s.Instance,
+		Instance: s.Instance + "." + uuid.NewString()[:8],
 		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
 	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(network) })
-	return fleet.New(c, client, membership, connect.WithInterceptors(usage))
+	return fleet.New(c, client, membership, connect.WithInterceptors(usage, explaining))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
@@ -37,11 +39,19 @@
 	if e.Settings.Authority.PeerListen == "" {
 		return nil, nil
 	}
-	return e.Network.Listen(e.Settings.Authority.PeerListen)
+	listener, err := e.Network.Listen(e.Settings.Authority.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	if e.Settings.Authority.PeerAddress == "" {
+		e.Roster.SetSelf(listener.Addr().String())
+	}
+	return listener, nil
 }
 
 func (e *Entry) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(peering.NewServer(e.Config).Handler())
+	mux.Handle(e.observeServer().Handler())
 	return netx.Server(mux)
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -25,6 +25,7 @@
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/crashmarks"
 	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/match"
@@ -52,6 +53,7 @@
 	Meter    *meter.Registry
 	Config   *configview.View
 	Fleet    *fleet.View
+	Roster   *fleet.Roster
 	Chain    *pipeline.Chain
 	Models   *modelsChain
 	Writer   *account.Writer
@@ -61,6 +63,7 @@
 	Finisher *claim.Finisher
 	Claims   *claim.Register
 	State    *runState
+	Observe  observeParts
 }
 
 // runState tells whether the entry serves callers.
@@ -84,6 +87,9 @@
 		newClaimFinisher,
 		newClaimRegister,
 		newClaims,
+		newJournal,
+		explain.NewObserver,
+		explain.NewInterceptor,
 		account.NewRing,
 		account.NewAcks,
 		account.NewCounts,
@@ -159,6 +165,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	e.mountObserve(api)
 	api.WithRequests(e.Claims, e.Crashes)
 	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Models))))
 	operatorServer := netx.Server(api.Handler())
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -45,6 +45,7 @@
 	router.Post("/v1/chat/completions", e.generate)
 	router.Post("/v1/completions", e.generate)
 	router.Get("/load", e.load)
+	e.Control.Routes(router)
 	return router
 }
 
@@ -52,7 +53,7 @@
 	e.mu.Lock()
 	running, queued := e.batch.Counts()
 	e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(port.Load{Running: running, Queued: queued, Model: e.model})
+	_ = json.NewEncoder(w).Encode(port.Load{Running: running, Queued: queued, Model: e.Control.Model(), Role: e.Control.State().Role})
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
@@ -61,7 +62,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if body.Model != e.model {
+	if body.Model != e.Control.Model() {
 		http.Error(w, "model not loaded", http.StatusNotFound)
 		return
 	}
@@ -83,7 +84,7 @@
 		engine:     e,
 		chat:       strings.Contains(r.URL.Path, "chat"),
 		run:        run,
-		model:      e.model,
+		model:      body.Model,
 		prompt:     seed,
 		continuous: body.StreamOptions.ContinuousUsage,
 	}
