--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/uuid"
 	"github.com/pelletier/go-toml/v2"
+
+	"flamingospar.org/core/catalogue"
 )
 
 // Settings configures one agent process.
@@ -20,8 +22,12 @@
 	PlatformURL  string `toml:"platform_url"`
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
-	Usage        Usage  `toml:"usage"`
-	Policy       Policy `toml:"policy"`
+	// AnnounceTime is how long a leaving agent still listens, for the entries
+	// to learn that it is leaving.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	Silence      Silence            `toml:"silence"`
+	Usage        Usage              `toml:"usage"`
+	Policy       Policy             `toml:"policy"`
 }
 
 // Default sizes of the queue.
@@ -44,7 +50,7 @@
 
 // Parse reads strict TOML, fills defaults and checks the result.
 func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}
+	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}.withRunDefaults()
 	decoder := toml.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&settings); err != nil {
@@ -58,6 +64,7 @@
 	if s.Instance == "" {
 		s.Instance = uuid.NewString()
 	}
+	s = s.withRunDefaults()
 	s.Usage = s.Usage.withDefaults()
 	required := []struct{ key, value string }{
 		{"data_centre", s.DataCentre},
@@ -80,5 +87,5 @@
 	if err := s.Policy.check(); err != nil {
 		return Settings{}, err
 	}
-	return s, nil
+	return s, s.checkRuns()
 }
