Bill the prompt of a run that its caller cancelled

Cause: engines report their usage with each event since the request path asks for it, so that the prompt of a cancelled run is known; billing nothing for it let callers cancel just before the end for free.

Ruled out: billing it for runs that the endpoint broke off: the run that resumes the answer bills the prompt.

After: the billing table test has both rows.

--- a/agent/account/account.go
+++ b/agent/account/account.go
@@ -94,11 +94,12 @@
 
 func (l *Ledger) endOf(run *pipeline.Run) usage.RunEnd {
 	end := usage.RunEnd{
-		Began:    run.Began,
-		Complete: run.Finished.GetOutcome() == wirev1.Outcome_OUTCOME_RAN,
-		Model:    l.kind == ModelKind,
-		Resumed:  run.Start.ResumeTokens > 0,
-		PassedOn: run.PassedOn,
+		Began:     run.Began,
+		Complete:  run.Finished.GetOutcome() == wirev1.Outcome_OUTCOME_RAN,
+		Cancelled: cancelled(run.Finished),
+		Model:     l.kind == ModelKind,
+		Resumed:   run.Start.ResumeTokens > 0,
+		PassedOn:  run.PassedOn,
 	}
 	if run.Usage != nil {
 		end.Reported = &usage.Figures{
@@ -110,6 +111,12 @@
 	return end
 }
 
+// cancelled reports whether the caller or its deadline ended the run.
+func cancelled(finished *wirev1.Finished) bool {
+	code := refusal.Code(finished.GetCode())
+	return code == refusal.RunCancelled || code == refusal.DeadlineExceeded
+}
+
 func windowLength(start *wirev1.RunStart) time.Duration {
 	if start.UsageWindowMillis <= 0 {
 		return defaultWindow
--- a/core/usage/billing.go
+++ b/core/usage/billing.go
@@ -4,10 +4,12 @@
 type RunEnd struct {
 	Began    bool // The endpoint may have begun the run.
 	Complete bool // The endpoint finished the run and its whole answer passed.
-	Model    bool // A generation rather than a call of a plain service.
-	Resumed  bool // The caller already had output of an earlier run.
-	// Reported is what the engine reported at the run's end; nil when the run
-	// ended before that.
+	// Cancelled is set when the caller left or its deadline passed, so that no
+	// other run continues the answer.
+	Cancelled bool
+	Model     bool // A generation rather than a call of a plain service.
+	Resumed   bool // The caller already had output of an earlier run.
+	// Reported is the engine's last report of the run; nil when there was none.
 	Reported *Figures
 	// PassedOn is the number of output tokens that the agent passed on.
 	PassedOn int64
@@ -21,6 +23,10 @@
 	}
 	if !end.Complete {
 		figures := Figures{OutputTokens: end.PassedOn}
+		if end.Cancelled && end.Reported != nil {
+			figures.PromptTokens = end.Reported.PromptTokens
+			figures.CachedTokens = end.Reported.CachedTokens
+		}
 		return figures, figures != Figures{}
 	}
 	figures := Figures{Requests: 1}
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -64,6 +64,8 @@
 		{"answered by an engine", RunEnd{Began: true, Complete: true, Model: true, Reported: reported, PassedOn: 50}, Figures{1, 100, 30, 50}, true},
 		{"answered by a plain service", RunEnd{Began: true, Complete: true}, Figures{Requests: 1}, true},
 		{"broken off", RunEnd{Began: true, Model: true, PassedOn: 7}, Figures{OutputTokens: 7}, true},
+		{"cancelled", RunEnd{Began: true, Cancelled: true, Model: true, Reported: reported, PassedOn: 7}, Figures{0, 100, 30, 7}, true},
+		{"cancelled before a report", RunEnd{Began: true, Cancelled: true, Model: true}, Figures{}, false},
 		{"broken off with figures", RunEnd{Began: true, Model: true, Reported: reported, PassedOn: 7}, Figures{OutputTokens: 7}, true},
 		{"broken off before any output", RunEnd{Began: true, Model: true}, Figures{}, false},
 		{"resumed and ended", RunEnd{Began: true, Complete: true, Model: true, Resumed: true, Reported: reported, PassedOn: 20}, Figures{1, 100, 30, 20}, true},
