--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -5,21 +5,15 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"time"
 
 	agentaccount "flamingospar.org/agent/account"
-	"github.com/stretchr/testify/require"
-
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/usage"
 	entryaccount "flamingospar.org/entry/account"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/sealing"
-	"flamingospar.org/platform/tables"
-	"flamingospar.org/platform/usagereport"
 	"flamingospar.org/platform/usagestore"
 	"flamingospar.org/standin/platform"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -236,126 +230,6 @@
 	e.sealer.Step(ctx)
 }
 
-// store passes one call to the table service, which may be down or cut off.
-func (p *process) store(ctx context.Context, effect func() error) error {
-	return p.call(ctx, func() error {
-		if p.world.outage || p.cut {
-			return errors.Join(tables.ErrUnavailable, errInjected)
-		}
-		return effect()
-	})
-}
-
-// call passes one call to the platform with the faults in force.
-func (p *process) call(ctx context.Context, effect func() error) error {
-	w := p.world
-	if p.dead {
-		return errInjected
-	}
-	p.maybePause(ctx)
-	p.dead = w.chance(w.odds.die)
-	if p.dead && w.chance(0.5) || w.chance(w.odds.loseCall) {
-		return errors.Join(tables.ErrUnavailable, errInjected)
-	}
-	err := effect()
-	if p.dead || w.chance(w.odds.loseAnswer) {
-		return errors.Join(tables.ErrUnavailable, errInjected)
-	}
-	p.maybePause(ctx)
-	if ctx.Err() != nil {
-		return errors.Join(tables.ErrUnavailable, ctx.Err())
-	}
-	return err
-}
-
-func (w *world) chance(p float64) bool { return w.random.Float64() < p }
-
-// maybePause stops the process inside a call while all others go on.
-func (p *process) maybePause(context.Context) {
-	w := p.world
-	if w.pausing || !w.chance(w.odds.pause) {
-		return
-	}
-	for range 1 + w.random.IntN(8) {
-		w.others(p, time.Duration(1+w.random.IntN(5))*time.Second)
-	}
-}
-
-// others stops a process for a time, after which all others step.
-func (w *world) others(p *process, pause time.Duration) {
-	if w.pausing {
-		return
-	}
-	w.pausing = true
-	p.busy = true
-	time.Sleep(pause)
-	w.step(context.Background())
-	p.busy = false
-	w.pausing = false
-}
-
-// Get implements tables.Service.
-func (p *process) Get(ctx context.Context, key tables.Key) (row tables.Row, err error) {
-	err = p.store(ctx, func() error {
-		row, err = p.world.platform.Tables.Get(ctx, key)
-		return err
-	})
-	return row, err
-}
-
-// Scan implements tables.Service.
-func (p *process) Scan(ctx context.Context, table, prefix, start string, limit int) (rows []tables.Row, err error) {
-	err = p.store(ctx, func() error {
-		rows, err = p.world.platform.Tables.Scan(ctx, table, prefix, start, limit)
-		return err
-	})
-	return rows, err
-}
-
-// Commit implements tables.Service. Only the holder of the lease changes what
-// is sealed.
-func (p *process) Commit(ctx context.Context, txn tables.Txn) error {
-	return p.store(ctx, func() error {
-		err := p.world.platform.Tables.Commit(ctx, txn)
-		if err == nil && txn.Writes[0].Key.Table == usagestore.SealedTable {
-			p.world.checkHolder(p)
-		}
-		return err
-	})
-}
-
-// checkHolder notes a change of what is sealed by a process without the lease.
-func (w *world) checkHolder(p *process) {
-	row, err := w.platform.Tables.Get(context.Background(), tables.Key{Table: "leases", Row: "usage"})
-	if err != nil || !strings.Contains(string(row.Value), strconv.Quote(p.id)) {
-		w.intruders++
-	}
-}
-
-// reporter sends reports as the guarded connection does: the term is checked
-// when the bytes leave, and the receiver drops what comes after its idle time.
-type reporter struct{ e *entry }
-
-// Report implements usagereport.Reports.
-func (r reporter) Report(ctx context.Context, report usagereport.Report) error {
-	if err := sealing.MayReport(r.e.keeper, idleClose); err != nil {
-		return err
-	}
-	checked := time.Now()
-	if w := r.e.world; w.chance(w.odds.slowReport) {
-		w.others(r.e.process, time.Duration(w.random.Int64N(int64(idleClose))))
-	}
-	return r.e.call(ctx, func() error {
-		if time.Since(checked) >= idleClose {
-			return errInjected
-		}
-		if report.Team == r.e.world.refuse {
-			return usagereport.ErrRefused
-		}
-		return r.e.world.platform.Report(ctx, report)
-	})
-}
-
 // heal ends all faults and lets the processes settle.
 func (w *world) heal() {
 	w.odds = odds{}
@@ -366,97 +240,3 @@
 		w.step(context.Background())
 	}
 }
-
-// result is what a run of the world showed.
-type result struct {
-	runs, missing, residue int
-	tokenError             int64 // Reported less counted tokens.
-	violations             []string
-	intruders              int
-	left                   int // Batches still in the table.
-}
-
-// check compares what was reported with what ran. A run may be missing only if
-// both processes that held its record are gone.
-func (w *world) check(ctx context.Context) (result, error) {
-	sources, err := usagestore.ReadSources(ctx, w.platform.Tables)
-	if err != nil {
-		return result{}, err
-	}
-	res := result{runs: len(w.runs), violations: w.platform.ReportViolations(), intruders: w.intruders}
-	expected := make(map[string]usage.Figures)
-	for _, run := range w.runs {
-		source := sources[run.record.Source]
-		switch {
-		case source != nil && source.Has(run.record.Sequence):
-			expected[run.record.Team] = expected[run.record.Team].Plus(run.record.Figures)
-		case run.residue:
-			res.residue++
-		default:
-			res.missing++
-		}
-	}
-	reported := w.reportedFigures()
-	for team := range expected {
-		difference := reported[team].Minus(expected[team])
-		res.tokenError += max(difference.Tokens(), -difference.Tokens())
-	}
-	err = usagestore.Due(ctx, w.platform.Tables, 1<<40, func(usagestore.Stored) error {
-		res.left++
-		return nil
-	})
-	return res, err
-}
-
-func (w *world) reportedFigures() map[string]usage.Figures {
-	type key struct {
-		team   string
-		window usage.Window
-	}
-	seen := make(map[key]bool)
-	teams := make(map[string]usage.Figures)
-	for _, report := range w.platform.Reports() {
-		k := key{report.Team, report.Window}
-		if !seen[k] {
-			seen[k] = true
-			teams[report.Team] = teams[report.Team].Plus(report.Figures)
-		}
-	}
-	return teams
-}
-
-// requireOwnWindows fails unless every sealed window holds just the runs that
-// ended in it.
-func (w *world) requireOwnWindows(t require.TestingT) {
-	parts, err := usagestore.SealedAfter(context.Background(), w.platform.Tables, "", 1<<20)
-	require.NoError(t, err)
-	sealed := make(map[usage.Window]usage.Figures)
-	for _, part := range parts {
-		for _, total := range part.Teams {
-			sealed[part.Window] = sealed[part.Window].Plus(total.Figures)
-		}
-	}
-	ended := make(map[usage.Window]usage.Figures)
-	for _, run := range w.runs {
-		ended[run.record.Window] = ended[run.record.Window].Plus(run.record.Figures)
-	}
-	require.Equal(t, ended, sealed)
-}
-
-// secondsUntilReported steps each second until every run that has ended by now
-// is sealed and reported.
-func (w *world) secondsUntilReported(t require.TestingT) int {
-	last := usage.WindowAt(time.Now(), window)
-	for seconds := 1; ; seconds++ {
-		require.Less(t, seconds, 3600)
-		time.Sleep(time.Second)
-		w.step(context.Background())
-		progress, _, err := usagestore.ReadProgress(context.Background(), w.platform.Tables)
-		require.NoError(t, err)
-		parts, err := usagestore.SealedAfter(context.Background(), w.platform.Tables, progress.Reported, 1)
-		require.NoError(t, err)
-		if progress.Sealed >= last && len(parts) == 0 {
-			return seconds
-		}
-	}
-}
