--- a/flamingospar/capacity/figures.go
+++ b/flamingospar/capacity/figures.go
@@ -18,6 +18,8 @@
 	introduceSeconds    = 60
 	configPollSeconds   = 2
 	leaseRenewSeconds   = 3
+	crashReadSeconds    = 10
+	claimSweepSeconds   = 5
 	vmListSeconds       = 1
 	flushSeconds        = 5
 	windowSeconds       = 60
@@ -92,6 +94,7 @@
 	times := []Figure{
 		{"entry", "processor time", "status calls, half of both ends", percent(statusCalls() * s["status_call_cpu"] / 2), 0, unitPercent},
 		{"entry", "processor time", "configuration and lease", percent(s["config_poll_cpu"]/configPollSeconds + s["lease_step_cpu"]/leaseRenewSeconds + changes*s["config_key_apply"]), 0, unitPercent},
+		{"entry", "processor time", "reads of the VM list", percent((targetAgents + targetEntries) * s["vm_list_cpu"] / vmListSeconds), 0, unitPercent},
 		{"entry", "processor time", "usage", percent(requestsAnEntry * s["usage_record_write"]), 0, unitPercent},
 	}
 	figures := withTotal(memory, "memory", megabytes(boundMemory))
@@ -121,7 +124,10 @@
 		{"entry with the usage lease", "processor time", fmt.Sprintf("%.0f reports a second", reportsASecond), percent(reportsASecond * s["report"]), percent(boundCPU), unitPercent},
 		{"table service", "writes", "batches of all entries", targetEntries / flushSeconds, 0, unitOps},
 		{"table service", "writes", "deletions of sealed batches, 200 in a transaction", targetEntries / flushSeconds / 200.0, 0, unitOps},
-		{"table service", "reads", "head of the configuration and a lease, all entries", targetEntries/float64(configPollSeconds) + targetEntries/float64(leaseRenewSeconds), 0, unitOps},
+		{"table service", "reads", "head of the configuration, all entries", targetEntries / float64(configPollSeconds), 0, unitOps},
+		{"table service", "reads", "a lease, all entries", targetEntries / float64(leaseRenewSeconds), 0, unitOps},
+		{"table service", "reads", "crash marks, all entries", targetEntries / float64(crashReadSeconds), 0, unitOps},
+		{"table service", "reads", "claims left open, all entries", targetEntries / float64(claimSweepSeconds), 0, unitOps},
 	}
 }
 
--- a/flamingospar/capacity/state.go
+++ b/flamingospar/capacity/state.go
@@ -55,6 +55,7 @@
 		}},
 		{"agent_record", Microseconds, "a run's record at the agent, made and acknowledged", agentRecordTime},
 		{"vm_list_row", Bytes, "a VM in the platform's list, at each read", vmBytes},
+		{"vm_list_cpu", Microseconds, "a VM in the platform's list, decoded", vmTime},
 	}
 }
 
@@ -155,7 +156,7 @@
 	return ledger
 }
 
-func vmBytes() (float64, error) {
+func sampleVMs() []vms.VM {
 	list := make([]vms.VM, sampleAgents)
 	for i := range list {
 		list[i] = vms.VM{
@@ -165,16 +166,27 @@
 			Address:    "10.0.100.100:9300",
 		}
 	}
-	data, err := json.Marshal(list)
+	return list
+}
+
+func vmBytes() (float64, error) {
+	data, err := json.Marshal(sampleVMs())
 	return float64(len(data)) / sampleAgents, err
 }
 
-func agentRecordTime() (float64, error) {
-	ledger := agentaccount.NewLedger("agent", agentaccount.ModelKind)
-	return cpuOf(func() {
-		record := ledger.Count("team", usage.Figures{Requests: 1, PromptTokens: 100}, time.Minute, time.Unix(0, 0))
-		ledger.Acknowledge(&wirev1.UsageDurable{Source: record.Source, Sequences: []int64{record.Sequence}})
-	}), nil
+func vmTime() (float64, error) {
+	data, err := json.Marshal(sampleVMs())
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	micros := cpuOf(func() {
+		var list []vms.VM
+		if err := json.Unmarshal(data, &list); err != nil {
+			failed = err
+		}
+	})
+	return micros / sampleAgents, failed
 }
 
 func entryBase() (float64, error) {
@@ -232,3 +244,11 @@
 	})
 	return bytes, failed
 }
+
+func agentRecordTime() (float64, error) {
+	ledger := agentaccount.NewLedger("agent", agentaccount.ModelKind)
+	return cpuOf(func() {
+		record := ledger.Count("team", usage.Figures{Requests: 1, PromptTokens: 100}, time.Minute, time.Unix(0, 0))
+		ledger.Acknowledge(&wirev1.UsageDurable{Source: record.Source, Sequences: []int64{record.Sequence}})
+	}), nil
+}
