--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -10,6 +10,7 @@
 	"go.uber.org/dig"
 
 	"flamingospar.org/agent/account"
+	"flamingospar.org/agent/crashmarks"
 	"flamingospar.org/agent/execute"
 	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/gate"
@@ -24,14 +25,18 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/platform/engine"
-	"flamingospar.org/platform/plain"
+	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
 
 // modelKind is the endpoint kind of engines.
 const modelKind = "model"
 
-// loadTimeout bounds the first look at the engine.
-const loadTimeout = 5 * time.Second
+const (
+	// loadTimeout bounds the first look at the engine.
+	loadTimeout = 5 * time.Second
+	// shutdownTimeout bounds the closing of connections without runs.
+	shutdownTimeout = 5 * time.Second
+)
 
 var log = logging.For("agent")
 
@@ -42,6 +47,8 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	marks    *crashmarks.Filter
+	health   *execute.Health
 	usage    usageParts
 	orders   *orders.Duty
 }
@@ -64,6 +71,9 @@
 		newObserver,
 		explain.NewService,
 		newQueue,
+		crashmarks.New,
+		newCrashes,
+		newHealth,
 		newExecutor,
 		newStatus,
 		newChain,
@@ -84,14 +94,6 @@
 	return queue.New(s.Gate())
 }
 
-func newExecutor(s settings.Settings, network netx.Network) pipeline.Executor {
-	client := netx.HTTP1Client(network)
-	if s.EndpointKind == modelKind {
-		return execute.NewModel(engine.NewClient(s.EndpointURL, client))
-	}
-	return execute.NewService(plain.NewClient(s.EndpointURL, client))
-}
-
 func newStatus(s settings.Settings, network netx.Network, q *queue.Queue) *status.Status {
 	identity := status.Identity{Endpoint: s.Endpoint, DataCentre: s.DataCentre, Instance: s.Instance, Kind: s.EndpointKind}
 	return status.New(identity, q, loadedModel(s, network))
@@ -111,14 +113,14 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
-	chain := pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, marks *crashmarks.Filter, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
+	chain := pipeline.New(registry, executor, g.Arrival(), l, u, marks, q, g.Departure())
 	chain.SetObserver(observer)
 	return chain
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty, marks *crashmarks.Filter, health *execute.Health) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty, marks: marks, health: health}
 }
 
 // Meter returns the agent's metrics.
@@ -127,13 +129,19 @@
 // Listen opens the agent's address.
 func (a *Agent) Listen() (net.Listener, error) { return a.network.Listen(a.settings.Listen) }
 
-// Serve accepts runs on listener until ctx ends, then finishes what is running.
+// Serve accepts runs on listener until ctx ends, then leaves: it says so, hands
+// its queue over, finishes what is running and listens on until the entries
+// have had time to learn that it is leaving.
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
+	mux.Handle(wirev1connect.NewCrashMarkServiceHandler(a.marks))
 	mux.Handle(a.usage.Service.Handler())
 	mux.Handle(a.usage.Observe.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	healthContext, stopHealth := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHealth()
+	go a.health.Run(healthContext)
 	stopUsage := a.usage.start()
 	defer stopUsage()
 	httpServer := netx.Server(mux)
@@ -147,7 +155,25 @@
 		return err
 	case <-ctx.Done():
 	}
+	a.leave()
+	return a.shutdown(httpServer)
+}
+
+func (a *Agent) leave() {
 	a.status.SetLeaving()
+	known := time.NewTimer(time.Duration(a.settings.AnnounceTime))
+	defer known.Stop()
+	log.Info("The agent leaves.", "endpoint", a.settings.Endpoint, "handed_over", a.server.HandOver())
 	a.server.Wait()
-	return httpServer.Close()
+	<-known.C
+	a.server.Wait()
+}
+
+func (a *Agent) shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return server.Close()
+	}
+	return nil
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,11 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	// AnnounceTime is how long a leaving entry, no longer ready, still takes
+	// connections, for the balancer to notice.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	// ClaimRetention is how long an idempotency key's answer is kept.
+	ClaimRetention catalogue.Duration `toml:"claim_retention"`
 	Usage          Usage              `toml:"usage"`
 	Authority      Authority          `toml:"authority"`
 	Policy         Policy             `toml:"policy"`
@@ -42,8 +47,11 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
-		Usage:        defaultUsage(),
-		Policy:       DefaultPolicy(),
+		AnnounceTime: catalogue.Duration(5 * time.Second),
+
+		ClaimRetention: catalogue.Duration(24 * time.Hour),
+		Usage:          defaultUsage(),
+		Policy:         DefaultPolicy(),
 	}
 }
 
@@ -96,6 +104,8 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"announce_time", s.AnnounceTime},
+		{"claim_retention", s.ClaimRetention},
 		{"usage.idle_close", s.Usage.IdleClose},
 		{"usage.remember", s.Usage.Remember},
 		{"usage.keep", s.Usage.Keep},
