--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -180,6 +180,28 @@
 	})
 }
 
+// TestOtherWindowLengthSealsNothing gives the holder another length for a time.
+func TestOtherWindowLengthSealsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4, 1, 2, odds{})
+		serve := func() {
+			for range 12 {
+				w.serveSome(3)
+				time.Sleep(5 * time.Second)
+				w.step(context.Background())
+			}
+		}
+		serve()
+		sealed := w.reports.Counter("usage", "windows_sealed")
+		require.Positive(t, sealed)
+		w.entries[0].sealer = w.entries[0].newSealer(2 * window)
+		serve()
+		require.Equal(t, sealed, w.reports.Counter("usage", "windows_sealed"))
+		w.entries[0].sealer = w.entries[0].newSealer(window)
+		requireExact(t, w)
+	})
+}
+
 // TestStateMachine lets rapid choose and shrink the order of faults.
 func TestStateMachine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -111,11 +111,15 @@
 	e.taker = entryaccount.NewInterceptor(ring, e.acks, entryaccount.NewCounts(), window, registry)
 	e.writer = entryaccount.NewWriter(p, ring, e.acks, noAgents{}, e.id, 5*time.Second, registry)
 	e.keeper = leasekeeper.New(p, "usage", e.id)
-	config := sealing.Config{Window: window, Grace: grace, IdleClose: idleClose, Remember: 7 * 24 * time.Hour, Keep: 2 * time.Hour, AtOnce: 1}
-	e.sealer = sealing.New(p, reporter{e}, e.keeper, config, w.reports)
+	e.sealer = e.newSealer(window)
 	return e
 }
 
+func (e *entry) newSealer(length time.Duration) *sealing.Sealer {
+	config := sealing.Config{Window: length, Grace: grace, IdleClose: idleClose, Remember: 7 * 24 * time.Hour, Keep: 2 * time.Hour, AtOnce: 1}
+	return sealing.New(e.process, reporter{e}, e.keeper, config, e.world.reports)
+}
+
 func (w *world) newAgent(index int) *agent {
 	w.started++
 	p := &process{world: w}
