Bound unacknowledged bytes on TCP connections

Cause: keep-alive probes are not sent while bytes are on their way, so that a connection that goes silent in mid-answer lasts until TCP gives up retransmitting. Not measured: needs a path that drops packets.

--- a/base/netx/netx.go
+++ b/base/netx/netx.go
@@ -35,25 +35,26 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// keepAlive finds dead peers of connections without traffic.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     keepAliveIdle,
+	Interval: keepAliveInterval,
+	Count:    keepAliveProbes,
+}
+
 // TCP is the operating system's network.
 type TCP struct{}
 
 // Listen implements Network.
 func (TCP) Listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: limitUnacked}
+	return config.Listen(context.Background(), "tcp", address)
 }
 
 // DialContext implements Network. Dead peers are found by TCP keep-alive.
 func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-	}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacked}
 	return dialer.DialContext(ctx, network, address)
 }
 
