--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -18,6 +18,7 @@
 	"flamingospar.org/flamingospar/capacity"
 	"flamingospar.org/flamingospar/dev"
 	"flamingospar.org/flamingospar/experiment"
+	"flamingospar.org/flamingospar/settle"
 )
 
 // Exit codes.
@@ -57,6 +58,7 @@
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
 	asked := ask.Attach(parser)
+	settled := settle.Attach(parser)
 	capacityOptions := capacity.DefaultOptions()
 	capacityCommand := attachCapacity(parser, &capacityOptions)
 	if err := parser.ParseArgs(args); err != nil {
@@ -69,6 +71,8 @@
 		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
 	case capacityCommand.Used:
 		return outcome(stderr, capacity.Run(capacityOptions, stdout))
+	case settled.Used():
+		return outcome(stderr, settled.Run(ctx, stdout))
 	case asked.Used():
 		return outcome(stderr, asked.Run(ctx, stdout))
 	case experimentCommand.Used:
