--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -15,6 +15,9 @@
 	"flamingospar.org/standin/engine/batch"
 )
 
+// PathPrompts answers with the counts of Prompts, for tests in other processes.
+const PathPrompts = "/-/prompts"
+
 // Shape of the stand-in's tokens.
 const (
 	bytesPerToken       = 4
@@ -45,6 +48,7 @@
 	router.Post("/v1/chat/completions", e.generate)
 	router.Post("/v1/completions", e.generate)
 	router.Get("/load", e.load)
+	router.Get(PathPrompts, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.Prompts()) })
 	e.Control.Routes(router)
 	return router
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// PathBodies answers with the counts of Bodies, for tests in other processes.
+const PathBodies = "/-/bodies"
+
 // maxBody bounds a call's body.
 const maxBody = 8 << 20
 
@@ -59,6 +62,10 @@
 
 // ServeHTTP implements http.Handler: it executes the call.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathBodies {
+		_ = json.NewEncoder(w).Encode(s.Bodies())
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		return
