--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -81,6 +81,14 @@
 	refusal.KeyUnknown:         true,
 }
 
+// handoverCodes are refusals of endpoints that leave or change as planned.
+var handoverCodes = map[refusal.Code]bool{
+	refusal.Draining:         true,
+	refusal.EndpointChanging: true,
+	refusal.RunOtherInstance: true,
+	refusal.WrongEndpoint:    true,
+}
+
 // Decide returns what follows ended. The budget is asked by the caller.
 func Decide(ended Ended) Decision {
 	if finalCodes[ended.Code] {
@@ -105,7 +113,7 @@
 		return Resume, ""
 	case ended.Received:
 		return None, DeniedPartial
-	case ended.Outcome == refusal.NotRun && ended.Code == refusal.Draining && ended.Handovers < MaxHandovers:
+	case ended.Outcome == refusal.NotRun && handoverCodes[ended.Code] && ended.Handovers < MaxHandovers:
 		return Handover, ""
 	case ended.Outcome == refusal.NotRun:
 		return Again, ""
--- a/entry/relay/attempts.go
+++ b/entry/relay/attempts.go
@@ -65,6 +65,7 @@
 // faults are the codes of attempts lost to a fault, unlike those refused by an
 // endpoint that is at work.
 var faults = map[refusal.Code]bool{
+	refusal.EndpointChanging: true,
 	refusal.EndpointCrashed:  true,
 	refusal.EndpointDown:     true,
 	refusal.EndpointFailed:   true,
