Drain the agents of unrepeatable calls; send a crashing request to all entries at once

Change: the planned stops take the agents whose calls may not be repeated first, with calls of 400 ms; a crashing request goes to each entry without a pause.

--- a/flamingospar/wholesystem/callers_test.go
+++ b/flamingospar/wholesystem/callers_test.go
@@ -110,7 +110,7 @@
 	}
 	call.Header.Set("Authorization", "Bearer "+w.key)
 	if r.key != "" {
-		call.Header.Set("Idempotency-Key", r.key)
+		call.Header.Set(w.keyHeader, r.key)
 	}
 	response, err := w.client.Do(call)
 	if err != nil {
--- a/flamingospar/wholesystem/faults_test.go
+++ b/flamingospar/wholesystem/faults_test.go
@@ -84,8 +84,9 @@
 	w.startAgent(e)
 }
 
-func drainAgent(w *world, rng *rand.Rand) {
-	e := w.anyEndpoint(rng)
+func drainAgent(w *world, rng *rand.Rand) { drainAgentOf(w, w.anyEndpoint(rng)) }
+
+func drainAgentOf(w *world, e *endpoint) {
 	if !w.take(&e.restarting) {
 		return
 	}
--- a/flamingospar/wholesystem/focused_test.go
+++ b/flamingospar/wholesystem/focused_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/standin/engine"
+	"flamingospar.org/standin/plain"
 	"flamingospar.org/standin/platform"
 )
 
@@ -56,10 +57,17 @@
 // TestPlannedStopsCutNothing drains agents and entries under load: every
 // request gets its whole answer at its first submission.
 func TestPlannedStopsCutNothing(t *testing.T) {
-	inWorld(t, 1, smallShape, func(w *world, rng *rand.Rand) ([]*request, func(*testing.T)) {
-		requests := w.during(rng, scaled(60*time.Second), 120*time.Millisecond, harmless, func(rng *rand.Rand) {
-			for range int(scaled(6)) {
-				drainAgent(w, rng)
+	size := smallShape
+	inWorld(t, 1, size, func(w *world, rng *rand.Rand) ([]*request, func(*testing.T)) {
+		requests := w.during(rng, scaled(60*time.Second), 60*time.Millisecond, harmless, func(rng *rand.Rand) {
+			for _, e := range w.endpoints {
+				if e.kind == "claims" {
+					e.service.SetFaults(plain.Faults{Delay: 400 * time.Millisecond})
+				}
+			}
+			for i := range int(scaled(6)) {
+				// Those whose calls may not be repeated first.
+				drainAgentOf(w, w.endpoints[(size.engines+i)%len(w.endpoints)])
 				drainEntry(w, rng)
 			}
 		})
@@ -85,7 +93,10 @@
 				w.platform.SetFaults(platform.Faults{Outage: i%2 == 1})
 				r := newRequest(rng, poisoned, i)
 				poisons = append(poisons, r)
-				w.submit(r, rng)
+				// Its caller turns to the next entry at once.
+				for _, e := range append(w.entries, w.entries...) {
+					r.told = append(r.told, w.once(r, e.url()))
+				}
 				time.Sleep(3 * time.Second)
 			}
 			w.platform.SetFaults(platform.Faults{})
--- a/flamingospar/wholesystem/world_test.go
+++ b/flamingospar/wholesystem/world_test.go
@@ -57,6 +57,7 @@
 	engine  *engine.Engine
 	service *plain.Service
 	crashes int
+	memory  *dedupe
 	// Counts of the processes that have ended.
 	engines  []*engine.Engine
 	services []*plain.Service
@@ -105,6 +106,8 @@
 	tuneAgent func(*agentsettings.Settings)
 	// replaced engines start after this time.
 	restartAfter time.Duration
+	keyHeader    string // Carries callers' idempotency keys.
+	dedupe       bool   // Endpoints answer known keys from memory.
 }
 
 func newWorld(t *testing.T, seed uint64, size shape) *world {
@@ -117,6 +120,7 @@
 		client:       netx.FreshClient(network.Host("callers")),
 		ctx:          t.Context(),
 		restartAfter: 3 * time.Second,
+		keyHeader:    "Idempotency-Key",
 		tuneEntry:    func(*entrysettings.Settings) {},
 		tuneAgent:    func(*agentsettings.Settings) {},
 	}
@@ -206,6 +210,11 @@
 		e.service.SetFaults(plain.Faults{Delay: 20 * time.Millisecond})
 		e.services = append(e.services, e.service)
 		handler = e.service
+		if w.dedupe {
+			e.memory = &dedupe{next: e.service}
+			e.memory.forget()
+			handler = e.memory
+		}
 	}
 	w.mu.Unlock()
 	server := netx.Server(handler)
@@ -246,6 +255,9 @@
 	w.tuneAgent(&settings)
 	checked, err := settings.Checked()
 	require.NoError(w.t, err)
+	if e.memory != nil {
+		e.memory.forget()
+	}
 	host := w.network.Host("agent-" + e.id)
 	agent, err := agentwiring.Build(checked, host)
 	require.NoError(w.t, err)
