Status names endpoints that never answered and keeps the list short

Cause: looked at as a picture with 17 of 18 agents missing, the page had a row without names and a line for each endpoint.

After: one line with eight names and the number; agents that never answered stand under their data centre.

--- a/entry/fleet/usage.go
+++ b/entry/fleet/usage.go
@@ -23,6 +23,9 @@
 	return clients
 }
 
+// KindUnknown is the kind of an endpoint whose agent never answered.
+const KindUnknown = "not answering"
+
 // Observed is an agent as this entry sees it, and its observe service.
 type Observed struct {
 	route.Candidate
@@ -37,8 +40,14 @@
 	defer v.mu.Unlock()
 	agents := make([]Observed, 0, len(v.agents))
 	for _, agent := range v.agents {
+		candidate := agent.candidate
+		if candidate.Endpoint == "" { // It never answered.
+			candidate.Endpoint = agent.vm.Address
+			candidate.DataCentre = agent.vm.DataCentre
+			candidate.Kind = KindUnknown
+		}
 		agents = append(agents, Observed{
-			Candidate: agent.candidate,
+			Candidate: candidate,
 			Address:   agent.vm.Address,
 			Leaving:   agent.vm.Leaving,
 			Client:    agent.Observe,
--- a/entry/observe/status.go
+++ b/entry/observe/status.go
@@ -205,23 +205,42 @@
 		if agent.Ready {
 			group.Ready++
 		}
-		if !agent.Ready && !agent.Leaving {
-			st.problem(fmt.Sprintf("endpoint %s at %s is not ready", agent.Endpoint, agent.Address), "it gets no work until its agent answers that it is ready")
-		}
 	}
 	for _, group := range groups {
 		st.DataCentres = append(st.DataCentres, *group)
-		if group.Ready == 0 {
+		if group.Ready == 0 && group.Kind != fleet.KindUnknown {
 			st.problem(fmt.Sprintf("%s has no ready endpoint of %s %s", group.Name, group.Kind, group.Model), "requests go to other data centres")
 		}
 	}
 	sort.Slice(st.Endpoints, func(i, j int) bool { return st.Endpoints[i].ID < st.Endpoints[j].ID })
+	st.checkEndpoints()
 	sort.Slice(st.DataCentres, func(i, j int) bool {
 		a, b := st.DataCentres[i], st.DataCentres[j]
 		return a.Name+a.Kind+a.Model+a.Role < b.Name+b.Kind+b.Model+b.Role
 	})
 }
 
+// namedEndpoints bounds how many endpoints a problem names.
+const namedEndpoints = 8
+
+// checkEndpoints finds endpoints that should serve and do not.
+func (st *Status) checkEndpoints() {
+	var names []string
+	for _, endpoint := range st.Endpoints {
+		if !endpoint.Ready && !endpoint.Leaving {
+			names = append(names, endpoint.ID)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	listed := strings.Join(names[:min(len(names), namedEndpoints)], ", ")
+	if len(names) > namedEndpoints {
+		listed += ", and others"
+	}
+	st.problem(fmt.Sprintf("%d endpoints are not ready: %s", len(names), listed), "they get no work until their agents answer that they are ready")
+}
+
 func (s *Server) weights() map[string]float64 {
 	weights := make(map[string]float64)
 	state := s.Config.Current()
