--- a/agent/account/account.go
+++ b/agent/account/account.go
@@ -4,7 +4,9 @@
 package account
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -176,7 +178,8 @@
 	return len(l.held)
 }
 
-// overdue marks and returns the records held since before an instant.
+// overdue marks and returns the records held since before an instant, in the
+// order of their sequences.
 func (l *Ledger) overdue(before time.Time) []usage.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -189,6 +192,7 @@
 		l.held[sequence] = held
 		records = append(records, held.Record)
 	}
+	slices.SortFunc(records, func(a, b usage.Record) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	return records
 }
 
