Operators' interface with roles, command line and TLS between processes

Cause: the operators' interface took any JSON as a catalogue, answered errors in plain text and asked for one shared token or none; the command line had only serve and dev; entries and agents spoke in the clear; a setting such as body_time = 30 was read as 30 ns; a reason's counter appeared with its first time only. Ruled out: checking the peer's address against its certificate (addresses change with each VM; DNS names of roles are checked instead); a credential as a flag (the list of processes shows it; an environment variable is read). Before: 2 commands, 0 operators' refusal counters.

--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -56,6 +56,15 @@
 	return &Chain{filters: filters, executor: executor, counter: counter}
 }
 
+// Names returns the filters' names in order.
+func (c *Chain) Names() []string {
+	names := make([]string, 0, len(c.filters))
+	for _, filter := range c.filters {
+		names = append(names, filter.Name())
+	}
+	return names
+}
+
 // Handle takes the run through the chain. Exactly one result is not nil.
 func (c *Chain) Handle(ctx context.Context, run *Run) (*wirev1.Finished, *refusal.Refusal) {
 	for i, filter := range c.filters {
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -2,11 +2,12 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/google/uuid"
-	"github.com/pelletier/go-toml/v2"
+
+	"flamingospar.org/base/tlsfiles"
+	"flamingospar.org/core/strict"
 )
 
 // Settings configures one agent process.
@@ -20,6 +21,8 @@
 	PlatformURL  string `toml:"platform_url"`
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
+
+	TLS tlsfiles.Files `toml:"tls"`
 }
 
 // Default sizes of the queue.
@@ -40,13 +43,17 @@
 	return fmt.Sprintf("settings: %s: %s; remedy: %s", p.Key, p.What, p.Remedy)
 }
 
-// Parse reads strict TOML, fills defaults and checks the result.
-func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting}
-	decoder := toml.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		return Settings{}, err
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting}
+}
+
+// Parse reads strict TOML over the defaults, then overrides by key, and checks
+// the result. file is the name used in errors.
+func Parse(file string, data []byte, overrides map[string]string) (Settings, error) {
+	settings, found := strict.DecodeSettings(file, data, Defaults(), overrides)
+	if len(found) > 0 {
+		return Settings{}, found
 	}
 	return settings.Checked()
 }
@@ -71,5 +78,8 @@
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
 	}
+	if err := s.TLS.Check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -21,6 +21,8 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
+	"flamingospar.org/core/refusal"
 	"flamingospar.org/platform/engine"
 	"flamingospar.org/platform/plain"
 )
@@ -40,6 +42,7 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	tls      *tlsfiles.Source // Nil: plain connections.
 }
 
 // Build wires an agent.
@@ -55,6 +58,7 @@
 		newExecutor,
 		newStatus,
 		newChain,
+		newTLS,
 		server.New,
 		newAgent,
 	}
@@ -64,8 +68,11 @@
 		}
 	}
 	var agent *Agent
-	err := container.Invoke(func(a *Agent) { agent = a })
-	return agent, err
+	err := container.Invoke(func(a *Agent, chain *pipeline.Chain) {
+		agent = a
+		declareCounters(a.meter, chain)
+	})
+	return agent, dig.RootCause(err)
 }
 
 func newQueue(s settings.Settings) *queue.Queue {
@@ -107,8 +114,35 @@
 	return pipeline.New(registry, executor, g.Arrival(), l, q, g.Departure())
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry}
+// declareCounters shows the counter of each refusal reason and filter before
+// its first time.
+func declareCounters(registry *meter.Registry, chain *pipeline.Chain) {
+	for code := range refusal.Reasons {
+		registry.Declare("refused", string(code))
+	}
+	for _, name := range chain.Names() {
+		registry.Declare("filter", name)
+	}
+}
+
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, source *tlsfiles.Source) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source}
+}
+
+// newTLS reads the certificate files, nil when connections are plain.
+func newTLS(s settings.Settings, registry *meter.Registry) (*tlsfiles.Source, error) {
+	if !s.TLS.IsSet() {
+		return nil, nil
+	}
+	return tlsfiles.Load(s.TLS, registry)
+}
+
+// serveConnections accepts entries, over TLS when certificate files are set.
+func (a *Agent) serveConnections(httpServer *http.Server, listener net.Listener) error {
+	if a.tls == nil {
+		return httpServer.Serve(listener)
+	}
+	return netx.ServeTLS(httpServer, listener, a.tls.Server(tlsfiles.EntryName))
 }
 
 // Meter returns the agent's metrics.
@@ -124,7 +158,7 @@
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
-	go func() { failed <- httpServer.Serve(listener) }()
+	go func() { failed <- a.serveConnections(httpServer, listener) }()
 	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
 	select {
 	case err := <-failed:
--- a/base/meter/meter.go
+++ b/base/meter/meter.go
@@ -39,6 +39,9 @@
 	metrics.GetOrRegisterCounter(strings.Join(parts, "."), r.inner).Inc(n)
 }
 
+// Declare shows the counter with the joined name from the start, as 0.
+func (r *Registry) Declare(parts ...string) { r.Add(0, parts...) }
+
 // Counter returns the value of a counter, 0 when it was never raised.
 func (r *Registry) Counter(parts ...string) int64 {
 	counter, ok := r.inner.Get(strings.Join(parts, ".")).(metrics.Counter)
--- a/base/netx/netx.go
+++ b/base/netx/netx.go
@@ -92,6 +92,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
+		ErrorLog:          errorLog(),
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
--- a/core/catalogue/catalogue.go
+++ b/core/catalogue/catalogue.go
@@ -27,9 +27,9 @@
 // Limits bound what one entry of the catalogue may use. A written zero is
 // refused by the check; an absent key means no limit.
 type Limits struct {
-	RequestsPerSecond float64 `toml:"requests_per_second" json:"requests_per_second,omitempty"`
-	TokensPerSecond   float64 `toml:"tokens_per_second" json:"tokens_per_second,omitempty"`
-	Concurrent        int     `toml:"concurrent" json:"concurrent,omitempty"`
+	RequestsPerSecond float64 `toml:"requests_per_second,omitempty" json:"requests_per_second,omitempty"`
+	TokensPerSecond   float64 `toml:"tokens_per_second,omitempty" json:"tokens_per_second,omitempty"`
+	Concurrent        int     `toml:"concurrent,omitempty" json:"concurrent,omitempty"`
 }
 
 // Team is a customer. Weight is its share relative to other teams.
@@ -66,7 +66,7 @@
 	Service    string   `toml:"service" json:"service"`
 	Repeatable bool     `toml:"repeatable" json:"repeatable"`
 	Open       bool     `toml:"open" json:"open"`
-	Deadline   Duration `toml:"deadline" json:"deadline"`
+	Deadline   Duration `toml:"deadline,omitempty" json:"deadline"`
 	Limits     *Limits  `toml:"limits" json:"limits,omitempty"`
 }
 
--- a/core/catalogue/check.go
+++ b/core/catalogue/check.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"flamingospar.org/core/strict"
 )
 
 // ModelKind is the kind of the endpoints that run models.
@@ -30,14 +32,14 @@
 // checker collects the problems of one document.
 type checker struct {
 	file     string
-	index    *positions // Nil for a document that did not come from a file.
+	index    *strict.Index // Nil for a document that did not come from a file.
 	document *Document
 	teams    map[string]bool
-	found    Problems
+	found    strict.Problems
 }
 
 // Check returns all faults of a document in no particular order. index may be nil.
-func Check(file string, document *Document, index *positions) Problems {
+func Check(file string, document *Document, index *strict.Index) strict.Problems {
 	c := &checker{file: file, index: index, document: document, teams: make(map[string]bool)}
 	c.checkTeams()
 	c.checkModels()
@@ -48,11 +50,7 @@
 }
 
 func (c *checker) problem(key, remedy, format string, args ...any) {
-	line := 0
-	if c.index != nil {
-		line = c.index.line(key)
-	}
-	c.found = append(c.found, &Problem{File: c.file, Line: line, Key: key, What: fmt.Sprintf(format, args...), Remedy: remedy})
+	c.found = append(c.found, &strict.Problem{File: c.file, Line: c.index.Line(key), Key: key, What: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
 func (c *checker) checkTeams() {
@@ -181,12 +179,11 @@
 func (c *checker) deadline(at string, deadline Duration) {
 	key := at + ".deadline"
 	span := time.Duration(deadline)
-	written := c.index != nil && c.index.has(key)
-	if c.index != nil && c.index.hasNumber(key) {
+	if c.index.HasNumber(key) {
 		c.problem(key, valueRemedy(key), "the time has no unit")
 		return
 	}
-	if span < 0 || span > maxDeadline || (written && span == 0) {
+	if span < 0 || span > maxDeadline || (c.index.Has(key) && span == 0) {
 		c.problem(key, fmt.Sprintf(`write a time above 0 and up to %s, such as "20s"`, maxDeadline), "the deadline %s is out of range", span)
 	}
 }
@@ -207,7 +204,7 @@
 }
 
 func (c *checker) limit(key string, value float64) {
-	absent := value == 0 && (c.index == nil || !c.index.has(key))
+	absent := value == 0 && !c.index.Has(key)
 	if !absent && !isPositive(value) {
 		c.problem(key, "write a number above 0, or remove the key for no limit", "the limit %v is not a positive number", value)
 	}
--- a/core/catalogue/parse_test.go
+++ b/core/catalogue/parse_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/core/strict"
 )
 
 // sound is a document without faults; its lines are counted by the tests.
@@ -92,7 +94,7 @@
 	for _, c := range cases {
 		require.Contains(t, sound, c.old)
 		_, err := Parse("a.toml", []byte(strings.Replace(sound, c.old, c.new, 1)))
-		var problem *Problem
+		var problem *strict.Problem
 		require.ErrorAs(t, err, &problem, c.new)
 		require.Equal(t, "a.toml", problem.File)
 		require.Equal(t, c.line, problem.Line, "%s: %v", c.new, err)
@@ -105,7 +107,7 @@
 	twice := sound[strings.Index(sound, "[[route]]"):strings.Index(sound, "[[endpoint]]")]
 	faulty := strings.NewReplacer(`weight = 2.0`, `weight = "x"`, `50.0`, `0`, `owner = "claims"`, `owner = "nobody"`, `open = false`, "open = false\nopne = 1").Replace(sound + twice)
 	_, err := Parse("a.toml", []byte(faulty))
-	var problems Problems
+	var problems strict.Problems
 	require.True(t, errors.As(err, &problems))
 	keys := make([]string, 0, len(problems))
 	for _, problem := range problems {
@@ -156,7 +158,7 @@
 		require.Empty(t, Check("a.toml", document, nil))
 		return 1
 	}
-	var problems Problems
+	var problems strict.Problems
 	require.True(t, errors.As(err, &problems))
 	require.NotEmpty(t, problems)
 	for _, problem := range problems {
--- a/core/catalogue/positions.go
+++ b/core/strict/index.go
@@ -1,4 +1,4 @@
-package catalogue
+package strict
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// positions knows the line on which each key of a TOML document was written.
-// Keys are written like "route[2].limits.concurrent".
-type positions struct {
+// Index knows the line on which each key of a TOML document was written. Keys
+// are written like "route[2].limits.concurrent". A nil Index knows none.
+type Index struct {
 	lines  map[string]int
 	arrays map[string]int // Number of elements seen, by array key.
 	// numbers holds the keys whose value is a number.
@@ -19,8 +19,8 @@
 }
 
 // locate indexes a document, or returns its syntax error with the line.
-func locate(data []byte) (*positions, int, error) {
-	index := &positions{lines: make(map[string]int), arrays: make(map[string]int), numbers: make(map[string]bool)}
+func locate(data []byte) (*Index, int, error) {
+	index := &Index{lines: make(map[string]int), arrays: make(map[string]int), numbers: make(map[string]bool)}
 	var parser unstable.Parser
 	parser.Reset(data)
 	table := ""
@@ -43,8 +43,11 @@
 	return index, 0, nil
 }
 
-// line returns the line of a key, or of the closest table around it.
-func (p *positions) line(key string) int {
+// Line returns the line of a key, or of the closest table around it.
+func (p *Index) Line(key string) int {
+	if p == nil {
+		return 0
+	}
 	for key != "" {
 		if line, ok := p.lines[key]; ok {
 			return line
@@ -58,22 +61,26 @@
 	return 1
 }
 
-func (p *positions) has(key string) bool {
+// Has reports whether a key was written.
+func (p *Index) Has(key string) bool {
+	if p == nil {
+		return false
+	}
 	_, ok := p.lines[key]
 	return ok
 }
 
-// hasNumber reports whether a key's value is a number.
-func (p *positions) hasNumber(key string) bool { return p.numbers[key] }
+// HasNumber reports whether a key was written with a number as its value.
+func (p *Index) HasNumber(key string) bool { return p != nil && p.numbers[key] }
 
-func (p *positions) note(parser *unstable.Parser, node *unstable.Node, key string) {
+func (p *Index) note(parser *unstable.Parser, node *unstable.Node, key string) {
 	iterator := node.Key()
 	if iterator.Next() {
 		p.lines[key] = parser.Shape(iterator.Node().Raw).Start.Line
 	}
 }
 
-func (p *positions) noteValue(parser *unstable.Parser, node *unstable.Node, table string) {
+func (p *Index) noteValue(parser *unstable.Parser, node *unstable.Node, table string) {
 	key := joinKey(table, strings.Join(keyParts(node), "."))
 	p.note(parser, node, key)
 	kind := node.Value().Kind
@@ -90,7 +97,7 @@
 }
 
 // nextElement starts the next element of an array of tables.
-func (p *positions) nextElement(parts []string) string {
+func (p *Index) nextElement(parts []string) string {
 	array := p.resolve(parts[:len(parts)-1])
 	array = joinKey(array, parts[len(parts)-1])
 	element := fmt.Sprintf("%s[%d]", array, p.arrays[array])
@@ -99,7 +106,7 @@
 }
 
 // resolve names the current element of each array on the way.
-func (p *positions) resolve(parts []string) string {
+func (p *Index) resolve(parts []string) string {
 	key := ""
 	for _, part := range parts {
 		key = joinKey(key, part)
--- /dev/null
+++ b/entry/operator/refuse.go
@@ -0,0 +1,124 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"flamingospar.org/core/config"
+	"flamingospar.org/core/strict"
+	"flamingospar.org/entry/configview"
+)
+
+// maxBodyBytes bounds a body: a catalogue of tens of thousands of teams.
+const maxBodyBytes = 16 << 20
+
+// Code identifies why an operator's request was refused.
+type Code string
+
+const (
+	codeCredential  Code = "credential"
+	codeRole        Code = "role"
+	codeNotFound    Code = "not_found"
+	codeMethod      Code = "method"
+	codeBody        Code = "body"
+	codeCatalogue   Code = "catalogue"
+	codeTeam        Code = "team"
+	codeKey         Code = "key"
+	codeRaced       Code = "raced"
+	codeTaken       Code = "taken"
+	codeRevision    Code = "revision"
+	codeNoConfig    Code = "no_config"
+	codeUnavailable Code = "unavailable"
+)
+
+// codes are all reasons, for their counters.
+var codes = []Code{
+	codeCredential, codeRole, codeNotFound, codeMethod, codeBody, codeCatalogue, codeTeam, codeKey, codeRaced, codeTaken, codeRevision, codeNoConfig, codeUnavailable,
+}
+
+type reason struct {
+	status int
+	remedy string
+}
+
+var reasons = map[Code]reason{
+	codeCredential:  {http.StatusUnauthorized, "send the credential once, as Authorization: Bearer CREDENTIAL"},
+	codeRole:        {http.StatusForbidden, "use a credential with that role"},
+	codeNotFound:    {http.StatusNotFound, "see docs/operators for the paths"},
+	codeMethod:      {http.StatusMethodNotAllowed, "see docs/operators for the methods"},
+	codeBody:        {http.StatusUnprocessableEntity, "correct the body"},
+	codeCatalogue:   {http.StatusUnprocessableEntity, "correct each problem and send the whole catalogue again; nothing was applied"},
+	codeTeam:        {http.StatusUnprocessableEntity, "use a team that the catalogue in force names"},
+	codeKey:         {http.StatusNotFound, "use an id that the list of keys shows"},
+	codeRaced:       {http.StatusConflict, "look at the change that came first and send yours again; nothing was applied"},
+	codeTaken:       {http.StatusConflict, "send the change with a new id; nothing was applied"},
+	codeRevision:    {http.StatusNotFound, "use a revision that the history shows"},
+	codeNoConfig:    {http.StatusServiceUnavailable, "ask another entry; this one holds no configuration yet"},
+	codeUnavailable: {http.StatusServiceUnavailable, "look at the history before you send the change again; the store may have taken it"},
+}
+
+// Problem is the typed answer to a refused request.
+type Problem struct {
+	Code     Code            `json:"code"`
+	Message  string          `json:"message"`
+	Problems strict.Problems `json:"problems,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string { return p.Message }
+
+// ProblemBody is the JSON body of a refusal.
+type ProblemBody struct {
+	Error *Problem `json:"error"`
+}
+
+func problem(code Code, format string, args ...any) *Problem {
+	return &Problem{Code: code, Message: fmt.Sprintf(format, args...) + "; " + reasons[code].remedy}
+}
+
+func (a *API) refuse(w http.ResponseWriter, p *Problem) {
+	a.meter.Count("operators", "refused", string(p.Code))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(reasons[p.Code].status)
+	_ = json.NewEncoder(w).Encode(ProblemBody{Error: p})
+}
+
+// refuseError answers a failed read or write of the configuration.
+func (a *API) refuseError(w http.ResponseWriter, err error) {
+	var listed strict.Problems
+	switch {
+	case errors.As(err, &listed):
+		refused := problem(codeCatalogue, "the catalogue has %d problems", len(listed))
+		refused.Problems = listed
+		a.refuse(w, refused)
+	case errors.Is(err, configview.ErrRaced):
+		a.refuse(w, problem(codeRaced, "another change was accepted first"))
+	case errors.Is(err, config.ErrKeyExists), errors.Is(err, configview.ErrIDReused):
+		a.refuse(w, problem(codeTaken, "%v", err))
+	case errors.Is(err, config.ErrKeyUnknown):
+		a.refuse(w, problem(codeKey, "no key in force has that id"))
+	case errors.Is(err, configview.ErrNoCatalogue):
+		a.refuse(w, problem(codeRevision, "no catalogue is kept for that revision"))
+	case errors.Is(err, config.ErrEmpty):
+		a.refuse(w, problem(codeBody, "%v", err))
+	default:
+		a.refuse(w, problem(codeUnavailable, "the store did not take the change: %v", err))
+	}
+}
+
+func (a *API) read(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		a.refuse(w, problem(codeBody, "the body is not as expected: %v", err))
+		return false
+	}
+	return true
+}
+
+func write(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -73,6 +73,15 @@
 	return &Chain{filters: filters, counter: counter, refuse: refuse}
 }
 
+// Names returns the filters' names in order.
+func (c *Chain) Names() []string {
+	names := make([]string, 0, len(c.filters))
+	for _, filter := range c.filters {
+		names = append(names, filter.Name())
+	}
+	return names
+}
+
 // ServeHTTP implements http.Handler.
 func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &Exchange{Writer: w, Request: r}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -2,32 +2,39 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pelletier/go-toml/v2"
 
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/core/catalogue"
+	"flamingospar.org/core/strict"
 )
 
 // Settings configures one entry process.
 type Settings struct {
-	Instance       string             `toml:"instance"` // Empty: a new id at each start.
-	DataCentre     string             `toml:"data_centre"`
-	Listen         string             `toml:"listen"`          // Callers' address.
-	OperatorListen string             `toml:"operator_listen"` // Operators' address.
-	PlatformURL    string             `toml:"platform_url"`
-	MaxBodyBytes   int64              `toml:"max_body_bytes"`
-	BodyTime       catalogue.Duration `toml:"body_time"`      // For reading a body.
-	Deadline       catalogue.Duration `toml:"deadline"`       // For routes without one.
-	UsageWindow    catalogue.Duration `toml:"usage_window"`   // Length of a window.
-	UsageFlush     catalogue.Duration `toml:"usage_flush"`    // Between batches.
-	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
-	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
-	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	Instance       string             `toml:"instance"`        // Id of this process; empty: a new one at each start.
+	DataCentre     string             `toml:"data_centre"`     // Data centre of this VM.
+	Listen         string             `toml:"listen"`          // Callers' address, host:port.
+	OperatorListen string             `toml:"operator_listen"` // Operators' address, host:port.
+	PlatformURL    string             `toml:"platform_url"`    // Base URL of the platform.
+	MaxBodyBytes   int64              `toml:"max_body_bytes"`  // Largest body of a request, in bytes.
+	BodyTime       catalogue.Duration `toml:"body_time"`       // Longest time from a request's arrival to the end of its body.
+	Deadline       catalogue.Duration `toml:"deadline"`        // Deadline of requests on routes without one.
+	UsageWindow    catalogue.Duration `toml:"usage_window"`    // Length of a usage window.
+	UsageFlush     catalogue.Duration `toml:"usage_flush"`     // Time between usage batches.
+	UsageGrace     catalogue.Duration `toml:"usage_grace"`     // Time after a window's end before it is sealed.
+	DrainTime      catalogue.Duration `toml:"drain_time"`      // Longest time that a stopping entry finishes requests.
+	Operators      Operators          `toml:"operators"`
 	Authority      Authority          `toml:"authority"`
+	TLS            tlsfiles.Files     `toml:"tls"`
+}
+
+// Operators says who may use the operators' address. Exactly one is set.
+type Operators struct {
+	File string `toml:"file"` // TOML file of operators and their credentials, read again when it changes.
+	Open bool   `toml:"open"` // True: everybody who reaches the operators' address may do all; for dev and tests.
 }
 
 // Defaults returns the settings that hold where a file says nothing.
@@ -55,13 +62,12 @@
 	return fmt.Sprintf("settings: %s: %s; remedy: %s", p.Key, p.What, p.Remedy)
 }
 
-// Parse reads strict TOML over the defaults and checks the result.
-func Parse(data []byte) (Settings, error) {
-	settings := Defaults()
-	decoder := toml.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		return Settings{}, err
+// Parse reads strict TOML over the defaults, then overrides by key, and checks
+// the result. file is the name used in errors.
+func Parse(file string, data []byte, overrides map[string]string) (Settings, error) {
+	settings, found := strict.DecodeSettings(file, data, Defaults(), overrides)
+	if len(found) > 0 {
+		return Settings{}, found
 	}
 	return settings.Checked()
 }
@@ -101,5 +107,11 @@
 	if s.MaxBodyBytes <= 0 {
 		return Settings{}, &Problem{Key: "max_body_bytes", What: "is not positive", Remedy: "write a number of bytes"}
 	}
+	if (s.Operators.File == "") != s.Operators.Open {
+		return Settings{}, &Problem{Key: "operators", What: "neither or both of file and open are set", Remedy: "set operators.file, or operators.open = true where nobody else reaches the operators' address"}
+	}
+	if err := s.TLS.Check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -13,18 +13,18 @@
 	"flamingospar.org/platform/httpapi"
 )
 
-func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
+func newConfigView(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
 		Instance: s.Instance,
-		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
+		Peers:    peering.NewClient(roster, peers.Client),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, netx.HTTP2Client(network), membership)
+	return fleet.New(c, peers.Client, membership)
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
--- /dev/null
+++ b/entry/wiring/security.go
@@ -0,0 +1,51 @@
+package wiring
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
+	"flamingospar.org/entry/credentials"
+	"flamingospar.org/entry/operator"
+	"flamingospar.org/entry/settings"
+)
+
+// peerClient calls agents and other entries.
+type peerClient struct {
+	*http.Client
+}
+
+// newTLS reads the certificate files, nil when connections are plain.
+func newTLS(s settings.Settings, registry *meter.Registry) (*tlsfiles.Source, error) {
+	if !s.TLS.IsSet() {
+		return nil, nil
+	}
+	return tlsfiles.Load(s.TLS, registry)
+}
+
+func newPeerClient(network netx.Network, source *tlsfiles.Source) peerClient {
+	if source == nil {
+		return peerClient{Client: netx.HTTP2Client(network)}
+	}
+	config := func() *tls.Config { return source.Client(tlsfiles.AgentName, tlsfiles.EntryName) }
+	return peerClient{Client: netx.HTTP2TLSClient(network, config)}
+}
+
+// newOperators reads who may use the operators' interface.
+func newOperators(s settings.Settings, registry *meter.Registry) (operator.Access, error) {
+	if s.Operators.Open {
+		return operator.OpenAccess{}, nil
+	}
+	return credentials.Load(s.Operators.File, registry)
+}
+
+// servePeers accepts other processes, over TLS when certificate files are set.
+func (e *Entry) servePeers(server *http.Server, listener net.Listener) error {
+	if e.TLS == nil {
+		return server.Serve(listener)
+	}
+	return netx.ServeTLS(server, listener, e.TLS.Server(tlsfiles.EntryName, tlsfiles.AgentName))
+}
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -16,6 +16,7 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/base/ring"
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
@@ -56,6 +57,8 @@
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
 	State    *runState
+	Access   operator.Access
+	TLS      *tlsfiles.Source // Nil: plain connections between processes.
 }
 
 // runState tells whether the entry serves callers.
@@ -75,6 +78,9 @@
 		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
 		newConfigView,
 		newFleet,
+		newTLS,
+		newPeerClient,
+		newOperators,
 		account.NewRing,
 		dispatch.New,
 		newChain,
@@ -90,7 +96,11 @@
 	}
 	var entry *Entry
 	err := container.Invoke(func(e Entry) { entry = &e })
-	return entry, err
+	if err != nil {
+		return nil, dig.RootCause(err)
+	}
+	entry.declareCounters()
+	return entry, nil
 }
 
 func newPlatform(s settings.Settings, network netx.Network) *httpapi.Client {
@@ -122,6 +132,28 @@
 	return !e.State.draining.Load() && e.Config.Current() != nil
 }
 
+// Status returns what operators see of this entry.
+func (e *Entry) Status() operator.Status {
+	status := operator.Status{
+		Instance:   e.Settings.Instance,
+		DataCentre: e.Settings.DataCentre,
+		Ready:      e.Ready(),
+		Draining:   e.State.draining.Load(),
+	}
+	if state := e.Config.Current(); state != nil {
+		status.Revision = state.Revision
+		status.Teams = len(state.Catalogue.Teams)
+		status.Keys = len(state.Keys())
+	}
+	for _, c := range e.Fleet.Candidates() {
+		status.Endpoints = append(status.Endpoints, operator.Endpoint{
+			Name: c.Endpoint, DataCentre: c.DataCentre, Kind: c.Kind, Model: c.Model,
+			Ready: c.Ready, Outstanding: c.Outstanding, Queued: c.Queued,
+		})
+	}
+	return status
+}
+
 // Listeners are the entry's two addresses.
 type Listeners struct {
 	Callers   net.Listener
@@ -152,7 +184,7 @@
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
-	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	api := operator.New(e.Config, e.Meter, e.Access, e.Status)
 	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	peerServer := e.peerServer()
@@ -161,7 +193,7 @@
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
 	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
 	if listeners.Peers != nil {
-		go func() { failed <- peerServer.Serve(listeners.Peers) }()
+		go func() { failed <- e.servePeers(peerServer, listeners.Peers) }()
 	}
 	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
 	select {
--- a/flamingospar-agent/main.go
+++ b/flamingospar-agent/main.go
@@ -13,7 +13,10 @@
 
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/wiring"
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/settingflags"
+	"flamingospar.org/core/strict"
 )
 
 // Exit codes.
@@ -26,17 +29,31 @@
 	path := "agent.toml"
 	flaggy.SetName("flamingospar-agent")
 	flaggy.SetDescription("Runs beside one endpoint and executes requests on it.")
-	flaggy.String(&path, "s", "settings", "TOML settings file")
+	flaggy.String(&path, "s", "settings", "TOML settings file; each setting can be overridden by the flag of its name")
+	logFormat := logging.FormatText
+	flaggy.String(&logFormat, "", "log-format", "text or json")
+	flags := settingflags.Attach(&flaggy.DefaultParser.Subcommand, settingNames())
 	flaggy.Parse()
-	os.Exit(run(path))
+	if err := logging.SetFormat(logFormat, os.Stderr); err != nil {
+		os.Exit(fail(exitMisuse, err))
+	}
+	os.Exit(run(path, flags.Given()))
+}
+
+func settingNames() []string {
+	var names []string
+	for _, key := range strict.Keys(settings.Defaults()) {
+		names = append(names, key.Name)
+	}
+	return names
 }
 
-func run(path string) int {
+func run(path string, overrides map[string]string) int {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return fail(exitMisuse, err)
 	}
-	parsed, err := settings.Parse(data)
+	parsed, err := settings.Parse(path, data, overrides)
 	if err != nil {
 		return fail(exitMisuse, err)
 	}
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,10 +12,8 @@
 
 	"github.com/integrii/flaggy"
 
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/entry/settings"
-	"flamingospar.org/entry/wiring"
-	"flamingospar.org/flamingospar/dev"
 )
 
 // Exit codes.
@@ -24,69 +23,112 @@
 	exitMisuse = 2
 )
 
+// Version is the version of this source.
+const Version = "0.1.0"
+
+// action is what a command does.
+type action func(ctx context.Context) error
+
+// app is one run of the command line.
+type app struct {
+	parser    *flaggy.Parser
+	stdout    io.Writer
+	stderr    io.Writer
+	network   netx.Network
+	logFormat string
+	actions   []boundAction
+}
+
+// boundAction is a command without subcommands.
+type boundAction struct {
+	command *flaggy.Subcommand
+	run     action
+}
+
+// misuse is an error of the command line itself.
+type misuse struct{ error }
+
+// Unwrap returns the cause.
+func (m misuse) Unwrap() error { return m.error }
+
 // Run executes the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	parser := flaggy.NewParser("flamingospar")
-	parser.Description = "Serves models and plain services on a limited fleet."
-	parser.ShowHelpOnUnexpected = false
-	devOptions := dev.DefaultOptions()
-	devCommand := flaggy.NewSubcommand("dev")
-	devCommand.Description = "Run entry and agents beside stand-ins, on this machine."
-	devCommand.String(&devOptions.Fleet, "", "fleet", "shedline or trust")
-	devCommand.String(&devOptions.Listen, "", "listen", "callers' address")
-	devCommand.String(&devOptions.OperatorListen, "", "operator-listen", "operators' address")
-	devCommand.Int(&devOptions.Entries, "", "entries", "number of entries")
-	devCommand.String(&devOptions.Only, "", "only", "platform,endpoints: run the stand-ins alone")
-	settingsPath := "entry.toml"
-	serveCommand := flaggy.NewSubcommand("serve")
-	serveCommand.Description = "Run an entry process."
-	serveCommand.String(&settingsPath, "s", "settings", "TOML settings file")
-	parser.AttachSubcommand(devCommand, 1)
-	parser.AttachSubcommand(serveCommand, 1)
-	if err := parser.ParseArgs(args); err != nil {
-		return fail(stderr, exitMisuse, err)
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	switch {
-	case devCommand.Used:
-		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
-	case serveCommand.Used:
-		return serve(ctx, settingsPath, stderr)
-	default:
-		parser.ShowHelp()
-		return exitMisuse
-	}
+	return RunOn(ctx, netx.TCP{}, args, stdout, stderr)
+}
+
+// RunOn is Run on a network and until ctx ends.
+func RunOn(ctx context.Context, network netx.Network, args []string, stdout, stderr io.Writer) int {
+	return newApp(stdout, stderr, network).execute(ctx, args)
 }
 
-func serve(ctx context.Context, path string, stderr io.Writer) int {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return fail(stderr, exitMisuse, err)
+func newApp(stdout, stderr io.Writer, network netx.Network) *app {
+	a := &app{parser: flaggy.NewParser("flamingospar"), stdout: stdout, stderr: stderr, network: network, logFormat: logging.FormatText}
+	a.parser.Description = "Serves models and plain services on a limited fleet."
+	a.parser.Version = Version
+	a.parser.ShowVersionWithVersionFlag = false // It would take the place of the command.
+	a.parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 misuse.\nFlamingospar COMMAND --help shows examples."
+	a.parser.String(&a.logFormat, "", "log-format", "text or json")
+	a.addServe()
+	a.addDev()
+	a.addCatalogue()
+	a.addKey()
+	a.addOperator()
+	a.addStatus()
+	a.addLoad()
+	a.addVersion()
+	return a
+}
+
+func (a *app) execute(ctx context.Context, args []string) int {
+	if err := a.parser.ParseArgs(args); err != nil {
+		return a.fail(exitMisuse, err)
 	}
-	parsed, err := settings.Parse(data)
-	if err != nil {
-		return fail(stderr, exitMisuse, err)
+	if err := logging.SetFormat(a.logFormat, a.stderr); err != nil {
+		return a.fail(exitMisuse, err)
 	}
-	entry, err := wiring.Build(parsed, netx.TCP{})
-	if err != nil {
-		return fail(stderr, exitFailed, err)
+	for _, bound := range a.actions {
+		if !bound.command.Used {
+			continue
+		}
+		return a.outcome(bound.run(ctx))
 	}
-	listeners, err := entry.Listen()
-	if err != nil {
-		return fail(stderr, exitFailed, err)
+	a.parser.ShowHelp()
+	return exitMisuse
+}
+
+// command attaches a command with an example of its use.
+func command(parent interface {
+	AttachSubcommand(*flaggy.Subcommand, int)
+}, name, description, example string,
+) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	if example != "" {
+		sub.AdditionalHelpAppend = "\nExample:\n  " + example
 	}
-	return outcome(stderr, entry.Serve(ctx, listeners))
+	parent.AttachSubcommand(sub, 1)
+	return sub
+}
+
+func (a *app) bind(sub *flaggy.Subcommand, run action) {
+	a.actions = append(a.actions, boundAction{command: sub, run: run})
 }
 
-func outcome(stderr io.Writer, err error) int {
-	if err != nil {
-		return fail(stderr, exitFailed, err)
+func (a *app) outcome(err error) int {
+	var wrong misuse
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &wrong):
+		return a.fail(exitMisuse, err)
+	default:
+		return a.fail(exitFailed, err)
 	}
-	return exitDone
 }
 
-func fail(stderr io.Writer, code int, err error) int {
-	fmt.Fprintln(stderr, "flamingospar:", err)
+func (a *app) fail(code int, err error) int {
+	fmt.Fprintln(a.stderr, "flamingospar:", err)
 	return code
 }
--- /dev/null
+++ b/flamingospar/command/serve.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+
+	"flamingospar.org/base/settingflags"
+	"flamingospar.org/core/strict"
+	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/wiring"
+	"flamingospar.org/flamingospar/dev"
+)
+
+func (a *app) addServe() {
+	path := "entry.toml"
+	sub := command(a.parser, "serve", "Run an entry process.", "flamingospar serve --settings entry.toml --listen 10.0.0.5:8080")
+	sub.String(&path, "s", "settings", "TOML settings file; each setting can be overridden by the flag of its name")
+	flags := settingflags.Attach(sub, settingNames(settings.Defaults()))
+	a.bind(sub, func(ctx context.Context) error { return a.serve(ctx, path, flags.Given()) })
+}
+
+func settingNames(defaults any) []string {
+	var names []string
+	for _, key := range strict.Keys(defaults) {
+		names = append(names, key.Name)
+	}
+	return names
+}
+
+func (a *app) serve(ctx context.Context, path string, overrides map[string]string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return misuse{fmt.Errorf("%w; remedy: name the settings file by --settings", err)}
+	}
+	parsed, err := settings.Parse(path, data, overrides)
+	if err != nil {
+		return misuse{err}
+	}
+	entry, err := wiring.Build(parsed, a.network)
+	if err != nil {
+		return err
+	}
+	listeners, err := entry.Listen()
+	if err != nil {
+		return fmt.Errorf("%w; remedy: free the address or choose another by --listen and --operator-listen", err)
+	}
+	return entry.Serve(ctx, listeners)
+}
+
+func (a *app) addDev() {
+	options := dev.DefaultOptions()
+	options.Network = a.network
+	sub := command(a.parser, "dev", "Run entries and agents beside stand-ins, on this machine.", "flamingospar dev --fleet trust\n  flamingospar dev --only platform,endpoints")
+	sub.String(&options.Fleet, "", "fleet", "shedline or trust")
+	sub.String(&options.Listen, "", "listen", "callers' address of the first entry")
+	sub.String(&options.OperatorListen, "", "operator-listen", "operators' address of the first entry")
+	sub.Int(&options.Entries, "", "entries", "number of entries")
+	sub.String(&options.Only, "", "only", "platform,endpoints: run the stand-ins alone")
+	a.bind(sub, func(ctx context.Context) error { return dev.Run(ctx, options, a.stdout) })
+}
+
+// versionAnswer is what version prints as JSON.
+type versionAnswer struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+func (a *app) addVersion() {
+	sub := command(a.parser, "version", "Print the version.", "flamingospar version --output json")
+	output := a.outputFlag(sub)
+	a.bind(sub, func(context.Context) error {
+		answer := versionAnswer{Version: Version, Go: runtime.Version()}
+		return a.print(output, answer, table{header: []string{"VERSION", "GO"}, rows: [][]string{{answer.Version, answer.Go}}})
+	})
+}
--- /dev/null
+++ b/flamingospar/dev/command_test.go
@@ -0,0 +1,121 @@
+package dev_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/core/catalogue"
+	"flamingospar.org/core/config"
+	"flamingospar.org/entry/operator"
+	"flamingospar.org/flamingospar/command"
+	"flamingospar.org/flamingospar/dev"
+	"flamingospar.org/standin/memnet"
+)
+
+// shell runs commands against one system.
+type shell struct {
+	t       *testing.T
+	network *memnet.Network
+	system  *dev.System
+}
+
+func (s shell) run(args ...string) (int, string, string) {
+	s.t.Helper()
+	var stdout, stderr bytes.Buffer
+	if args[0] != "version" && !(args[0] == "catalogue" && args[1] == "check") {
+		args = append(args, "--operator", s.system.OperatorURL)
+	}
+	code := command.RunOn(s.t.Context(), s.network.Host("operator"), args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func (s shell) ok(args ...string) string {
+	s.t.Helper()
+	code, stdout, stderr := s.run(args...)
+	require.Zero(s.t, code, "%v: %s", args, stderr)
+	return stdout
+}
+
+func TestOperatorsCommandLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(dev.TestLatency)
+		system, client := dev.StartTestSystemOn(t, network, "trust")
+		sh := shell{t: t, network: network, system: system}
+		file := filepath.Join(t.TempDir(), "catalogue.toml")
+		write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+
+		shown := sh.ok("catalogue", "show")
+		write(shown)
+		sh.ok("catalogue", "check", file)
+		require.Equal(t, 1, strings.Count(sh.ok("catalogue", "diff", file), "\n"), "the shown catalogue is what is in force")
+
+		write(strings.Replace(shown, "weight = 4.0", "weight = 5.0", 1))
+		var differences []catalogue.Difference
+		require.NoError(t, json.Unmarshal([]byte(sh.ok("catalogue", "diff", file, "--output", "json")), &differences))
+		require.Equal(t, []catalogue.Difference{{Section: "teams", Entry: "notices", Field: "weight", Old: "4", New: "5"}}, differences)
+
+		var applied operator.RevisionAnswer
+		require.NoError(t, json.Unmarshal([]byte(sh.ok("catalogue", "apply", file, "--base", "9", "-o", "json")), &applied))
+		require.Equal(t, config.Revision(10), applied.Revision)
+		code, _, stderr := sh.run("catalogue", "apply", file, "--base", "9")
+		require.Equal(t, 1, code)
+		require.Contains(t, stderr, "another change was accepted first")
+
+		write(strings.Replace(shown, `owner = 'claims'`, `owner = 'nobody'`, 1))
+		code, _, stderr = sh.run("catalogue", "apply", file)
+		require.Equal(t, 1, code)
+		require.Contains(t, stderr, "is no team")
+		sh.ok("catalogue", "rollback", "--to", "1")
+		require.Contains(t, sh.ok("catalogue", "show"), "weight = 4.0")
+		require.Equal(t, 12, strings.Count(sh.ok("catalogue", "history"), "\n"))
+		requireKeyLife(t, sh, client)
+
+		code, _, _ = sh.run("catalogue", "check", filepath.Join(t.TempDir(), "missing.toml"))
+		require.Equal(t, 2, code)
+		var status operator.Status
+		require.NoError(t, json.Unmarshal([]byte(sh.ok("status", "-o", "json")), &status))
+		require.True(t, status.Ready)
+		require.Len(t, status.Endpoints, 30)
+		require.Contains(t, sh.ok("version"), command.Version)
+	})
+}
+
+// requireKeyLife issues a key, uses it, withdraws it and sees it refused.
+func requireKeyLife(t *testing.T, sh shell, client *http.Client) {
+	t.Helper()
+	var issued operator.KeyAnswer
+	require.NoError(t, json.Unmarshal([]byte(sh.ok("key", "issue", "parents", "-o", "json")), &issued))
+	code, _, stderr := sh.run("key", "issue", "strangers")
+	require.Equal(t, 1, code)
+	require.Contains(t, stderr, "no team")
+	list := sh.ok("key", "list")
+	require.Contains(t, list, issued.ID)
+	require.NotContains(t, list+sh.ok("catalogue", "history", "-o", "json"), string(config.HashKey(issued.Key)))
+	require.NotContains(t, list, issued.Key)
+	require.Equal(t, http.StatusOK, models(t, sh, client, issued.Key))
+	sh.ok("key", "withdraw", issued.ID)
+	time.Sleep(3 * time.Second)
+	require.Equal(t, http.StatusUnauthorized, models(t, sh, client, issued.Key))
+	code, _, _ = sh.run("key", "withdraw", issued.ID)
+	require.Equal(t, 1, code)
+}
+
+func models(t *testing.T, sh shell, client *http.Client, key string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, sh.system.URL+"/v1/models", nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	return response.StatusCode
+}
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -14,6 +14,7 @@
 	agentsettings "flamingospar.org/agent/settings"
 	agentwiring "flamingospar.org/agent/wiring"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
 	"flamingospar.org/entry/configview"
@@ -47,6 +48,9 @@
 	Only           string
 	Entries        int // At least 1; the first one listens at the addresses above.
 	Network        netx.Network
+	EntryTLS       tlsfiles.Files // Not set: plain connections between processes.
+	AgentTLS       tlsfiles.Files
+	OperatorsFile  string        // Empty: no credential is asked for.
 	UsageWindow    time.Duration // Zero: the entry's default.
 }
 
@@ -180,7 +184,7 @@
 	agentContext, stopAgents := context.WithCancel(context.WithoutCancel(ctx))
 	var list []vms.VM
 	for _, endpoint := range s.Standins.Endpoints {
-		address, err := s.startAgent(agentContext, options.Network, endpoint)
+		address, err := s.startAgent(agentContext, options, endpoint)
 		if err != nil {
 			stopAgents()
 			return err
@@ -223,21 +227,20 @@
 	}()
 }
 
-func (s *System) startAgent(ctx context.Context, network netx.Network, endpoint fleet.StartedEndpoint) (string, error) {
-	checked, err := agentsettings.Settings{
-		DataCentre:   endpoint.DataCentre,
-		Listen:       anyPort,
-		Endpoint:     endpoint.ID,
-		EndpointURL:  endpoint.URL,
-		EndpointKind: endpoint.Kind,
-		PlatformURL:  s.Standins.PlatformURL,
-		Running:      agentsettings.DefaultRunning,
-		Waiting:      agentsettings.DefaultWaiting,
-	}.Checked()
+func (s *System) startAgent(ctx context.Context, options Options, endpoint fleet.StartedEndpoint) (string, error) {
+	settings := agentsettings.Defaults()
+	settings.DataCentre = endpoint.DataCentre
+	settings.Listen = anyPort
+	settings.Endpoint = endpoint.ID
+	settings.EndpointURL = endpoint.URL
+	settings.EndpointKind = endpoint.Kind
+	settings.PlatformURL = s.Standins.PlatformURL
+	settings.TLS = options.AgentTLS
+	checked, err := settings.Checked()
 	if err != nil {
 		return "", err
 	}
-	agent, err := agentwiring.Build(checked, network)
+	agent, err := agentwiring.Build(checked, options.Network)
 	if err != nil {
 		return "", err
 	}
@@ -264,7 +267,7 @@
 		Instance:   entry.Settings.Instance,
 		Role:       vms.Entry,
 		DataCentre: entry.Settings.DataCentre,
-		Address:    entry.listeners.Callers.Addr().String(),
+		Address:    entry.listeners.Peers.Addr().String(),
 	}
 }
 
@@ -277,6 +280,11 @@
 			settings.Listen = anyPort
 			settings.OperatorListen = anyPort
 		}
+		peers, err := freeAddress(options.Network)
+		if err != nil {
+			return nil, err
+		}
+		settings.Authority.PeerListen = peers
 		entry, err := buildEntry(settings, options.Network)
 		if err != nil {
 			return nil, err
@@ -293,11 +301,23 @@
 	return entries, nil
 }
 
+// freeAddress returns an address that nobody listens at now: an entry's address
+// for other entries must be known before it listens.
+func freeAddress(network netx.Network) (string, error) {
+	listener, err := network.Listen(anyPort)
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
 func (s *System) entrySettings(options Options) entrysettings.Settings {
 	settings := entrysettings.Defaults()
 	settings.Listen = options.Listen
 	settings.OperatorListen = options.OperatorListen
 	settings.PlatformURL = s.Standins.PlatformURL
+	settings.Operators = entrysettings.Operators{File: options.OperatorsFile, Open: options.OperatorsFile == ""}
+	settings.TLS = options.EntryTLS
 	if options.UsageWindow > 0 {
 		settings.UsageWindow = catalogue.Duration(options.UsageWindow)
 		settings.UsageFlush = catalogue.Duration(options.UsageWindow / 4)
--- a/flamingospar/dev/dev_test.go
+++ b/flamingospar/dev/dev_test.go
@@ -27,15 +27,18 @@
 }
 
 func startTestSystemOn(t *testing.T, network *memnet.Network, fleetName string) (*System, *http.Client) {
+	t.Helper()
+	return startTestSystemWith(t, network, Options{Fleet: fleetName})
+}
+
+// startTestSystemWith fills in the options that all tests share.
+func startTestSystemWith(t *testing.T, network *memnet.Network, options Options) (*System, *http.Client) {
 	t.Helper()
 	invariant.SetFatal(true)
-	options := Options{
-		Fleet:          fleetName,
-		Listen:         "entry:80",
-		OperatorListen: "entry:81",
-		Network:        memnetDev{network.Host("dev")},
-		UsageWindow:    10 * time.Second,
-	}
+	options.Listen = "entry:80"
+	options.OperatorListen = "entry:81"
+	options.Network = memnetDev{network.Host("dev")}
+	options.UsageWindow = 10 * time.Second
 	ctx, cancel := context.WithCancel(t.Context())
 	system, err := Start(ctx, options)
 	require.NoError(t, err)
