--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/dig"
 
+	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
 	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
@@ -43,6 +44,7 @@
 	status   *status.Status
 	meter    *meter.Registry
 	tls      *tlsfiles.Source // Nil: plain connections.
+	usage    usageParts
 }
 
 // Build wires an agent.
@@ -54,6 +56,9 @@
 		meter.NewRegistry,
 		newGate,
 		ledger.New,
+		newUsageLedger,
+		newUsageWriter,
+		account.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -110,8 +115,8 @@
 	return gate.New(s.Endpoint, s.Instance, clock.Now)
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, g.Arrival(), l, q, g.Departure())
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
+	return pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
 }
 
 // declareCounters shows the counter of each refusal reason and filter before
@@ -125,8 +130,8 @@
 	}
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, source *tlsfiles.Source) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, source *tlsfiles.Source, usage usageParts) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage}
 }
 
 // newTLS reads the certificate files, nil when connections are plain.
@@ -155,7 +160,10 @@
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
+	mux.Handle(a.usage.Service.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	stopUsage := a.usage.start()
+	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- a.serveConnections(httpServer, listener) }()
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -27,6 +27,7 @@
 // Agent is one known agent.
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
+	Usage  wirev1connect.UsageServiceClient
 
 	vm        vms.VM
 	candidate route.Candidate
@@ -37,6 +38,8 @@
 type View struct {
 	list   vms.List
 	client *http.Client
+	// options are given to every client of an agent.
+	options []connect.ClientOption
 
 	member Membership
 
@@ -45,8 +48,9 @@
 }
 
 // New returns an empty view that reads list and calls agents through client.
-func New(list vms.List, client *http.Client, membership Membership) *View {
-	return &View{list: list, client: client, member: membership.checked(), agents: make(map[string]*Agent)}
+func New(list vms.List, client *http.Client, membership Membership, options ...connect.ClientOption) *View {
+	options = append([]connect.ClientOption{connect.WithGRPC()}, options...)
+	return &View{list: list, client: client, options: options, member: membership.checked(), agents: make(map[string]*Agent)}
 }
 
 // Run refreshes the view until ctx ends.
@@ -105,8 +109,9 @@
 		agent.vm = vm
 		return
 	}
-	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
+	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
+	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, vm: vm}
 }
 
 // ask asks an agent for its status. An agent that is stale is asked again at
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -29,6 +29,7 @@
 	Operators      Operators          `toml:"operators"`
 	Authority      Authority          `toml:"authority"`
 	TLS            tlsfiles.Files     `toml:"tls"`
+	Usage          Usage              `toml:"usage"`
 }
 
 // Operators says who may use the operators' address. Exactly one is set.
@@ -47,6 +48,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		Usage:        defaultUsage(),
 	}
 }
 
@@ -98,6 +100,9 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"usage.idle_close", s.Usage.IdleClose},
+		{"usage.remember", s.Usage.Remember},
+		{"usage.keep", s.Usage.Keep},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -4,8 +4,11 @@
 	"net"
 	"net/http"
 
+	"connectrpc.com/connect"
+
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
@@ -22,9 +25,9 @@
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, i *account.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, peers.Client, membership)
+	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(i))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -15,9 +15,7 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/base/ring"
 	"flamingospar.org/base/tlsfiles"
-	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/authenticate"
@@ -82,6 +80,9 @@
 		newPeerClient,
 		newOperators,
 		account.NewRing,
+		account.NewAcks,
+		account.NewCounts,
+		newInterceptor,
 		dispatch.New,
 		newChain,
 		newModelsChain,
@@ -107,26 +108,17 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(),
 		authenticate.New(c),
 		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
-		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
 	)
 }
 
-func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
-	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
-}
-
-func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
-	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
-}
-
 // Ready reports whether the entry serves callers.
 func (e *Entry) Ready() bool {
 	return !e.State.draining.Load() && e.Config.Current() != nil
