--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -25,9 +25,9 @@
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, i *account.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(i))
+	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(usage))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
