--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -26,6 +26,11 @@
 	PassedOn int64
 	// Finished is the executor's result; nil while the run has none.
 	Finished *wirev1.Finished
+	// TeamFraction is the part of the team's runs that came through the run's
+	// entry lately, set by the queue.
+	TeamFraction float64
+	// CacheExpected is set by the queue when it took the prompt's prefix for cached.
+	CacheExpected bool
 }
 
 // Filter is one step before the endpoint.
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -22,6 +22,7 @@
 	Running      int    `toml:"running"` // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"` // Runs that may queue.
 	Usage        Usage  `toml:"usage"`
+	Policy       Policy `toml:"policy"`
 
 	TLS tlsfiles.Files `toml:"tls"`
 }
@@ -46,7 +47,7 @@
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting}
+	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}
 }
 
 // Parse reads strict TOML over the defaults, then overrides by key, and checks
@@ -83,5 +84,11 @@
 	if err := s.TLS.Check(); err != nil {
 		return Settings{}, err
 	}
+	if s.Policy == (Policy{}) {
+		s.Policy = DefaultPolicy()
+	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -28,6 +28,7 @@
 	DrainTime      catalogue.Duration `toml:"drain_time"`      // Longest time that a stopping entry finishes requests.
 	Operators      Operators          `toml:"operators"`
 	Authority      Authority          `toml:"authority"`
+	Policy         Policy             `toml:"policy"`
 	TLS            tlsfiles.Files     `toml:"tls"`
 	Usage          Usage              `toml:"usage"`
 }
@@ -49,6 +50,7 @@
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
 		Usage:        defaultUsage(),
+		Policy:       DefaultPolicy(),
 	}
 }
 
@@ -118,5 +120,8 @@
 	if err := s.TLS.Check(); err != nil {
 		return Settings{}, err
 	}
+	if err := s.Policy.check(); err != nil {
+		return Settings{}, err
+	}
 	return s, nil
 }
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -77,6 +77,7 @@
 	a.addOperator()
 	a.addStatus()
 	a.addLoad()
+	a.addExperiment()
 	a.addVersion()
 	return a
 }
