Write the settings page from the code and check the examples

Cause: no page listed the settings; the shipped examples were read by no test, and the entry's example named no operators, so it would have been refused. Ruled out: a comment tag on each field; the Go comments are read instead, so that there is one place for a meaning. Change: docs/operators/settings.md from both binaries' settings, with flag and default, compared by a test; both examples parsed; six faults asserted by file, line and key; the stand-ins alone list one entry at its peers' address.

--- a/agent/settings/policy.go
+++ b/agent/settings/policy.go
@@ -14,8 +14,9 @@
 	EngineBacklog float64 `toml:"engine_backlog"`
 	// TokenIntervalMillis bounds the time between two tokens of an answer.
 	TokenIntervalMillis int64 `toml:"token_interval_millis"`
-	// PromptPrice and OutputPrice are seconds of the endpoint for one token.
+	// PromptPrice is the endpoint's time for one prompt token, in seconds.
 	PromptPrice float64 `toml:"prompt_price"`
+	// OutputPrice is the endpoint's time for one output token, in seconds.
 	OutputPrice float64 `toml:"output_price"`
 }
 
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -12,15 +12,15 @@
 
 // Settings configures one agent process.
 type Settings struct {
-	Instance     string `toml:"instance"` // Empty: a new id at each start.
-	DataCentre   string `toml:"data_centre"`
+	Instance     string `toml:"instance"`      // Id of this process; empty: a new one at each start.
+	DataCentre   string `toml:"data_centre"`   // Data centre of this VM.
 	Listen       string `toml:"listen"`        // Address for entries.
 	Endpoint     string `toml:"endpoint"`      // The endpoint's id.
 	EndpointURL  string `toml:"endpoint_url"`  // Base URL of the endpoint.
 	EndpointKind string `toml:"endpoint_kind"` // "model" or the service's name.
-	PlatformURL  string `toml:"platform_url"`
-	Running      int    `toml:"running"` // Runs at once on the endpoint.
-	Waiting      int    `toml:"waiting"` // Runs that may queue.
+	PlatformURL  string `toml:"platform_url"`  // Base URL of the platform.
+	Running      int    `toml:"running"`       // Runs at once on the endpoint.
+	Waiting      int    `toml:"waiting"`       // Runs that may queue.
 	Usage        Usage  `toml:"usage"`
 	Policy       Policy `toml:"policy"`
 
@@ -47,7 +47,7 @@
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}
+	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy(), Usage: Usage{}.withDefaults()}
 }
 
 // Parse reads strict TOML over the defaults, then overrides by key, and checks
--- a/core/strict/keys.go
+++ b/core/strict/keys.go
@@ -15,6 +15,9 @@
 	Default reflect.Value
 	// Quoted is set for texts and for types that are read from a text.
 	Quoted bool
+	// Owner and Field say where in the Go source the key is declared.
+	Owner reflect.Type
+	Field string
 }
 
 var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
@@ -33,7 +36,7 @@
 		if name == "" || name == "-" {
 			continue
 		}
-		key := Key{Name: prefix + name, Type: field.Type, Default: value.Field(i)}
+		key := Key{Name: prefix + name, Type: field.Type, Default: value.Field(i), Owner: value.Type(), Field: field.Name}
 		key.Quoted = field.Type.Kind() == reflect.String || reflect.PointerTo(field.Type).Implements(textUnmarshaler)
 		switch {
 		case key.Quoted:
--- a/flamingospar/command/serve.go
+++ b/flamingospar/command/serve.go
@@ -56,7 +56,7 @@
 	sub.String(&options.Fleet, "", "fleet", "shedline or trust")
 	sub.String(&options.Listen, "", "listen", "callers' address of the first entry")
 	sub.String(&options.OperatorListen, "", "operator-listen", "operators' address of the first entry")
-	sub.Int(&options.Entries, "", "entries", "number of entries")
+	sub.Int(&options.Entries, "", "entries", "number of entries; without it 3, or 1 in the list of VMs of --only")
 	sub.String(&options.Only, "", "only", "platform,endpoints: run the stand-ins alone")
 	a.bind(sub, func(ctx context.Context) error { return dev.Run(ctx, options, a.stdout) })
 }
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -30,6 +30,7 @@
 	PlatformPort     = 9000
 	EndpointBasePort = 9100
 	AgentBasePort    = 9300
+	PeerBasePort     = 9400
 )
 
 const (
@@ -38,6 +39,7 @@
 	readyPolls   = 200
 	readyEvery   = 50 * time.Millisecond
 	onlyStandins = "platform,endpoints"
+	usualEntries = 3
 )
 
 // Options choose what runs.
@@ -46,7 +48,7 @@
 	Listen         string
 	OperatorListen string
 	Only           string
-	Entries        int // At least 1; the first one listens at the addresses above.
+	Entries        int // The first one listens at the addresses above; 0: the usual number.
 	Network        netx.Network
 	EntryTLS       tlsfiles.Files // Not set: plain connections between processes.
 	AgentTLS       tlsfiles.Files
@@ -56,7 +58,7 @@
 
 // DefaultOptions returns the options of a plain `flamingospar dev`.
 func DefaultOptions() Options {
-	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Entries: 3, Network: netx.TCP{}}
+	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Network: netx.TCP{}}
 }
 
 // Key is a key that dev issued.
@@ -91,6 +93,9 @@
 	if options.Only != "" && options.Only != onlyStandins {
 		return fmt.Errorf("--only %q is unknown; remedy: use --only %s", options.Only, onlyStandins)
 	}
+	if options.Only == "" && options.Entries == 0 {
+		options.Entries = usualEntries
+	}
 	system, err := Start(ctx, options)
 	if err != nil {
 		return err
@@ -123,7 +128,7 @@
 		return nil, err
 	}
 	if options.Only != "" {
-		started.Platform.SetVMs(plannedVMs(described))
+		started.Platform.SetVMs(plannedVMs(described, max(options.Entries, 1)))
 		context.AfterFunc(ctx, stopStandins)
 		return system, nil
 	}
@@ -145,9 +150,17 @@
 
 func hostPort(port int) string { return net.JoinHostPort(loopback, strconv.Itoa(port)) }
 
-// plannedVMs lists an agent for each endpoint at its planned address.
-func plannedVMs(described fleet.Fleet) []vms.VM {
+// plannedVMs lists an agent for each endpoint, and entries, at planned addresses.
+func plannedVMs(described fleet.Fleet, entries int) []vms.VM {
 	var list []vms.VM
+	for i := range entries {
+		list = append(list, vms.VM{
+			Instance:   fmt.Sprintf("entry-%d", i+1),
+			Role:       vms.Entry,
+			DataCentre: described.DataCentres[i%len(described.DataCentres)],
+			Address:    hostPort(PeerBasePort + i),
+		})
+	}
 	for i, endpoint := range described.Endpoints {
 		list = append(list, agentVM(endpoint, hostPort(AgentBasePort+i)))
 	}
