Give the platform's stand-in faults over HTTP, a lagging VM list and weights

Cause: run as a process of its own, the stand-in platform could not be given an outage; its list of VMs never lagged; there was no weight store. Ruled out: a fault per request header, which clients would have to send. Change: GET and PUT /faults (outage, delay, lost answers, lag of the VM list, weights' bytes a second); /weights/{model}/{version} at a rate that all readers share. Status counts agents that have not answered in place of empty rows. Before: faults from the same process only.

--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -32,6 +32,7 @@
 	Teams      int             `json:"teams"`
 	Keys       int             `json:"keys"`
 	Endpoints  []Endpoint      `json:"endpoints"`
+	Unreached  int             `json:"unreached"` // Listed agents that have not answered yet.
 }
 
 // Endpoint is one endpoint as the entry knows it.
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,11 +141,16 @@
 		status.Keys = len(state.Keys())
 	}
 	for _, c := range e.Fleet.Candidates() {
+		if c.Endpoint == "" {
+			status.Unreached++ // Its agent has not answered yet.
+			continue
+		}
 		status.Endpoints = append(status.Endpoints, operator.Endpoint{
 			Name: c.Endpoint, DataCentre: c.DataCentre, Kind: c.Kind, Model: c.Model,
 			Ready: c.Ready, Outstanding: c.Outstanding, Queued: c.Queued,
 		})
 	}
+	sort.Slice(status.Endpoints, func(i, j int) bool { return status.Endpoints[i].Name < status.Endpoints[j].Name })
 	return status
 }
 
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -13,6 +13,7 @@
 	"flamingospar.org/platform/objects"
 	"flamingospar.org/platform/tables"
 	"flamingospar.org/platform/usagereport"
+	"flamingospar.org/standin/faultsapi"
 )
 
 // Handler serves the platform's interfaces over HTTP. The faults hold for
@@ -28,6 +29,8 @@
 		store.Get("/objects/{name}", p.getObject)
 		store.Delete("/objects/{name}", p.deleteObject)
 	})
+	router.Handle(faultsapi.Path, faultsapi.Handler(p.currentBody, p.setBody))
+	router.Get("/weights/{model}/{version}", p.getWeights)
 	router.Get("/vms", p.listVMs)
 	router.Put("/capacity/orders/{id}", p.placeOrder)
 	router.Post("/usage/reports", p.takeReport)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -25,14 +25,16 @@
 	mu      sync.Mutex
 	faults  Faults
 	objects map[string][]byte
-	vms     []vms.VM
+	vms     []dated // Oldest first.
+	vmLag   time.Duration
+	weights *weightStore
 	orders  []capacity.Order
 	reports reportLedger
 }
 
 // New returns a platform without VMs.
 func New() *Platform {
-	return &Platform{Tables: NewTables(), objects: make(map[string][]byte)}
+	return &Platform{Tables: NewTables(), objects: make(map[string][]byte), weights: newWeightStore()}
 }
 
 // SetFaults puts faults in force from now on.
@@ -53,14 +55,14 @@
 func (p *Platform) SetVMs(list []vms.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = append([]vms.VM(nil), list...)
+	p.recordVMs(list)
 }
 
 // VMs implements vms.List.
 func (p *Platform) VMs(context.Context) ([]vms.VM, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]vms.VM{}, p.vms...), nil
+	return p.laggingVMs(), nil
 }
 
 // Place implements capacity.Orders. An ID seen before has no further effect.
