--- a/entry/choose/choose.go
+++ b/entry/choose/choose.go
@@ -39,6 +39,7 @@
 // left beside those already tried.
 func (c *Chooser) Pick(x *pipeline.Exchange, tried map[string]bool) (Pick, bool) {
 	choice := c.view.Choose(c.request(x, tried))
+	x.Choices = append(x.Choices, pipeline.Chosen{At: time.Now(), Choice: choice})
 	agent, done, ok := c.view.Begin(choice.Endpoint, float64(x.Shape.PromptTokens))
 	return Pick{Choice: choice, Agent: agent, Done: done}, ok
 }
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -22,44 +22,25 @@
 	AwaitInForce(ctx context.Context, revision config.Revision) configview.Standing
 }
 
-// Status is what an entry tells of itself.
-type Status struct {
-	Instance   string          `json:"instance"`
-	DataCentre string          `json:"data_centre"`
-	Ready      bool            `json:"ready"`
-	Draining   bool            `json:"draining"`
-	Revision   config.Revision `json:"revision"`
-	Teams      int             `json:"teams"`
-	Keys       int             `json:"keys"`
-	Endpoints  []Endpoint      `json:"endpoints"`
-	Unreached  int             `json:"unreached"` // Listed agents that have not answered yet.
-}
-
-// Endpoint is one endpoint as the entry knows it.
-type Endpoint struct {
-	Name        string `json:"name"`
-	DataCentre  string `json:"data_centre"`
-	Kind        string `json:"kind"`
-	Model       string `json:"model,omitempty"`
-	Ready       bool   `json:"ready"`
-	Outstanding int    `json:"outstanding"`
-	Queued      int    `json:"queued"`
-}
-
 // API is the operators' HTTP interface.
 type API struct {
 	config Config
 	meter  *meter.Registry
 	access Access
-	status func() Status
+	ready  func() bool
+	mounts []func(chi.Router)
 }
 
-// New returns the interface. access knows who may do what.
-func New(c Config, registry *meter.Registry, access Access, status func() Status) *API {
+// Mount adds routes of another part for operators who may read.
+func (a *API) Mount(mount func(chi.Router)) { a.mounts = append(a.mounts, mount) }
+
+// New returns the interface. access knows who may do what; ready reports
+// whether callers are served.
+func New(c Config, registry *meter.Registry, access Access, ready func() bool) *API {
 	for _, code := range codes {
-		registry.Add(0, "operators", "refused", string(code))
+		registry.Declare("operators", "refused", string(code))
 	}
-	return &API{config: c, meter: registry, access: access, status: status}
+	return &API{config: c, meter: registry, access: access, ready: ready}
 }
 
 // Handler returns the HTTP handler.
@@ -77,11 +58,13 @@
 		readers.Use(a.allow(Reader))
 		readers.Get("/metrics", a.meter.ServeText)
 		readers.Get("/metrics.json", a.meter.ServeJSON)
-		readers.Get("/v1/status", a.showStatus)
 		readers.Get("/v1/catalogue", a.showCatalogue)
 		readers.Post("/v1/catalogue/check", a.checkCatalogue)
 		readers.Get("/v1/history", a.showHistory)
 		readers.Get("/v1/keys", a.listKeys)
+		for _, mount := range a.mounts {
+			mount(readers)
+		}
 	})
 	router.Group(func(editors chi.Router) {
 		editors.Use(a.allow(Editor))
@@ -94,11 +77,9 @@
 }
 
 func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !a.status().Ready {
+	if !a.ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-func (a *API) showStatus(w http.ResponseWriter, _ *http.Request) { write(w, a.status()) }
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -10,6 +10,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
 	"flamingospar.org/entry/settings"
@@ -25,9 +26,9 @@
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(usage))
+	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(usage, explaining))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
@@ -41,5 +42,6 @@
 func (e *Entry) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(peering.NewServer(e.Config).Handler())
+	mux.Handle(e.observeServer().Handler())
 	return netx.Server(mux)
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +24,7 @@
 	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/match"
@@ -58,7 +58,9 @@
 	Sealer   *sealing.Sealer
 	State    *runState
 	Access   operator.Access
+	Peers    peerClient
 	TLS      *tlsfiles.Source // Nil: plain connections between processes.
+	Observe  observeParts
 }
 
 // runState tells whether the entry serves callers.
@@ -81,6 +83,9 @@
 		newTLS,
 		newPeerClient,
 		newOperators,
+		newJournal,
+		explain.NewObserver,
+		explain.NewInterceptor,
 		account.NewRing,
 		account.NewAcks,
 		account.NewCounts,
@@ -127,33 +132,6 @@
 	return !e.State.draining.Load() && e.Config.Current() != nil
 }
 
-// Status returns what operators see of this entry.
-func (e *Entry) Status() operator.Status {
-	status := operator.Status{
-		Instance:   e.Settings.Instance,
-		DataCentre: e.Settings.DataCentre,
-		Ready:      e.Ready(),
-		Draining:   e.State.draining.Load(),
-	}
-	if state := e.Config.Current(); state != nil {
-		status.Revision = state.Revision
-		status.Teams = len(state.Catalogue.Teams)
-		status.Keys = len(state.Keys())
-	}
-	for _, c := range e.Fleet.Candidates() {
-		if c.Endpoint == "" {
-			status.Unreached++ // Its agent has not answered yet.
-			continue
-		}
-		status.Endpoints = append(status.Endpoints, operator.Endpoint{
-			Name: c.Endpoint, DataCentre: c.DataCentre, Kind: c.Kind, Model: c.Model,
-			Ready: c.Ready, Outstanding: c.Outstanding, Queued: c.Queued,
-		})
-	}
-	sort.Slice(status.Endpoints, func(i, j int) bool { return status.Endpoints[i].Name < status.Endpoints[j].Name })
-	return status
-}
-
 // Listeners are the entry's two addresses.
 type Listeners struct {
 	Callers   net.Listener
@@ -184,7 +162,8 @@
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
-	api := operator.New(e.Config, e.Meter, e.Access, e.Status)
+	api := operator.New(e.Config, e.Meter, e.Access, e.Ready)
+	e.mountObserve(api)
 	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	peerServer := e.peerServer()
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -41,8 +41,8 @@
 
 // boundAction is a command without subcommands.
 type boundAction struct {
-	command *flaggy.Subcommand
-	run     action
+	used func() bool
+	run  action
 }
 
 // misuse is an error of the command line itself.
@@ -75,9 +75,10 @@
 	a.addCatalogue()
 	a.addKey()
 	a.addOperator()
-	a.addStatus()
+	a.addAsk()
 	a.addLoad()
 	a.addExperiment()
+	a.addCapacity()
 	a.addVersion()
 	return a
 }
@@ -90,7 +91,7 @@
 		return a.fail(exitMisuse, err)
 	}
 	for _, bound := range a.actions {
-		if !bound.command.Used {
+		if !bound.used() {
 			continue
 		}
 		return a.outcome(bound.run(ctx))
@@ -114,7 +115,7 @@
 }
 
 func (a *app) bind(sub *flaggy.Subcommand, run action) {
-	a.actions = append(a.actions, boundAction{command: sub, run: run})
+	a.actions = append(a.actions, boundAction{used: func() bool { return sub.Used }, run: run})
 }
 
 func (a *app) outcome(err error) int {
--- a/flamingospar/command/output.go
+++ b/flamingospar/command/output.go
@@ -10,6 +10,7 @@
 	"github.com/integrii/flaggy"
 
 	"flamingospar.org/base/netx"
+	"flamingospar.org/flamingospar/ask"
 	"flamingospar.org/flamingospar/client"
 )
 
@@ -19,10 +20,6 @@
 	outputJSON = "json"
 )
 
-// credentialVariable holds the operator's credential; a flag would show it in
-// the list of processes.
-const credentialVariable = "FLAMINGOSPAR_CREDENTIAL"
-
 // table is what a command prints as text.
 type table struct {
 	header []string
@@ -61,8 +58,8 @@
 // remote adds the flag that names an entry and returns its client.
 func (a *app) remote(sub *flaggy.Subcommand) func() *client.Client {
 	base := "http://127.0.0.1:8081"
-	sub.String(&base, "", "operator", "an entry's operators' address; the credential comes from "+credentialVariable)
+	sub.String(&base, "", "operator", "an entry's operators' address; the credential comes from "+ask.CredentialVariable)
 	return func() *client.Client {
-		return client.New(base, os.Getenv(credentialVariable), netx.HTTP1Client(a.network))
+		return client.New(base, os.Getenv(ask.CredentialVariable), netx.HTTP1Client(a.network))
 	}
 }
--- a/flamingospar/dev/command_test.go
+++ b/flamingospar/dev/command_test.go
@@ -15,6 +15,7 @@
 
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
+	"flamingospar.org/entry/observe"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/flamingospar/command"
 	"flamingospar.org/flamingospar/dev"
@@ -81,10 +82,14 @@
 
 		code, _, _ = sh.run("catalogue", "check", filepath.Join(t.TempDir(), "missing.toml"))
 		require.Equal(t, 2, code)
-		var status operator.Status
+		var status observe.Status
 		require.NoError(t, json.Unmarshal([]byte(sh.ok("status", "-o", "json")), &status))
-		require.True(t, status.Ready)
-		require.Len(t, status.Endpoints, 30)
+		require.True(t, status.Entries[0].Ready)
+		endpoints := 0
+		for _, group := range status.DataCentres {
+			endpoints += group.Ready
+		}
+		require.Equal(t, 30, endpoints)
 		require.Contains(t, sh.ok("version"), command.Version)
 	})
 }
