--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -14,17 +14,16 @@
 	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
+	"flamingospar.org/agent/orders"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
-	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/base/tlsfiles"
-	"flamingospar.org/core/refusal"
 	"flamingospar.org/platform/engine"
 	"flamingospar.org/platform/plain"
 )
@@ -46,6 +45,7 @@
 	meter    *meter.Registry
 	tls      *tlsfiles.Source // Nil: plain connections.
 	usage    usageParts
+	orders   *orders.Duty
 }
 
 // Build wires an agent.
@@ -55,7 +55,9 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newProcess,
 		newGate,
+		newOrders,
 		ledger.New,
 		newUsageLedger,
 		newUsageWriter,
@@ -115,45 +117,14 @@
 	return load.Model
 }
 
-func newGate(s settings.Settings) *gate.Gate {
-	return gate.New(s.Endpoint, s.Instance, clock.Now)
-}
-
 func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
 	chain := pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
 	chain.SetObserver(observer)
 	return chain
 }
 
-// declareCounters shows the counter of each refusal reason and filter before
-// its first time.
-func declareCounters(registry *meter.Registry, chain *pipeline.Chain) {
-	for code := range refusal.Reasons {
-		registry.Declare("refused", string(code))
-	}
-	for _, name := range chain.Names() {
-		registry.Declare("filter", name)
-	}
-}
-
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, source *tlsfiles.Source, usage usageParts) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage}
-}
-
-// newTLS reads the certificate files, nil when connections are plain.
-func newTLS(s settings.Settings, registry *meter.Registry) (*tlsfiles.Source, error) {
-	if !s.TLS.IsSet() {
-		return nil, nil
-	}
-	return tlsfiles.Load(s.TLS, registry)
-}
-
-// serveConnections accepts entries, over TLS when certificate files are set.
-func (a *Agent) serveConnections(httpServer *http.Server, listener net.Listener) error {
-	if a.tls == nil {
-		return httpServer.Serve(listener)
-	}
-	return netx.ServeTLS(httpServer, listener, a.tls.Server(tlsfiles.EntryName))
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, source *tlsfiles.Source, duty *orders.Duty) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage, orders: duty}
 }
 
 // Meter returns the agent's metrics.
@@ -174,6 +145,8 @@
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- a.serveConnections(httpServer, listener) }()
+	stopOrders := a.startOrders()
+	defer stopOrders()
 	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
 	select {
 	case err := <-failed:
--- a/entry/fleet/membership.go
+++ b/entry/fleet/membership.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	turnsKey = "turns"
 	// pollers is how many entries ask each agent at every refresh.
 	pollers = 3
 	// introduceEvery is how often an entry asks the other agents.
@@ -55,6 +56,24 @@
 	adoptUntil time.Time
 	changing   bool
 	stale      bool
+	turn       int // Rank in its pool.
+	pool       int // Agents of its pool.
+}
+
+// rank tells each agent its turn in its pool, the agents of one model. It is
+// called with mu held, after the list has changed.
+func (v *View) rank() {
+	pools := make(map[string][]string)
+	for instance, agent := range v.agents {
+		pool := agent.candidate.Kind + "/" + agent.candidate.Model
+		pools[pool] = append(pools[pool], instance)
+	}
+	for _, instances := range pools {
+		for turn, instance := range member.Rank(turnsKey, instances) {
+			v.agents[instance].contact.turn = turn
+			v.agents[instance].contact.pool = len(instances)
+		}
+	}
 }
 
 // answered notes an agent's answer. A new instance at the same address is
@@ -87,6 +106,11 @@
 		Revision:      int64(news.Revision),
 		WithdrawnKeys: news.Withdrawn,
 		Complete:      news.Complete,
+		Turn:          int32(known.turn),
+		Pool:          int32(known.pool),
+	}
+	for _, model := range news.Models {
+		request.News.Versions = append(request.News.Versions, &wirev1.ModelVersion{Model: model.Name, Version: model.Version})
 	}
 	if proved && known.instance != "" {
 		request.News.Proved = true
@@ -136,6 +160,6 @@
 		agent.candidate.Ready = false
 	case refusal.WrongEndpoint:
 		agent.candidate.Ready = false
-		agent.contact = contact{}
+		agent.contact = contact{turn: agent.contact.turn, pool: agent.contact.pool}
 	}
 }
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -19,7 +20,7 @@
 
 func newConfigView(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
-		Instance: s.Instance,
+		Instance: s.Instance + "." + uuid.NewString()[:8],
 		Peers:    peering.NewClient(roster, peers.Client),
 		Objects:  c.Objects(),
 		Counter:  registry,
@@ -36,7 +37,14 @@
 	if e.Settings.Authority.PeerListen == "" {
 		return nil, nil
 	}
-	return e.Network.Listen(e.Settings.Authority.PeerListen)
+	listener, err := e.Network.Listen(e.Settings.Authority.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	if e.Settings.Authority.PeerAddress == "" {
+		e.Roster.SetSelf(listener.Addr().String())
+	}
+	return listener, nil
 }
 
 func (e *Entry) peerServer() *http.Server {
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -288,6 +288,7 @@
 	var entries []builtEntry
 	for i := range max(options.Entries, 1) {
 		settings := s.entrySettings(options)
+		settings.Authority.PeerListen = anyPort
 		settings.DataCentre = described.DataCentres[i%len(described.DataCentres)]
 		if i > 0 {
 			settings.Listen = anyPort
