--- a/flamingospar/dev/badinput_test.go
+++ b/flamingospar/dev/badinput_test.go
@@ -77,6 +77,7 @@
 		body("null", "null", refusal.BodyInvalid),
 		body("no model", `{"messages":[{"role":"user","content":"x"}]}`, refusal.BodyInvalid),
 		body("model in capitals", strings.Replace(goodChat, "model", "Model", 1), refusal.BodyInvalid),
+		body("model twice in other cases", strings.Replace(strings.Replace(goodChat, "assessment", "other", 1), "{", `{"MODEL":"assessment","Model":"assessment",`, 1), refusal.ModelUnknown),
 		body("unknown model", strings.Replace(goodChat, "assessment", "other", 1), refusal.ModelUnknown),
 		body("no messages", `{"model":"assessment","messages":[]}`, refusal.BodyInvalid),
 		body("message without a role", `{"model":"assessment","messages":[{"content":"x"}]}`, refusal.BodyInvalid),
--- a/flamingospar/dev/security_test.go
+++ b/flamingospar/dev/security_test.go
@@ -130,13 +130,14 @@
 		defer plain.CloseIdleConnections()
 		require.Error(t, statusWith(t, plain, address), "no TLS at all")
 
-		requireReload(t, network, system, client, agentFiles, second, address)
+		requireReload(t, network, agentFiles, entryFiles, second, address)
+		requireChat(t, system, client)
 	})
 }
 
 // requireReload changes the agents' files in place: unsound ones change
 // nothing, sound ones let in whom the new authority signed.
-func requireReload(t *testing.T, network *memnet.Network, system *System, client *http.Client, agentFiles tlsfiles.Files, second authority, address string) {
+func requireReload(t *testing.T, network *memnet.Network, agentFiles, entryFiles tlsfiles.Files, second authority, address string) {
 	t.Helper()
 	next := second.issue(filepath.Join(t.TempDir(), "next"), tlsfiles.NodeName, tlsfiles.EntryName)
 	both := second.issue(filepath.Join(t.TempDir(), "both"), tlsfiles.NodeName, tlsfiles.AgentName)
@@ -148,14 +149,13 @@
 	require.NoError(t, os.WriteFile(agentFiles.Authority, []byte("unsound"), 0o600))
 	time.Sleep(2 * time.Second)
 	require.Error(t, askAgent(t, network, address, next))
-	requireChat(t, system, client)
+	require.NoError(t, askAgent(t, network, address, entryFiles), "the last sound files stay in force")
 
 	require.NoError(t, os.WriteFile(agentFiles.Authority, append(old, added...), 0o600))
 	time.Sleep(2 * time.Second)
 	// The agent's own certificate is still the first authority's.
 	require.NoError(t, os.WriteFile(next.Authority, append(added, old...), 0o600))
 	require.NoError(t, askAgent(t, network, address, next))
-	requireChat(t, system, client)
 }
 
 func agentAddress(t *testing.T, system *System) string {
