--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"flamingospar.org/base/tlsfiles"
+	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/strict"
 )
 
@@ -21,10 +22,13 @@
 	PlatformURL  string `toml:"platform_url"`  // Base URL of the platform.
 	Running      int    `toml:"running"`       // Runs at once on the endpoint.
 	Waiting      int    `toml:"waiting"`       // Runs that may queue.
-	Usage        Usage  `toml:"usage"`
-	Policy       Policy `toml:"policy"`
-
-	TLS tlsfiles.Files `toml:"tls"`
+	// AnnounceTime is how long a leaving agent still listens, for the entries
+	// to learn that it is leaving.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	Silence      Silence            `toml:"silence"`
+	Usage        Usage              `toml:"usage"`
+	Policy       Policy             `toml:"policy"`
+	TLS          tlsfiles.Files     `toml:"tls"`
 }
 
 // Default sizes of the queue.
@@ -47,7 +51,7 @@
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy(), Usage: Usage{}.withDefaults()}
+	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy(), Usage: Usage{}.withDefaults()}.withRunDefaults()
 }
 
 // Parse reads strict TOML over the defaults, then overrides by key, and checks
@@ -65,6 +69,7 @@
 	if s.Instance == "" {
 		s.Instance = uuid.NewString()
 	}
+	s = s.withRunDefaults()
 	s.Usage = s.Usage.withDefaults()
 	required := []struct{ key, value string }{
 		{"data_centre", s.DataCentre},
@@ -90,5 +95,5 @@
 	if err := s.Policy.check(); err != nil {
 		return Settings{}, err
 	}
-	return s, nil
+	return s, s.checkRuns()
 }
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -28,12 +28,19 @@
 	meter  *meter.Registry
 	access Access
 	ready  func() bool
-	mounts []func(chi.Router)
+	// Routes of other parts, for readers and for editors.
+	mounts        []func(chi.Router)
+	editingMounts []func(chi.Router)
 }
 
 // Mount adds routes of another part for operators who may read.
 func (a *API) Mount(mount func(chi.Router)) { a.mounts = append(a.mounts, mount) }
 
+// MountEditing adds routes of another part for operators who may write.
+func (a *API) MountEditing(mount func(chi.Router)) {
+	a.editingMounts = append(a.editingMounts, mount)
+}
+
 // New returns the interface. access knows who may do what; ready reports
 // whether callers are served.
 func New(c Config, registry *meter.Registry, access Access, ready func() bool) *API {
@@ -72,6 +79,9 @@
 		editors.Post("/v1/catalogue/rollback", a.rollBack)
 		editors.Post("/v1/keys", a.issueKey)
 		editors.Delete("/v1/keys/{id}", a.withdrawKey)
+		for _, mount := range a.editingMounts {
+			mount(editors)
+		}
 	})
 	return router
 }
--- a/entry/operator/refuse.go
+++ b/entry/operator/refuse.go
@@ -29,13 +29,15 @@
 	codeRaced       Code = "raced"
 	codeTaken       Code = "taken"
 	codeRevision    Code = "revision"
+	codeClaim       Code = "claim"
+	codeMark        Code = "mark"
 	codeNoConfig    Code = "no_config"
 	codeUnavailable Code = "unavailable"
 )
 
 // codes are all reasons, for their counters.
 var codes = []Code{
-	codeCredential, codeRole, codeNotFound, codeMethod, codeBody, codeCatalogue, codeTeam, codeKey, codeRaced, codeTaken, codeRevision, codeNoConfig, codeUnavailable,
+	codeCredential, codeRole, codeNotFound, codeMethod, codeBody, codeCatalogue, codeTeam, codeKey, codeRaced, codeTaken, codeRevision, codeClaim, codeMark, codeNoConfig, codeUnavailable,
 }
 
 type reason struct {
@@ -55,6 +57,8 @@
 	codeRaced:       {http.StatusConflict, "look at the change that came first and send yours again; nothing was applied"},
 	codeTaken:       {http.StatusConflict, "send the change with a new id; nothing was applied"},
 	codeRevision:    {http.StatusNotFound, "use a revision that the history shows"},
+	codeClaim:       {http.StatusUnprocessableEntity, "state the outcome of a claim that the list of unknown ones shows"},
+	codeMark:        {http.StatusNotFound, "use a fingerprint that the list of crashes shows"},
 	codeNoConfig:    {http.StatusServiceUnavailable, "ask another entry; this one holds no configuration yet"},
 	codeUnavailable: {http.StatusServiceUnavailable, "look at the history before you send the change again; the store may have taken it"},
 }
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"flamingospar.org/core/config"
+	"flamingospar.org/core/crash"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/core/route"
 	"flamingospar.org/core/usage"
@@ -36,14 +37,23 @@
 	Repeatable bool
 	Open       bool
 	Deadline   time.Time
+	// Fingerprint names the request by its team and content.
+	Fingerprint crash.Fingerprint
 
 	// Shape is set by admit.
 	Shape Shape
 
 	// AnswerBegun is set when the first byte of an answer was written.
 	AnswerBegun bool
+	// Answered is set by a filter that has sent the whole answer itself: no
+	// later filter sees the exchange.
+	Answered bool
 
-	// Set by relay.
+	// Claim is set by claim, to a type of its own.
+	Claim any
+
+	// Set by relay. Figures is what is billed: the whole answer, or what was
+	// generated for a caller that left. Outcome is then Ran.
 	Outcome  refusal.Outcome
 	Figures  usage.Figures
 	Attempts int
@@ -136,6 +146,12 @@
 	x := &Exchange{Writer: w, Request: r}
 	passed := 0
 	defer func() { c.observe(x, passed) }()
+	// Also after the panic that breaks an incomplete answer off.
+	defer func() {
+		for i := passed - 1; i >= 0; i-- {
+			c.filters[i].Response(r.Context(), x)
+		}
+	}()
 	for _, filter := range c.filters {
 		refused := filter.Request(r.Context(), x)
 		if refused != nil {
@@ -146,9 +162,9 @@
 			break
 		}
 		c.counter.Count("filter", filter.Name())
+		if x.Answered {
+			break
+		}
 		passed++
 	}
-	for i := passed - 1; i >= 0; i-- {
-		c.filters[i].Response(r.Context(), x)
-	}
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,11 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`     // Time after a window's end before it is sealed.
 	DrainTime      catalogue.Duration `toml:"drain_time"`      // Longest time that a stopping entry finishes requests.
 	Operators      Operators          `toml:"operators"`
+	// AnnounceTime is how long a leaving entry, no longer ready, still takes
+	// connections, for the balancer to notice.
+	AnnounceTime catalogue.Duration `toml:"announce_time"`
+	// ClaimRetention is how long an idempotency key's answer is kept.
+	ClaimRetention catalogue.Duration `toml:"claim_retention"`
 	Authority      Authority          `toml:"authority"`
 	Policy         Policy             `toml:"policy"`
 	TLS            tlsfiles.Files     `toml:"tls"`
@@ -49,8 +54,11 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
-		Usage:        defaultUsage(),
-		Policy:       DefaultPolicy(),
+		AnnounceTime: catalogue.Duration(5 * time.Second),
+
+		ClaimRetention: catalogue.Duration(24 * time.Hour),
+		Usage:          defaultUsage(),
+		Policy:         DefaultPolicy(),
 	}
 }
 
@@ -102,6 +110,8 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"announce_time", s.AnnounceTime},
+		{"claim_retention", s.ClaimRetention},
 		{"usage.idle_close", s.Usage.IdleClose},
 		{"usage.remember", s.Usage.Remember},
 		{"usage.keep", s.Usage.Keep},
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -11,6 +11,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
@@ -18,18 +19,19 @@
 	"flamingospar.org/platform/httpapi"
 )
 
-func newConfigView(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, registry *meter.Registry) *configview.View {
+func newConfigView(s settings.Settings, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
 		Instance: s.Instance + "." + uuid.NewString()[:8],
-		Peers:    peering.NewClient(roster, peers.Client),
+		Peers:    peering.NewClient(roster, netx.HTTP2Client(peers)),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, peers peerClient, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, peers.Client, membership, connect.WithInterceptors(usage, explaining))
+	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(peers) })
+	return fleet.New(c, client, membership, connect.WithInterceptors(usage, explaining))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
--- a/entry/wiring/observe.go
+++ b/entry/wiring/observe.go
@@ -6,6 +6,7 @@
 	"go.uber.org/dig"
 
 	"flamingospar.org/base/journal"
+	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
@@ -45,7 +46,7 @@
 		Counts:  e.Observe.Counts,
 		Leases:  []observe.NamedLease{{Name: usageLease, Lease: e.Lease}},
 		Ready:   e.Ready,
-		Peers:   observe.NewPeers(e.Observe.Roster, e.Peers.Client).All,
+		Peers:   observe.NewPeers(e.Observe.Roster, netx.HTTP2Client(e.Peers)).All,
 	}
 }
 
--- a/entry/wiring/security.go
+++ b/entry/wiring/security.go
@@ -13,9 +13,10 @@
 	"flamingospar.org/entry/settings"
 )
 
-// peerClient calls agents and other entries.
-type peerClient struct {
-	*http.Client
+// peerNetwork reaches agents and other entries, over TLS when certificate files
+// are set.
+type peerNetwork struct {
+	netx.Network
 }
 
 // newTLS reads the certificate files, nil when connections are plain.
@@ -26,12 +27,12 @@
 	return tlsfiles.Load(s.TLS, registry)
 }
 
-func newPeerClient(network netx.Network, source *tlsfiles.Source) peerClient {
+func newPeerNetwork(network netx.Network, source *tlsfiles.Source) peerNetwork {
 	if source == nil {
-		return peerClient{Client: netx.HTTP2Client(network)}
+		return peerNetwork{Network: network}
 	}
 	config := func() *tls.Config { return source.Client(tlsfiles.AgentName, tlsfiles.EntryName) }
-	return peerClient{Client: netx.HTTP2TLSClient(network, config)}
+	return peerNetwork{Network: netx.Secured(network, config)}
 }
 
 // newOperators reads who may use the operators' interface.
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -22,7 +22,9 @@
 	"flamingospar.org/entry/authenticate"
 	"flamingospar.org/entry/callers"
 	"flamingospar.org/entry/choose"
+	"flamingospar.org/entry/claim"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/crashmarks"
 	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
@@ -35,6 +37,7 @@
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
 	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/stall"
 	"flamingospar.org/platform/httpapi"
 )
 
@@ -57,9 +60,12 @@
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
+	Crashes  *crashmarks.Filter
+	Finisher *claim.Finisher
+	Claims   *claim.Register
 	State    *runState
 	Access   operator.Access
-	Peers    peerClient
+	Peers    peerNetwork
 	TLS      *tlsfiles.Source // Nil: plain connections between processes.
 	Observe  observeParts
 }
@@ -82,8 +88,12 @@
 		newConfigView,
 		newFleet,
 		newTLS,
-		newPeerClient,
+		newPeerNetwork,
 		newOperators,
+		newCrashMarks,
+		newClaimFinisher,
+		newClaimRegister,
+		newClaims,
 		newJournal,
 		explain.NewObserver,
 		explain.NewInterceptor,
@@ -116,15 +126,17 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(),
 		authenticate.New(c),
 		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
+		marks,
 		admit.New(s.Policy, view, chooser),
-		relay.New(s.Instance, chooser, d, registry),
+		claims,
+		relay.New(s.Instance, chooser, d, marks, registry),
 	)
 }
 
@@ -165,7 +177,8 @@
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Access, e.Ready)
 	e.mountObserve(api)
-	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
+	api.WithRequests(e.Claims, e.Crashes)
+	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Models))))
 	operatorServer := netx.Server(api.Handler())
 	peerServer := e.peerServer()
 	defer peerServer.Close()
@@ -188,8 +201,22 @@
 	return errors.Join(err, operatorServer.Close())
 }
 
+// announceLeaving tells callers on kept connections to open another one, which
+// the balancer sends to another entry, once this entry is leaving.
+func (e *Entry) announceLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.State.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drain serves on until the balancer has seen that the entry is not ready, then
+// takes no more connections and finishes the requests it has.
 func (e *Entry) drain(server *http.Server) error {
 	log.Info("The entry drains.")
+	time.Sleep(time.Duration(e.Settings.AnnounceTime))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.Settings.DrainTime))
 	defer cancel()
 	return server.Shutdown(ctx)
@@ -197,7 +224,7 @@
 
 func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run} {
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Crashes.Run, e.Finisher.Run, e.Claims.Run} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
