--- a/flamingospar-agent/main.go
+++ b/flamingospar-agent/main.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	logging.SetSink(agent.Journal().Log)
 	listener, err := agent.Listen()
 	if err != nil {
 		return err
--- a/flamingospar/command/serve.go
+++ b/flamingospar/command/serve.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime"
 
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/settingflags"
 	"flamingospar.org/core/strict"
 	"flamingospar.org/entry/settings"
@@ -42,6 +43,7 @@
 	if err != nil {
 		return err
 	}
+	logging.SetSink(entry.Journal().Log)
 	listeners, err := entry.Listen()
 	if err != nil {
 		return fmt.Errorf("%w; remedy: free the address or choose another by --listen and --operator-listen", err)
