Give the endpoints' stand-ins faults over HTTP

Cause: run apart from the tests, an engine or a plain service could not be made to crash, slow down or fall silent, and its executed calls could not be read. Ruled out: ending the stand-in's process; one process serves all endpoints. Change: PUT /faults on each endpoint (poison, slow, mute, variant, crash now, down_for), GET /calls on plain services. Before: none over HTTP.

--- a/standin/fleet/start.go
+++ b/standin/fleet/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -44,11 +43,11 @@
 // Start runs the platform and all endpoints until ctx ends.
 func Start(ctx context.Context, network netx.Network, f Fleet, addresses Addresses) (*Started, error) {
 	started := &Started{Platform: platform.New()}
-	url, err := serve(ctx, network, addresses.Platform, started.Platform.Handler(), platformIdle)
+	server, err := serve(ctx, network, addresses.Platform, started.Platform.Handler(), platformIdle)
 	if err != nil {
 		return nil, err
 	}
-	started.PlatformURL = url
+	started.PlatformURL = server.url()
 	for i, endpoint := range f.Endpoints {
 		running, err := startEndpoint(ctx, network, endpoint, addresses.Endpoint(i))
 		if err != nil {
@@ -61,28 +60,26 @@
 
 func startEndpoint(ctx context.Context, network netx.Network, endpoint Endpoint, address string) (StartedEndpoint, error) {
 	started := StartedEndpoint{Endpoint: endpoint}
-	var handler http.Handler
+	board := new(switchboard)
+	var mux *http.ServeMux
 	if endpoint.Kind == "model" {
 		started.Engine = engine.New(endpoint.Model, batch.DefaultConfig())
-		handler = started.Engine.Handler()
+		board.apply = engineFaults(started.Engine)
+		mux = board.handler(started.Engine.Handler())
 		go started.Engine.Run(ctx)
 	} else {
 		started.Service = plain.New(endpoint.Kind)
-		handler = started.Service
+		board.apply = serviceFaults(started.Service)
+		mux = board.handler(started.Service)
+		mux.Handle("GET "+callsPath, showCalls(started.Service))
 	}
-	url, err := serve(ctx, network, address, handler, endpointIdle)
-	started.URL = url
-	return started, err
-}
-
-func serve(ctx context.Context, network netx.Network, address string, handler http.Handler, idle time.Duration) (string, error) {
-	listener, err := network.Listen(address)
+	server, err := serve(ctx, network, address, mux, endpointIdle)
 	if err != nil {
-		return "", fmt.Errorf("stand-in at %s: %w; remedy: free the port or choose another", address, err)
+		return StartedEndpoint{}, err
 	}
-	server := netx.Server(handler)
-	server.IdleTimeout = idle
-	go func() { _ = server.Serve(listener) }()
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return "http://" + listener.Addr().String(), nil
+	board.mu.Lock()
+	board.server = server
+	board.mu.Unlock()
+	started.URL = server.url()
+	return started, nil
 }
