--- a/agent/account/account.go
+++ b/agent/account/account.go
@@ -4,7 +4,9 @@
 package account
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,11 +96,12 @@
 
 func (l *Ledger) endOf(run *pipeline.Run) usage.RunEnd {
 	end := usage.RunEnd{
-		Began:    run.Began,
-		Complete: run.Finished.GetOutcome() == wirev1.Outcome_OUTCOME_RAN,
-		Model:    l.kind == ModelKind,
-		Resumed:  run.Start.ResumeTokens > 0,
-		PassedOn: run.PassedOn,
+		Began:     run.Began,
+		Complete:  run.Finished.GetOutcome() == wirev1.Outcome_OUTCOME_RAN,
+		Cancelled: cancelled(run.Finished),
+		Model:     l.kind == ModelKind,
+		Resumed:   run.Start.ResumeTokens > 0,
+		PassedOn:  run.PassedOn,
 	}
 	if run.Usage != nil {
 		end.Reported = &usage.Figures{
@@ -110,6 +113,12 @@
 	return end
 }
 
+// cancelled reports whether the caller or its deadline ended the run.
+func cancelled(finished *wirev1.Finished) bool {
+	code := refusal.Code(finished.GetCode())
+	return code == refusal.RunCancelled || code == refusal.DeadlineExceeded
+}
+
 func windowLength(start *wirev1.RunStart) time.Duration {
 	if start.UsageWindowMillis <= 0 {
 		return defaultWindow
@@ -169,7 +178,8 @@
 	return len(l.held)
 }
 
-// overdue marks and returns the records held since before an instant.
+// overdue marks and returns the records held since before an instant, in the
+// order of their sequences.
 func (l *Ledger) overdue(before time.Time) []usage.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -182,6 +192,7 @@
 		l.held[sequence] = held
 		records = append(records, held.Record)
 	}
+	slices.SortFunc(records, func(a, b usage.Record) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	return records
 }
 
