--- a/entry/operator/requests.go
+++ b/entry/operator/requests.go
@@ -33,11 +33,13 @@
 
 // WithRequests adds the operators' view of single requests.
 func (a *API) WithRequests(claims Claims, crashes Crashes) *API {
-	a.Mount(func(router chi.Router) {
-		router.Get("/v1/claims/unknown", listClaims(claims))
-		router.Post("/v1/claims/settle", settleClaim(claims))
-		router.Get("/v1/crashes", func(w http.ResponseWriter, _ *http.Request) { write(w, marksOf(crashes)) })
-		router.Delete("/v1/crashes/{fingerprint}", clearCrash(crashes))
+	a.Mount(func(readers chi.Router) {
+		readers.Get("/v1/claims/unknown", a.listClaims(claims))
+		readers.Get("/v1/crashes", func(w http.ResponseWriter, _ *http.Request) { write(w, marksOf(crashes)) })
+	})
+	a.MountEditing(func(editors chi.Router) {
+		editors.Post("/v1/claims/settle", a.settleClaim(claims))
+		editors.Delete("/v1/crashes/{fingerprint}", a.clearCrash(crashes))
 	})
 	return a
 }
@@ -49,43 +51,45 @@
 	return []crash.Mark{}
 }
 
-func listClaims(claims Claims) http.HandlerFunc {
+func (a *API) listClaims(claims Claims) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		rows, err := claims.Doubtful(r.Context())
-		if refuse(w, err) {
+		if err != nil {
+			a.refuseError(w, err)
 			return
 		}
 		write(w, rows)
 	}
 }
 
-func settleClaim(claims Claims) http.HandlerFunc {
+func (a *API) settleClaim(claims Claims) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var request SettleRequest
-		if !read(w, r, &request) {
+		if !a.read(w, r, &request) {
 			return
 		}
+		request.Operator = operatorOf(r, request.Operator)
 		if err := claims.Settle(r.Context(), request.Team, request.Key, request.Outcome, request.Operator); err != nil {
-			http.Error(w, err.Error(), settleStatus(err))
+			a.refuse(w, settleProblem(err))
 			return
 		}
 		write(w, request)
 	}
 }
 
-// settleStatus tells an operator's mistake from a store that is down.
-func settleStatus(err error) int {
+// settleProblem tells an operator's mistake from a store that is down.
+func settleProblem(err error) *Problem {
 	var mistake interface{ Mistake() bool }
 	if errors.As(err, &mistake) && mistake.Mistake() {
-		return http.StatusUnprocessableEntity
+		return problem(codeClaim, "%v", err)
 	}
-	return http.StatusServiceUnavailable
+	return problem(codeUnavailable, "the store did not take the change: %v", err)
 }
 
-func clearCrash(crashes Crashes) http.HandlerFunc {
+func (a *API) clearCrash(crashes Crashes) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !crashes.Clear(r.Context(), crash.Fingerprint(chi.URLParam(r, "fingerprint"))) {
-			http.Error(w, "no request with this fingerprint has a mark", http.StatusNotFound)
+			a.refuse(w, problem(codeMark, "no request with this fingerprint has a mark"))
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
--- a/flamingospar/ask/print.go
+++ b/flamingospar/ask/print.go
@@ -30,7 +30,7 @@
 		switch {
 		case err != nil:
 			fmt.Fprintln(stdout, err)
-		case c.asJSON:
+		case c.asJSON():
 			err = printJSON(stdout, status)
 		default:
 			printStatus(stdout, status)
@@ -97,7 +97,7 @@
 	if err := c.get(ctx, "/v1/explain", query, &explanation); err != nil {
 		return err
 	}
-	if c.asJSON {
+	if c.asJSON() {
 		return printJSON(stdout, explanation)
 	}
 	printExplanation(stdout, explanation)
@@ -134,7 +134,7 @@
 	if err := c.get(ctx, "/v1/usage/reconcile", query, &result); err != nil {
 		return err
 	}
-	if c.asJSON {
+	if c.asJSON() {
 		return printJSON(stdout, result)
 	}
 	printReconciliation(stdout, result)
--- a/flamingospar/capacity/state.go
+++ b/flamingospar/capacity/state.go
@@ -197,6 +197,7 @@
 		settings.Listen = "127.0.0.1:0"
 		settings.OperatorListen = "127.0.0.1:0"
 		settings.PlatformURL = "http://127.0.0.1:1"
+		settings.Operators.Open = true
 		checked, err := settings.Checked()
 		if err != nil {
 			failed = err
--- a/flamingospar/wholesystem/world_test.go
+++ b/flamingospar/wholesystem/world_test.go
@@ -279,6 +279,7 @@
 	settings.DataCentre = "waco"
 	settings.Listen = fmt.Sprintf("entry-%d:80", e.index)
 	settings.OperatorListen = fmt.Sprintf("entry-%d:81", e.index)
+	settings.Operators.Open = true
 	settings.Authority.PeerListen = fmt.Sprintf("entry-%d:82", e.index)
 	settings.PlatformURL = platformURL
 	settings.Deadline = catalogue.Duration(20 * time.Second)
