Stop an entry whose claims' ends can't be written; test claims step by step

Cause: the duty that writes ends waited for one of its 16 writers before it looked at the end of its context. Change: fixed writers; on stopping, a bounded wait for what is left. The services of the whole-system run take 150 ms, so that faults meet calls.

--- a/entry/claim/finisher.go
+++ b/entry/claim/finisher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingospar.org/base/ring"
@@ -17,6 +19,7 @@
 	endWait       = 150 * time.Millisecond
 	endsAtOnce    = 16
 	drainedEnough = 15 * time.Second
+	drainPoll     = 50 * time.Millisecond
 )
 
 // end is how a claim's run ended.
@@ -37,6 +40,7 @@
 	objects objects.Store
 	counter Counter
 	ends    *ring.Ring[end]
+	pending atomic.Int64 // Ends offered and not written.
 }
 
 // NewFinisher returns the duty.
@@ -73,41 +77,46 @@
 }
 
 func (f *Finisher) offer(e end) {
+	f.pending.Add(1)
 	if !f.ends.Offer(e) {
+		f.pending.Add(-1)
 		f.counter.Count("claim", "end_ring_full")
 	}
 }
 
 // Run writes ends until ctx ends, then what is left for a bounded time.
 func (f *Finisher) Run(ctx context.Context) {
-	writers := make(chan struct{}, endsAtOnce)
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	var writers sync.WaitGroup
+	for range endsAtOnce {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			f.writeAll(life)
+		}()
+	}
+	<-ctx.Done()
+	f.drain()
+	stop()
+	writers.Wait()
+}
+
+func (f *Finisher) writeAll(life context.Context) {
 	for {
 		select {
 		case e := <-f.ends.Items():
-			writers <- struct{}{}
-			go func() {
-				defer func() { <-writers }()
-				f.write(life, e)
-			}()
-		case <-ctx.Done():
-			f.drain(writers)
+			f.write(life, e)
+			f.pending.Add(-1)
+		case <-life.Done():
 			return
 		}
 	}
 }
 
 // drain waits for the writers; what the store does not take stays in progress.
-func (f *Finisher) drain(writers chan struct{}) {
-	enough := time.NewTimer(drainedEnough)
-	defer enough.Stop()
-	for range cap(writers) {
-		select {
-		case writers <- struct{}{}:
-		case <-enough.C:
-			return
-		}
+func (f *Finisher) drain() {
+	for waited := time.Duration(0); f.pending.Load() > 0 && waited < drainedEnough; waited += drainPoll {
+		time.Sleep(drainPoll)
 	}
 }
 
--- a/flamingospar/wholesystem/faults_test.go
+++ b/flamingospar/wholesystem/faults_test.go
@@ -188,5 +188,5 @@
 	}
 	service.SetFaults(plain.Faults{Delay: span(rng, time.Second, 25*time.Second)})
 	time.Sleep(span(rng, time.Second, 5*time.Second))
-	service.SetFaults(plain.Faults{Delay: 20 * time.Millisecond})
+	service.SetFaults(plain.Faults{Delay: w.serviceDelay})
 }
--- a/flamingospar/wholesystem/focused_test.go
+++ b/flamingospar/wholesystem/focused_test.go
@@ -148,7 +148,7 @@
 		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
 			size := shape{entries: 1, engines: 2, claims: 1, serials: 1}
 			inWorld(t, 3, size, func(w *world, rng *rand.Rand) ([]*request, func(*testing.T)) {
-				requests := w.during(rng, scaled(15*time.Second), 150*time.Millisecond, func(rng *rand.Rand) kind { return kind(rng.IntN(2)) }, func(rng *rand.Rand) {
+				requests := w.during(rng, scaled(15*time.Second), 50*time.Millisecond, func(rng *rand.Rand) kind { return kind(rng.IntN(2)) }, func(rng *rand.Rand) {
 					for range int(scaled(3)) {
 						time.Sleep(3 * time.Second)
 						silence(w, rng)
--- a/flamingospar/wholesystem/measure_test.go
+++ b/flamingospar/wholesystem/measure_test.go
@@ -79,6 +79,7 @@
 	if way != "claim before the first attempt" {
 		w.keyHeader = experimentKey
 	}
+	w.serviceDelay = 800 * time.Millisecond
 	w.dedupe = way == "dedupe at the agent"
 	w.start(smallShape)
 	until := time.Now().Add(*length)
--- a/flamingospar/wholesystem/world_test.go
+++ b/flamingospar/wholesystem/world_test.go
@@ -106,6 +106,7 @@
 	tuneAgent func(*agentsettings.Settings)
 	// replaced engines start after this time.
 	restartAfter time.Duration
+	serviceDelay time.Duration
 	keyHeader    string // Carries callers' idempotency keys.
 	dedupe       bool   // Endpoints answer known keys from memory.
 }
@@ -120,6 +121,7 @@
 		client:       netx.FreshClient(network.Host("callers")),
 		ctx:          t.Context(),
 		restartAfter: 3 * time.Second,
+		serviceDelay: 150 * time.Millisecond,
 		keyHeader:    "Idempotency-Key",
 		tuneEntry:    func(*entrysettings.Settings) {},
 		tuneAgent:    func(*agentsettings.Settings) {},
@@ -207,7 +209,7 @@
 		go e.engine.Run(ctx)
 	} else {
 		e.service = plain.New(e.kind)
-		e.service.SetFaults(plain.Faults{Delay: 20 * time.Millisecond})
+		e.service.SetFaults(plain.Faults{Delay: w.serviceDelay})
 		e.services = append(e.services, e.service)
 		handler = e.service
 		if w.dedupe {
