--- a/flamingospar/wholesystem/claims_test.go
+++ b/flamingospar/wholesystem/claims_test.go
@@ -107,6 +107,27 @@
 	})
 }
 
+// TestLateCommitDoesNotHoldItsKey lets the store take a claim only after its
+// entry has given up waiting and refused the request.
+func TestLateCommitDoesNotHoldItsKey(t *testing.T) {
+	inClaims(t, func(w *world, _ *endpoint, rng *rand.Rand) func(*testing.T) {
+		r := newRequest(rng, keyedClaim, 1)
+		w.platform.SetFaults(platform.Faults{Delay: 3 * time.Second})
+		refused := w.at(0, r)
+		time.Sleep(2 * time.Second)
+		w.platform.SetFaults(platform.Faults{})
+		time.Sleep(5 * time.Second)
+		runs := w.runs(r.content)
+		again := w.at(1, r)
+		return func(t *testing.T) {
+			require.Equal(t, "not-run", refused.outcome)
+			require.Zero(t, runs)
+			require.True(t, again.answered(), "%v", again)
+			require.Equal(t, 1, w.runs(r.content))
+		}
+	})
+}
+
 // TestClaimOfDeadEntryIsNotTakenOver kills the entry that holds a claim while
 // the run is on.
 func TestClaimOfDeadEntryIsNotTakenOver(t *testing.T) {
