--- a/flamingospar/wholesystem/focused_test.go
+++ b/flamingospar/wholesystem/focused_test.go
@@ -59,7 +59,7 @@
 func TestPlannedStopsCutNothing(t *testing.T) {
 	size := smallShape
 	inWorld(t, 1, size, func(w *world, rng *rand.Rand) ([]*request, func(*testing.T)) {
-		requests := w.during(rng, scaled(60*time.Second), 120*time.Millisecond, harmless, func(rng *rand.Rand) {
+		requests := w.during(rng, scaled(60*time.Second), 60*time.Millisecond, harmless, func(rng *rand.Rand) {
 			for _, e := range w.endpoints {
 				if e.kind == "claims" {
 					e.service.SetFaults(plain.Faults{Delay: 400 * time.Millisecond})
