--- a/flamingospar/ask/ask.go
+++ b/flamingospar/ask/ask.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -23,9 +24,9 @@
 
 // Commands are the subcommands and their flags.
 type Commands struct {
+	http     *http.Client
 	operator string
-	token    string
-	asJSON   bool
+	output   string
 	watch    bool
 	subject  string
 	limit    int
@@ -38,9 +39,19 @@
 	reconcile *flaggy.Subcommand
 }
 
-// Attach adds the subcommands to a parser.
-func Attach(parser *flaggy.Parser) *Commands {
-	c := &Commands{operator: defaultOperator, limit: 100}
+// CredentialVariable holds the operator's credential; a flag would show it in
+// the list of processes.
+const CredentialVariable = "FLAMINGOSPAR_CREDENTIAL"
+
+// Values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// Attach adds the subcommands to a parser. They call entries through client.
+func Attach(parser *flaggy.Parser, client *http.Client) *Commands {
+	c := &Commands{http: client, operator: defaultOperator, output: outputText, limit: 100}
 	c.status = c.command("status", "Show the fleet, leases, teams and what is wrong.")
 	c.status.Bool(&c.watch, "w", "watch", "show it again every two seconds")
 	parser.AttachSubcommand(c.status, 1)
@@ -64,9 +75,8 @@
 func (c *Commands) command(name, description string) *flaggy.Subcommand {
 	command := flaggy.NewSubcommand(name)
 	command.Description = description
-	command.String(&c.operator, "", "operator", "operators' URL of any entry")
-	command.String(&c.token, "", "token", "operator token")
-	command.Bool(&c.asJSON, "", "json", "print the answer as JSON")
+	command.String(&c.operator, "", "operator", "operators' URL of any entry; the credential comes from "+CredentialVariable)
+	command.String(&c.output, "o", "output", "text or json")
 	return command
 }
 
@@ -88,8 +98,14 @@
 	return false
 }
 
+// asJSON reports whether the answer itself is printed.
+func (c *Commands) asJSON() bool { return c.output == outputJSON }
+
 // Run executes the subcommand that was given.
 func (c *Commands) Run(ctx context.Context, stdout io.Writer) error {
+	if c.output != outputText && !c.asJSON() {
+		return fmt.Errorf("--output %q is unknown; remedy: use %s or %s", c.output, outputText, outputJSON)
+	}
 	switch {
 	case c.status.Used:
 		return c.runStatus(ctx, stdout)
@@ -108,10 +124,10 @@
 	if err != nil {
 		return err
 	}
-	if c.token != "" {
-		request.Header.Set("Authorization", "Bearer "+c.token)
+	if credential := os.Getenv(CredentialVariable); credential != "" {
+		request.Header.Set("Authorization", "Bearer "+credential)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil {
 		return fmt.Errorf("the entry at %s could not be asked: %w; remedy: name another entry by --operator", c.operator, err)
 	}
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -15,6 +15,7 @@
 	agentwiring "flamingospar.org/agent/wiring"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
 	"flamingospar.org/entry/configview"
@@ -30,6 +31,7 @@
 	PlatformPort     = 9000
 	EndpointBasePort = 9100
 	AgentBasePort    = 9300
+	PeerBasePort     = 9400
 )
 
 const (
@@ -38,6 +40,7 @@
 	readyPolls   = 200
 	readyEvery   = 50 * time.Millisecond
 	onlyStandins = "platform,endpoints"
+	usualEntries = 3
 )
 
 // Options choose what runs.
@@ -46,14 +49,17 @@
 	Listen         string
 	OperatorListen string
 	Only           string
-	Entries        int // At least 1; the first one listens at the addresses above.
+	Entries        int // The first one listens at the addresses above; 0: the usual number.
 	Network        netx.Network
+	EntryTLS       tlsfiles.Files // Not set: plain connections between processes.
+	AgentTLS       tlsfiles.Files
+	OperatorsFile  string        // Empty: no credential is asked for.
 	UsageWindow    time.Duration // Zero: the entry's default.
 }
 
 // DefaultOptions returns the options of a plain `flamingospar dev`.
 func DefaultOptions() Options {
-	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Entries: 3, Network: netx.TCP{}}
+	return Options{Fleet: "shedline", Listen: "127.0.0.1:8080", OperatorListen: "127.0.0.1:8081", Network: netx.TCP{}}
 }
 
 // Key is a key that dev issued.
@@ -88,6 +94,9 @@
 	if options.Only != "" && options.Only != onlyStandins {
 		return fmt.Errorf("--only %q is unknown; remedy: use --only %s", options.Only, onlyStandins)
 	}
+	if options.Only == "" && options.Entries == 0 {
+		options.Entries = usualEntries
+	}
 	system, err := Start(ctx, options)
 	if err != nil {
 		return err
@@ -123,7 +132,7 @@
 		return nil, err
 	}
 	if options.Only != "" {
-		started.Platform.SetVMs(plannedVMs(described))
+		started.Platform.SetVMs(plannedVMs(described, max(options.Entries, 1)))
 		context.AfterFunc(ctx, stopStandins)
 		return system, nil
 	}
@@ -145,9 +154,17 @@
 
 func hostPort(port int) string { return net.JoinHostPort(loopback, strconv.Itoa(port)) }
 
-// plannedVMs lists an agent for each endpoint at its planned address.
-func plannedVMs(described fleet.Fleet) []vms.VM {
+// plannedVMs lists an agent for each endpoint, and entries, at planned addresses.
+func plannedVMs(described fleet.Fleet, entries int) []vms.VM {
 	var list []vms.VM
+	for i := range entries {
+		list = append(list, vms.VM{
+			Instance:   fmt.Sprintf("entry-%d", i+1),
+			Role:       vms.Entry,
+			DataCentre: described.DataCentres[i%len(described.DataCentres)],
+			Address:    hostPort(PeerBasePort + i),
+		})
+	}
 	for i, endpoint := range described.Endpoints {
 		list = append(list, agentVM(endpoint, hostPort(AgentBasePort+i)))
 	}
@@ -184,7 +201,7 @@
 	agentContext, stopAgents := context.WithCancel(context.WithoutCancel(ctx))
 	var list []vms.VM
 	for _, endpoint := range s.Standins.Endpoints {
-		address, err := s.startAgent(agentContext, options.Network, endpoint)
+		address, err := s.startAgent(agentContext, options, endpoint)
 		if err != nil {
 			stopAgents()
 			return err
@@ -227,21 +244,20 @@
 	}()
 }
 
-func (s *System) startAgent(ctx context.Context, network netx.Network, endpoint fleet.StartedEndpoint) (string, error) {
-	checked, err := agentsettings.Settings{
-		DataCentre:   endpoint.DataCentre,
-		Listen:       anyPort,
-		Endpoint:     endpoint.ID,
-		EndpointURL:  endpoint.URL,
-		EndpointKind: endpoint.Kind,
-		PlatformURL:  s.Standins.PlatformURL,
-		Running:      agentsettings.DefaultRunning,
-		Waiting:      agentsettings.DefaultWaiting,
-	}.Checked()
+func (s *System) startAgent(ctx context.Context, options Options, endpoint fleet.StartedEndpoint) (string, error) {
+	settings := agentsettings.Defaults()
+	settings.DataCentre = endpoint.DataCentre
+	settings.Listen = anyPort
+	settings.Endpoint = endpoint.ID
+	settings.EndpointURL = endpoint.URL
+	settings.EndpointKind = endpoint.Kind
+	settings.PlatformURL = s.Standins.PlatformURL
+	settings.TLS = options.AgentTLS
+	checked, err := settings.Checked()
 	if err != nil {
 		return "", err
 	}
-	agent, err := agentwiring.Build(checked, network)
+	agent, err := agentwiring.Build(checked, options.Network)
 	if err != nil {
 		return "", err
 	}
@@ -282,6 +298,11 @@
 			settings.Listen = anyPort
 			settings.OperatorListen = anyPort
 		}
+		peers, err := freeAddress(options.Network)
+		if err != nil {
+			return nil, err
+		}
+		settings.Authority.PeerListen = peers
 		entry, err := buildEntry(settings, options.Network)
 		if err != nil {
 			return nil, err
@@ -298,11 +319,23 @@
 	return entries, nil
 }
 
+// freeAddress returns an address that nobody listens at now: an entry's address
+// for other entries must be known before it listens.
+func freeAddress(network netx.Network) (string, error) {
+	listener, err := network.Listen(anyPort)
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
 func (s *System) entrySettings(options Options) entrysettings.Settings {
 	settings := entrysettings.Defaults()
 	settings.Listen = options.Listen
 	settings.OperatorListen = options.OperatorListen
 	settings.PlatformURL = s.Standins.PlatformURL
+	settings.Operators = entrysettings.Operators{File: options.OperatorsFile, Open: options.OperatorsFile == ""}
+	settings.TLS = options.EntryTLS
 	if options.UsageWindow > 0 {
 		settings.UsageWindow = catalogue.Duration(options.UsageWindow)
 		settings.UsageFlush = catalogue.Duration(options.UsageWindow / 4)
