Measure: bound and entitlement follow lost engines; hybrid roles tried

Cause: the clairvoyant bound counted engines that a trace takes away, and its search of prices left it loose under withdrawals.

Change: capacity without lost engines, averaged prices, a tie band; a window in which overload is judged. core/roles gains a hybrid mode: engines stay mixed and some take the role of prefill when prompts exceed what mixed ones can do.

--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -33,6 +33,9 @@
 	ModeStatic Mode = "static"
 	// ModeFollow moves engines between prefill and output with the demand.
 	ModeFollow Mode = "follow"
+	// ModeHybrid keeps engines mixed and gives the role of prefill to as many
+	// as the mixed ones lack for the prompts.
+	ModeHybrid Mode = "hybrid"
 )
 
 // Settings bound the changes.
@@ -43,6 +46,12 @@
 	MinDwell      time.Duration `toml:"-"`              // Between two changes of one engine.
 	MaxConcurrent float64       `toml:"max_concurrent"` // Share of a pool that may change at once.
 	StaleAfter    time.Duration `toml:"-"`              // Demand older than this moves nothing.
+
+	// In ModeHybrid, the part of its time that an engine can give to prompts:
+	// a mixed one, and one in the role of prefill.
+	MixedPrompts   float64 `toml:"mixed_prompts"`
+	PrefillPrompts float64 `toml:"prefill_prompts"`
+	Headroom       float64 `toml:"headroom"` // Factor on the prompts' demand.
 }
 
 // Defaults returns the settings in use.
@@ -54,6 +63,10 @@
 		MinDwell:      45 * time.Second,
 		MaxConcurrent: 0.15,
 		StaleAfter:    10 * time.Second,
+
+		MixedPrompts:   0.5,
+		PrefillPrompts: 0.87,
+		Headroom:       1.15,
 	}
 }
 
@@ -112,17 +125,21 @@
 	if settings.Mode == ModeMixed || len(ready) < minSplit {
 		return planMixed(ready, settings)
 	}
-	if settings.Mode == ModeFollow && s.DemandAge > settings.StaleAfter {
+	if settings.Mode != ModeStatic && s.DemandAge > settings.StaleAfter {
 		return Plan{Reason: ReasonStale, WantedPrefill: count(ready, Prefill)}
 	}
 	wanted := wantedPrefill(s, len(ready), settings)
 	current := count(ready, Prefill)
-	whole := int(math.Round(min(max(wanted, 1), float64(len(ready)-1))))
-	assigned := count(ready, Mixed) == 0
+	least, rest := 1.0, Output
+	if settings.Mode == ModeHybrid {
+		least, rest = 0, Mixed
+	}
+	whole := int(math.Round(min(max(wanted, least), float64(len(ready)-1))))
+	assigned := count(ready, Prefill)+count(ready, rest) == len(ready)
 	if assigned && math.Abs(wanted-float64(current)) < 0.5+settings.Deadband {
 		return Plan{Reason: reasonWithin(whole, current), WantedPrefill: current}
 	}
-	return planSplit(s.Pool, ready, whole, settings)
+	return planSplit(s.Pool, ready, whole, rest, settings)
 }
 
 func reasonWithin(whole, current int) Reason {
@@ -133,6 +150,10 @@
 }
 
 func wantedPrefill(s Snapshot, engines int, settings Settings) float64 {
+	if settings.Mode == ModeHybrid {
+		lacking := s.PrefillDemand*settings.Headroom - settings.MixedPrompts*float64(engines)
+		return max(0, lacking/(settings.PrefillPrompts-settings.MixedPrompts))
+	}
 	total := s.PrefillDemand + s.OutputDemand
 	if settings.Mode == ModeStatic || total <= 0 {
 		return settings.StaticShare * float64(engines)
@@ -156,17 +177,17 @@
 	return plan
 }
 
-func planSplit(pool string, ready []Endpoint, wanted int, settings Settings) Plan {
+func planSplit(pool string, ready []Endpoint, wanted int, rest Role, settings Settings) Plan {
 	plan := Plan{WantedPrefill: wanted, Reason: ReasonNone}
 	room := allowed(ready, settings)
-	targets := assign(pool, ready, wanted)
+	targets := assign(pool, ready, wanted, rest)
 	blocked := ReasonNone
 	for _, endpoint := range byRank(pool, ready) {
 		target := targets[endpoint.ID]
 		if endpoint.Role == target || endpoint.Changing {
 			continue
 		}
-		if endpoint.Since < settings.MinDwell && endpoint.Role != Mixed {
+		if endpoint.Since < settings.MinDwell {
 			blocked = ReasonDwell
 			continue
 		}
@@ -187,14 +208,14 @@
 
 // assign gives the role of prefill to the wanted number of engines: those that
 // have it first, then by rank, so that few engines change.
-func assign(pool string, ready []Endpoint, wanted int) map[string]Role {
+func assign(pool string, ready []Endpoint, wanted int, rest Role) map[string]Role {
 	ranked := byRank(pool, ready)
 	slices.SortStableFunc(ranked, func(a, b Endpoint) int {
 		return cmp.Compare(prefillFirst(a.Role), prefillFirst(b.Role))
 	})
 	targets := make(map[string]Role, len(ranked))
 	for i, endpoint := range ranked {
-		targets[endpoint.ID] = Output
+		targets[endpoint.ID] = rest
 		if i < wanted {
 			targets[endpoint.ID] = Prefill
 		}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -51,6 +51,8 @@
 	Wait     float64        // Expected seconds to the first token there.
 	Looked   int            // Candidates looked at.
 	Home     bool           // The prompt's prefix is probably cached there.
+	// HandsOver says that another endpoint will generate the output.
+	HandsOver bool
 }
 
 // Pool gives access to like candidates, in the order of their hash.
@@ -94,6 +96,7 @@
 			choice.Score = cost
 			choice.Wait = wait
 			choice.Home = home
+			choice.HandsOver = candidate.Role == Prefill
 		}
 	}
 	eachLooked(request, pool, look)
@@ -116,3 +119,21 @@
 	}
 	return total
 }
+
+// OutputRoom reports whether a candidate that may generate output has a free
+// slot. Without one, a processed prompt could not be handed over.
+func OutputRoom(request Request, pool Pool) bool {
+	request.KVElsewhere = true
+	room := false
+	eachLooked(request, pool, func(i int) {
+		candidate := pool.At(i)
+		if droppedBy(request, candidate) == "" && candidate.hasSlot() {
+			room = true
+		}
+	})
+	return room
+}
+
+func (c Candidate) hasSlot() bool {
+	return c.MaxRunning == 0 || max(c.Outstanding, c.Running)+c.Queued < c.MaxRunning
+}
--- a/core/route/scorers.go
+++ b/core/route/scorers.go
@@ -59,7 +59,7 @@
 func loadCost(_ Request, c Candidate) float64 {
 	held := max(c.Outstanding, c.Running) + c.Queued
 	cost := slotCost * float64(held)
-	if c.MaxRunning > 0 && held >= c.MaxRunning {
+	if !c.hasSlot() {
 		cost += fullCost
 	}
 	return cost
--- a/flamingospar/experiment/bound.go
+++ b/flamingospar/experiment/bound.go
@@ -8,7 +8,11 @@
 // Settings of the search for the tightest bound.
 const (
 	bucketSeconds = 1.0
-	priceRounds   = 150
+	priceRounds   = 200
+	firstStep     = 0.15 // Of the price at which a mean request gains nothing.
+	averageKeep   = 0.05 // Weight of the newest prices in the average.
+	averageEvery  = 10   // Rounds between two tries of the average.
+	nearCheapest  = 0.05 // Buckets this near the cheapest share a request's work.
 )
 
 // clairvoyant returns a number of good answers that no policy can pass.
@@ -79,9 +83,46 @@
 	for i := range capacity {
 		capacity[i] = float64(s.enginesOf(model)) * bucketSeconds
 	}
+	for _, fault := range t.Faults {
+		lessLost(capacity, fault, lostOf(s, t, fault, model))
+	}
 	return capacity
 }
 
+// lostOf returns how many engines' worth of a model a fault takes away.
+func lostOf(s site, t Trace, fault Fault, model int) float64 {
+	each := 0.0
+	switch fault.Kind {
+	case faultWithdraw, faultCrash:
+		each = 1
+	case faultSlow:
+		each = 1 - 1/fault.Factor
+	}
+	lost := 0.0
+	for _, index := range hitBy(fault, len(s.engines)) {
+		if s.engines[index].Model == s.models[model] {
+			lost += each
+		}
+	}
+	return lost
+}
+
+// lessLost takes engines off the buckets that lie wholly within a fault.
+func lessLost(capacity []float64, fault Fault, lost float64) {
+	begin, end := fault.At, fault.ends(float64(len(capacity))*bucketSeconds)
+	switch fault.Kind {
+	case faultWithdraw:
+		begin, end = fault.At+withdrawalNotice, float64(len(capacity))*bucketSeconds
+	case faultCrash:
+		end = fault.At + max(fault.Seconds, crashRestartAfter)
+	}
+	for i := range capacity {
+		if float64(i)*bucketSeconds >= begin && float64(i+1)*bucketSeconds <= end {
+			capacity[i] -= lost * bucketSeconds
+		}
+	}
+}
+
 func boundOf(capacity []float64, jobs []job) float64 {
 	if len(jobs) == 0 {
 		return 0
@@ -91,51 +132,61 @@
 		mean += j.work / float64(len(jobs))
 	}
 	prices := make([]float64, len(capacity))
+	average := make([]float64, len(capacity))
 	best := float64(len(jobs))
-	step := 0.3 / mean
+	step := firstStep / mean
 	used := make([]float64, len(capacity))
 	for round := range priceRounds {
-		value := dual(prices, capacity, jobs, used)
-		best = min(best, value)
+		best = min(best, dual(prices, capacity, jobs, used))
 		size := step / math.Sqrt(float64(round+1))
 		for i := range prices {
-			prices[i] = max(0, prices[i]+size*(used[i]-capacity[i])/max(capacity[i], bucketSeconds))
+			excess := (used[i] - capacity[i]) / max(capacity[i], bucketSeconds)
+			prices[i] = max(0, prices[i]+size*min(excess, 1))
+			average[i] += averageKeep * (prices[i] - average[i])
+		}
+		if round%averageEvery == 0 {
+			best = min(best, dual(average, capacity, jobs, nil))
 		}
 	}
 	return best
 }
 
-// dual returns the bound at prices and notes the work that requests would buy
-// in each bucket.
+// dual returns the bound at prices and, when used is given, notes the work that
+// requests would buy in each bucket.
 func dual(prices, capacity []float64, jobs []job, used []float64) float64 {
 	value := 0.0
+	clear(used)
 	for i := range prices {
-		used[i] = 0
 		value += prices[i] * capacity[i]
 	}
 	cheapest := newRangeMin(prices)
 	for _, j := range jobs {
 		low := cheapest.min(j.first, min(j.last, len(prices)-1))
-		if gain := 1 - j.work*low; gain > 0 {
-			value += gain
+		gain := 1 - j.work*low
+		if gain <= 0 {
+			continue
+		}
+		value += gain
+		if used != nil {
 			spendIn(used, prices, j, low)
 		}
 	}
 	return value
 }
 
-// spendIn spreads a request's work evenly over the cheapest buckets of its window.
+// spendIn spreads a request's work evenly over the nearly cheapest buckets of
+// its window.
 func spendIn(used, prices []float64, j job, low float64) {
-	const tolerance = 1e-9
+	limit := low + nearCheapest/j.work
 	last := min(j.last, len(prices)-1)
 	n := 0
 	for i := j.first; i <= last; i++ {
-		if prices[i] <= low+tolerance {
+		if prices[i] <= limit {
 			n++
 		}
 	}
 	for i := j.first; i <= last; i++ {
-		if prices[i] <= low+tolerance {
+		if prices[i] <= limit {
 			used[i] += j.work / float64(n)
 		}
 	}
@@ -197,9 +248,9 @@
 				good[window][r.team] += r.work(cached)
 			}
 		}
-		capacity := float64(s.enginesOf(model)) * windowSeconds
+		capacity := capacityOf(s, t, model)
 		for window := range windows {
-			shares := maxMin(wanted[window], s, capacity)
+			shares := maxMin(wanted[window], s, capacityIn(capacity, window))
 			for team, share := range shares {
 				e.entitled[team] += share
 				e.delivered[team] += min(share, good[window][team])
@@ -209,6 +260,16 @@
 	return e
 }
 
+// capacityIn adds up the engine seconds of a window.
+func capacityIn(capacity []float64, window int) float64 {
+	const buckets = int(windowSeconds / bucketSeconds)
+	sum := 0.0
+	for i := window * buckets; i < min((window+1)*buckets, len(capacity)); i++ {
+		sum += capacity[i]
+	}
+	return sum
+}
+
 func table(rows, columns int) [][]float64 {
 	t := make([][]float64, rows)
 	for i := range t {
--- a/flamingospar/experiment/entry.go
+++ b/flamingospar/experiment/entry.go
@@ -132,6 +132,9 @@
 	if choice.Endpoint == "" {
 		return choice, -1
 	}
+	if e.sim.policy.early && choice.HandsOver && !route.OutputRoom(request, route.Candidates(e.view)) {
+		return choice, -1
+	}
 	return choice, e.sim.indexOf[choice.Endpoint]
 }
 
--- a/flamingospar/experiment/faults.go
+++ b/flamingospar/experiment/faults.go
@@ -45,12 +45,20 @@
 	}
 }
 
-// hit returns the engines that a fault hits, spread evenly over the fleet.
 func (m *sim) hit(fault Fault) []*engine {
-	n := int(math.Round(fault.Engines * float64(len(m.engines))))
 	var hit []*engine
+	for _, index := range hitBy(fault, len(m.engines)) {
+		hit = append(hit, m.engines[index])
+	}
+	return hit
+}
+
+// hitBy returns the engines that a fault hits, spread evenly over a fleet.
+func hitBy(fault Fault, engines int) []int {
+	n := int(math.Round(fault.Engines * float64(engines)))
+	hit := make([]int, 0, n)
 	for i := range n {
-		hit = append(hit, m.engines[i*len(m.engines)/n])
+		hit = append(hit, i*engines/n)
 	}
 	return hit
 }
--- a/flamingospar/experiment/policy.go
+++ b/flamingospar/experiment/policy.go
@@ -42,6 +42,7 @@
 		{Name: "r5-affinity", routing: expectedWait, early: true, affinity: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r6-elsewhere", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r7-short", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3},
+		{Name: "r8-hybrid", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeHybrid, attempts: 3},
 		{Name: "follow-roles", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeFollow, attempts: 3},
 	}
 }
--- a/flamingospar/experiment/report.go
+++ b/flamingospar/experiment/report.go
@@ -18,6 +18,7 @@
 
 var measures = []measure{
 	{"good/s", 1, func(r *Result, t Trace) float64 { return float64(r.good) / t.Seconds }},
+	{"in-window", 1, inWindow},
 	{"of-bound", 3, func(r *Result, _ Trace) float64 { return float64(r.good) / r.bound }},
 	{"worst-share", 3, func(r *Result, _ Trace) float64 { return r.worstShare }},
 	{"ttft-p50", 0, func(r *Result, _ Trace) float64 { return r.first.quantile(0.5) }},
@@ -34,6 +35,15 @@
 	{"service/h", 3, func(r *Result, _ Trace) float64 { return r.goodWork / 3600 / max(r.endpointHours, 1e-9) }},
 }
 
+// inWindow returns good answers a second to what arrived in the trace's window.
+func inWindow(r *Result, t Trace) float64 {
+	sum := 0
+	for second := int(t.From); second < int(t.To); second++ {
+		sum += r.goodBySecond[second]
+	}
+	return float64(sum) / (t.To - t.From)
+}
+
 // row is what the seeds of one fleet, trace and policy gave.
 type row struct {
 	fleet   string
--- a/flamingospar/experiment/sim.go
+++ b/flamingospar/experiment/sim.go
@@ -18,6 +18,9 @@
 // demandHalfLife is how fast the observed demand follows a change, in seconds.
 const demandHalfLife = 5.0
 
+// demandRate turns a decayed sum into a rate.
+const demandRate = math.Ln2 / demandHalfLife
+
 // progress is what became of a request.
 type progress struct {
 	engine     *engine
@@ -138,7 +141,7 @@
 
 func (m *sim) arrive(r *request) {
 	d := &m.demand[r.model]
-	d.prefill += float64(r.prompt) * promptSeconds
+	d.prefill += float64(r.prompt-r.prefixTokens) * promptSeconds
 	d.output += float64(r.output) * outputSeconds
 	r.gapObserve = m.result.gaps.add
 	if !r.batch {
@@ -193,8 +196,8 @@
 func (m *sim) snapshot(model int) roles.Snapshot {
 	snapshot := roles.Snapshot{
 		Pool:          m.site.models[model],
-		PrefillDemand: m.demand[model].prefill,
-		OutputDemand:  m.demand[model].output,
+		PrefillDemand: m.demand[model].prefill * demandRate,
+		OutputDemand:  m.demand[model].output * demandRate,
 	}
 	for _, e := range m.engines {
 		if e.model != model {
@@ -214,7 +217,7 @@
 // firstRoles sets the roles with which the fleet begins.
 func (m *sim) firstRoles() {
 	settings := m.roleSettings()
-	if settings.Mode == roles.ModeMixed {
+	if settings.Mode == roles.ModeMixed || settings.Mode == roles.ModeHybrid {
 		return
 	}
 	settings.Mode = roles.ModeStatic
--- a/flamingospar/experiment/trace.go
+++ b/flamingospar/experiment/trace.go
@@ -27,9 +27,12 @@
 	OutputTokens float64 `toml:"output_tokens"` // Mean.
 	PrefixTokens int     `toml:"prefix_tokens"` // Of prompts that have a prefix.
 	Prefixes     int     `toml:"prefixes"`      // Documents of a team.
-	Phases       []Phase `toml:"phase"`
-	Bursts       []Burst `toml:"burst"`
-	Faults       []Fault `toml:"fault"`
+	// From and To bound the time in which "in-window" counts; 0 and 0: all.
+	From   float64 `toml:"from"`
+	To     float64 `toml:"to"`
+	Phases []Phase `toml:"phase"`
+	Bursts []Burst `toml:"burst"`
+	Faults []Fault `toml:"fault"`
 }
 
 // Phase sets the load from a time on; between two phases it changes evenly.
@@ -105,6 +108,9 @@
 	if trace.Seconds <= 0 || trace.Load <= 0 || len(trace.Phases) == 0 {
 		return Trace{}, fmt.Errorf("trace %s: seconds, load and a phase are needed; remedy: add them", name)
 	}
+	if trace.To == 0 {
+		trace.To = trace.Seconds
+	}
 	return trace, nil
 }
 
