Find slow engines by their token intervals

Cause: an engine three times as slow kept its share of the work; its running limit was cut by a tenth at a time and the choice counted runs, not the part of the endpoint that they take.

Change: the running limit is cut in proportion to the excess interval, and the choice weighs runs against that limit.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -234,7 +234,7 @@
 		g.backlog = max(0, g.backlog-r.run.PromptTokens)
 		g.rate.observe(r.ahead, (now - r.began).Seconds())
 	} else if tokens > 0 {
-		g.slots.observe((now - r.lastToken) / time.Duration(tokens))
+		g.slots.observe((now-r.lastToken)/time.Duration(tokens), len(g.running))
 	}
 	r.lastToken = now
 	before := max(0, r.tokens-r.run.OutputTokens)
--- a/core/admit/speed.go
+++ b/core/admit/speed.go
@@ -33,16 +33,16 @@
 
 // Bounds of the running limit.
 const (
-	intervalKeep  = 0.98 // Weight kept by earlier intervals.
-	cutFactor     = 0.9  // Of the limit, when the interval is too long.
-	cutEvery      = 64   // Observations between two cuts.
-	raiseEvery    = 128  // Observations between two raises by one.
-	raiseBelow    = 0.9  // Of the wanted interval.
-	fewestRunning = 4
+	intervalKeep  = 0.95 // Weight kept by earlier intervals.
+	cutEvery      = 32   // Observations between two cuts.
+	raiseEvery    = 64   // Observations between two raises by one.
+	aim           = 0.9  // Of the wanted interval, at which the limit settles.
+	deepestCut    = 0.5  // Factor of one cut, at the lowest.
+	fewestRunning = 1
 )
 
 // slots limits the runs on an engine so that its token interval stays within
-// bounds: additive raise, multiplicative cut.
+// bounds: it is cut in proportion to the excess and raised one by one.
 type slots struct {
 	most     int
 	wanted   float64 // Seconds.
@@ -57,7 +57,8 @@
 
 func (s *slots) limit() int { return int(s.current) }
 
-func (s *slots) observe(interval time.Duration) {
+// observe takes the time between two tokens of an answer, of running ones.
+func (s *slots) observe(interval time.Duration, running int) {
 	if s.wanted <= 0 {
 		return
 	}
@@ -65,9 +66,10 @@
 	s.seen++
 	switch {
 	case s.interval > s.wanted && s.seen >= cutEvery:
-		s.current = max(fewestRunning, s.current*cutFactor)
+		factor := max(deepestCut, aim*s.wanted/s.interval)
+		s.current = max(fewestRunning, min(s.current, float64(running))*factor)
 		s.seen = 0
-	case s.interval < raiseBelow*s.wanted && s.seen >= raiseEvery:
+	case s.interval < aim*s.wanted && s.seen >= raiseEvery:
 		s.current = min(float64(s.most), s.current+1)
 		s.seen = 0
 	}
--- a/core/route/scorers.go
+++ b/core/route/scorers.go
@@ -15,8 +15,9 @@
 // Costs in seconds.
 const (
 	remoteCost = 0.010 // Of leaving the entry's data centre.
-	slotCost   = 0.005 // Of each run outstanding or queued there.
-	fullCost   = 1.0   // Of an endpoint without a free slot.
+	loadedCost = 0.320 // Of an endpoint whose slots are all taken.
+	fullCost   = 1.0   // Beside it, when more is queued.
+	usualSlots = 64    // Of an endpoint that does not tell.
 	jitterCost = 0.004 // Largest random cost; keeps entries from acting alike.
 )
 
@@ -58,7 +59,11 @@
 
 func loadCost(_ Request, c Candidate) float64 {
 	held := max(c.Outstanding, c.Running) + c.Queued
-	cost := slotCost * float64(held)
+	slots := c.MaxRunning
+	if slots <= 0 {
+		slots = usualSlots
+	}
+	cost := loadedCost * float64(held) / float64(slots)
 	if !c.hasSlot() {
 		cost += fullCost
 	}
