--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -9,13 +9,16 @@
 
 	"go.uber.org/dig"
 
+	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -38,6 +41,7 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	usage    usageParts
 }
 
 // Build wires an agent.
@@ -47,7 +51,11 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newGate,
 		ledger.New,
+		newUsageLedger,
+		newUsageWriter,
+		account.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -96,12 +104,16 @@
 	return load.Model
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, l *ledger.Ledger, q *queue.Queue) *pipeline.Chain {
-	return pipeline.New(registry, executor, l, q)
+func newGate(s settings.Settings) *gate.Gate {
+	return gate.New(s.Endpoint, s.Instance, clock.Now)
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry}
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
+	return pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
+}
+
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage}
 }
 
 // Meter returns the agent's metrics.
@@ -114,7 +126,10 @@
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
+	mux.Handle(a.usage.Service.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
+	stopUsage := a.usage.start()
+	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- httpServer.Serve(listener) }()
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -27,19 +27,24 @@
 // Agent is one known agent.
 type Agent struct {
 	Client wirev1connect.AgentServiceClient
+	Usage  wirev1connect.UsageServiceClient
 
 	vm        vms.VM
 	candidate route.Candidate
+	contact   contact
 }
 
 // View is the entry's view. It is safe for concurrent use.
 type View struct {
 	list   vms.List
 	client *http.Client
+	// options are given to every client of an agent.
+	options []connect.ClientOption
+
+	member Membership
 
 	mu        sync.Mutex
 	agents    map[string]*Agent // By VM instance.
-	entries   []vms.VM
 	pools     map[poolKey]pool
 	byID      map[string]*Agent // By endpoint.
 	stale     bool              // The pools no longer fit the agents.
@@ -49,8 +54,17 @@
 }
 
 // New returns an empty view that reads list and calls agents through client.
-func New(list vms.List, client *http.Client) *View {
-	return &View{list: list, client: client, agents: make(map[string]*Agent), started: time.Now(), services: newServiceBook(), fractions: newFractions()}
+func New(list vms.List, client *http.Client, membership Membership, options ...connect.ClientOption) *View {
+	return &View{
+		list:      list,
+		client:    client,
+		options:   append([]connect.ClientOption{connect.WithGRPC()}, options...),
+		member:    membership.checked(),
+		agents:    make(map[string]*Agent),
+		started:   time.Now(),
+		services:  newServiceBook(),
+		fractions: newFractions(),
+	}
 }
 
 // Run refreshes the view until ctx ends.
@@ -76,7 +90,7 @@
 		v.merge(list)
 	}
 	var asking sync.WaitGroup
-	for _, agent := range v.snapshot() {
+	for _, agent := range v.due() {
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
@@ -90,14 +104,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	listed := make(map[string]bool, len(list))
-	v.entries = v.entries[:0]
+	v.member.Roster.merge(list)
 	for _, vm := range list {
 		listed[vm.Instance] = true
-		if vm.Role == vms.Entry {
-			v.entries = append(v.entries, vm)
-			continue
+		if vm.Role == vms.Agent {
+			v.mergeAgent(vm)
 		}
-		v.mergeAgent(vm)
 	}
 	for instance := range v.agents {
 		if !listed[instance] {
@@ -113,31 +125,33 @@
 		agent.vm = vm
 		return
 	}
-	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, connect.WithGRPC())
-	v.agents[vm.Instance] = &Agent{Client: client, vm: vm}
+	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
+	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, vm: vm}
 	v.stale = true
 }
 
-func (v *View) snapshot() []*Agent {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	agents := make([]*Agent, 0, len(v.agents))
-	for _, agent := range v.agents {
-		agents = append(agents, agent)
+// ask asks an agent for its status. An agent that is stale is asked again at
+// once, since the second call carries the mark of the first and so the proof.
+func (v *View) ask(ctx context.Context, agent *Agent) {
+	if v.askOnce(ctx, agent) {
+		v.askOnce(ctx, agent)
 	}
-	return agents
 }
 
-func (v *View) ask(ctx context.Context, agent *Agent) {
+// askOnce reports whether the agent is stale and this entry could prove more.
+func (v *View) askOnce(ctx context.Context, agent *Agent) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	reply, err := agent.Client.Status(ctx, connect.NewRequest(new(wirev1.StatusRequest)))
+	request := v.statusRequest(agent)
+	reply, err := agent.Client.Status(ctx, connect.NewRequest(request))
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if err != nil {
 		agent.candidate.Ready = false
-		return
+		return false
 	}
+	agent.contact.answered(reply.Msg, v.member.Clock())
 	if agent.candidate.Endpoint != reply.Msg.Endpoint || agent.candidate.Kind != reply.Msg.Kind {
 		v.stale = true
 	}
@@ -146,6 +160,7 @@
 	agent.candidate.DataCentre = reply.Msg.DataCentre
 	agent.candidate.Kind = reply.Msg.Kind
 	v.applyLoad(agent, reply.Msg.Load)
+	return reply.Msg.Stale && request.News != nil && !request.News.Proved
 }
 
 // Candidates returns the endpoints to choose from.
--- a/entry/fleet/fraction.go
+++ b/entry/fleet/fraction.go
@@ -44,7 +44,5 @@
 	if ok {
 		return fraction
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return 1 / float64(max(1, len(v.entries)))
+	return 1 / float64(max(1, len(v.member.Roster.all())))
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -27,6 +27,8 @@
 	UsageGrace     catalogue.Duration `toml:"usage_grace"`    // After a window's end.
 	OperatorToken  string             `toml:"operator_token"` // Empty: no token is asked.
 	DrainTime      catalogue.Duration `toml:"drain_time"`     // Before an exit.
+	Usage          Usage              `toml:"usage"`
+	Authority      Authority          `toml:"authority"`
 	Policy         Policy             `toml:"policy"`
 }
 
@@ -40,6 +42,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		Usage:        defaultUsage(),
 		Policy:       DefaultPolicy(),
 	}
 }
@@ -93,6 +96,9 @@
 		{"usage_flush", s.UsageFlush},
 		{"usage_grace", s.UsageGrace},
 		{"drain_time", s.DrainTime},
+		{"usage.idle_close", s.Usage.IdleClose},
+		{"usage.remember", s.Usage.Remember},
+		{"usage.keep", s.Usage.Keep},
 	}
 	for _, field := range spans {
 		if field.span <= 0 {
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -15,8 +15,6 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
-	"flamingospar.org/base/ring"
-	"flamingospar.org/core/usage"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/admit"
@@ -30,6 +28,7 @@
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/operator"
 	"flamingospar.org/entry/pipeline"
+	"flamingospar.org/entry/receive"
 	"flamingospar.org/entry/relay"
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
@@ -51,6 +50,7 @@
 	Config   *configview.View
 	Fleet    *fleet.View
 	Chain    *pipeline.Chain
+	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
@@ -71,11 +71,16 @@
 		func() *runState { return new(runState) },
 		meter.NewRegistry,
 		newPlatform,
-		func(c *httpapi.Client) *configview.View { return configview.New(c) },
-		func(c *httpapi.Client, n netx.Network) *fleet.View { return fleet.New(c, netx.HTTP2Client(n)) },
+		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
+		newConfigView,
+		newFleet,
 		account.NewRing,
+		account.NewAcks,
+		account.NewCounts,
+		newInterceptor,
 		dispatch.New,
 		newChain,
+		newModelsChain,
 		newWriter,
 		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
 		newSealer,
@@ -94,26 +99,18 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, records *ring.Ring[usage.Record]) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
-		accept.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
+		accept.New(),
 		authenticate.New(c),
+		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
 		admit.New(s.Policy, view, chooser),
-		account.NewFilter(records, registry),
 		relay.New(s.Instance, chooser, d, registry),
 	)
 }
 
-func newWriter(s settings.Settings, c *httpapi.Client, records *ring.Ring[usage.Record]) *account.Writer {
-	return account.NewWriter(c, records, s.Instance, time.Duration(s.UsageWindow), time.Duration(s.UsageFlush))
-}
-
-func newSealer(s settings.Settings, c *httpapi.Client, k *leasekeeper.Keeper) *sealing.Sealer {
-	return sealing.New(c, c, k, time.Duration(s.UsageWindow), time.Duration(s.UsageGrace))
-}
-
 // Ready reports whether the entry serves callers.
 func (e *Entry) Ready() bool {
 	return !e.State.draining.Load() && e.Config.Current() != nil
@@ -123,6 +120,7 @@
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	Peers     net.Listener // Nil when no other entry may call.
 }
 
 // Listen opens both addresses.
@@ -135,7 +133,11 @@
 	if err != nil {
 		return Listeners{}, errors.Join(err, callersListener.Close())
 	}
-	return Listeners{Callers: callersListener, Operators: operators}, nil
+	peers, err := e.listenPeers()
+	if err != nil {
+		return Listeners{}, errors.Join(err, callersListener.Close(), operators.Close())
+	}
+	return Listeners{Callers: callersListener, Operators: operators, Peers: peers}, nil
 }
 
 // Serve runs the entry until ctx ends, then drains: it is not ready first,
@@ -145,11 +147,16 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
-	callersServer := netx.Server(callers.Handler(e.Chain, e.Config))
+	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
-	failed := make(chan error, 2)
+	peerServer := e.peerServer()
+	defer peerServer.Close()
+	failed := make(chan error, 3)
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
 	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
+	if listeners.Peers != nil {
+		go func() { failed <- peerServer.Serve(listeners.Peers) }()
+	}
 	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
 	select {
 	case err := <-failed:
--- a/flamingospar/experiment/policy.go
+++ b/flamingospar/experiment/policy.go
@@ -47,9 +47,6 @@
 	}
 }
 
-// boundName is the row of the clairvoyant bound.
-const boundName = "clairvoyant"
-
 // selectPolicies returns the named policies; none names all.
 func selectPolicies(names string) ([]Policy, error) {
 	if names == "" {
