--- a/core/roles/roles.go
+++ b/core/roles/roles.go
@@ -123,7 +123,7 @@
 func Decide(s Snapshot, settings Settings) Plan {
 	ready := readyEndpoints(s.Endpoints)
 	if settings.Mode == ModeMixed || len(ready) < minSplit {
-		return planMixed(ready, settings)
+		return planMixed(s.Pool, ready, settings)
 	}
 	if settings.Mode != ModeStatic && s.DemandAge > settings.StaleAfter {
 		return Plan{Reason: ReasonStale, WantedPrefill: count(ready, Prefill)}
@@ -161,9 +161,9 @@
 	return s.PrefillDemand / total * float64(engines)
 }
 
-func planMixed(ready []Endpoint, settings Settings) Plan {
+func planMixed(pool string, ready []Endpoint, settings Settings) Plan {
 	plan := Plan{Reason: ReasonNone}
-	for _, endpoint := range ready {
+	for _, endpoint := range byRank(pool, ready) {
 		if endpoint.Role == Mixed || endpoint.Changing {
 			continue
 		}
@@ -268,11 +268,22 @@
 
 // byRank orders engines by a hash that all processes compute alike.
 func byRank(pool string, endpoints []Endpoint) []Endpoint {
-	ranked := slices.Clone(endpoints)
-	slices.SortFunc(ranked, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(rank(pool, a.ID), rank(pool, b.ID)), cmp.Compare(a.ID, b.ID))
+	type ranked struct {
+		rank     uint64
+		endpoint Endpoint
+	}
+	order := make([]ranked, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		order = append(order, ranked{rank(pool, endpoint.ID), endpoint})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
-	return ranked
+	sorted := make([]Endpoint, 0, len(order))
+	for _, r := range order {
+		sorted = append(sorted, r.endpoint)
+	}
+	return sorted
 }
 
 func rank(pool, id string) uint64 {
