Refuse early only teams above their share; give up the run that fair order serves last

Cause: at overload an entry refused by the expected wait alone, whoever asked; the endpoint's queue would have served a small team first. In the whole-system test with equally long prompts a small team lost 13 of 40 requests, by over_share: the queue gave up the team with the largest finish, which for one waiting run of little weight is its own cost.

Change: core/fair.Recent compares teams' recent service; teams below an even share skip the early refusal. Evict compares at what counter the newest run would start, not finish.

--- a/core/fair/heaps.go
+++ b/core/fair/heaps.go
@@ -19,7 +19,7 @@
 			at:   func(f *flow) *int { return &f.firstAt },
 		},
 		last: flowHeap{
-			less: func(a, b *flow) bool { return a.finish() > b.finish() },
+			less: func(a, b *flow) bool { return a.lastStart() > b.lastStart() },
 			at:   func(f *flow) *int { return &f.lastAt },
 		},
 	}
--- a/core/fair/queue_test.go
+++ b/core/fair/queue_test.go
@@ -151,6 +151,22 @@
 	t.Fatal("the batch run starved")
 }
 
+// TestEvictSparesTheLightTeam: a team of little weight that waits for one run
+// is not given up for a heavy one that was served before.
+func TestEvictSparesTheLightTeam(t *testing.T) {
+	q := New()
+	for i := range 3 {
+		q.Push(Item{ID: fmt.Sprint("heavy", i), Team: "heavy", Weight: 4, Cost: 1, Order: float64(i)})
+	}
+	q.Pop()
+	q.Push(Item{ID: "light", Team: "light", Weight: 1, Cost: 1})
+	for range 2 {
+		item, ok := q.Evict()
+		require.True(t, ok)
+		require.Equal(t, "heavy", item.Team)
+	}
+}
+
 func TestIdleTeamsAreForgotten(t *testing.T) {
 	q := New()
 	for i := range 22_000 {
--- a/core/fair/team.go
+++ b/core/fair/team.go
@@ -92,5 +92,9 @@
 // last leaf of its heap is not before its parent.
 func (f *flow) newest() *entry { return f.items[len(f.items)-1] }
 
-// finish is the counter that the team reaches when all of the flow is served.
-func (f *flow) finish() float64 { return f.team.counter + f.cost/f.team.weight }
+// lastStart is the counter at which the flow's newest item would be served,
+// when all before it has been. Its own cost does not count: a team of little
+// weight that waits for one run is not behind one that waits for many.
+func (f *flow) lastStart() float64 {
+	return f.team.counter + (f.cost-f.newest().item.Cost)/f.team.weight
+}
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -92,6 +92,7 @@
 }
 
 // firstToken refuses a request that would wait too long at the best endpoint.
+// A team below its share is let through: the endpoint's queue serves it first.
 func (f *Filter) firstToken(x *pipeline.Exchange) *refusal.Refusal {
 	if !f.policy.EarlyRefusal || x.Shape.FirstTokenBy.IsZero() {
 		return nil
@@ -99,7 +100,7 @@
 	choice := f.chooser.Look(x)
 	wait := time.Duration(choice.Wait * float64(time.Second))
 	late := wait - time.Until(x.Shape.FirstTokenBy)
-	if choice.Endpoint == "" || late <= 0 {
+	if choice.Endpoint == "" || late <= 0 || !f.view.OverShare(x.Team) {
 		return nil
 	}
 	return refusal.New(refusal.FirstTokenLate, "the first token would come in %v", wait.Round(time.Millisecond)).After(max(late, leastRetryAfter))
--- a/entry/choose/choose.go
+++ b/entry/choose/choose.go
@@ -73,7 +73,7 @@
 func (c *Chooser) Served(pick Pick, x *pipeline.Exchange, figures usage.Figures) {
 	prompt := float64(figures.PromptTokens - figures.CachedTokens)
 	if service := prices.Cost(prompt, float64(figures.OutputTokens)); service > 0 {
-		c.view.Served(pick.Agent, x.Team, service)
+		c.view.Served(pick.Agent, x.Team, x.Shape.Weight, service)
 	}
 }
 
--- a/entry/fleet/service.go
+++ b/entry/fleet/service.go
@@ -11,20 +11,30 @@
 
 // serviceBook is what teams were given through this entry, by agent.
 type serviceBook struct {
-	mu   sync.Mutex
-	book *fair.Elsewhere
+	mu     sync.Mutex
+	book   *fair.Elsewhere
+	recent *fair.Recent
 }
 
 func newServiceBook() *serviceBook {
-	return &serviceBook{book: fair.NewElsewhere(bookTeams)}
+	return &serviceBook{book: fair.NewElsewhere(bookTeams), recent: fair.NewRecent()}
 }
 
 // Served counts service, in seconds of an endpoint, that a team was given at
-// the agent.
-func (v *View) Served(agent *Agent, team string, service float64) {
+// the agent. Weight is the team's.
+func (v *View) Served(agent *Agent, team string, weight, service float64) {
 	v.services.mu.Lock()
 	defer v.services.mu.Unlock()
 	v.services.book.Served(agent.vm.Instance, team, service)
+	v.services.recent.Serve(v.now(), team, weight, service)
+}
+
+// OverShare reports whether a team was given more than its even share of what
+// went through this entry lately.
+func (v *View) OverShare(team string) bool {
+	v.services.mu.Lock()
+	defer v.services.mu.Unlock()
+	return v.services.recent.Over(v.now(), team)
 }
 
 // ServiceElsewhere returns the service that a team was given at other agents
--- a/flamingospar/dev/policy_test.go
+++ b/flamingospar/dev/policy_test.go
@@ -73,7 +73,7 @@
 		late, refused := 0, 0
 		const small = 40
 		for i := range small {
-			got := ask(t, client, system.URL, system.Keys[7].Key, fmt.Sprint("is serial ", i, " in the recall?"))
+			got := ask(t, client, system.URL, system.Keys[7].Key, fmt.Sprint("lot ", i, " ", long))
 			if got.status != http.StatusOK {
 				refused++
 			} else if got.first > 440*time.Millisecond {
--- a/flamingospar/experiment/entry.go
+++ b/flamingospar/experiment/entry.go
@@ -28,6 +28,7 @@
 	turns      []int             // Of round robin, by model.
 	elsewhere  *fair.Elsewhere
 	predictor  *fair.Predictor
+	recent     *fair.Recent
 }
 
 func newEntry(s *sim, index int) *entry {
@@ -36,6 +37,7 @@
 		index:      index,
 		dataCentre: s.site.dataCentres[index],
 		elsewhere:  fair.NewElsewhere(rememberedTeams),
+		recent:     fair.NewRecent(),
 		turns:      make([]int, len(s.site.models)),
 		predictor:  fair.NewPredictor(s.trace.OutputTokens, rememberedTeams),
 	}
@@ -107,6 +109,9 @@
 	if !e.sim.policy.early || r.batch || r.emitted > 0 {
 		return false
 	}
+	if e.sim.policy.sharedEarly && !e.recent.Over(e.sim.now, e.sim.site.teams[r.team].Name) {
+		return false
+	}
 	return e.sim.now+choice.Wait > r.arrival+firstTokenAtEngine
 }
 
@@ -216,6 +221,7 @@
 	team := from.team[r.team]
 	e.predictor.Learn(team, r.output)
 	e.elsewhere.Served(from.id, team, r.work(false))
+	e.recent.Serve(e.sim.now, team, e.sim.site.teams[r.team].Weight, r.work(false))
 }
 
 func (e *entry) handedOver(from *engine, r *request, load admit.Load) {
--- a/flamingospar/experiment/policy.go
+++ b/flamingospar/experiment/policy.go
@@ -18,15 +18,16 @@
 
 // Policy is one combination of decisions.
 type Policy struct {
-	Name       string
-	routing    routing
-	firstCome  bool // Queues before the engines serve in the order of arrival.
-	early      bool // Entries refuse what can't be in time.
-	elsewhere  bool // Queues learn what teams got at other engines.
-	shortFirst bool // Within a team, the least work first.
-	affinity   bool // Prompts go where their prefix is probably cached.
-	roles      roles.Mode
-	attempts   int // At most, within the first token's bound.
+	Name        string
+	routing     routing
+	firstCome   bool // Queues before the engines serve in the order of arrival.
+	sharedEarly bool // They do so only to teams that have their share.
+	early       bool // Entries refuse what can't be in time.
+	elsewhere   bool // Queues learn what teams got at other engines.
+	shortFirst  bool // Within a team, the least work first.
+	affinity    bool // Prompts go where their prefix is probably cached.
+	roles       roles.Mode
+	attempts    int // At most, within the first token's bound.
 }
 
 // Policies returns all policies: baselines, earlier versions and the one in use.
@@ -42,6 +43,7 @@
 		{Name: "r5-affinity", routing: expectedWait, early: true, affinity: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r6-elsewhere", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r7-short", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3},
+		{Name: "ours", routing: expectedWait, early: true, sharedEarly: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r8-hybrid", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeHybrid, attempts: 3},
 		{Name: "follow-roles", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeFollow, attempts: 3},
 	}
