--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -11,14 +11,15 @@
 
 	"flamingospar.org/agent/account"
 	"flamingospar.org/agent/execute"
+	"flamingospar.org/agent/explain"
 	"flamingospar.org/agent/gate"
 	"flamingospar.org/agent/ledger"
+	"flamingospar.org/agent/orders"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/queue"
 	"flamingospar.org/agent/server"
 	"flamingospar.org/agent/settings"
 	"flamingospar.org/agent/status"
-	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
@@ -42,6 +43,7 @@
 	status   *status.Status
 	meter    *meter.Registry
 	usage    usageParts
+	orders   *orders.Duty
 }
 
 // Build wires an agent.
@@ -51,11 +53,16 @@
 		func() settings.Settings { return s },
 		func() netx.Network { return network },
 		meter.NewRegistry,
+		newProcess,
 		newGate,
+		newOrders,
 		ledger.New,
 		newUsageLedger,
 		newUsageWriter,
 		account.NewService,
+		newJournal,
+		newObserver,
+		explain.NewService,
 		newQueue,
 		newExecutor,
 		newStatus,
@@ -104,16 +111,14 @@
 	return load.Model
 }
 
-func newGate(s settings.Settings) *gate.Gate {
-	return gate.New(s.Endpoint, s.Instance, clock.Now)
+func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger, observer *explain.Observer) *pipeline.Chain {
+	chain := pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
+	chain.SetObserver(observer)
+	return chain
 }
 
-func newChain(registry *meter.Registry, executor pipeline.Executor, g *gate.Gate, l *ledger.Ledger, q *queue.Queue, u *account.Ledger) *pipeline.Chain {
-	return pipeline.New(registry, executor, g.Arrival(), l, u, q, g.Departure())
-}
-
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty}
 }
 
 // Meter returns the agent's metrics.
@@ -127,12 +132,15 @@
 	mux := http.NewServeMux()
 	mux.Handle(a.server.Handler())
 	mux.Handle(a.usage.Service.Handler())
+	mux.Handle(a.usage.Observe.Handler())
 	mux.HandleFunc("GET /metrics", a.meter.ServeText)
 	stopUsage := a.usage.start()
 	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
 	go func() { failed <- httpServer.Serve(listener) }()
+	stopOrders := a.startOrders()
+	defer stopOrders()
 	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
 	select {
 	case err := <-failed:
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -53,6 +53,8 @@
 	Home     bool           // The prompt's prefix is probably cached there.
 	// HandsOver says that another endpoint will generate the output.
 	HandsOver bool
+	// Alternatives are the next best that were looked at.
+	Alternatives []Alternative
 }
 
 // Pool gives access to like candidates, in the order of their hash.
@@ -91,9 +93,7 @@
 		home := homes.has(candidate.Endpoint)
 		wait := expectedWait(request, candidate, home)
 		cost := wait + otherCosts(request, candidate)
-		if choice.Endpoint == "" || cost < choice.Score {
-			choice.Endpoint = candidate.Endpoint
-			choice.Score = cost
+		if choice.consider(candidate.Endpoint, cost) {
 			choice.Wait = wait
 			choice.Home = home
 			choice.HandsOver = candidate.Role == Prefill
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -5,11 +5,13 @@
 	"net/http"
 
 	"connectrpc.com/connect"
-	"flamingospar.org/entry/account"
+	"github.com/google/uuid"
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
 	"flamingospar.org/entry/settings"
@@ -18,16 +20,16 @@
 
 func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
-		Instance: s.Instance,
+		Instance: s.Instance + "." + uuid.NewString()[:8],
 		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, netx.HTTP2Client(network), membership, connect.WithInterceptors(usage))
+	return fleet.New(c, netx.HTTP2Client(network), membership, connect.WithInterceptors(usage, explaining))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
@@ -35,11 +37,19 @@
 	if e.Settings.Authority.PeerListen == "" {
 		return nil, nil
 	}
-	return e.Network.Listen(e.Settings.Authority.PeerListen)
+	listener, err := e.Network.Listen(e.Settings.Authority.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	if e.Settings.Authority.PeerAddress == "" {
+		e.Roster.SetSelf(listener.Addr().String())
+	}
+	return listener, nil
 }
 
 func (e *Entry) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(peering.NewServer(e.Config).Handler())
+	mux.Handle(e.observeServer().Handler())
 	return netx.Server(mux)
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -23,6 +23,7 @@
 	"flamingospar.org/entry/choose"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/entry/dispatch"
+	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/match"
@@ -49,12 +50,14 @@
 	Meter    *meter.Registry
 	Config   *configview.View
 	Fleet    *fleet.View
+	Roster   *fleet.Roster
 	Chain    *pipeline.Chain
 	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
 	State    *runState
+	Observe  observeParts
 }
 
 // runState tells whether the entry serves callers.
@@ -74,6 +77,9 @@
 		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
 		newConfigView,
 		newFleet,
+		newJournal,
+		explain.NewObserver,
+		explain.NewInterceptor,
 		account.NewRing,
 		account.NewAcks,
 		account.NewCounts,
@@ -147,6 +153,7 @@
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
 	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	e.mountObserve(api)
 	callersServer := netx.Server(callers.Handler(e.Chain, e.Models))
 	operatorServer := netx.Server(api.Handler())
 	peerServer := e.peerServer()
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -14,6 +14,8 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
+	"flamingospar.org/flamingospar/ask"
+	"flamingospar.org/flamingospar/capacity"
 	"flamingospar.org/flamingospar/dev"
 	"flamingospar.org/flamingospar/experiment"
 )
@@ -54,6 +56,9 @@
 	parser.AttachSubcommand(experimentCommand, 1)
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
+	asked := ask.Attach(parser)
+	capacityOptions := capacity.DefaultOptions()
+	capacityCommand := attachCapacity(parser, &capacityOptions)
 	if err := parser.ParseArgs(args); err != nil {
 		return fail(stderr, exitMisuse, err)
 	}
@@ -62,6 +67,10 @@
 	switch {
 	case devCommand.Used:
 		return outcome(stderr, dev.Run(ctx, devOptions, stdout))
+	case capacityCommand.Used:
+		return outcome(stderr, capacity.Run(capacityOptions, stdout))
+	case asked.Used():
+		return outcome(stderr, asked.Run(ctx, stdout))
 	case experimentCommand.Used:
 		return outcome(stderr, experiment.Run(ctx, experimentOptions, stdout))
 	case serveCommand.Used:
