--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -21,7 +21,7 @@
 // Defaults returns the settings in use.
 func Defaults() Settings {
 	return Settings{
-		Utilisation: 0.8,
+		Utilisation: 0.7,
 		Lead:        4 * time.Minute,
 		ShrinkAfter: 5 * time.Minute,
 		MaxShrink:   1,
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -48,7 +48,7 @@
 	experimentCommand := flaggy.NewSubcommand("experiment")
 	experimentCommand.Description = "Compare policies over seeded loads on virtual time."
 	experimentCommand.String(&experimentOptions.Trace, "", "trace", "traces, by name or file; all when empty")
-	experimentCommand.String(&experimentOptions.Policies, "", "policies", "policies by name; all when empty")
+	experimentCommand.String(&experimentOptions.Policies, "", "policies", "policies by name, or all; the baselines, ours and follow-roles when empty")
 	experimentCommand.String(&experimentOptions.Fleet, "", "fleet", "shedline or trust; both when empty")
 	experimentCommand.Int(&experimentOptions.Seeds, "", "seeds", "runs of each, with seeds from 1")
 	experimentCommand.Int(&experimentOptions.Workers, "", "workers", "runs at once")
--- a/flamingospar/experiment/experiment.go
+++ b/flamingospar/experiment/experiment.go
@@ -16,7 +16,7 @@
 // Options choose what is measured.
 type Options struct {
 	Trace    string // Names or files, separated by commas; empty: all built-in ones.
-	Policies string // Names, separated by commas; empty: all.
+	Policies string // Names, separated by commas, or "all"; empty: the usual ones.
 	Fleet    string // "shedline", "trust" or empty for both.
 	Seeds    int
 	Out      string // Directory for CSV and plots; empty: none.
@@ -85,6 +85,7 @@
 			for _, p := range policies {
 				rows = append(rows, row{fleet: s.name, trace: t, policy: p.Name, results: make([]*Result, options.Seeds)})
 			}
+			rows = append(rows, row{fleet: s.name, trace: t, policy: boundName, results: make([]*Result, options.Seeds)})
 			group := rows[first:len(rows):len(rows)]
 			for seed := range options.Seeds {
 				jobs = append(jobs, func() { measureSeed(s, t, policies, group, seed) })
@@ -97,12 +98,14 @@
 // measureSeed runs all policies over the requests of one seed.
 func measureSeed(s site, t Trace, policies []Policy, rows []row, seed int) {
 	drawn := uint64(seed + 1)
-	bound := clairvoyant(s, t, generate(t, s, drawn))
+	requests := generate(t, s, drawn)
+	bound, least := clairvoyant(s, t, requests), leastHours(s, t, requests)
 	for i, p := range policies {
 		result := run(s, t, p, drawn, generate(t, s, drawn))
-		result.bound = bound
+		result.bound, result.leastHours = bound, least
 		rows[i].results[seed] = result
 	}
+	rows[len(policies)].results[seed] = boundResult(t, requests, bound, least)
 }
 
 func runJobs(ctx context.Context, workers int, jobs []func()) error {
--- a/flamingospar/experiment/plot.go
+++ b/flamingospar/experiment/plot.go
@@ -43,6 +43,9 @@
 	p.Y.Label.Text = "good answers a second"
 	lines := []any{"offered", smoothed(rows[0].results[0].offeredBy)}
 	for _, r := range rows {
+		if r.policy == boundName {
+			continue
+		}
 		lines = append(lines, r.policy, smoothed(r.results[0].goodBySecond))
 	}
 	if err := plotutil.AddLines(p, lines...); err != nil {
--- a/flamingospar/experiment/policy.go
+++ b/flamingospar/experiment/policy.go
@@ -27,7 +27,13 @@
 	shortFirst  bool // Within a team, the least work first.
 	affinity    bool // Prompts go where their prefix is probably cached.
 	roles       roles.Mode
-	attempts    int // At most, within the first token's bound.
+	scale       float64 // Utilisation at which engines are ordered and given back; 0: never.
+	attempts    int     // At most, within the first token's bound.
+}
+
+// ours is the policy in use.
+func ours() Policy {
+	return Policy{Name: "ours", routing: expectedWait, early: true, sharedEarly: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3}
 }
 
 // Policies returns all policies: baselines, earlier versions and the one in use.
@@ -43,16 +49,32 @@
 		{Name: "r5-affinity", routing: expectedWait, early: true, affinity: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r6-elsewhere", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeMixed, attempts: 3},
 		{Name: "r7-short", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3},
-		{Name: "ours", routing: expectedWait, early: true, sharedEarly: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeMixed, attempts: 3},
+		ours(),
 		{Name: "r8-hybrid", routing: expectedWait, early: true, affinity: true, elsewhere: true, shortFirst: true, roles: roles.ModeHybrid, attempts: 3},
+		withScale("ours-60", 0.6),
+		withScale("ours-70", 0.7),
+		withScale("ours-80", 0.8),
 		{Name: "follow-roles", routing: expectedWait, early: true, affinity: true, elsewhere: true, roles: roles.ModeFollow, attempts: 3},
 	}
 }
 
-// selectPolicies returns the named policies; none names all.
+// boundName is the row of the clairvoyant bound.
+const boundName = "clairvoyant"
+
+// Names that --policies takes beside those of policies.
+const (
+	allPolicies   = "all"
+	usualPolicies = "round-robin,least-outstanding,static-roles,follow-roles,ours"
+)
+
+// selectPolicies returns the named policies; none names the baselines, the
+// policy in use and its variant with roles.
 func selectPolicies(names string) ([]Policy, error) {
-	if names == "" {
+	switch names {
+	case allPolicies:
 		return Policies(), nil
+	case "":
+		names = usualPolicies
 	}
 	var selected []Policy
 	for _, name := range strings.Split(names, ",") {
@@ -69,3 +91,11 @@
 	}
 	return selected, nil
 }
+
+// withScale returns the policy in use with endpoints ordered and given back.
+func withScale(name string, utilisation float64) Policy {
+	p := ours()
+	p.Name = name
+	p.scale = utilisation
+	return p
+}
--- a/flamingospar/experiment/report.go
+++ b/flamingospar/experiment/report.go
@@ -32,6 +32,7 @@
 	{"retries", 0, func(r *Result, _ Trace) float64 { return float64(r.retries) }},
 	{"roles", 0, func(r *Result, _ Trace) float64 { return float64(r.roleChanges) }},
 	{"endpoint-h", 2, func(r *Result, _ Trace) float64 { return r.endpointHours }},
+	{"h/least", 2, func(r *Result, _ Trace) float64 { return r.endpointHours / r.leastHours }},
 	{"service/h", 3, func(r *Result, _ Trace) float64 { return r.goodWork / 3600 / max(r.endpointHours, 1e-9) }},
 }
 
--- a/flamingospar/experiment/result.go
+++ b/flamingospar/experiment/result.go
@@ -17,6 +17,7 @@
 	endpointHours float64
 	worstShare    float64
 	bound         float64
+	leastHours    float64
 	goodBySecond  []int
 	offeredBy     []int // By second of arrival.
 }
@@ -70,6 +71,20 @@
 	r.worstShare = entitle(m.site, m.trace, m.requests).worst()
 }
 
+// boundResult is the clairvoyant bound as a row: its goodput and the least
+// endpoint hours. The other columns have no meaning for it.
+func boundResult(t Trace, requests []*request, bound, least float64) *Result {
+	r := newResult(boundName)
+	r.offered = len(requests)
+	r.good = int(bound)
+	r.bound = bound
+	r.worstShare = 1
+	r.endpointHours, r.leastHours = least, least
+	r.goodBySecond = make([]int, int(t.Seconds))
+	r.offeredBy = r.goodBySecond
+	return r
+}
+
 // histogram counts spans in bins of a millisecond.
 type histogram struct {
 	bins  []int
--- a/flamingospar/experiment/sim.go
+++ b/flamingospar/experiment/sim.go
@@ -70,8 +70,9 @@
 	indexOf  map[string]int
 	random   *rand.Rand
 	result   *Result
-	demand   []demand // By model.
-	serving  float64  // Engine seconds in service.
+	demand   []demand  // By model.
+	scalers  []*scaler // By model; none when the fleet is fixed.
+	serving  float64   // Engine seconds in service.
 }
 
 // demand is the work offered to a model lately, in engines.
@@ -101,6 +102,12 @@
 		m.after(pollSeconds*float64(i+1)/float64(len(m.entries)), e.poll)
 	}
 	m.planArrival(0)
+	if p.scale > 0 {
+		for model := range s.models {
+			m.scalers = append(m.scalers, newScaler(m, model, p.scale))
+			m.scalers[model].begin()
+		}
+	}
 	m.planFaults()
 	m.after(controlSeconds, m.control)
 	m.clock.run(t.Seconds + settleSeconds)
@@ -143,6 +150,9 @@
 	d := &m.demand[r.model]
 	d.prefill += float64(r.prompt-r.prefixTokens) * promptSeconds
 	d.output += float64(r.output) * outputSeconds
+	if m.scalers != nil {
+		m.scalers[r.model].work += r.work(r.prefix != 0)
+	}
 	r.gapObserve = m.result.gaps.add
 	if !r.batch {
 		m.after(patienceSeconds, func() { m.abandon(r) })
--- a/flamingospar/experiment/trace.go
+++ b/flamingospar/experiment/trace.go
@@ -24,6 +24,7 @@
 	// Load is the offered work at the first phase's rate and prefill share, as
 	// part of what the fleet could do at best.
 	Load         float64 `toml:"load"`
+	Lead         float64 `toml:"lead"`          // From an order of an engine to its arrival.
 	OutputTokens float64 `toml:"output_tokens"` // Mean.
 	PrefixTokens int     `toml:"prefix_tokens"` // Of prompts that have a prefix.
 	Prefixes     int     `toml:"prefixes"`      // Documents of a team.
