--- a/flamingospar/experiment/bound.go
+++ b/flamingospar/experiment/bound.go
@@ -74,11 +74,7 @@
 
 // capacityOf returns the engine seconds of a model in each bucket.
 func capacityOf(s site, t Trace, model int) []float64 {
-	longest := 0.0
-	for _, burst := range t.Bursts {
-		longest = max(longest, burst.Deadline)
-	}
-	n := int((t.Seconds+longest+firstTokenSeconds+tokenGapSeconds*longestOutput)/bucketSeconds) + 1
+	n := int((t.Seconds+t.longestDeadline()+firstTokenSeconds+tokenGapSeconds*longestOutput)/bucketSeconds) + 1
 	capacity := make([]float64, n)
 	for i := range capacity {
 		capacity[i] = float64(s.enginesOf(model)) * bucketSeconds
--- a/flamingospar/experiment/engine.go
+++ b/flamingospar/experiment/engine.go
@@ -45,6 +45,7 @@
 	gone     bool
 	since    float64 // Of the last role change.
 	slowdown float64
+	skew     float64 // Of the agent's clock, in seconds.
 
 	reports  string // The fault of its reports, if any.
 	lastLoad admit.Load
@@ -113,7 +114,7 @@
 	run.PromptTokens = max(1, float64(r.prompt+r.emitted)-cached)
 	if !r.batch && r.emitted == 0 {
 		run.HasBound = true
-		run.FirstTokenBy = span(r.arrival + firstTokenAtEngine)
+		run.FirstTokenBy = e.now() + span(r.arrival+firstTokenAtEngine-e.sim.now)
 	}
 	return run
 }
@@ -285,6 +286,7 @@
 	return e.lastLoad
 }
 
-func (e *engine) now() time.Duration { return span(e.sim.now) }
+// now is the time on the agent's clock.
+func (e *engine) now() time.Duration { return span(e.sim.now + e.skew) }
 
 func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/flamingospar/experiment/faults.go
+++ b/flamingospar/experiment/faults.go
@@ -33,6 +33,13 @@
 				e.setSlowdown(1)
 			}
 		})
+	case faultStore:
+		m.storeDown = true
+		m.after(fault.ends(m.trace.Seconds)-m.now, func() { m.storeDown = false })
+	case faultClocks:
+		for _, e := range hit {
+			e.skew = fault.Factor
+		}
 	case faultStuck, faultLying, faultMissing:
 		for _, e := range hit {
 			e.reports = fault.Kind
--- a/flamingospar/experiment/scale.go
+++ b/flamingospar/experiment/scale.go
@@ -54,6 +54,10 @@
 func (c *scaler) decide() {
 	c.demands = append(c.demands, c.work/scaleSeconds)
 	c.work = 0
+	c.sim.after(scaleSeconds, c.decide)
+	if c.sim.storeDown {
+		return // No order is sent without the store.
+	}
 	settings := capacity.Defaults()
 	settings.Utilisation = c.target
 	settings.Lead = span(c.lead())
@@ -61,7 +65,6 @@
 	for _, name := range c.sim.site.dataCentres {
 		c.follow(name, plan.Targets[name])
 	}
-	c.sim.after(scaleSeconds, c.decide)
 }
 
 func (c *scaler) lead() float64 {
--- a/flamingospar/experiment/sim.go
+++ b/flamingospar/experiment/sim.go
@@ -61,18 +61,19 @@
 // sim is one run of one policy over one trace.
 type sim struct {
 	clock
-	site     site
-	trace    Trace
-	policy   Policy
-	requests []*request
-	engines  []*engine
-	entries  []*entry
-	indexOf  map[string]int
-	random   *rand.Rand
-	result   *Result
-	demand   []demand  // By model.
-	scalers  []*scaler // By model; none when the fleet is fixed.
-	serving  float64   // Engine seconds in service.
+	site      site
+	trace     Trace
+	policy    Policy
+	requests  []*request
+	engines   []*engine
+	entries   []*entry
+	indexOf   map[string]int
+	random    *rand.Rand
+	result    *Result
+	demand    []demand // By model.
+	storeDown bool
+	scalers   []*scaler // By model; none when the fleet is fixed.
+	serving   float64   // Engine seconds in service.
 }
 
 // demand is the work offered to a model lately, in engines.
@@ -110,7 +111,7 @@
 	}
 	m.planFaults()
 	m.after(controlSeconds, m.control)
-	m.clock.run(t.Seconds + settleSeconds)
+	m.clock.run(t.Seconds + t.longestDeadline() + settleSeconds)
 	m.result.endpointHours = m.serving / 3600
 	m.result.collect(m)
 	return m.result
--- a/flamingospar/experiment/trace.go
+++ b/flamingospar/experiment/trace.go
@@ -58,7 +58,7 @@
 	faultWithdraw     = "withdraw"      // The platform takes engines back after a notice.
 	faultCrash        = "crash"         // Engines end at once and come back empty.
 	faultDropCaches   = "drop_caches"   // All prefix caches are emptied.
-	faultStore        = "store_outage"  // The platform's store answers nobody.
+	faultStore        = "store_outage"  // The platform's store answers nobody: no capacity order is sent.
 	faultSlow         = "slow"          // Engines take Factor times as long.
 	faultStuck        = "stuck_reports" // Load reports repeat their last value.
 	faultLying        = "lying_reports" // Load reports say idle.
@@ -129,6 +129,15 @@
 	return previous.Rate, previous.PrefillShare
 }
 
+// longestDeadline returns the longest deadline of the trace's like requests.
+func (t Trace) longestDeadline() float64 {
+	longest := 0.0
+	for _, burst := range t.Bursts {
+		longest = max(longest, burst.Deadline)
+	}
+	return longest
+}
+
 // ends returns when a fault ends in a trace of some length.
 func (f Fault) ends(seconds float64) float64 {
 	if f.Seconds <= 0 {
