What endpoints are worth, in operators' sight; limits of models, services and routes

Cause: the catalogue took limits of models, services and routes that nothing enforced; a request looked through all teams for its own; what one more endpoint would bring was known to the experiment alone.

Change: entry/admit counts a request against all its limits or none and finds them by an index built once for each revision; entry/spending adds up offered and refused work by model and publishes core/capacity's plan as gauges, with targets for the duty that orders; core/capacity.History serves it and the experiment.

Limits of an endpoint kind are still not enforced.

--- a/core/admit/limits.go
+++ b/core/admit/limits.go
@@ -110,6 +110,17 @@
 	u.tokens = max(0, u.tokens+actual-predicted)
 }
 
+// Cancel takes back a request that was begun and then refused.
+func (l *Limiter) Cancel(team string, tokens float64) {
+	u, ok := l.teams[team]
+	if !ok {
+		return
+	}
+	u.concurrent--
+	u.requests = max(0, u.requests-1)
+	u.tokens = max(0, u.tokens-tokens)
+}
+
 // over returns how long a bucket at level needs to come down to its burst.
 func over(level, rate, least float64) time.Duration {
 	if rate <= 0 {
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -1,4 +1,4 @@
-// Package admit enforces the limits of teams at this entry and refuses early
+// Package admit enforces the catalogue's limits at this entry and refuses early
 // the requests whose first token can't be in time at any endpoint.
 package admit
 
@@ -16,6 +16,7 @@
 	"flamingospar.org/entry/match"
 	"flamingospar.org/entry/pipeline"
 	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/spending"
 )
 
 // predictedTeams bounds the teams whose output lengths are remembered.
@@ -29,7 +30,9 @@
 	policy  settings.Policy
 	view    *fleet.View
 	chooser *choose.Chooser
+	book    *spending.Book
 	started time.Time
+	indexes indexes
 
 	mu        sync.Mutex
 	limiter   *admit.Limiter
@@ -37,11 +40,12 @@
 }
 
 // New returns the filter.
-func New(policy settings.Policy, view *fleet.View, chooser *choose.Chooser) *Filter {
+func New(policy settings.Policy, view *fleet.View, chooser *choose.Chooser, book *spending.Book) *Filter {
 	return &Filter{
 		policy:    policy,
 		view:      view,
 		chooser:   chooser,
+		book:      book,
 		started:   time.Now(),
 		limiter:   admit.NewLimiter(),
 		predictor: fair.NewPredictor(float64(policy.OutputGuess), predictedTeams),
@@ -54,28 +58,66 @@
 // Request implements pipeline.Filter.
 func (f *Filter) Request(_ context.Context, x *pipeline.Exchange) *refusal.Refusal {
 	f.shape(x)
-	if refused := f.firstToken(x); refused != nil {
+	if refused := f.limits(x); refused != nil {
 		return refused
 	}
-	return f.limits(x)
+	f.offer(x)
+	refused := f.firstToken(x)
+	if refused != nil {
+		f.cancel(x)
+		f.book.Refused(x.Model, work(x))
+	}
+	return refused
 }
 
 // Response implements pipeline.Filter.
 func (f *Filter) Response(_ context.Context, x *pipeline.Exchange) {
+	if x.Kind == match.ModelKind && x.Refused != nil && wantOfCapacity[x.Refused.Code] {
+		f.book.Refused(x.Model, work(x))
+	}
+	f.end(x)
+}
+
+// wantOfCapacity holds the refusals that more endpoints would have avoided.
+var wantOfCapacity = map[refusal.Code]bool{
+	refusal.FirstTokenLate: true,
+	refusal.OverShare:      true,
+	refusal.QueueFull:      true,
+	refusal.NoEndpoint:     true,
+}
+
+// end gives back what the request holds of its team's limits.
+func (f *Filter) end(x *pipeline.Exchange) {
+	bounds := f.boundsOf(x)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if x.Outcome == refusal.Ran && x.Kind == match.ModelKind {
 		f.predictor.Learn(x.Team, int(x.Figures.OutputTokens))
 	}
 	actual := float64(x.Figures.PromptTokens + x.Figures.OutputTokens)
-	f.limiter.End(x.Team, x.Shape.Tokens(), actual)
+	for _, b := range bounds {
+		f.limiter.End(b.key, x.Shape.Tokens(), actual)
+	}
+}
+
+func (f *Filter) offer(x *pipeline.Exchange) {
+	if x.Kind == match.ModelKind {
+		f.book.Offered(x.Model, work(x))
+	}
+}
+
+// work returns the service that the request is expected to take, in seconds of
+// an endpoint.
+func work(x *pipeline.Exchange) float64 {
+	prices := admit.DefaultGateSettings().Prices
+	return prices.Cost(float64(x.Shape.PromptTokens), float64(x.Shape.OutputTokens))
 }
 
 // shape finds out what the policy needs to know of the request.
 func (f *Filter) shape(x *pipeline.Exchange) {
-	team, _ := x.State.Catalogue.FindTeam(x.Team)
-	x.Shape.Weight = team.Weight
-	x.Shape.Class = classNumber(classOf(x))
+	found := f.indexes.of(x.State.Catalogue)
+	x.Shape.Weight = found.weight(x.Team)
+	x.Shape.Class = classNumber(found.class(x))
 	if x.Kind != match.ModelKind {
 		return
 	}
@@ -86,7 +128,7 @@
 	f.mu.Lock()
 	x.Shape.OutputTokens = int64(f.predictor.Predict(x.Team, body.maxTokens))
 	f.mu.Unlock()
-	if classOf(x) == catalogue.Interactive {
+	if found.class(x) == catalogue.Interactive {
 		x.Shape.FirstTokenBy = x.Arrived.Add(time.Duration(f.policy.FirstToken))
 	}
 }
@@ -106,18 +148,33 @@
 	return refusal.New(refusal.FirstTokenLate, "the first token would come in %v", wait.Round(time.Millisecond)).After(max(late, leastRetryAfter))
 }
 
+// limits counts the request against all its limits, or against none when one
+// of them is reached.
 func (f *Filter) limits(x *pipeline.Exchange) *refusal.Refusal {
-	if x.Team == "" {
-		return nil
+	bounds := f.boundsOf(x)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n, b := range bounds {
+		decision := f.limiter.Begin(time.Since(f.started), b.key, b.limits, x.Shape.Tokens())
+		if decision.OK() {
+			continue
+		}
+		for _, held := range bounds[:n] {
+			f.limiter.Cancel(held.key, x.Shape.Tokens())
+		}
+		return refusal.New(codes[decision.Reason], "%s reached its limit at this entry", b.key).After(decision.RetryAfter)
 	}
-	limits := f.limitsOf(x)
+	return nil
+}
+
+// cancel takes back what limits counted for a request that is refused here.
+func (f *Filter) cancel(x *pipeline.Exchange) {
+	bounds := f.boundsOf(x)
 	f.mu.Lock()
-	decision := f.limiter.Begin(time.Since(f.started), x.Team, limits, x.Shape.Tokens())
-	f.mu.Unlock()
-	if decision.OK() {
-		return nil
+	defer f.mu.Unlock()
+	for _, b := range bounds {
+		f.limiter.Cancel(b.key, x.Shape.Tokens())
 	}
-	return refusal.New(codes[decision.Reason], "team %s reached its limit at this entry", x.Team).After(decision.RetryAfter)
 }
 
 var codes = map[admit.Reason]refusal.Code{
@@ -126,32 +183,6 @@
 	admit.OverConcurrency: refusal.OverConcurrency,
 }
 
-// limitsOf returns this entry's part of the team's limits.
-func (f *Filter) limitsOf(x *pipeline.Exchange) admit.Limits {
-	team, ok := x.State.Catalogue.FindTeam(x.Team)
-	if !ok || team.Limits == nil {
-		return admit.Limits{}
-	}
-	whole := admit.Limits{
-		RequestsPerSecond: team.Limits.RequestsPerSecond,
-		TokensPerSecond:   team.Limits.TokensPerSecond,
-		Concurrent:        team.Limits.Concurrent,
-	}
-	return whole.Share(f.view.Fraction(x.Team))
-}
-
-func classOf(x *pipeline.Exchange) catalogue.Class {
-	if model, ok := x.State.Catalogue.FindModel(x.Model); ok {
-		return model.Class
-	}
-	for _, route := range x.State.Catalogue.Routes {
-		if route.Name == x.Route {
-			return route.Class
-		}
-	}
-	return catalogue.Standard
-}
-
 func classNumber(class catalogue.Class) int {
 	switch class {
 	case catalogue.Interactive:
--- a/entry/fleet/fraction.go
+++ b/entry/fleet/fraction.go
@@ -44,5 +44,5 @@
 	if ok {
 		return fraction
 	}
-	return 1 / float64(max(1, len(v.member.Roster.all())))
+	return 1 / float64(v.Entries())
 }
--- a/entry/fleet/load.go
+++ b/entry/fleet/load.go
@@ -50,6 +50,26 @@
 	return agent, func() { v.end(agent) }, true
 }
 
+// Ready returns how many endpoints of a kind and model each data centre has in
+// service.
+func (v *View) Ready(kind, model string) map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refreshPools()
+	ready := make(map[string]int)
+	for _, agent := range v.pools[poolKey{kind, model}] {
+		if agent.candidate.Ready {
+			ready[agent.candidate.DataCentre]++
+		}
+	}
+	return ready
+}
+
+// Entries returns the number of listed entries, this one included.
+func (v *View) Entries() int {
+	return max(1, len(v.member.Roster.all()))
+}
+
 func (v *View) end(agent *Agent) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -36,6 +36,7 @@
 	"flamingospar.org/entry/render"
 	"flamingospar.org/entry/sealing"
 	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/spending"
 	"flamingospar.org/entry/stall"
 	"flamingospar.org/platform/httpapi"
 )
@@ -64,6 +65,7 @@
 	Claims   *claim.Register
 	State    *runState
 	Observe  observeParts
+	Spending *spending.Book
 }
 
 // runState tells whether the entry serves callers.
@@ -95,6 +97,7 @@
 		account.NewCounts,
 		newInterceptor,
 		dispatch.New,
+		func(v *fleet.View, r *meter.Registry) *spending.Book { return spending.New(v, r) },
 		newChain,
 		newModelsChain,
 		newWriter,
@@ -115,7 +118,7 @@
 	return httpapi.New(s.PlatformURL, netx.HTTP1Client(network))
 }
 
-func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter) *pipeline.Chain {
+func newChain(s settings.Settings, registry *meter.Registry, c *configview.View, view *fleet.View, d *dispatch.Dispatcher, marks *crashmarks.Filter, claims *claim.Filter, book *spending.Book) *pipeline.Chain {
 	chooser := choose.New(view, s.DataCentre)
 	return pipeline.New(registry, render.Refusal,
 		accept.New(),
@@ -123,7 +126,7 @@
 		receive.New(s.MaxBodyBytes, time.Duration(s.BodyTime)),
 		match.New(time.Duration(s.Deadline)),
 		marks,
-		admit.New(s.Policy, view, chooser),
+		admit.New(s.Policy, view, chooser, book),
 		claims,
 		relay.New(s.Instance, chooser, d, marks, registry),
 	)
@@ -220,5 +223,6 @@
 			duty(ctx)
 		}()
 	}
+	duties.Go(func() { e.Spending.Run(ctx) })
 	return &duties
 }
