--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -117,6 +117,15 @@
 	return &Chain{filters: filters, counter: counter, refuse: refuse}
 }
 
+// Names returns the filters' names in order.
+func (c *Chain) Names() []string {
+	names := make([]string, 0, len(c.filters))
+	for _, filter := range c.filters {
+		names = append(names, filter.Name())
+	}
+	return names
+}
+
 // SetObserver sets who sees the end of requests, before the first request.
 func (c *Chain) SetObserver(observer Observer) { c.observer = observer }
 
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -19,18 +19,18 @@
 	"flamingospar.org/platform/httpapi"
 )
 
-func newConfigView(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, registry *meter.Registry) *configview.View {
+func newConfigView(s settings.Settings, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, registry *meter.Registry) *configview.View {
 	return configview.New(c, configview.Options{
 		Instance: s.Instance + "." + uuid.NewString()[:8],
-		Peers:    peering.NewClient(roster, netx.HTTP2Client(network)),
+		Peers:    peering.NewClient(roster, netx.HTTP2Client(peers)),
 		Objects:  c.Objects(),
 		Counter:  registry,
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
+func newFleet(s settings.Settings, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
 	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(network) })
+	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(peers) })
 	return fleet.New(c, client, membership, connect.WithInterceptors(usage, explaining))
 }
 
