--- a/entry/choose/choose.go
+++ b/entry/choose/choose.go
@@ -40,10 +40,18 @@
 func (c *Chooser) Pick(x *pipeline.Exchange, tried map[string]bool) (Pick, bool) {
 	choice := c.view.Choose(c.request(x, tried))
 	x.Choices = append(x.Choices, pipeline.Chosen{At: time.Now(), Choice: choice})
-	agent, done, ok := c.view.Begin(choice.Endpoint, float64(x.Shape.PromptTokens))
+	agent, done, ok := c.view.Begin(choice.Endpoint, urgentTokens(x.Shape))
 	return Pick{Choice: choice, Agent: agent, Done: done}, ok
 }
 
+// urgentTokens returns the prompt tokens that add to what urgent requests wait for.
+func urgentTokens(shape pipeline.Shape) float64 {
+	if shape.Class > 0 {
+		return 0
+	}
+	return float64(shape.PromptTokens)
+}
+
 // Look returns the choice for x without beginning an attempt.
 func (c *Chooser) Look(x *pipeline.Exchange) route.Choice {
 	return c.view.Choose(c.request(x, nil))
@@ -66,7 +74,7 @@
 func (c *Chooser) Served(pick Pick, x *pipeline.Exchange, figures usage.Figures) {
 	prompt := float64(figures.PromptTokens - figures.CachedTokens)
 	if service := prices.Cost(prompt, float64(figures.OutputTokens)); service > 0 {
-		c.view.Served(pick.Agent, x.Team, service)
+		c.view.Served(pick.Agent, x.Team, x.Shape.Weight, service)
 	}
 }
 
--- a/flamingospar/command/experiment.go
+++ b/flamingospar/command/experiment.go
@@ -10,7 +10,7 @@
 	options := experiment.DefaultOptions()
 	sub := command(a.parser, "experiment", "Compare policies over seeded loads on virtual time.", "flamingospar experiment --fleet trust --seeds 3")
 	sub.String(&options.Trace, "", "trace", "traces, by name or file; all when empty")
-	sub.String(&options.Policies, "", "policies", "policies by name; all when empty")
+	sub.String(&options.Policies, "", "policies", "policies by name, or all; the baselines, ours and follow-roles when empty")
 	sub.String(&options.Fleet, "", "fleet", "shedline or trust; both when empty")
 	sub.Int(&options.Seeds, "", "seeds", "runs of each, with seeds from 1")
 	sub.Int(&options.Workers, "", "workers", "runs at once")
--- a/flamingospar/experiment/sim.go
+++ b/flamingospar/experiment/sim.go
@@ -18,6 +18,9 @@
 // demandHalfLife is how fast the observed demand follows a change, in seconds.
 const demandHalfLife = 5.0
 
+// demandRate turns a decayed sum into a rate.
+const demandRate = math.Ln2 / demandHalfLife
+
 // progress is what became of a request.
 type progress struct {
 	engine     *engine
@@ -58,17 +61,19 @@
 // sim is one run of one policy over one trace.
 type sim struct {
 	clock
-	site     site
-	trace    Trace
-	policy   Policy
-	requests []*request
-	engines  []*engine
-	entries  []*entry
-	indexOf  map[string]int
-	random   *rand.Rand
-	result   *Result
-	demand   []demand // By model.
-	serving  float64  // Engine seconds in service.
+	site      site
+	trace     Trace
+	policy    Policy
+	requests  []*request
+	engines   []*engine
+	entries   []*entry
+	indexOf   map[string]int
+	random    *rand.Rand
+	result    *Result
+	demand    []demand // By model.
+	storeDown bool
+	scalers   []*scaler // By model; none when the fleet is fixed.
+	serving   float64   // Engine seconds in service.
 }
 
 // demand is the work offered to a model lately, in engines.
@@ -98,9 +103,15 @@
 		m.after(pollSeconds*float64(i+1)/float64(len(m.entries)), e.poll)
 	}
 	m.planArrival(0)
+	if p.scale > 0 {
+		for model := range s.models {
+			m.scalers = append(m.scalers, newScaler(m, model, p.scale))
+			m.scalers[model].begin()
+		}
+	}
 	m.planFaults()
 	m.after(controlSeconds, m.control)
-	m.clock.run(t.Seconds + settleSeconds)
+	m.clock.run(t.Seconds + t.longestDeadline() + settleSeconds)
 	m.result.endpointHours = m.serving / 3600
 	m.result.collect(m)
 	return m.result
@@ -138,8 +149,11 @@
 
 func (m *sim) arrive(r *request) {
 	d := &m.demand[r.model]
-	d.prefill += float64(r.prompt) * promptSeconds
+	d.prefill += float64(r.prompt-r.prefixTokens) * promptSeconds
 	d.output += float64(r.output) * outputSeconds
+	if m.scalers != nil {
+		m.scalers[r.model].work += r.work(r.prefix != 0)
+	}
 	r.gapObserve = m.result.gaps.add
 	if !r.batch {
 		m.after(patienceSeconds, func() { m.abandon(r) })
@@ -193,8 +207,8 @@
 func (m *sim) snapshot(model int) roles.Snapshot {
 	snapshot := roles.Snapshot{
 		Pool:          m.site.models[model],
-		PrefillDemand: m.demand[model].prefill,
-		OutputDemand:  m.demand[model].output,
+		PrefillDemand: m.demand[model].prefill * demandRate,
+		OutputDemand:  m.demand[model].output * demandRate,
 	}
 	for _, e := range m.engines {
 		if e.model != model {
@@ -214,7 +228,7 @@
 // firstRoles sets the roles with which the fleet begins.
 func (m *sim) firstRoles() {
 	settings := m.roleSettings()
-	if settings.Mode == roles.ModeMixed {
+	if settings.Mode == roles.ModeMixed || settings.Mode == roles.ModeHybrid {
 		return
 	}
 	settings.Mode = roles.ModeStatic
--- a/flamingospar/experiment/trace.go
+++ b/flamingospar/experiment/trace.go
@@ -24,12 +24,16 @@
 	// Load is the offered work at the first phase's rate and prefill share, as
 	// part of what the fleet could do at best.
 	Load         float64 `toml:"load"`
+	Lead         float64 `toml:"lead"`          // From an order of an engine to its arrival.
 	OutputTokens float64 `toml:"output_tokens"` // Mean.
 	PrefixTokens int     `toml:"prefix_tokens"` // Of prompts that have a prefix.
 	Prefixes     int     `toml:"prefixes"`      // Documents of a team.
-	Phases       []Phase `toml:"phase"`
-	Bursts       []Burst `toml:"burst"`
-	Faults       []Fault `toml:"fault"`
+	// From and To bound the time in which "in-window" counts; 0 and 0: all.
+	From   float64 `toml:"from"`
+	To     float64 `toml:"to"`
+	Phases []Phase `toml:"phase"`
+	Bursts []Burst `toml:"burst"`
+	Faults []Fault `toml:"fault"`
 }
 
 // Phase sets the load from a time on; between two phases it changes evenly.
@@ -54,7 +58,7 @@
 	faultWithdraw     = "withdraw"      // The platform takes engines back after a notice.
 	faultCrash        = "crash"         // Engines end at once and come back empty.
 	faultDropCaches   = "drop_caches"   // All prefix caches are emptied.
-	faultStore        = "store_outage"  // The platform's store answers nobody.
+	faultStore        = "store_outage"  // The platform's store answers nobody: no capacity order is sent.
 	faultSlow         = "slow"          // Engines take Factor times as long.
 	faultStuck        = "stuck_reports" // Load reports repeat their last value.
 	faultLying        = "lying_reports" // Load reports say idle.
@@ -105,6 +109,9 @@
 	if trace.Seconds <= 0 || trace.Load <= 0 || len(trace.Phases) == 0 {
 		return Trace{}, fmt.Errorf("trace %s: seconds, load and a phase are needed; remedy: add them", name)
 	}
+	if trace.To == 0 {
+		trace.To = trace.Seconds
+	}
 	return trace, nil
 }
 
@@ -122,6 +129,15 @@
 	return previous.Rate, previous.PrefillShare
 }
 
+// longestDeadline returns the longest deadline of the trace's like requests.
+func (t Trace) longestDeadline() float64 {
+	longest := 0.0
+	for _, burst := range t.Bursts {
+		longest = max(longest, burst.Deadline)
+	}
+	return longest
+}
+
 // ends returns when a fault ends in a trace of some length.
 func (f Fault) ends(seconds float64) float64 {
 	if f.Seconds <= 0 {
