Order capacity by intents under a lease; drains give notice

Cause: nothing ordered endpoints; all entries read every lease each 3 s; an entry closed its listener in the moment in which it became not ready; an agent that drains went on admitting.

Change: intent rows written under the term's guard and placed under their id over connections that check the term at each write; three candidates a lease, the others look each minute; drain notices.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -34,6 +34,7 @@
 	watch    *config.Watch
 	leaving  bool // Announced to entries; runs are still admitted.
 	changing bool
+	closed   bool          // This agent drains and exits.
 	active   int           // Runs past the queue.
 	idle     chan struct{} // Closed when active falls to zero while changing.
 }
@@ -112,6 +113,9 @@
 	if refused := refusalOf(a.gate.watch.Judge(revision, start.KeyId, now), start); refused != nil {
 		return refused
 	}
+	if a.gate.closed {
+		return refusal.New(refusal.Draining, "the agent of endpoint %s drains", a.gate.endpoint).After(staleAfter)
+	}
 	if a.gate.changing {
 		return changing()
 	}
@@ -195,6 +199,15 @@
 	}
 }
 
+// Close announces that this agent drains and refuses new runs a little later.
+func (g *Gate) Close() {
+	g.announce()
+	time.Sleep(announceFor)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
 func (g *Gate) announce() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -44,6 +44,7 @@
 	meter    *meter.Registry
 	usage    usageParts
 	orders   *orders.Duty
+	gate     *gate.Gate
 }
 
 // Build wires an agent.
@@ -117,8 +118,8 @@
 	return chain
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty, g *gate.Gate) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty, gate: g}
 }
 
 // Meter returns the agent's metrics.
@@ -148,6 +149,7 @@
 	case <-ctx.Done():
 	}
 	a.status.SetLeaving()
+	a.gate.Close()
 	a.server.Wait()
 	return httpServer.Close()
 }
--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -24,8 +24,13 @@
 	callTimeout = 2 * time.Second
 	// soonest is the shortest wait between two steps.
 	soonest = 50 * time.Millisecond
+	// standbyEvery is the interval at which a process looks that is not among
+	// the first to take the lease.
+	standbyEvery = 60 * time.Second
 )
 
+var errEnded = errors.New("lease: the term has ended; remedy: the next holder goes on")
+
 var log = logging.For("entry/lease")
 
 // Keeper holds or waits for one lease.
@@ -39,6 +44,8 @@
 	epochKey tables.Key
 	instance string
 	clock    clock.Clock
+	// first reports whether this process is among the first to take the lease.
+	first func() bool
 
 	mu       sync.Mutex
 	observed lease.Observed
@@ -62,10 +69,16 @@
 		epochKey: tables.Key{Table: tableName, Row: name + epochSuffix},
 		instance: instance,
 		clock:    c,
+		first:    func() bool { return true },
 		sent:     make(map[lease.Row]time.Time),
 	}
 }
 
+// StandBy makes this process look at the lease rarely while first reports
+// false, so that the reads of a lease don't grow with the number of processes.
+// It must be called before Run.
+func (k *Keeper) StandBy(first func() bool) { k.first = first }
+
 // Run takes and renews the lease until ctx ends, and then gives it up.
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -89,6 +102,9 @@
 	if k.held.Valid(now) {
 		return renewEvery
 	}
+	if !k.first() {
+		return standbyEvery
+	}
 	return min(max(k.observed.TakeAt().Sub(now), soonest), renewEvery)
 }
 
@@ -105,6 +121,14 @@
 	return fence.Guard
 }
 
+// MayAct returns an error when the term has ended for this process.
+func (k *Keeper) MayAct() error {
+	if _, held := k.Fence(); !held {
+		return errEnded
+	}
+	return nil
+}
+
 // Fence is a term and the condition that guards its transactions.
 type Fence struct {
 	Term  lease.Term
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -207,6 +207,14 @@
 				_ = w.store.Commit(context.Background(), w.flying[i])
 				w.flying = append(w.flying[:i], w.flying[i+1:]...)
 			},
+			"heal": func(*rapid.T) { w.outage, w.lose, w.late = false, false, false },
+			"steps": func(t *rapid.T) {
+				w.t = t
+				for range 4 {
+					w.pass(1500)
+					w.step()
+				}
+			},
 			"kill":  func(t *rapid.T) { w.start(rapid.IntRange(0, count-1).Draw(t, "process")) },
 			"pause": func(t *rapid.T) { i := rapid.IntRange(0, count-1).Draw(t, "process"); w.paused[i] = !w.paused[i] },
 			"release": func(t *rapid.T) {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -42,6 +42,7 @@
 		UsageFlush:   catalogue.Duration(5 * time.Second),
 		UsageGrace:   catalogue.Duration(15 * time.Second),
 		DrainTime:    catalogue.Duration(2 * time.Minute),
+		Authority:    Authority{DrainNotice: catalogue.Duration(defaultDrainNotice)},
 		Usage:        defaultUsage(),
 		Policy:       DefaultPolicy(),
 	}
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -56,6 +56,7 @@
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
+	Capacity *capacityDuties
 	State    *runState
 	Observe  observeParts
 }
@@ -88,7 +89,9 @@
 		newChain,
 		newModelsChain,
 		newWriter,
-		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
+		newUsageKeeper,
+		newTargets,
+		newCapacityDuties,
 		newSealer,
 	}
 	for _, provider := range providers {
@@ -179,6 +182,7 @@
 
 func (e *Entry) drain(server *http.Server) error {
 	log.Info("The entry drains.")
+	time.Sleep(time.Duration(e.Settings.Authority.DrainNotice))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.Settings.DrainTime))
 	defer cancel()
 	return server.Shutdown(ctx)
@@ -186,7 +190,7 @@
 
 func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run} {
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Capacity.Run} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -273,6 +273,7 @@
 	for i := range max(options.Entries, 1) {
 		settings := s.entrySettings(options)
 		settings.Authority.PeerListen = anyPort
+		settings.Authority.DrainNotice = 0
 		settings.DataCentre = described.DataCentres[i%len(described.DataCentres)]
 		if i > 0 {
 			settings.Listen = anyPort
