--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,11 +32,25 @@
 	// Observe answers operators' questions.
 	Observe wirev1connect.ObserveServiceClient
 
+	// Marks exchanges crash marks with the agent.
+	Marks wirev1connect.CrashMarkServiceClient
+
 	vm        vms.VM
 	candidate route.Candidate
+	process   atomic.Pointer[string]
 	contact   contact
 }
 
+// Process returns the instance of the agent process that answered last, empty
+// before its first answer.
+func (a *Agent) Process() string {
+	process := a.process.Load()
+	if process == nil {
+		return ""
+	}
+	return *process
+}
+
 // View is the entry's view. It is safe for concurrent use.
 type View struct {
 	list   vms.List
@@ -129,10 +144,22 @@
 	client := wirev1connect.NewAgentServiceClient(v.client, "http://"+vm.Address, v.options...)
 	usage := wirev1connect.NewUsageServiceClient(v.client, "http://"+vm.Address, v.options...)
 	observe := wirev1connect.NewObserveServiceClient(v.client, "http://"+vm.Address, v.options...)
-	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Observe: observe, vm: vm}
+	marks := wirev1connect.NewCrashMarkServiceClient(v.client, "http://"+vm.Address, v.options...)
+	v.agents[vm.Instance] = &Agent{Client: client, Usage: usage, Observe: observe, Marks: marks, vm: vm}
 	v.stale = true
 }
 
+// Agents returns the known agents in no particular order.
+func (v *View) Agents() []*Agent {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	agents := make([]*Agent, 0, len(v.agents))
+	for _, agent := range v.agents {
+		agents = append(agents, agent)
+	}
+	return agents
+}
+
 // ask asks an agent for its status. An agent that is stale is asked again at
 // once, since the second call carries the mark of the first and so the proof.
 func (v *View) ask(ctx context.Context, agent *Agent) {
@@ -153,6 +180,7 @@
 		agent.candidate.Ready = false
 		return false
 	}
+	agent.process.Store(&reply.Msg.Instance)
 	agent.contact.answered(reply.Msg, v.member.Clock())
 	if agent.candidate.Endpoint != reply.Msg.Endpoint || agent.candidate.Kind != reply.Msg.Kind {
 		v.stale = true
@@ -186,9 +214,11 @@
 	v.applyLoad(agent, load)
 }
 
-// Failed marks an agent as not ready until it answers again.
+// Failed marks an agent as not ready until it answers again. This entry asks it
+// at each refresh meanwhile.
 func (v *View) Failed(agent *Agent) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	agent.candidate.Ready = false
+	agent.contact.adoptUntil = v.member.Clock().Add(adoptFor)
 }
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -11,6 +11,7 @@
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/configview"
+	"flamingospar.org/entry/dispatch"
 	"flamingospar.org/entry/explain"
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/peering"
@@ -27,9 +28,10 @@
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
-	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
-	return fleet.New(c, netx.HTTP2Client(network), membership, connect.WithInterceptors(usage, explaining))
+func newFleet(s settings.Settings, plan *fleet.Plan, c *httpapi.Client, network netx.Network, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
+	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view, Targets: plan}
+	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(network) })
+	return fleet.New(c, client, membership, connect.WithInterceptors(usage, explaining))
 }
 
 // listenPeers opens the address for other entries, nil when there is none.
--- a/flamingospar/authority/fleet.go
+++ b/flamingospar/authority/fleet.go
@@ -103,7 +103,6 @@
 	settings := entrysettings.Defaults()
 	settings.DataCentre = "a"
 	settings.Listen, settings.OperatorListen, settings.Authority.PeerListen = loopback, loopback, loopback
-	settings.Authority.DrainNotice = 0
 	settings.PlatformURL = "http://" + f.address
 	checked, err := settings.Checked()
 	if err != nil {
