--- a/flamingospar/authority/measure.go
+++ b/flamingospar/authority/measure.go
@@ -53,6 +53,7 @@
 
 // Run measures fleets of growing size and prints one line for each figure.
 func Run(ctx context.Context, options Options, stdout io.Writer) error {
+	compareOutage(stdout)
 	sizes := []size{{2, 12}, {3, 22}, {6, 60}, {options.Entries, options.Agents}}
 	for _, s := range sizes {
 		if err := measureFleet(ctx, s, options.Changes, stdout); err != nil {
