--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -34,7 +34,6 @@
 	watch    *config.Watch
 	leaving  bool // Announced to entries; runs are still admitted.
 	changing bool
-	closed   bool          // This agent drains and exits.
 	active   int           // Runs past the queue.
 	idle     chan struct{} // Closed when active falls to zero while changing.
 }
--- a/entry/configview/guards_test.go
+++ b/entry/configview/guards_test.go
@@ -90,3 +90,30 @@
 		require.Nil(t, slow.view.Current())
 	})
 }
+
+// TestRestartOfMajorityRevivesNothing lets a change be in force at two of three
+// entries and restarts both while the store is down.
+func TestRestartOfMajorityRevivesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := calmWorld(t, 3)
+		w.cut(0, 2)
+		w.cut(1, 2)
+		w.change(0, w.entries[0])
+		w.outage = true
+		w.now = w.now.Add(config.EntryFreshFor)
+		require.Len(t, w.accepted, 2)
+		w.entries[0].restart()
+		w.entries[1].restart()
+		for _, s := range w.entries {
+			clear(s.cutFrom)
+		}
+		for range 5 {
+			w.now = w.now.Add(2 * time.Second)
+			for _, s := range w.entries {
+				s.step()
+				require.Nil(t, s.view.Current())
+			}
+			w.check()
+		}
+	})
+}
