--- a/entry/observe/status.go
+++ b/entry/observe/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"flamingospar.org/core/route"
 	"flamingospar.org/entry/fleet"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
@@ -18,6 +19,7 @@
 	Entries     []EntryStatus      `json:"entries"`
 	DataCentres []DataCentreStatus `json:"data_centres"`
 	Endpoints   []EndpointStatus   `json:"endpoints"`
+	Spending    Spending           `json:"spending"`
 	Teams       []TeamStatus       `json:"teams"`
 	Revisions   []RevisionCount    `json:"revisions"`
 	Counters    []Counter          `json:"counters"` // Refusals, retries and failures, over all entries.
@@ -46,6 +48,7 @@
 	Name        string `json:"name"`
 	Kind        string `json:"kind"`
 	Model       string `json:"model,omitempty"`
+	Role        string `json:"role,omitempty"`
 	Ready       int    `json:"ready"`
 	Endpoints   int    `json:"endpoints"`
 	Outstanding int    `json:"outstanding"` // Sent by this entry.
@@ -58,6 +61,7 @@
 	DataCentre  string `json:"data_centre"`
 	Kind        string `json:"kind"`
 	Model       string `json:"model,omitempty"`
+	Role        string `json:"role,omitempty"`
 	Ready       bool   `json:"ready"`
 	Leaving     bool   `json:"leaving"`
 	Outstanding int    `json:"outstanding"`
@@ -74,6 +78,15 @@
 	Share        float64 `json:"share"`  // Part of all weights.
 }
 
+// Spending compares the endpoints that are paid for with the service they gave.
+type Spending struct {
+	Endpoints int `json:"endpoints"`
+	Idle      int `json:"idle"` // Ready, with nothing outstanding or queued.
+	NotReady  int `json:"not_ready"`
+	// TokensPerEngineMinute is over the windows that entries remember.
+	TokensPerEngineMinute float64 `json:"tokens_per_engine_minute"`
+}
+
 // RevisionCount is how many entries hold a revision.
 type RevisionCount struct {
 	Revision int64 `json:"revision"`
@@ -107,6 +120,7 @@
 	}
 	status.addAgents(s.Fleet.Observed())
 	status.addTeams(replies, s.weights())
+	status.addSpending(replies, s.Identity.Window)
 	status.addCounters(replies)
 	return status
 }
@@ -157,8 +171,16 @@
 	}
 }
 
+// roleOf returns an engine's role; one that was never changed is mixed.
+func roleOf(agent fleet.Observed) string {
+	if agent.Kind == modelKind && agent.Role == "" {
+		return string(route.Mixed)
+	}
+	return string(agent.Role)
+}
+
 func (st *Status) addAgents(agents []fleet.Observed) {
-	type groupKey struct{ dataCentre, kind, model string }
+	type groupKey struct{ dataCentre, kind, model, role string }
 	groups := make(map[groupKey]*DataCentreStatus)
 	for _, agent := range agents {
 		st.Endpoints = append(st.Endpoints, EndpointStatus{
@@ -166,14 +188,15 @@
 			DataCentre:  agent.DataCentre,
 			Kind:        agent.Kind,
 			Model:       agent.Model,
+			Role:        roleOf(agent),
 			Ready:       agent.Ready,
 			Leaving:     agent.Leaving,
 			Outstanding: agent.Outstanding,
 			Queued:      agent.Queued,
 		})
-		key := groupKey{agent.DataCentre, agent.Kind, agent.Model}
+		key := groupKey{agent.DataCentre, agent.Kind, agent.Model, roleOf(agent)}
 		if groups[key] == nil {
-			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model}
+			groups[key] = &DataCentreStatus{Name: agent.DataCentre, Kind: agent.Kind, Model: agent.Model, Role: roleOf(agent)}
 		}
 		group := groups[key]
 		group.Endpoints++
@@ -195,7 +218,7 @@
 	sort.Slice(st.Endpoints, func(i, j int) bool { return st.Endpoints[i].ID < st.Endpoints[j].ID })
 	sort.Slice(st.DataCentres, func(i, j int) bool {
 		a, b := st.DataCentres[i], st.DataCentres[j]
-		return a.Name+a.Kind+a.Model < b.Name+b.Kind+b.Model
+		return a.Name+a.Kind+a.Model+a.Role < b.Name+b.Kind+b.Model+b.Role
 	})
 }
 
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"flamingospar.org/base/logging"
 	"flamingospar.org/base/netx"
 	"flamingospar.org/entry/settings"
 	"flamingospar.org/entry/wiring"
@@ -19,6 +20,7 @@
 	"flamingospar.org/flamingospar/capacity"
 	"flamingospar.org/flamingospar/dev"
 	"flamingospar.org/flamingospar/experiment"
+	"flamingospar.org/flamingospar/settle"
 )
 
 // Exit codes.
@@ -58,6 +60,7 @@
 	parser.AttachSubcommand(devCommand, 1)
 	parser.AttachSubcommand(serveCommand, 1)
 	asked := ask.Attach(parser)
+	settled := settle.Attach(parser)
 	capacityOptions := capacity.DefaultOptions()
 	capacityCommand := attachCapacity(parser, &capacityOptions)
 	authorityOptions := authority.DefaultOptions()
@@ -74,6 +77,8 @@
 		return outcome(stderr, capacity.Run(capacityOptions, stdout))
 	case authorityCommand.Used:
 		return outcome(stderr, authority.Run(ctx, authorityOptions, stdout))
+	case settled.Used():
+		return outcome(stderr, settled.Run(ctx, stdout))
 	case asked.Used():
 		return outcome(stderr, asked.Run(ctx, stdout))
 	case experimentCommand.Used:
@@ -99,6 +104,7 @@
 	if err != nil {
 		return fail(stderr, exitFailed, err)
 	}
+	logging.SetSink(entry.Journal().Log)
 	listeners, err := entry.Listen()
 	if err != nil {
 		return fail(stderr, exitFailed, err)
--- a/flamingospar/usagerun/world_test.go
+++ b/flamingospar/usagerun/world_test.go
@@ -35,7 +35,7 @@
 var errInjected = errors.New("injected fault")
 
 // odds are the chances of a fault at each call of the platform.
-type odds struct{ loseAnswer, loseCall, pause, slowReport float64 }
+type odds struct{ loseAnswer, loseCall, pause, slowReport, die float64 }
 
 // run is one run as it truly happened.
 type run struct {
@@ -61,12 +61,14 @@
 	intruders int
 	reports   *meter.Registry
 	teams     int
+	refuse    string // The team whose reports the platform refuses.
 }
 
 type process struct {
 	world *world
 	id    string
 	cut   bool // Partitioned from the platform.
+	dead  bool // Killed inside a call; replaced after the step.
 	busy  bool // Paused inside a call.
 }
 
@@ -211,6 +213,21 @@
 			a.writer.Step(ctx, time.Now())
 		}
 	}
+	w.bury()
+}
+
+// bury replaces the processes that were killed inside a call.
+func (w *world) bury() {
+	for i, e := range w.entries {
+		if e.dead && !e.busy {
+			w.killEntry(i)
+		}
+	}
+	for i, a := range w.agents {
+		if a.dead && !a.busy {
+			w.killAgent(i)
+		}
+	}
 }
 
 func (e *entry) step(ctx context.Context) {
@@ -232,12 +249,16 @@
 // call passes one call to the platform with the faults in force.
 func (p *process) call(ctx context.Context, effect func() error) error {
 	w := p.world
+	if p.dead {
+		return errInjected
+	}
 	p.maybePause(ctx)
-	if w.chance(w.odds.loseCall) {
+	p.dead = w.chance(w.odds.die)
+	if p.dead && w.chance(0.5) || w.chance(w.odds.loseCall) {
 		return errors.Join(tables.ErrUnavailable, errInjected)
 	}
 	err := effect()
-	if w.chance(w.odds.loseAnswer) {
+	if p.dead || w.chance(w.odds.loseAnswer) {
 		return errors.Join(tables.ErrUnavailable, errInjected)
 	}
 	p.maybePause(ctx)
@@ -328,6 +349,9 @@
 		if time.Since(checked) >= idleClose {
 			return errInjected
 		}
+		if report.Team == r.e.world.refuse {
+			return usagereport.ErrRefused
+		}
 		return r.e.world.platform.Report(ctx, report)
 	})
 }
@@ -336,12 +360,7 @@
 func (w *world) heal() {
 	w.odds = odds{}
 	w.outage = false
-	for _, e := range w.entries {
-		e.cut = false
-	}
-	for _, a := range w.agents {
-		a.cut = false
-	}
+	w.mend()
 	for range 60 {
 		time.Sleep(2 * time.Second)
 		w.step(context.Background())
@@ -423,3 +442,21 @@
 	}
 	require.Equal(t, ended, sealed)
 }
+
+// secondsUntilReported steps each second until every run that has ended by now
+// is sealed and reported.
+func (w *world) secondsUntilReported(t require.TestingT) int {
+	last := usage.WindowAt(time.Now(), window)
+	for seconds := 1; ; seconds++ {
+		require.Less(t, seconds, 3600)
+		time.Sleep(time.Second)
+		w.step(context.Background())
+		progress, _, err := usagestore.ReadProgress(context.Background(), w.platform.Tables)
+		require.NoError(t, err)
+		parts, err := usagestore.SealedAfter(context.Background(), w.platform.Tables, progress.Reported, 1)
+		require.NoError(t, err)
+		if progress.Sealed >= last && len(parts) == 0 {
+			return seconds
+		}
+	}
+}
