--- a/agent/orders/orders.go
+++ b/agent/orders/orders.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	stepEvery   = 100 * time.Millisecond
+	stepEvery   = 250 * time.Millisecond
 	lookTimeout = 1 * time.Second
 	callTimeout = 2 * time.Second
 	raiseEvery  = 2 * time.Second
