Send the order after one look that follows the drain

Cause: while an endpoint was shut, a look was due every 250 ms; an agent whose steps or looks take as long looked for ever and never sent its order. Found when the duty's step was set to the same 250 ms: TestVersionChangeCutsNothing and TestRoleFollowsTheNewestDecision failed. The machine already asks for one look after the drain; the shorter interval now holds for doubts and open orders only.

--- a/core/orders/machine.go
+++ b/core/orders/machine.go
@@ -137,7 +137,7 @@
 
 func (m *Machine) lookDue(now time.Time) bool {
 	interval := LookEvery
-	if !m.Settled() || m.shut {
+	if !m.Settled() {
 		interval = LookOften
 	}
 	return m.lookedAt.IsZero() || now.Sub(m.lookedAt) >= interval
