--- a/agent/pipeline/pipeline.go
+++ b/agent/pipeline/pipeline.go
@@ -89,6 +89,15 @@
 	return &Chain{filters: filters, executor: executor, counter: counter}
 }
 
+// Names returns the filters' names in order.
+func (c *Chain) Names() []string {
+	names := make([]string, 0, len(c.filters))
+	for _, filter := range c.filters {
+		names = append(names, filter.Name())
+	}
+	return names
+}
+
 // SetObserver sets who sees the end of runs, before the first run.
 func (c *Chain) SetObserver(observer Observer) { c.observer = observer }
 
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -2,32 +2,33 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/google/uuid"
-	"github.com/pelletier/go-toml/v2"
 
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/core/catalogue"
+	"flamingospar.org/core/strict"
 )
 
 // Settings configures one agent process.
 type Settings struct {
-	Instance     string `toml:"instance"` // Empty: a new id at each start.
-	DataCentre   string `toml:"data_centre"`
+	Instance     string `toml:"instance"`      // Id of this process; empty: a new one at each start.
+	DataCentre   string `toml:"data_centre"`   // Data centre of this VM.
 	Listen       string `toml:"listen"`        // Address for entries.
 	Endpoint     string `toml:"endpoint"`      // The endpoint's id.
 	EndpointURL  string `toml:"endpoint_url"`  // Base URL of the endpoint.
 	EndpointKind string `toml:"endpoint_kind"` // "model" or the service's name.
-	PlatformURL  string `toml:"platform_url"`
-	Running      int    `toml:"running"` // Runs at once on the endpoint.
-	Waiting      int    `toml:"waiting"` // Runs that may queue.
+	PlatformURL  string `toml:"platform_url"`  // Base URL of the platform.
+	Running      int    `toml:"running"`       // Runs at once on the endpoint.
+	Waiting      int    `toml:"waiting"`       // Runs that may queue.
 	// AnnounceTime is how long a leaving agent still listens, for the entries
 	// to learn that it is leaving.
 	AnnounceTime catalogue.Duration `toml:"announce_time"`
 	Silence      Silence            `toml:"silence"`
 	Usage        Usage              `toml:"usage"`
 	Policy       Policy             `toml:"policy"`
+	TLS          tlsfiles.Files     `toml:"tls"`
 }
 
 // Default sizes of the queue.
@@ -48,13 +49,17 @@
 	return fmt.Sprintf("settings: %s: %s; remedy: %s", p.Key, p.What, p.Remedy)
 }
 
-// Parse reads strict TOML, fills defaults and checks the result.
-func Parse(data []byte) (Settings, error) {
-	settings := Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy()}.withRunDefaults()
-	decoder := toml.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		return Settings{}, err
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{Running: DefaultRunning, Waiting: DefaultWaiting, Policy: DefaultPolicy(), Usage: Usage{}.withDefaults()}.withRunDefaults()
+}
+
+// Parse reads strict TOML over the defaults, then overrides by key, and checks
+// the result. file is the name used in errors.
+func Parse(file string, data []byte, overrides map[string]string) (Settings, error) {
+	settings, found := strict.DecodeSettings(file, data, Defaults(), overrides)
+	if len(found) > 0 {
+		return Settings{}, found
 	}
 	return settings.Checked()
 }
@@ -81,6 +86,9 @@
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
 	}
+	if err := s.TLS.Check(); err != nil {
+		return Settings{}, err
+	}
 	if s.Policy == (Policy{}) {
 		s.Policy = DefaultPolicy()
 	}
--- /dev/null
+++ b/agent/wiring/counters.go
@@ -0,0 +1,18 @@
+package wiring
+
+import (
+	"flamingospar.org/agent/pipeline"
+	"flamingospar.org/base/meter"
+	"flamingospar.org/core/refusal"
+)
+
+// declareCounters shows the counter of each refusal reason and filter before
+// its first time.
+func declareCounters(registry *meter.Registry, chain *pipeline.Chain) {
+	for code := range refusal.Reasons {
+		registry.Declare("refused", string(code))
+	}
+	for _, name := range chain.Names() {
+		registry.Declare("filter", name)
+	}
+}
--- /dev/null
+++ b/agent/wiring/security.go
@@ -0,0 +1,27 @@
+package wiring
+
+import (
+	"net"
+	"net/http"
+
+	"flamingospar.org/agent/settings"
+	"flamingospar.org/base/meter"
+	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
+)
+
+// newTLS reads the certificate files, nil when connections are plain.
+func newTLS(s settings.Settings, registry *meter.Registry) (*tlsfiles.Source, error) {
+	if !s.TLS.IsSet() {
+		return nil, nil
+	}
+	return tlsfiles.Load(s.TLS, registry)
+}
+
+// serveConnections accepts entries, over TLS when certificate files are set.
+func (a *Agent) serveConnections(httpServer *http.Server, listener net.Listener) error {
+	if a.tls == nil {
+		return httpServer.Serve(listener)
+	}
+	return netx.ServeTLS(httpServer, listener, a.tls.Server(tlsfiles.EntryName))
+}
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -24,6 +24,7 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/platform/engine"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
@@ -47,6 +48,7 @@
 	server   *server.Server
 	status   *status.Status
 	meter    *meter.Registry
+	tls      *tlsfiles.Source // Nil: plain connections.
 	marks    *crashmarks.Filter
 	health   *execute.Health
 	usage    usageParts
@@ -78,6 +80,7 @@
 		newExecutor,
 		newStatus,
 		newChain,
+		newTLS,
 		server.New,
 		newAgent,
 	}
@@ -87,8 +90,11 @@
 		}
 	}
 	var agent *Agent
-	err := container.Invoke(func(a *Agent) { agent = a })
-	return agent, err
+	err := container.Invoke(func(a *Agent, chain *pipeline.Chain) {
+		agent = a
+		declareCounters(a.meter, chain)
+	})
+	return agent, dig.RootCause(err)
 }
 
 func newQueue(s settings.Settings) *queue.Queue {
@@ -120,8 +126,8 @@
 	return chain
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, duty *orders.Duty, g *gate.Gate, marks *crashmarks.Filter, health *execute.Health) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, usage: usage, orders: duty, gate: g, marks: marks, health: health}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, source *tlsfiles.Source, duty *orders.Duty, g *gate.Gate, marks *crashmarks.Filter, health *execute.Health) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage, orders: duty, gate: g, marks: marks, health: health}
 }
 
 // Meter returns the agent's metrics.
@@ -147,7 +153,7 @@
 	defer stopUsage()
 	httpServer := netx.Server(mux)
 	failed := make(chan error, 1)
-	go func() { failed <- httpServer.Serve(listener) }()
+	go func() { failed <- a.serveConnections(httpServer, listener) }()
 	stopOrders := a.startOrders()
 	defer stopOrders()
 	log.Info("The agent serves.", "endpoint", a.settings.Endpoint, "listen", listener.Addr().String())
--- a/entry/wiring/observe.go
+++ b/entry/wiring/observe.go
@@ -46,7 +46,7 @@
 		Counts:  e.Observe.Counts,
 		Leases:  []observe.NamedLease{{Name: usageLease, Lease: e.Lease}},
 		Ready:   e.Ready,
-		Peers:   observe.NewPeers(e.Observe.Roster, netx.HTTP2Client(e.Network)).All,
+		Peers:   observe.NewPeers(e.Observe.Roster, netx.HTTP2Client(e.Peers)).All,
 	}
 }
 
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -15,6 +15,7 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/netx"
+	"flamingospar.org/base/tlsfiles"
 	"flamingospar.org/entry/accept"
 	"flamingospar.org/entry/account"
 	"flamingospar.org/entry/admit"
@@ -65,6 +66,9 @@
 	Finisher *claim.Finisher
 	Claims   *claim.Register
 	State    *runState
+	Access   operator.Access
+	Peers    peerNetwork
+	TLS      *tlsfiles.Source // Nil: plain connections between processes.
 	Observe  observeParts
 }
 
@@ -85,6 +89,9 @@
 		func(s settings.Settings) *fleet.Roster { return fleet.NewRoster(s.Authority.Self()) },
 		newConfigView,
 		newFleet,
+		newTLS,
+		newPeerNetwork,
+		newOperators,
 		newCrashMarks,
 		newClaimFinisher,
 		newClaimRegister,
@@ -113,7 +120,11 @@
 	}
 	var entry *Entry
 	err := container.Invoke(func(e Entry) { entry = &e })
-	return entry, err
+	if err != nil {
+		return nil, dig.RootCause(err)
+	}
+	entry.declareCounters()
+	return entry, nil
 }
 
 func newPlatform(s settings.Settings, network netx.Network) *httpapi.Client {
@@ -169,7 +180,7 @@
 	dutyContext, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
 	duties := e.startDuties(dutyContext)
-	api := operator.New(e.Config, e.Meter, e.Settings.OperatorToken, e.Ready)
+	api := operator.New(e.Config, e.Meter, e.Access, e.Ready)
 	e.mountObserve(api)
 	api.WithRequests(e.Claims, e.Crashes)
 	callersServer := netx.Server(stall.Handler(e.announceLeaving(callers.Handler(e.Chain, e.Models))))
@@ -180,7 +191,7 @@
 	go func() { failed <- callersServer.Serve(listeners.Callers) }()
 	go func() { failed <- operatorServer.Serve(listeners.Operators) }()
 	if listeners.Peers != nil {
-		go func() { failed <- peerServer.Serve(listeners.Peers) }()
+		go func() { failed <- e.servePeers(peerServer, listeners.Peers) }()
 	}
 	log.Info("The entry serves.", "listen", listeners.Callers.Addr().String())
 	select {
--- a/flamingospar/settle/settle.go
+++ b/flamingospar/settle/settle.go
@@ -3,13 +3,12 @@
 package settle
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"text/tabwriter"
 	"time"
 
@@ -18,18 +17,19 @@
 	"flamingospar.org/core/claim"
 	"flamingospar.org/core/crash"
 	"flamingospar.org/entry/operator"
+	"flamingospar.org/flamingospar/ask"
+	"flamingospar.org/flamingospar/client"
 )
 
 const (
 	defaultOperator = "http://127.0.0.1:8081"
 	callTimeout     = 15 * time.Second
-	maxAnswerBytes  = 16 << 20
 )
 
 // Commands are the subcommands and their flags.
 type Commands struct {
+	http        *http.Client
 	url         string
-	token       string
 	settlement  operator.SettleRequest
 	fingerprint string
 
@@ -39,9 +39,9 @@
 	clear  *flaggy.Subcommand
 }
 
-// Attach adds the subcommands to a parser.
-func Attach(parser *flaggy.Parser) *Commands {
-	c := &Commands{url: defaultOperator}
+// Attach adds the subcommands to a parser. They call entries through client.
+func Attach(parser *flaggy.Parser, client *http.Client) *Commands {
+	c := &Commands{http: client, url: defaultOperator}
 	request := flaggy.NewSubcommand("request")
 	request.Description = "Requests whose outcome is unknown."
 	c.list = c.command(request, "list", "List the requests that may have run and are not repeated.")
@@ -64,8 +64,7 @@
 func (c *Commands) command(parent *flaggy.Subcommand, name, description string) *flaggy.Subcommand {
 	command := flaggy.NewSubcommand(name)
 	command.Description = description
-	command.String(&c.url, "", "operator", "operators' URL of any entry")
-	command.String(&c.token, "", "token", "operator token")
+	command.String(&c.url, "", "operator", "operators' URL of any entry; the credential comes from "+ask.CredentialVariable)
 	parent.AttachSubcommand(command, 1)
 	return command
 }
@@ -120,34 +119,6 @@
 func (c *Commands) call(ctx context.Context, method, path string, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var sent bytes.Buffer
-	if body != nil {
-		if err := json.NewEncoder(&sent).Encode(body); err != nil {
-			return err
-		}
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.url+path, &sent)
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Content-Type", "application/json")
-	if c.token != "" {
-		request.Header.Set("Authorization", "Bearer "+c.token)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return fmt.Errorf("the entry at %s could not be asked: %w; remedy: name another entry by --operator", c.url, err)
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return err
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("the entry at %s answered %d: %s", c.url, response.StatusCode, bytes.TrimSpace(answer))
-	}
-	if into == nil {
-		return nil
-	}
-	return json.Unmarshal(answer, into)
+	entry := client.New(c.url, os.Getenv(ask.CredentialVariable), c.http)
+	return entry.Call(ctx, method, path, body, into)
 }
--- a/flamingospar/usagerun/usagerun_test.go
+++ b/flamingospar/usagerun/usagerun_test.go
@@ -75,7 +75,11 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(uint64(seed), 3, 4, odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.08, die: 0.003})
+				chances := odds{loseAnswer: 0.05, loseCall: 0.02, pause: 0.02, slowReport: 0.08, die: 0.003}
+				if seed%2 == 0 {
+					chances.slowReport = 0.5
+				}
+				w := newWorld(uint64(seed), 3, 4, chances)
 				for range steps {
 					w.randomStep()
 				}
@@ -176,6 +180,28 @@
 	})
 }
 
+// TestOtherWindowLengthSealsNothing gives the holder another length for a time.
+func TestOtherWindowLengthSealsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4, 1, 2, odds{})
+		serve := func() {
+			for range 12 {
+				w.serveSome(3)
+				time.Sleep(5 * time.Second)
+				w.step(context.Background())
+			}
+		}
+		serve()
+		sealed := w.reports.Counter("usage", "windows_sealed")
+		require.Positive(t, sealed)
+		w.entries[0].sealer = w.entries[0].newSealer(2 * window)
+		serve()
+		require.Equal(t, sealed, w.reports.Counter("usage", "windows_sealed"))
+		w.entries[0].sealer = w.entries[0].newSealer(window)
+		requireExact(t, w)
+	})
+}
+
 // TestStateMachine lets rapid choose and shrink the order of faults.
 func TestStateMachine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
