--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -13,6 +13,7 @@
 	"flamingospar.org/agent/orders"
 	"flamingospar.org/agent/pipeline"
 	"flamingospar.org/agent/status"
+	core "flamingospar.org/core/orders"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/core/turns"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -57,6 +58,7 @@
 func (s *Server) Status(_ context.Context, request *connect.Request[wirev1.StatusRequest]) (*connect.Response[wirev1.StatusReply], error) {
 	s.gate.Hear(request.Msg.News)
 	s.hearVersions(request.Msg.News)
+	s.hearTarget(request.Msg.Target)
 	reply := s.status.Reply()
 	reply.Instance = s.gate.Instance()
 	reply.Revision = s.gate.Revision()
@@ -78,6 +80,19 @@
 	s.orders.Versions(news.Revision, versions, turns.HoldOff(int(news.Turn), int(news.Pool)))
 }
 
+func (s *Server) hearTarget(target *wirev1.EndpointTarget) {
+	if target == nil {
+		return
+	}
+	s.orders.Aim(core.Target{
+		Epoch:    target.Epoch,
+		Sequence: target.Sequence,
+		Role:     target.Role,
+		Model:    target.Model,
+		Adapters: target.Adapters,
+	})
+}
+
 type runStream = connect.BidiStream[wirev1.RunCall, wirev1.RunEvent]
 
 // Run implements the service.
--- a/agent/wiring/wiring.go
+++ b/agent/wiring/wiring.go
@@ -53,6 +53,7 @@
 	health   *execute.Health
 	usage    usageParts
 	orders   *orders.Duty
+	gate     *gate.Gate
 }
 
 // Build wires an agent.
@@ -125,8 +126,8 @@
 	return chain
 }
 
-func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, source *tlsfiles.Source, duty *orders.Duty, marks *crashmarks.Filter, health *execute.Health) *Agent {
-	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage, orders: duty, marks: marks, health: health}
+func newAgent(s settings.Settings, network netx.Network, srv *server.Server, st *status.Status, registry *meter.Registry, usage usageParts, source *tlsfiles.Source, duty *orders.Duty, g *gate.Gate, marks *crashmarks.Filter, health *execute.Health) *Agent {
+	return &Agent{settings: s, network: network, server: srv, status: st, meter: registry, tls: source, usage: usage, orders: duty, gate: g, marks: marks, health: health}
 }
 
 // Meter returns the agent's metrics.
--- a/entry/fleet/membership.go
+++ b/entry/fleet/membership.go
@@ -6,6 +6,7 @@
 	"flamingospar.org/base/clock"
 	"flamingospar.org/core/config"
 	"flamingospar.org/core/member"
+	"flamingospar.org/core/orders"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/entry/configview"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -13,8 +14,12 @@
 
 const (
 	turnsKey = "turns"
-	// pollers is how many entries ask each agent at every refresh.
+	// pollers is how many entries ask each agent in turn.
 	pollers = 3
+	// smallFleet is how many agents are asked at every refresh; with more of
+	// them each is asked once in pollMany.
+	smallFleet = 64
+	pollMany   = 4 * time.Second
 	// introduceEvery is how often an entry asks the other agents.
 	introduceEvery = 60 * time.Second
 	// adoptFor is how long an entry asks an agent that it found stale.
@@ -33,9 +38,17 @@
 	Instance string
 	Roster   *Roster
 	Config   Config
+	Targets  Targets
 	Clock    clock.Clock
 }
 
+// Targets tells what an endpoint should have loaded, false when nobody has
+// decided. A decision of a lease's holder carries the lease's epoch, so that
+// agents take none of an ended term after one of the next.
+type Targets interface {
+	Target(endpoint string) (orders.Target, bool)
+}
+
 func (m Membership) checked() Membership {
 	if m.Clock == nil {
 		m.Clock = clock.Now
@@ -49,6 +62,7 @@
 // contact is what direct contact with an agent has shown.
 type contact struct {
 	instance   string // Of the agent's process.
+	endpoint   string
 	revision   config.Revision
 	mark       int64
 	markedAt   time.Time
@@ -60,6 +74,23 @@
 	pool       int // Agents of its pool.
 }
 
+func (v *View) targetOf(endpoint string) *wirev1.EndpointTarget {
+	if v.member.Targets == nil || endpoint == "" {
+		return nil
+	}
+	target, decided := v.member.Targets.Target(endpoint)
+	if !decided {
+		return nil
+	}
+	return &wirev1.EndpointTarget{
+		Epoch:    target.Epoch,
+		Sequence: target.Sequence,
+		Role:     target.Role,
+		Model:    target.Model,
+		Adapters: target.Adapters,
+	}
+}
+
 // rank tells each agent its turn in its pool, the agents of one model. It is
 // called with mu held, after the list has changed.
 func (v *View) rank() {
@@ -80,6 +111,7 @@
 // another process: nothing that the former one said holds for it.
 func (c *contact) answered(reply *wirev1.StatusReply, now time.Time) {
 	c.instance = reply.Instance
+	c.endpoint = reply.Endpoint
 	c.revision = config.Revision(reply.Revision)
 	c.mark = reply.Mark
 	c.markedAt = now
@@ -93,6 +125,7 @@
 	known := agent.contact
 	v.mu.Unlock()
 	request := &wirev1.StatusRequest{EntryInstance: v.member.Instance, AgentRevision: int64(known.revision)}
+	request.Target = v.targetOf(known.endpoint)
 	if v.member.Config == nil {
 		return request
 	}
@@ -140,9 +173,14 @@
 
 func (v *View) isDue(instance string, agent *Agent, entries []string, now time.Time) bool {
 	known := agent.contact
-	return known.instance == "" ||
-		now.Before(known.adoptUntil) ||
-		now.Sub(known.asked) >= introduceEvery ||
+	since := now.Sub(known.asked)
+	if known.instance == "" || since >= introduceEvery {
+		return true
+	}
+	if len(v.agents) > smallFleet && since < pollMany-refreshInterval/2 {
+		return false
+	}
+	return now.Before(known.adoptUntil) ||
 		len(entries) <= pollers ||
 		member.Chosen(instance, v.member.Roster.Self(), entries, pollers)
 }
--- a/entry/settings/authority.go
+++ b/entry/settings/authority.go
@@ -6,6 +6,9 @@
 	PeerListen string `toml:"peer_listen"`
 	// PeerAddress is this entry's address in the list of VMs; empty: PeerListen.
 	PeerAddress string `toml:"peer_address"`
+	// CapacityDataCentres are those for which this entry may order endpoints;
+	// empty: its own.
+	CapacityDataCentres []string `toml:"capacity_data_centres"`
 }
 
 // Self returns this entry's address in the list of VMs.
--- a/entry/wiring/authority.go
+++ b/entry/wiring/authority.go
@@ -28,8 +28,8 @@
 	})
 }
 
-func newFleet(s settings.Settings, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
-	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view}
+func newFleet(s settings.Settings, plan *fleet.Plan, c *httpapi.Client, peers peerNetwork, roster *fleet.Roster, view *configview.View, usage *account.Interceptor, explaining *explain.Interceptor) *fleet.View {
+	membership := fleet.Membership{Instance: s.Instance, Roster: roster, Config: view, Targets: plan}
 	client := dispatch.Client(func() *http.Transport { return netx.HTTP2Transport(peers) })
 	return fleet.New(c, client, membership, connect.WithInterceptors(usage, explaining))
 }
--- a/entry/wiring/wiring.go
+++ b/entry/wiring/wiring.go
@@ -56,11 +56,13 @@
 	Config   *configview.View
 	Fleet    *fleet.View
 	Roster   *fleet.Roster
+	Plan     *fleet.Plan
 	Chain    *pipeline.Chain
 	Models   *modelsChain
 	Writer   *account.Writer
 	Lease    *leasekeeper.Keeper
 	Sealer   *sealing.Sealer
+	Capacity *capacityDuties
 	Crashes  *crashmarks.Filter
 	Finisher *claim.Finisher
 	Claims   *claim.Register
@@ -108,7 +110,10 @@
 		newChain,
 		newModelsChain,
 		newWriter,
-		func(c *httpapi.Client) *leasekeeper.Keeper { return leasekeeper.New(c, usageLease, s.Instance) },
+		newUsageKeeper,
+		newTargets,
+		fleet.NewPlan,
+		newCapacityDuties,
 		newSealer,
 	}
 	for _, provider := range providers {
@@ -227,7 +232,7 @@
 
 func (e *Entry) startDuties(ctx context.Context) *sync.WaitGroup {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Crashes.Run, e.Finisher.Run, e.Claims.Run} {
+	for _, duty := range []func(context.Context){e.Config.Run, e.Fleet.Run, e.Writer.Run, e.Lease.Run, e.Sealer.Run, e.Capacity.Run, e.Crashes.Run, e.Finisher.Run, e.Claims.Run} {
 		duties.Add(1)
 		go func() {
 			defer duties.Done()
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -79,6 +79,7 @@
 	a.addLoad()
 	a.addExperiment()
 	a.addCapacity()
+	a.addAuthority()
 	a.addVersion()
 	return a
 }
