Order endpoints by the demand that the entries see

Cause: the duty that orders endpoints had no targets, so nothing was ever ordered, while each entry's book of spending already held them. Ruled out before following the book as it was: it counted endpoints that answer, so a holder cut off from its agents would have ordered the fleet down to those; it shrank from its first interval on; an order under way was taken back in a lull.

Change: targets come from the book; endpoints count by the list of VMs; nothing is ordered while a listed agent never answered; a shrink wants the demand followed for as long as its peak looks back; what is ordered counts as there; each model keeps one endpoint in each data centre that has it.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -47,6 +47,7 @@
 	Peak        float64 // Highest demand over ShrinkAfter.
 	RefusedWork float64 // Part of Demand refused for want of capacity.
 	DemandAge   time.Duration
+	Observed    time.Duration // How long the demand was followed; it bounds what Peak says.
 }
 
 // Reason says why a target is as it is.
@@ -91,7 +92,7 @@
 	case need > current:
 		plan.Wanted = need
 		plan.Reason = ReasonGrow
-	case floor < current:
+	case floor < current && s.Observed >= settings.ShrinkAfter:
 		plan.Wanted = max(floor, current-settings.MaxShrink)
 		plan.Reason = ReasonShrink
 	}
--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -29,6 +29,7 @@
 			Trend:     rapid.Float64Range(-0.1, 0.1).Draw(t, "trend"),
 			Peak:      rapid.Float64Range(0, 40).Draw(t, "peak"),
 			DemandAge: time.Duration(rapid.IntRange(0, 90).Draw(t, "age")) * time.Second,
+			Observed:  time.Duration(rapid.IntRange(0, 10).Draw(t, "observed")) * time.Minute,
 		}
 		for _, name := range []string{"a", "b", "c"} {
 			least := rapid.IntRange(0, 3).Draw(t, "min")
@@ -47,6 +48,9 @@
 			require.GreaterOrEqual(t, plan.Targets[centre.Name], centre.Min)
 			require.LessOrEqual(t, plan.Targets[centre.Name], centre.Max)
 		}
+		if s.Observed < settings.ShrinkAfter {
+			require.GreaterOrEqual(t, plan.Wanted, current, "shrunk before the demand was known to be low")
+		}
 		if plan.Reason == ReasonShrink {
 			require.GreaterOrEqual(t, float64(plan.Wanted)*settings.Utilisation, s.Demand-1e-6)
 		}
--- a/core/capacity/history.go
+++ b/core/capacity/history.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// Describe sets the demand, its peak and its trend in a snapshot.
+// Describe sets the demand, its peak, its trend and how long it was followed in a
+// snapshot.
 func (h *History) Describe(s *Snapshot) {
 	if len(h.samples) == 0 {
 		return
@@ -41,6 +42,7 @@
 	past := lastOf(h.samples, trendSamples)
 	s.Demand = mean(recent)
 	s.Peak = slices.Max(h.samples)
+	s.Observed = time.Duration(len(h.samples)) * h.every
 	if apart := len(past) - recentSamples; apart > 0 {
 		s.Trend = (mean(recent) - mean(past[:recentSamples])) / (h.every.Seconds() * float64(apart))
 	}
--- a/entry/fleet/load.go
+++ b/entry/fleet/load.go
@@ -50,19 +50,26 @@
 	return agent, func() { v.end(agent) }, true
 }
 
-// Ready returns how many endpoints of a kind and model each data centre has in
-// service.
-func (v *View) Ready(kind, model string) map[string]int {
+// Listed returns how many endpoints of a kind and model each data centre has,
+// by the list of VMs and not counting those that leave. An endpoint that cannot
+// be reached from here counts: it may serve others. The answer is nil while a
+// listed agent has never said which endpoint it has.
+func (v *View) Listed(kind, model string) map[string]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.refreshPools()
-	ready := make(map[string]int)
-	for _, agent := range v.pools[poolKey{kind, model}] {
-		if agent.candidate.Ready {
-			ready[agent.candidate.DataCentre]++
+	listed := make(map[string]int)
+	for _, agent := range v.agents {
+		if agent.vm.Leaving {
+			continue
+		}
+		if agent.candidate.Endpoint == "" {
+			return nil
+		}
+		if agent.candidate.Kind == kind && agent.candidate.Model == model {
+			listed[agent.candidate.DataCentre]++
 		}
 	}
-	return ready
+	return listed
 }
 
 // Entries returns the number of listed entries, this one included.
--- a/entry/spending/spending.go
+++ b/entry/spending/spending.go
@@ -1,6 +1,6 @@
 // Package spending tells operators what the endpoints of each model are worth:
-// how many the demand asks for and what one more or one less would change. It
-// orders nothing.
+// how many the demand asks for and what one more or one less would change. The
+// duty that orders endpoints follows its targets.
 package spending
 
 import (
@@ -20,9 +20,12 @@
 // milli is the unit of the gauges of work: thousandths of an endpoint.
 const milli = 1000
 
-// Fleet tells which endpoints are in service.
+// minPerDataCentre keeps each model in each data centre that has it.
+const minPerDataCentre = 1
+
+// Fleet tells which endpoints there are. Listed is nil while that is not known.
 type Fleet interface {
-	Ready(kind, model string) map[string]int
+	Listed(kind, model string) map[string]int
 	Entries() int
 }
 
@@ -108,7 +111,7 @@
 }
 
 // Targets returns how many endpoints of each model a data centre should have,
-// as last decided. Data centres without an endpoint in service are left out.
+// as last decided. Data centres without a listed endpoint are left out.
 func (b *Book) Targets(dataCentre string) map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,9 +132,13 @@
 	snapshot := capacity.Snapshot{RefusedWork: m.refused * scale}
 	m.offered, m.refused = 0, 0
 	m.history.Describe(&snapshot)
-	ready := b.fleet.Ready(match.ModelKind, name)
-	for dataCentre, endpoints := range ready {
-		snapshot.DataCentres = append(snapshot.DataCentres, capacity.DataCentre{Name: dataCentre, Ready: endpoints})
+	for dataCentre, endpoints := range b.fleet.Listed(match.ModelKind, name) {
+		snapshot.DataCentres = append(snapshot.DataCentres, capacity.DataCentre{
+			Name:    dataCentre,
+			Ready:   endpoints,
+			Ordered: max(0, m.targets[dataCentre]-endpoints),
+			Min:     minPerDataCentre,
+		})
 	}
 	slices.SortFunc(snapshot.DataCentres, byName)
 	return snapshot
--- a/entry/spending/spending_test.go
+++ b/entry/spending/spending_test.go
@@ -9,8 +9,8 @@
 
 type fakeFleet struct{ entries int }
 
-func (f fakeFleet) Ready(string, string) map[string]int { return map[string]int{"a": 2, "b": 1} }
-func (f fakeFleet) Entries() int                        { return f.entries }
+func (f fakeFleet) Listed(string, string) map[string]int { return map[string]int{"a": 2, "b": 1} }
+func (f fakeFleet) Entries() int                         { return f.entries }
 
 type fakeGauges map[string]int64
 
--- a/entry/wiring/capacity.go
+++ b/entry/wiring/capacity.go
@@ -10,6 +10,7 @@
 	"flamingospar.org/entry/fleet"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/entry/settings"
+	"flamingospar.org/entry/spending"
 	"flamingospar.org/platform/httpapi"
 )
 
@@ -23,13 +24,19 @@
 	duties  []*capacityorders.Duty
 }
 
-// noTargets leaves the fleet as it is.
-type noTargets struct{}
+// bookTargets orders what the demand for each model asks for.
+type bookTargets struct{ book *spending.Book }
 
-// Targets implements capacityorders.Targets.
-func (noTargets) Targets(string) []capacityorders.Target { return nil }
+// Targets implements capacityorders.Targets. The kind of an order is the model.
+func (b bookTargets) Targets(dataCentre string) []capacityorders.Target {
+	var targets []capacityorders.Target
+	for model, count := range b.book.Targets(dataCentre) {
+		targets = append(targets, capacityorders.Target{Kind: model, Count: count})
+	}
+	return targets
+}
 
-func newTargets() capacityorders.Targets { return noTargets{} }
+func newTargets(book *spending.Book) capacityorders.Targets { return bookTargets{book: book} }
 
 func newCapacityDuties(s settings.Settings, network netx.Network, c *httpapi.Client, roster *fleet.Roster, targets capacityorders.Targets) *capacityDuties {
 	dataCentres := s.Authority.CapacityDataCentres
--- a/flamingospar/dev/dev.go
+++ b/flamingospar/dev/dev.go
@@ -294,6 +294,7 @@
 		settings := s.entrySettings(options)
 		settings.Authority.PeerListen = anyPort
 		settings.DataCentre = described.DataCentres[i%len(described.DataCentres)]
+		settings.Authority.CapacityDataCentres = described.DataCentres
 		if i > 0 {
 			settings.Listen = anyPort
 			settings.OperatorListen = anyPort
