Capacity page: the polling that runs today; capacity leases without candidates

Change: the figures follow the intervals in use; all entries that keep a capacity lease look at it each 3 s; the page's text says what was measured.

--- a/entry/wiring/capacity.go
+++ b/entry/wiring/capacity.go
@@ -38,7 +38,7 @@
 
 func newTargets(book *spending.Book) capacityorders.Targets { return bookTargets{book: book} }
 
-func newCapacityDuties(s settings.Settings, network netx.Network, c *httpapi.Client, roster *fleet.Roster, targets capacityorders.Targets) *capacityDuties {
+func newCapacityDuties(s settings.Settings, network netx.Network, c *httpapi.Client, targets capacityorders.Targets) *capacityDuties {
 	dataCentres := s.Authority.CapacityDataCentres
 	if len(dataCentres) == 0 {
 		dataCentres = []string{s.DataCentre}
@@ -47,7 +47,6 @@
 	for _, dataCentre := range dataCentres {
 		name := capacityorders.LeaseName(dataCentre)
 		keeper := leasekeeper.New(c, name, s.Instance)
-		keeper.StandBy(func() bool { return isCandidate(roster, name) })
 		allow := func() error { return keeper.MayAct() }
 		orders := httpapi.New(s.PlatformURL, netx.HTTP1Client(netx.Guarded(network, allow)))
 		all.keepers = append(all.keepers, keeper)
@@ -62,7 +61,9 @@
 	return keeper
 }
 
-// isCandidate reports whether this entry is among the first for a lease.
+// isCandidate reports whether this entry is among the first for a lease that
+// every entry may take. A lease of some entries only has no candidates: the
+// first of all entries may be none of those.
 func isCandidate(roster *fleet.Roster, lease string) bool {
 	return member.Chosen(lease, roster.Self(), roster.Others(), leaseCandidates)
 }
--- a/flamingospar/capacity/figures.go
+++ b/flamingospar/capacity/figures.go
@@ -15,12 +15,15 @@
 	requestsAnEntry     = float64(targetRequests) / targetEntries
 	requestsAnAgent     = float64(targetRequests) / targetAgents
 	pollersOfAgent      = 3
+	pollSeconds         = 4
 	introduceSeconds    = 60
 	configPollSeconds   = 2
 	leaseRenewSeconds   = 3
+	leaseCandidates     = 3
+	leaseStandbySeconds = 60
 	crashReadSeconds    = 10
 	claimSweepSeconds   = 5
-	vmListSeconds       = 1
+	vmListSeconds       = 30
 	flushSeconds        = 5
 	windowSeconds       = 60
 	holdSeconds         = 45
@@ -71,7 +74,7 @@
 
 // statusCalls is how many status calls an entry makes each second.
 func statusCalls() float64 {
-	return float64(targetAgents)*pollersOfAgent/targetEntries + float64(targetAgents)/introduceSeconds
+	return float64(targetAgents)*pollersOfAgent/targetEntries/pollSeconds + float64(targetAgents)/introduceSeconds
 }
 
 func entryFigures(s Slopes) []Figure {
@@ -86,7 +89,7 @@
 	}
 	messages := []Figure{
 		{"entry", "messages", fmt.Sprintf("%.0f status calls a second", statusCalls()), kilobytes(statusCalls() * s["status_call"]), 0, unitKB},
-		{"entry", "messages", "reads of the VM list, once a second", kilobytes((targetAgents + targetEntries) * s["vm_list_row"] / vmListSeconds), 0, unitKB},
+		{"entry", "messages", "reads of the VM list, each 30 s", kilobytes((targetAgents + targetEntries) * s["vm_list_row"] / vmListSeconds), 0, unitKB},
 		{"entry", "messages", "looks at the configuration's head and changes", kilobytes(s["config_poll"]/configPollSeconds + changes*s["config_key_change"]*jsonValueExpansion), 0, unitKB},
 		{"entry", "messages", "looks at a lease", kilobytes(s["lease_step"] / 2 / leaseRenewSeconds), 0, unitKB},
 		{"entry", "messages", "usage batches", kilobytes(requestsAnEntry * s["usage_record_row"] * jsonValueExpansion), 0, unitKB},
@@ -125,14 +128,15 @@
 		{"table service", "writes", "batches of all entries", targetEntries / flushSeconds, 0, unitOps},
 		{"table service", "writes", "deletions of sealed batches, 200 in a transaction", targetEntries / flushSeconds / 200.0, 0, unitOps},
 		{"table service", "reads", "head of the configuration, all entries", targetEntries / float64(configPollSeconds), 0, unitOps},
-		{"table service", "reads", "a lease, all entries", targetEntries / float64(leaseRenewSeconds), 0, unitOps},
+		{"table service", "reads", "the usage lease, all entries", leaseCandidates/float64(leaseRenewSeconds) + (targetEntries-leaseCandidates)/float64(leaseStandbySeconds), 0, unitOps},
+		{"table service", "reads", "a capacity lease, all entries", targetEntries / float64(leaseRenewSeconds), 0, unitOps},
 		{"table service", "reads", "crash marks, all entries", targetEntries / float64(crashReadSeconds), 0, unitOps},
 		{"table service", "reads", "claims left open, all entries", targetEntries / float64(claimSweepSeconds), 0, unitOps},
 	}
 }
 
 func agentFigures(s Slopes) []Figure {
-	calls := float64(pollersOfAgent) + float64(targetEntries)/introduceSeconds
+	calls := float64(pollersOfAgent)/pollSeconds + float64(targetEntries)/introduceSeconds
 	memory := []Figure{
 		{"agent", "state", "the process itself", megabytes(s["agent_base_heap"]), 0, unitMB},
 		{"agent", "state", "journal", megabytes(agentJournalEvents * s["journal_event_heap"]), 0, unitMB},
