Cost of joining an engine in mid-step, so that light load spreads

A run held cost 5 ms and another data centre 10 ms, so two runs shared a near engine, the second waiting for the step under way, while engines 1 ms away were idle. Ruled out: prefix affinity, since the prompt's saving is below a millisecond.

Change: an engine that runs anything costs 10 ms more.

--- a/core/route/scorers.go
+++ b/core/route/scorers.go
@@ -18,6 +18,7 @@
 	loadedCost = 0.320 // Of an endpoint whose slots are all taken.
 	fullCost   = 1.0   // Beside it, when more is queued.
 	usualSlots = 64    // Of an endpoint that does not tell.
+	joinCost   = 0.010 // Of an endpoint that runs something: its step must end first.
 	jitterCost = 0.004 // Largest random cost; keeps entries from acting alike.
 )
 
@@ -64,6 +65,9 @@
 		slots = usualSlots
 	}
 	cost := loadedCost * float64(held) / float64(slots)
+	if held > 0 {
+		cost += joinCost
+	}
 	if !c.hasSlot() {
 		cost += fullCost
 	}
