--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -2,8 +2,6 @@
 package settings
 
 import (
-	"fmt"
-
 	"github.com/google/uuid"
 
 	"flamingospar.org/base/tlsfiles"
@@ -38,16 +36,7 @@
 )
 
 // Problem is a fault in the settings.
-type Problem struct {
-	Key    string
-	What   string
-	Remedy string
-}
-
-// Error implements error.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("settings: %s: %s; remedy: %s", p.Key, p.What, p.Remedy)
-}
+type Problem = strict.SettingProblem
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
@@ -71,17 +60,15 @@
 	}
 	s = s.withRunDefaults()
 	s.Usage = s.Usage.withDefaults()
-	required := []struct{ key, value string }{
-		{"data_centre", s.DataCentre},
-		{"listen", s.Listen},
-		{"endpoint", s.Endpoint},
-		{"endpoint_url", s.EndpointURL},
-		{"endpoint_kind", s.EndpointKind},
-	}
-	for _, field := range required {
-		if field.value == "" {
-			return Settings{}, &Problem{Key: field.key, What: "is empty", Remedy: "set it in the settings file"}
-		}
+	err := strict.FirstEmpty(
+		strict.Required{Key: "data_centre", Value: s.DataCentre},
+		strict.Required{Key: "listen", Value: s.Listen},
+		strict.Required{Key: "endpoint", Value: s.Endpoint},
+		strict.Required{Key: "endpoint_url", Value: s.EndpointURL},
+		strict.Required{Key: "endpoint_kind", Value: s.EndpointKind},
+	)
+	if err != nil {
+		return Settings{}, err
 	}
 	if s.Running <= 0 {
 		return Settings{}, &Problem{Key: "running", What: "is not positive", Remedy: "set how many runs the endpoint takes at once"}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -2,7 +2,6 @@
 package settings
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -63,16 +62,7 @@
 }
 
 // Problem is a fault in the settings.
-type Problem struct {
-	Key    string
-	What   string
-	Remedy string
-}
-
-// Error implements error.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("settings: %s: %s; remedy: %s", p.Key, p.What, p.Remedy)
-}
+type Problem = strict.SettingProblem
 
 // Parse reads strict TOML over the defaults, then overrides by key, and checks
 // the result. file is the name used in errors.
@@ -89,16 +79,14 @@
 	if s.Instance == "" {
 		s.Instance = uuid.NewString()
 	}
-	required := []struct{ key, value string }{
-		{"data_centre", s.DataCentre},
-		{"listen", s.Listen},
-		{"operator_listen", s.OperatorListen},
-		{"platform_url", s.PlatformURL},
-	}
-	for _, field := range required {
-		if field.value == "" {
-			return Settings{}, &Problem{Key: field.key, What: "is empty", Remedy: "set it in the settings file"}
-		}
+	err := strict.FirstEmpty(
+		strict.Required{Key: "data_centre", Value: s.DataCentre},
+		strict.Required{Key: "listen", Value: s.Listen},
+		strict.Required{Key: "operator_listen", Value: s.OperatorListen},
+		strict.Required{Key: "platform_url", Value: s.PlatformURL},
+	)
+	if err != nil {
+		return Settings{}, err
 	}
 	spans := []struct {
 		key  string
