Ask entries through the one client of the operators' interface

Cause: ask and client each built requests to the operators' interface; ask's copy passed a refusal on as raw JSON, without the remedy in words.

Change: ask uses client.

--- a/flamingospar/ask/ask.go
+++ b/flamingospar/ask/ask.go
@@ -13,13 +13,14 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"flamingospar.org/flamingospar/client"
 )
 
 const (
 	defaultOperator = "http://127.0.0.1:8081"
 	callTimeout     = 15 * time.Second
 	watchEvery      = 2 * time.Second
-	maxAnswerBytes  = 64 << 20
 )
 
 // Commands are the subcommands and their flags.
@@ -49,9 +50,9 @@
 	outputJSON = "json"
 )
 
-// Attach adds the subcommands to a parser. They call entries through client.
-func Attach(parser *flaggy.Parser, client *http.Client) *Commands {
-	c := &Commands{http: client, operator: defaultOperator, output: outputText, limit: 100}
+// Attach adds the subcommands to a parser. They call entries through httpClient.
+func Attach(parser *flaggy.Parser, httpClient *http.Client) *Commands {
+	c := &Commands{http: httpClient, operator: defaultOperator, output: outputText, limit: 100}
 	c.status = c.command("status", "Show the fleet, leases, teams and what is wrong.")
 	c.status.Bool(&c.watch, "w", "watch", "show it again every two seconds")
 	parser.AttachSubcommand(c.status, 1)
@@ -120,26 +121,8 @@
 func (c *Commands) get(ctx context.Context, path string, query url.Values, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.operator+path+"?"+query.Encode(), nil)
-	if err != nil {
-		return err
-	}
-	if credential := os.Getenv(CredentialVariable); credential != "" {
-		request.Header.Set("Authorization", "Bearer "+credential)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return fmt.Errorf("the entry at %s could not be asked: %w; remedy: name another entry by --operator", c.operator, err)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answered %d: %s", path, response.StatusCode, body)
-	}
-	return json.Unmarshal(body, into)
+	entry := client.New(c.operator, os.Getenv(CredentialVariable), c.http)
+	return entry.Call(ctx, http.MethodGet, path+"?"+query.Encode(), nil, into)
 }
 
 func printJSON(stdout io.Writer, body any) error {
