--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,168 @@
+// Package placement decides which model engines serve a prompt, and whether one
+// can in time. It answers a mix that shifts between long prompts and long
+// answers: reading prompts is what is short, engines that only read do it faster,
+// and a part that an engine still holds need not be read at all.
+//
+// The decisions are pure: they see what this process believes of the engines
+// and the present time, and change nothing outside.
+package placement
+
+import "time"
+
+// Prompt is what a decision needs to know of a request.
+type Prompt struct {
+	Tokens int // Of the whole prompt.
+	Parts  []Part
+}
+
+// Request is a prompt to place.
+type Request struct {
+	Prompt    Prompt
+	Level     int           // Priority, 0 first.
+	Budget    time.Duration // Until the first token is late.
+	Patience  time.Duration // Until the caller leaves.
+	Home      string        // Data centre of this process.
+	Far       time.Duration // What using another data centre may cost in time.
+	Exclude   map[string]bool
+	MustServe bool // Take the best engine even when it comes late.
+}
+
+// Verdict says what becomes of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	InTime  Verdict = iota // Send it; the first token comes in time.
+	Late                   // Send it behind all that can be in time.
+	Refused                // It can't be served while its caller waits.
+	Nobody                 // There is no engine to send it to.
+)
+
+// Decision tells where a request goes and why.
+type Decision struct {
+	Verdict   Verdict
+	Prefill   *Engine // Reads the prompt first; nil when Decode does.
+	Decode    *Engine
+	Level     int
+	Predicted time.Duration // Until the first token.
+	RetryIn   time.Duration // When to come back, if refused.
+}
+
+// Shape of the decisions.
+const (
+	// LateLevel is the priority of prompts that can't be in time.
+	LateLevel = 8
+	// confidence is the part of the budget that a prediction may use up.
+	confidence = 0.8
+	// patience is the part of a caller's waiting time that a late answer may use up.
+	patience = 0.7
+	// handover is the time to move a read prompt to another engine and begin there.
+	handover = 20 * time.Millisecond
+	// failureCost is what a certain failure of an engine would cost in time.
+	failureCost = 3 * time.Second
+	// minRetry and maxRetry bound when a refused caller is told to come back.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 3 * time.Second
+	// fullShare is the part of an engine's slots after which it takes no more.
+	fullShare = 0.95
+)
+
+// Decide places a request on one of the engines.
+func Decide(now time.Time, request Request, engines []*Engine) Decision {
+	best := choose(now, request, engines, request.Level)
+	if best.Decode == nil {
+		return Decision{Verdict: Nobody, RetryIn: minRetry}
+	}
+	if float64(best.Predicted) <= confidence*float64(request.Budget) || request.MustServe {
+		best.Verdict = InTime
+		return best
+	}
+	late := choose(now, request, engines, LateLevel)
+	if float64(late.Predicted) <= patience*float64(request.Patience) {
+		late.Verdict = Late
+		return late
+	}
+	late.Verdict = Refused
+	late.RetryIn = min(max(late.Predicted-request.Budget, minRetry), maxRetry)
+	return late
+}
+
+// choose returns the engines with the least expected time for a level.
+func choose(now time.Time, request Request, engines []*Engine, level int) Decision {
+	best := Decision{Level: level}
+	decode, decodeCost := bestDecode(now, request, engines)
+	bestCost := 0.0
+	for _, engine := range engines {
+		if !usable(now, engine, request) {
+			continue
+		}
+		option, cost := optionOf(now, request, engine, level, decode, decodeCost)
+		if option.Decode == nil {
+			continue
+		}
+		if best.Decode == nil || cost < bestCost {
+			best, bestCost = option, cost
+		}
+	}
+	return best
+}
+
+func optionOf(now time.Time, request Request, engine *Engine, level int, decode *Engine, decodeCost float64) (Decision, float64) {
+	reading := engine.predict(now, request.Prompt, level)
+	cost := reading + placeCost(now, request, engine)
+	// Reading what another engine holds takes capacity from other prompts too.
+	cost += float64(engine.Uncached(request.Prompt)) / engine.Rate() / 2
+	option := Decision{Level: level}
+	if engine.Stage == Decode {
+		if full(engine) {
+			return option, 0
+		}
+		option.Decode = engine
+		option.Predicted = asDuration(reading)
+		return option, cost + float64(engine.Running())
+	}
+	if decode == nil {
+		return option, 0
+	}
+	option.Prefill = engine
+	option.Decode = decode
+	option.Predicted = asDuration(reading) + handover
+	return option, cost + asMillis(handover) + decodeCost
+}
+
+// bestDecode returns the engine that goes on with a prompt read elsewhere.
+func bestDecode(now time.Time, request Request, engines []*Engine) (*Engine, float64) {
+	var best *Engine
+	bestCost := 0.0
+	for _, engine := range engines {
+		if engine.Stage != Decode || !usable(now, engine, request) || full(engine) {
+			continue
+		}
+		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting())
+		if best == nil || cost < bestCost {
+			best, bestCost = engine, cost
+		}
+	}
+	return best, bestCost
+}
+
+func usable(now time.Time, engine *Engine, request Request) bool {
+	return !engine.Draining && !request.Exclude[engine.ID] && !engine.Health.Resting(now)
+}
+
+func full(engine *Engine) bool {
+	return float64(engine.Running()+engine.Waiting()) >= fullShare*float64(max(engine.Slots, 1))
+}
+
+// placeCost is what an engine's place and failures cost, in milliseconds.
+func placeCost(now time.Time, request Request, engine *Engine) float64 {
+	cost := engine.Health.Rate(now) * asMillis(failureCost)
+	if engine.DataCentre != request.Home {
+		cost += asMillis(request.Far)
+	}
+	return cost
+}
+
+func asMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func asDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -19,8 +19,9 @@
 const (
 	tableName   = "leases"
 	epochSuffix = "/epoch"
-	term        = 10 * time.Second
-	renewEvery  = 3 * time.Second
+	defaultTerm = 10 * time.Second
+	// renewals is how many renewals fit a term, about.
+	renewals    = 3
 	callTimeout = 2 * time.Second
 	// soonest is the shortest wait between two steps.
 	soonest = 50 * time.Millisecond
@@ -46,6 +47,7 @@
 	clock    clock.Clock
 	// first reports whether this process is among the first to take the lease.
 	first func() bool
+	term  time.Duration
 
 	mu       sync.Mutex
 	observed lease.Observed
@@ -70,10 +72,16 @@
 		instance: instance,
 		clock:    c,
 		first:    func() bool { return true },
+		term:     defaultTerm,
 		sent:     make(map[lease.Row]time.Time),
 	}
 }
 
+// SetTerm sets how long a renewal lasts. It must be called before Run.
+func (k *Keeper) SetTerm(term time.Duration) { k.term = term }
+
+func (k *Keeper) renewEvery() time.Duration { return k.term / renewals }
+
 // StandBy makes this process look at the lease rarely while first reports
 // false, so that the reads of a lease don't grow with the number of processes.
 // It must be called before Run.
@@ -100,12 +108,12 @@
 	defer k.mu.Unlock()
 	now := k.clock()
 	if k.held.Valid(now) {
-		return renewEvery
+		return k.renewEvery()
 	}
 	if !k.first() {
 		return standbyEvery
 	}
-	return min(max(k.observed.TakeAt().Sub(now), soonest), renewEvery)
+	return min(max(k.observed.TakeAt().Sub(now), soonest), k.renewEvery())
 }
 
 // Held returns the term and whether this process may act under it now.
@@ -212,7 +220,7 @@
 func (k *Keeper) take(ctx context.Context, version int64) {
 	attempt := k.nextAttempt()
 	k.mu.Lock()
-	row := k.observed.Take(k.instance, attempt, term)
+	row := k.observed.Take(k.instance, attempt, k.term)
 	k.mu.Unlock()
 	value, err := json.Marshal(row)
 	if err != nil {
@@ -311,7 +319,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for earlier, at := range k.sent {
-		if sent.Sub(at) >= term {
+		if sent.Sub(at) >= k.term {
 			delete(k.sent, earlier)
 		}
 	}
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -163,7 +163,7 @@
 func (w *world) settle() {
 	w.outage, w.lose, w.late, w.slow = false, false, false, false
 	ended := w.now
-	for w.now.Sub(ended) <= term+lease.Margin+2*renewEvery {
+	for w.now.Sub(ended) <= defaultTerm+lease.Margin+2*defaultTerm/renewals {
 		w.pass(1000)
 		for _, keeper := range w.keepers {
 			keeper.Step(context.Background())
--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -71,6 +71,7 @@
 	a.parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 misuse.\nFlamingospar COMMAND --help shows examples."
 	a.parser.String(&a.logFormat, "", "log-format", "text or json")
 	a.addServe()
+	a.addGateway()
 	a.addDev()
 	a.addCatalogue()
 	a.addKey()
--- /dev/null
+++ b/gateway/duties/usage.go
@@ -0,0 +1,265 @@
+package duties
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"flamingospar.org/base/logging"
+	"flamingospar.org/entry/leasekeeper"
+	"flamingospar.org/platform/site"
+)
+
+// Tables of the usage reports.
+const (
+	tableCounts = "usage_counts" // One row a process and window.
+	tableSealed = "usage_sealed" // One row a window.
+	keyDigits   = 14
+)
+
+// Times of the reports.
+const (
+	// writeDelay is how long after a window's end its counts are written, and
+	// writeSpread spreads the processes' writes.
+	writeDelay  = 250 * time.Millisecond
+	writeSpread = 500 * time.Millisecond
+	// sealDelay is how long after a window's end it is sealed.
+	sealDelay = 2500 * time.Millisecond
+	callLimit = 1500 * time.Millisecond
+	retryWait = 500 * time.Millisecond
+	// maxAttempts bounds the writes of one window's counts in a row.
+	maxAttempts = 4
+	// maxBehind is how many windows a new holder looks back.
+	maxBehind = 6
+)
+
+var log = logging.For("gateway/usage")
+
+// counts is the value of a row of either table.
+type counts struct {
+	Began map[string]int64 `json:"began"`
+}
+
+// Writer writes this process's counts.
+type Writer struct {
+	Store    *site.Store
+	Tally    *Tally
+	Instance string // Name of this process, another after each restart.
+
+	pending []pendingRow
+}
+
+// pendingRow is a row that is not known to be written. Its key stays, so that
+// to write it again counts nothing twice.
+type pendingRow struct {
+	window Window
+	key    string
+	value  []byte
+}
+
+// Run writes the counts of each window until ctx ends, and then what is left.
+func (w *Writer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now, _ := w.Tally.clock()
+		current := windowAt(now, w.Tally.length)
+		next := current.endOf(w.Tally.length).Add(writeDelay + rand.N(writeSpread))
+		if !pause(ctx, next.Sub(now)) {
+			break
+		}
+		w.collect(current + 1)
+		w.flush(ctx)
+	}
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), callLimit)
+	defer cancel()
+	now, _ := w.Tally.clock()
+	w.collect(windowAt(now, w.Tally.length) + 1)
+	w.flush(final)
+}
+
+// collect makes rows of the counts of the windows before one.
+func (w *Writer) collect(before Window) {
+	for window, began := range w.Tally.Closed(before) {
+		value, err := json.Marshal(counts{Began: began})
+		if err != nil {
+			log.Error(err, "Counts can't be encoded and are lost.", "window", window)
+			continue
+		}
+		key := countsKey(window, w.Instance) + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
+		w.pending = append(w.pending, pendingRow{window: window, key: key, value: value})
+	}
+	oldest := before - maxBehind
+	w.pending = slices.DeleteFunc(w.pending, func(row pendingRow) bool {
+		if row.window < oldest {
+			log.Info("Counts could not be written in time and are lost.", "window", row.window)
+		}
+		return row.window < oldest
+	})
+}
+
+// flush writes what is pending, one transaction for all.
+func (w *Writer) flush(ctx context.Context) {
+	for attempt := 0; len(w.pending) > 0 && attempt < maxAttempts; attempt++ {
+		var tx site.Tx
+		for _, row := range w.pending {
+			tx.Put(tableCounts, row.key, row.value)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callLimit)
+		_, err := w.Store.Commit(callCtx, tx)
+		cancel()
+		if err == nil {
+			w.pending = nil
+			return
+		}
+		log.Error(err, "Counts are not known to be written and are tried again.", "rows", len(w.pending), "attempt", attempt)
+		if !pause(ctx, retryWait) {
+			return
+		}
+	}
+}
+
+func windowKey(window Window) string { return fmt.Sprintf("%0*d", keyDigits, int64(window)) }
+
+func countsKey(window Window, instance string) string { return windowKey(window) + "/" + instance }
+
+// Reporter seals and reports windows while this process holds the lease.
+type Reporter struct {
+	Store    *site.Store
+	Duty     *site.DutyClient
+	Lease    *leasekeeper.Keeper
+	Holder   string // Name of this VM.
+	Clock    func() (time.Time, bool)
+	Length   time.Duration
+	reported Window // The newest that was reported by this process.
+	term     int64  // Of which reported is.
+}
+
+// Run reports windows until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := retryWait
+		if fence, held := r.Lease.Fence(); held {
+			wait = r.step(ctx, fence)
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// step reports the next window that is due and returns when to look again.
+func (r *Reporter) step(ctx context.Context, fence leasekeeper.Fence) time.Duration {
+	now, sure := r.Clock()
+	if !sure {
+		return retryWait
+	}
+	due := windowAt(now.Add(-sealDelay), r.Length) - 1
+	if term := int64(fence.Term.Row.Epoch); term != r.term {
+		r.term = term
+		r.reported = due - maxBehind
+	}
+	if r.reported >= due {
+		return min((due + 1).endOf(r.Length).Add(sealDelay).Sub(now), r.Length)
+	}
+	window := r.reported + 1
+	sealed, err := r.sealed(ctx, window, fence)
+	if err != nil {
+		log.Error(err, "A window was not sealed.", "window", window, "epoch", r.term)
+		return retryWait
+	}
+	if len(sealed.Began) > 0 {
+		if err := r.report(ctx, window, sealed); err != nil {
+			return retryWait
+		}
+	}
+	r.reported = window
+	return 0
+}
+
+// sealed returns the window's figures, which never change once they are written.
+func (r *Reporter) sealed(ctx context.Context, window Window, fence leasekeeper.Fence) (counts, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	key := windowKey(window)
+	page, err := r.Store.Range(ctx, tableSealed, key, key+"\x00")
+	if err != nil {
+		return counts{}, err
+	}
+	if len(page.Rows) > 0 {
+		var sealed counts
+		err := json.Unmarshal(page.Rows[0].Value, &sealed)
+		return sealed, err
+	}
+	return r.seal(ctx, window, fence)
+}
+
+// seal adds up the processes' counts and writes the sum, if the lease is still held.
+func (r *Reporter) seal(ctx context.Context, window Window, fence leasekeeper.Fence) (counts, error) {
+	key := windowKey(window)
+	page, err := r.Store.Range(ctx, tableCounts, key+"/", key+"0")
+	if err != nil {
+		return counts{}, err
+	}
+	total := counts{Began: make(map[string]int64)}
+	var tx site.Tx
+	for _, row := range page.Rows {
+		var part counts
+		if err := json.Unmarshal(row.Value, &part); err != nil {
+			log.Error(err, "Counts of a process can't be read and are left out.", "row", row.Key)
+			continue
+		}
+		for team, n := range part.Began {
+			total.Began[team] += n
+		}
+		tx.Remove(tableCounts, row.Key)
+	}
+	value, err := json.Marshal(total)
+	if err != nil {
+		return counts{}, err
+	}
+	tx.Require(fence.Guard.Key.Table, fence.Guard.Key.Row, fence.Guard.Version)
+	tx.Require(tableSealed, key, 0)
+	tx.Put(tableSealed, key, value)
+	if _, err := r.Store.Commit(ctx, tx); err != nil {
+		return counts{}, err
+	}
+	log.Info("A window was sealed.", "window", window, "epoch", fence.Term.Row.Epoch, "processes", len(page.Rows), "teams", strings.Join(slices.Sorted(maps.Keys(total.Began)), ","))
+	return total, nil
+}
+
+// report sends a sealed window, if the lease is still held.
+func (r *Reporter) report(ctx context.Context, window Window, sealed counts) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	fence, held := r.Lease.Fence()
+	if !held || int64(fence.Term.Row.Epoch) != r.term {
+		return errors.New("the lease's term has ended; remedy: its next holder reports")
+	}
+	err := r.Duty.ReportUsage(ctx, site.Authority{Holder: r.Holder, Token: r.term}, int64(window), sealed.Began)
+	if err != nil {
+		log.Error(err, "A window was not reported; it is tried again while the lease is held.", "window", window, "epoch", r.term)
+		return err
+	}
+	log.Info("A window was reported.", "window", window, "epoch", r.term)
+	return nil
+}
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/engines/engines.go
@@ -0,0 +1,292 @@
+// Package engines holds what this process believes of each endpoint's load and
+// health, and asks the pure decisions of core with it.
+package engines
+
+import (
+	"sync"
+	"time"
+
+	"flamingospar.org/core/health"
+	"flamingospar.org/core/placement"
+	"flamingospar.org/platform/site"
+)
+
+// assumedMemory is an engine's memory in tokens until the configuration says.
+const assumedMemory = 400_000
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	home string
+	now  func() time.Time
+
+	mu       sync.Mutex
+	models   map[string]*placement.Engine
+	services map[string][]*placement.Engine // Model engines by service.
+	plain    map[string][]*plainEndpoint    // Other endpoints by service.
+	known    map[string]site.Endpoint
+	memory   map[string]int // Tokens, by service.
+}
+
+type plainEndpoint struct {
+	endpoint site.Endpoint
+	health   health.Record
+	running  int
+}
+
+// New returns an empty ledger of a process in the data centre home.
+func New(home string, now func() time.Time) *Ledger {
+	return &Ledger{
+		home: home, now: now,
+		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
+		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
+	}
+}
+
+// SetMemory tells the memory of a service's engines in tokens.
+func (l *Ledger) SetMemory(service string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.memory[service] = tokens
+}
+
+// EndpointChanged implements fleet.Listener.
+func (l *Ledger) EndpointChanged(endpoint site.Endpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.known[endpoint.ID]
+	if ok && (known.Started != endpoint.Started || known.Service != endpoint.Service) {
+		l.drop(endpoint.ID)
+	}
+	l.known[endpoint.ID] = endpoint
+	if endpoint.Stage == "" {
+		l.setPlain(endpoint)
+		return
+	}
+	l.setModel(endpoint)
+}
+
+func (l *Ledger) setPlain(endpoint site.Endpoint) {
+	for _, known := range l.plain[endpoint.Service] {
+		if known.endpoint.ID == endpoint.ID {
+			known.endpoint = endpoint
+			return
+		}
+	}
+	l.plain[endpoint.Service] = append(l.plain[endpoint.Service], &plainEndpoint{endpoint: endpoint})
+}
+
+func (l *Ledger) setModel(endpoint site.Endpoint) {
+	stage := placement.Decode
+	if endpoint.Stage == site.Prefill {
+		stage = placement.Prefill
+	}
+	engine, ok := l.models[endpoint.ID]
+	if !ok {
+		memory := l.memory[endpoint.Service]
+		if memory == 0 {
+			memory = assumedMemory
+		}
+		engine = placement.NewEngine(endpoint.ID, endpoint.DataCentre, stage, endpoint.Slots, memory)
+		l.models[endpoint.ID] = engine
+		l.services[endpoint.Service] = append(l.services[endpoint.Service], engine)
+	}
+	engine.SetStage(stage)
+	engine.Draining = endpoint.Draining
+}
+
+// EndpointGone implements fleet.Listener.
+func (l *Ledger) EndpointGone(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(id)
+	delete(l.known, id)
+}
+
+func (l *Ledger) drop(id string) {
+	service := l.known[id].Service
+	delete(l.models, id)
+	l.services[service] = without(l.services[service], func(e *placement.Engine) bool { return e.ID == id })
+	l.plain[service] = without(l.plain[service], func(p *plainEndpoint) bool { return p.endpoint.ID == id })
+}
+
+func without[T any](items []T, drop func(T) bool) []T {
+	kept := make([]T, 0, len(items))
+	for _, item := range items {
+		if !drop(item) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
+// Place decides where a prompt for a service goes.
+func (l *Ledger) Place(service string, request placement.Request) Placed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	request.Home = l.home
+	decision := placement.Decide(l.now(), request, l.services[service])
+	placed := Placed{Decision: decision}
+	if decision.Decode != nil {
+		placed.DecodeAt = l.known[decision.Decode.ID]
+	}
+	if decision.Prefill != nil {
+		placed.PrefillAt = l.known[decision.Prefill.ID]
+	}
+	return placed
+}
+
+// Placed is a decision with the endpoints that it names.
+type Placed struct {
+	placement.Decision
+	PrefillAt site.Endpoint
+	DecodeAt  site.Endpoint
+}
+
+// Send notes that a prompt is sent to an engine, and returns nil when the
+// engine is no longer known.
+func (l *Ledger) Send(id string, prompt placement.Prompt, level int) *Ticket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	engine, ok := l.models[id]
+	if !ok {
+		return nil
+	}
+	return &Ticket{ledger: l, ticket: engine.Send(l.now(), prompt, level)}
+}
+
+// Ticket is a prompt sent to an engine. A nil ticket notes nothing.
+type Ticket struct {
+	ledger *Ledger
+	ticket *placement.Ticket
+}
+
+// Predicted returns the time until the prompt is read, as it was expected.
+func (t *Ticket) Predicted() time.Duration {
+	if t == nil {
+		return 0
+	}
+	return t.ticket.Predicted
+}
+
+// Read notes that the engine has read the prompt.
+func (t *Ticket) Read() {
+	if t == nil {
+		return
+	}
+	t.ledger.mu.Lock()
+	defer t.ledger.mu.Unlock()
+	t.ticket.Read(t.ledger.now())
+}
+
+// Drop notes that the engine will not read the prompt.
+func (t *Ticket) Drop() {
+	if t == nil {
+		return
+	}
+	t.ledger.mu.Lock()
+	defer t.ledger.mu.Unlock()
+	t.ticket.Drop(t.ledger.now())
+}
+
+// StreamStarted notes a stream past its first token. The function returned
+// notes its end.
+func (l *Ledger) StreamStarted(id string) func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	engine, ok := l.models[id]
+	if !ok {
+		return func() {}
+	}
+	engine.StreamStarted()
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		engine.StreamEnded()
+	}
+}
+
+// Result is what a request to an endpoint came to, as far as its health goes.
+type Result int
+
+// The results.
+const (
+	Sound       Result = iota // It answered.
+	Faulty                    // It failed a request that it had taken.
+	Unreachable               // No connection could be opened.
+)
+
+// Note records a result.
+func (l *Ledger) Note(id string, result Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	record := l.record(id)
+	if record == nil {
+		return
+	}
+	switch result {
+	case Sound:
+		record.Succeeded(l.now())
+	case Faulty:
+		record.Failed(l.now())
+	case Unreachable:
+		record.Unreachable(l.now())
+	}
+}
+
+func (l *Ledger) record(id string) *health.Record {
+	if engine, ok := l.models[id]; ok {
+		return &engine.Health
+	}
+	for _, endpoint := range l.plain[l.known[id].Service] {
+		if endpoint.endpoint.ID == id {
+			return &endpoint.health
+		}
+	}
+	return nil
+}
+
+// Plain chooses an endpoint of a plain service: the least loaded by what this
+// process sent, a sound one before one that fails, its own data centre first.
+// done must be called at the request's end. ok is false when there is none.
+func (l *Ledger) Plain(service string, exclude map[string]bool) (endpoint site.Endpoint, done func(), ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := l.bestPlain(service, exclude, true)
+	if best == nil {
+		best = l.bestPlain(service, exclude, false)
+	}
+	if best == nil {
+		return site.Endpoint{}, nil, false
+	}
+	best.running++
+	return best.endpoint, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		best.running--
+	}, true
+}
+
+// Costs by which plain endpoints are compared, in requests in flight.
+const (
+	farCost     = 1.5
+	failureCost = 12.0
+)
+
+func (l *Ledger) bestPlain(service string, exclude map[string]bool, rested bool) *plainEndpoint {
+	now := l.now()
+	var best *plainEndpoint
+	bestCost := 0.0
+	for _, candidate := range l.plain[service] {
+		if candidate.endpoint.Draining || exclude[candidate.endpoint.ID] || (rested && candidate.health.Resting(now)) {
+			continue
+		}
+		cost := float64(candidate.running) + failureCost*candidate.health.Rate(now)
+		if candidate.endpoint.DataCentre != l.home {
+			cost += farCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/gateway/follow/follow.go
@@ -0,0 +1,129 @@
+// Package follow keeps this process's view of one table of the store current.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"flamingospar.org/base/logging"
+	"flamingospar.org/platform/site"
+)
+
+// Limits of the calls.
+const (
+	// callSlack is how much longer than its own wait a call may take.
+	callSlack = 1500 * time.Millisecond
+	// minBackoff and maxBackoff bound the wait after a failed call.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
+)
+
+var log = logging.For("gateway/follow")
+
+// Store is what is followed.
+type Store interface {
+	Table(ctx context.Context, table string) (site.Page, error)
+	Feed(ctx context.Context, table string, after int64, wait time.Duration) (site.Page, error)
+}
+
+// Follower follows one table.
+type Follower struct {
+	Store Store
+	Table string
+	// Wait is how long the store holds a call until there is a change.
+	Wait time.Duration
+	// Every is the shortest time between two calls.
+	Every time.Duration
+	// Apply takes changed rows, or the whole table.
+	Apply func(page site.Page, whole bool)
+	// Lost and Regained are called when the store stops and begins to answer.
+	Lost     func()
+	Regained func()
+
+	after   int64
+	lost    bool
+	backoff time.Duration
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		wait := f.Every - time.Since(began)
+		if err != nil {
+			wait = f.failed(err)
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
+	defer cancel()
+	whole := f.after == 0
+	var page site.Page
+	var err error
+	if whole {
+		page, err = f.Store.Table(ctx, f.Table)
+	} else {
+		page, err = f.Store.Feed(ctx, f.Table, f.after, f.Wait)
+	}
+	if errors.Is(err, site.ErrHistoryGone) {
+		log.Info("The store has dropped its history; the table is read whole.", "table", f.Table, "after", f.after)
+		f.after = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.answered()
+	f.Apply(page, whole)
+	f.after = page.Version
+	return nil
+}
+
+func (f *Follower) answered() {
+	f.backoff = 0
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	log.Info("The store answers again.", "table", f.Table, "after", f.after)
+	if f.Regained != nil {
+		f.Regained()
+	}
+}
+
+func (f *Follower) failed(err error) time.Duration {
+	if !f.lost {
+		f.lost = true
+		log.Error(err, "The store does not answer; what is known stays in use.", "table", f.Table, "after", f.after)
+		if f.Lost != nil {
+			f.Lost()
+		}
+	}
+	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
+	return f.backoff/2 + rand.N(f.backoff)
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/link/link.go
@@ -0,0 +1,344 @@
+// Package link keeps connections to endpoints and sends one request at a time
+// on each. It tells an attempt that can't have reached an endpoint from one
+// that may have, and matches answers to requests by their id: an endpoint may
+// send an answer twice, or late.
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"flamingospar.org/platform/site"
+)
+
+// Limits of connections to endpoints.
+const (
+	dialTimeout = 600 * time.Millisecond
+	// userTimeout is how long sent bytes may stay without acknowledgement.
+	userTimeout       = 2 * time.Second
+	keepAliveIdle     = 1 * time.Second
+	keepAliveInterval = 1 * time.Second
+	keepAliveProbes   = 2
+	// defaultIdle is how long an idle connection is used again when the
+	// endpoint does not say how long it keeps it.
+	defaultIdle = 4 * time.Second
+	// idleMargin is how long before the endpoint's own limit a connection is given up.
+	idleMargin = 700 * time.Millisecond
+	// maxIdlePerEndpoint bounds the idle connections to one address.
+	maxIdlePerEndpoint = 48
+	// inlineWrite is the largest request that is written before its answer is
+	// read; an endpoint may answer a longer one before it has read it.
+	inlineWrite = 4 << 10
+	// maxStray bounds the answers to other requests that are read past.
+	maxStray = 3
+	// maxStrayBody bounds the body of such an answer, in bytes.
+	maxStrayBody = 1 << 20
+	readBuffer   = 4 << 10
+)
+
+// Errors of an attempt. ErrNotSent says that the endpoint can't have begun the
+// request; after ErrBroken it may have.
+var (
+	ErrNotSent = errors.New("the request did not reach the endpoint; remedy: try another")
+	ErrBroken  = errors.New("the connection ended before the whole answer; remedy: repeat only what may be repeated")
+)
+
+// Request is a request to an endpoint.
+type Request struct {
+	ID     string // Of the caller's request.
+	Method string
+	Target string // Path and query, as the caller sent them.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// MaxIdle bounds how long a connection may have been idle to be used again;
+	// 0 leaves it to the endpoint's own limit.
+	MaxIdle time.Duration
+}
+
+// Pool holds the idle connections by address.
+type Pool struct {
+	dialer net.Dialer
+	// Dialled is called for each new connection, if set.
+	Dialled func()
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	p := &Pool{idle: make(map[string][]*conn)}
+	p.dialer = net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         setUserTimeout,
+	}
+	return p
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var result error
+	err := raw.Control(func(fd uintptr) {
+		result = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, result)
+}
+
+type conn struct {
+	net.Conn
+	address  string
+	reader   *bufio.Reader
+	idleFrom time.Time
+	maxIdle  time.Duration
+}
+
+// Answer is the head of an endpoint's answer; its body follows by Read. Close
+// must be called, after the body's end or before it to stop the endpoint.
+type Answer struct {
+	Status int
+	Header http.Header
+	Meta   site.EndpointAnswer
+	// Length of the body in bytes, -1 when the endpoint did not say.
+	Length int64
+
+	pool     *Pool
+	conn     *conn
+	response *http.Response
+	written  chan error
+	stop     func() bool
+	ended    bool
+}
+
+// Send sends a request and returns the head of its answer. The end of ctx ends
+// the connection, also while the body is read.
+func (p *Pool) Send(ctx context.Context, address string, request Request) (*Answer, error) {
+	c, err := p.get(ctx, address, request.MaxIdle)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	written, err := c.write(request)
+	if err != nil {
+		stop()
+		c.Close()
+		return nil, err
+	}
+	response, err := c.read(request)
+	if err != nil {
+		stop()
+		c.Close()
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Meta: site.ReadEndpointAnswer(response.StatusCode, response.Header),
+		Length: response.ContentLength, pool: p, conn: c, response: response, written: written, stop: stop,
+	}, nil
+}
+
+// encode returns the bytes of a request.
+func encode(request Request) []byte {
+	var out bytes.Buffer
+	out.Grow(512 + len(request.Body))
+	out.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
+	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut || request.Method == http.MethodPatch {
+		out.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	}
+	_ = request.Header.Write(&out) // A buffer takes every write.
+	out.WriteString("\r\n")
+	out.Write(request.Body)
+	return out.Bytes()
+}
+
+// write sends a request. Only a request whose every byte was handed over can
+// have reached the endpoint whole.
+func (c *conn) write(request Request) (chan error, error) {
+	data := encode(request)
+	written := make(chan error, 1)
+	if len(data) > inlineWrite {
+		go func() {
+			_, err := c.Conn.Write(data)
+			written <- err
+		}()
+		return written, nil
+	}
+	n, err := c.Conn.Write(data)
+	written <- err
+	if err != nil && n < len(data) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return written, nil
+}
+
+// read reads the head of the answer to request, past interim answers and those
+// to other requests.
+func (c *conn) read(request Request) (*http.Response, error) {
+	asked := &http.Request{Method: request.Method}
+	for range maxStray + 1 {
+		response, err := http.ReadResponse(c.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		id := site.ReadEndpointAnswer(response.StatusCode, response.Header).RequestID
+		if id == request.ID || (id == "" && response.StatusCode/100 != 2) {
+			return response, nil
+		}
+		n, err := io.CopyN(io.Discard, response.Body, maxStrayBody)
+		if response.Close || n == maxStrayBody || (err != nil && !errors.Is(err, io.EOF)) {
+			return nil, fmt.Errorf("answer to another request %q", id)
+		}
+	}
+	return nil, fmt.Errorf("more than %d answers to other requests", maxStray)
+}
+
+// Read reads the body. It returns io.EOF only at the end of a whole body.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	return n, nil
+}
+
+// Close ends the exchange. The connection is kept when it can be used again.
+func (a *Answer) Close() {
+	running := a.stop()
+	if !running || !a.reusable() {
+		a.conn.Close()
+		return
+	}
+	a.conn.maxIdle = defaultIdle
+	if keep, ok := site.KeepAlive(a.Header); ok {
+		a.conn.maxIdle = max(keep-idleMargin, 0)
+	}
+	a.pool.put(a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	if !a.ended || a.response.Close || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false // The endpoint answered before it had read the request.
+	}
+}
+
+func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		idle := time.Since(c.idleFrom)
+		if idle < c.maxIdle && (maxIdle == 0 || idle < maxIdle) && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.Dialled != nil {
+		p.Dialled()
+	}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	c := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idleFrom = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[c.address]
+	if len(idle) >= maxIdlePerEndpoint {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(idle, c)
+}
+
+// Sweep closes the connections that were idle for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, idle := range p.idle {
+		kept := idle[:0]
+		for _, c := range idle {
+			if time.Since(c.idleFrom) >= c.maxIdle {
+				c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(idle[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// quiet reports whether nothing has come on an idle connection: neither its
+// end nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = rawConn.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = errors.Is(peekErr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/gateway/node/node.go
@@ -0,0 +1,328 @@
+// Package node wires the entry process of a VM of the users: callers' requests
+// in, endpoints' answers out, and the duties that it may hold for the fleet.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/base/logging"
+	"flamingospar.org/base/meter"
+	"flamingospar.org/core/retrybudget"
+	"flamingospar.org/entry/leasekeeper"
+	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/duties"
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/fleet"
+	"flamingospar.org/gateway/follow"
+	"flamingospar.org/gateway/ingress"
+	"flamingospar.org/gateway/link"
+	"flamingospar.org/gateway/relay"
+	"flamingospar.org/platform/site"
+)
+
+// Times of the process.
+const (
+	// configWait is how long the store holds the call for a new configuration.
+	configWait = 3 * time.Second
+	// fleetShare is the part of the bound on leaving endpoints between two looks
+	// at the fleet.
+	fleetShare = 0.4
+	sweepEvery = 1 * time.Second
+	// balancerNotice is how long the balancer may go on sending connections
+	// after the process has called itself not ready.
+	balancerNotice = 2500 * time.Millisecond
+	// stopMargin is left of the time to stop for the last writes.
+	stopMargin = 900 * time.Millisecond
+	// usageTerm is how long a renewal of the usage lease lasts.
+	usageTerm = 5 * time.Second
+	// logLines bounds the log lines that wait for standard output.
+	logLines = 2048
+	// memoryShare is the part of the VM's memory at which the collector works harder.
+	memoryShare = 0.6
+	// assumedVMs is how many VMs share the allowance of retries until more is known.
+	assumedVMs = 4
+)
+
+var log = logging.For("gateway/node")
+
+// Options are the process's own, beside the settings of its VM.
+type Options struct {
+	SettingsPath string
+	MetricsPort  int // Port for metrics on the VM's address; 0 for none.
+}
+
+// Node is one entry process.
+type Node struct {
+	settings site.Settings
+	options  Options
+	instance string
+
+	meter    *meter.Registry
+	config   *config.Holder
+	fleet    *fleet.Fleet
+	ledger   *engines.Ledger
+	pool     *link.Pool
+	budgets  *relay.Budgets
+	store    *site.Store
+	duty     *site.DutyClient
+	trueTime *duties.TrueTime
+	tally    *duties.Tally
+	stopping atomic.Bool
+}
+
+// Run runs an entry process until ctx ends, and then stops it in order.
+func Run(ctx context.Context, options Options) error {
+	settings, err := site.ReadSettings(options.SettingsPath)
+	if err != nil {
+		return err
+	}
+	out := logging.NewAsync(os.Stdout, logLines)
+	defer out.Close()
+	if err := logging.SetFormat(logging.FormatJSON, out); err != nil {
+		return err
+	}
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
+	}
+	return build(settings, options).run(ctx)
+}
+
+func build(settings site.Settings, options Options) *Node {
+	client := platformClient()
+	n := &Node{
+		settings: settings, options: options, instance: settings.Node + "/" + uuid.NewString()[:8],
+		meter: meter.NewRegistry(), config: &config.Holder{}, pool: link.NewPool(),
+		store: site.NewStore(settings.Store.Address, client), duty: site.NewDutyClient(settings.Duties.Address, client),
+	}
+	n.fleet = fleet.New(time.Now)
+	n.ledger = engines.New(settings.DataCentre, time.Now)
+	n.fleet.Listen(n.ledger)
+	n.trueTime = duties.NewTrueTime(n.store, clock.Now)
+	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
+	n.budgets = relay.NewBudgets(budgetSettings(settings, assumedVMs))
+	n.pool.Dialled = func() { n.meter.Count("endpoint", "connections") }
+	return n
+}
+
+// budgetSettings gives one of several VMs its share of the allowance.
+func budgetSettings(settings site.Settings, vms int) retrybudget.Settings {
+	return retrybudget.Settings{
+		Window: settings.Bounds.RetryWindow, Ratio: settings.Bounds.RetryRatio,
+		Allowance: float64(settings.Bounds.RetryAllowance) / float64(max(vms, 1)),
+	}
+}
+
+func (n *Node) run(ctx context.Context) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+
+	servers, err := n.open(ctx)
+	if err != nil {
+		return err
+	}
+	log.Info("The process starts.", "vm", n.settings.Node, "instance", n.instance, "data_centre", n.settings.DataCentre, "callers", n.settings.CallersAddress, "store", n.settings.Store.Address)
+
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	var duties sync.WaitGroup
+	for _, duty := range n.duties(reload) {
+		duties.Go(func() { duty(running) })
+	}
+	<-ctx.Done()
+	n.stop(servers.callers)
+	end()
+	duties.Wait()
+	_ = servers.side.Close() // The process ends; nobody is left to tell.
+	log.Info("The process stops.", "vm", n.settings.Node, "instance", n.instance)
+	return nil
+}
+
+type servers struct {
+	callers *http.Server
+	side    *http.Server
+}
+
+// open listens on all addresses of the process.
+func (n *Node) open(ctx context.Context) (servers, error) {
+	callers, err := listen(ctx, n.settings.CallersAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the callers' address of the settings", err)
+	}
+	ready, err := listen(ctx, n.settings.ReadyAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the readiness address of the settings", err)
+	}
+	handler := &ingress.Handler{
+		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{},
+		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets},
+	}
+	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
+	serveOn(s.callers, callers)
+	serveOn(s.side, ready)
+	if n.options.MetricsPort > 0 {
+		n.serveMetrics(ctx, s.side)
+	}
+	return s, nil
+}
+
+// serveMetrics serves metrics on a port of their own. Without them the process
+// still serves callers.
+func (n *Node) serveMetrics(ctx context.Context, server *http.Server) {
+	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
+	listener, err := listen(ctx, address)
+	if err != nil {
+		log.Error(err, "Metrics are not served.", "address", address)
+		return
+	}
+	serveOn(server, listener)
+}
+
+func serveOn(server *http.Server, listener net.Listener) {
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error(err, "A listener ended.", "address", listener.Addr().String())
+		}
+	}()
+}
+
+// duties returns what runs beside the serving of requests, one goroutine each.
+func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
+	lease := leasekeeper.New(n.store.Tables(), "usage", n.instance)
+	lease.SetTerm(usageTerm)
+	reporter := &duties.Reporter{
+		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
+	}
+	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
+	list := []func(context.Context){
+		n.configFollower().Run,
+		n.fleetFollower().Run,
+		n.sweep,
+		n.learnTime,
+		func(ctx context.Context) {
+			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.budgets.Set(budgetSettings(s, assumedVMs)) })
+		},
+	}
+	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
+		list = append(list, lease.Run, reporter.Run, writer.Run)
+	}
+	return list
+}
+
+func (n *Node) configFollower() *follow.Follower {
+	return &follow.Follower{
+		Store: n.store, Table: site.TableOperator, Wait: configWait,
+		Apply: func(page site.Page, _ bool) {
+			for _, row := range page.Rows {
+				if row.Key == site.KeyConfiguration && !row.Removed {
+					n.takeConfig(row.Value, "store")
+				}
+			}
+		},
+	}
+}
+
+func (n *Node) takeConfig(raw []byte, source string) {
+	n.config.Offer(raw, source)
+	current := n.config.Current()
+	if current == nil {
+		return
+	}
+	for name, service := range current.Services {
+		if service.Engine != nil {
+			n.ledger.SetMemory(name, service.Engine.KVTokens)
+		}
+	}
+}
+
+func (n *Node) fleetFollower() *follow.Follower {
+	return &follow.Follower{
+		Store: n.store, Table: site.TableEndpoints, Every: time.Duration(fleetShare * float64(n.settings.Bounds.Drain)),
+		Apply: func(page site.Page, whole bool) {
+			rows := make([]fleet.Row, 0, len(page.Rows))
+			for _, row := range page.Rows {
+				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
+			}
+			n.fleet.Apply(rows, page.Version, whole)
+		},
+		Lost:     func() { n.fleet.HoldRemovals(time.Now().Add(24 * time.Hour)) },
+		Regained: func() { n.fleet.HoldRemovals(time.Now().Add(fleet.ReturnAllowance)) },
+	}
+}
+
+// sweep closes idle connections and forgets endpoints that did not come back.
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.pool.Sweep()
+			n.fleet.Settle()
+		}
+	}
+}
+
+// learnTime learns the true time once the store answers.
+func (n *Node) learnTime(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, configWait)
+		err := n.trueTime.Learn(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		log.Error(err, "The true time is not known yet; no usage window is reported.")
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// stop lets the balancer send callers elsewhere and finishes what is running.
+func (n *Node) stop(callers *http.Server) {
+	n.stopping.Store(true)
+	log.Info("The process is asked to stop; it finishes what it has.", "vm", n.settings.Node)
+	grace := max(n.settings.Bounds.StopGrace-stopMargin, balancerNotice)
+	deadline := time.Now().Add(grace)
+	time.Sleep(min(balancerNotice, grace))
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		log.Error(err, "Requests were still running when the time to stop was over.", "vm", n.settings.Node)
+		_ = callers.Close() // Their connections end with the process in any case.
+	}
+}
+
+// platformClient is the one HTTP client for the store and the operator's
+// interface. A silent connection is given up by its keep-alive or by the
+// timeout of the call, and is then not used again.
+func platformClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         1 * time.Second,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}
+}
--- /dev/null
+++ b/gateway/relay/outcome.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"flamingospar.org/platform/site"
+)
+
+// Reason says in a word why a request got no whole answer of an endpoint.
+type Reason string
+
+// The reasons, which are also the names of counters.
+const (
+	ReasonNone        Reason = ""
+	ReasonNoEndpoint  Reason = "no_endpoint"    // None is listed, or all are resting.
+	ReasonTooLate     Reason = "too_late"       // No engine can serve it while its caller waits.
+	ReasonEndpointsNo Reason = "endpoints_full" // Endpoints refused it without running it.
+	ReasonMayHaveRun  Reason = "may_have_run"   // It was sent and may not be repeated.
+	ReasonAttempts    Reason = "attempts"       // No further attempt is allowed.
+	ReasonDeadline    Reason = "deadline"
+	ReasonCallerLeft  Reason = "caller_left"
+	ReasonBroken      Reason = "broken_midway" // The answer had begun.
+)
+
+// Outcome is what became of a job.
+type Outcome struct {
+	Reason   Reason
+	Status   int // Sent to the caller; 0 when the answer was broken off or the caller left.
+	Attempts int
+	Ran      bool          // An endpoint began it, or may have.
+	First    time.Duration // Until the first byte of the answer was sent on.
+	Endpoint string        // The last one it was sent to.
+	Prefill  string        // The endpoint that read the prompt, if another.
+	Err      error         // Of the last attempt.
+	RetryIn  time.Duration // Told to the caller.
+}
+
+// refuse answers a caller that its request has not run and when to come back.
+func refuse(w http.ResponseWriter, job *Job, reason Reason, retryIn time.Duration) Outcome {
+	site.SetRequestID(w.Header(), job.Caller.ID)
+	site.SetRetryAfter(w.Header(), retryIn)
+	http.Error(w, "not run: "+string(reason), http.StatusServiceUnavailable)
+	return Outcome{Reason: reason, Status: http.StatusServiceUnavailable, RetryIn: retryIn}
+}
+
+// fail answers a caller that its request may have run.
+func fail(w http.ResponseWriter, job *Job, reason Reason) Outcome {
+	status := http.StatusBadGateway
+	if reason == ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	site.SetRequestID(w.Header(), job.Caller.ID)
+	http.Error(w, "may have run: "+string(reason), status)
+	return Outcome{Reason: reason, Status: status, Ran: true}
+}
