Choose the decoding engine after the prompt was read; count what reading delays

Engines that read prompts beside running streams delayed all of those. Refusals counted as faults.

Change: the decoding engine is chosen when the prompt has been read; reading cost includes attention over the context; a refusal rests an engine 300 ms.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -28,6 +28,9 @@
 	// least is the number of tokens below which an observation tells more of
 	// the overhead than of the rate.
 	least = 800.0
+	// contextCost is how much longer a token takes to read for each token before
+	// it, by the time of a token without any: attention grows with the context.
+	contextCost = 3.5e-5
 	// maxFactor bounds how far one engine's rate may stray from the assumption.
 	maxFactor = 4.0
 	// cacheShare is the part of an engine's memory that cached parts may take.
@@ -42,6 +45,9 @@
 	Slots      int
 	Draining   bool
 	Health     health.Record
+	// RestUntil is when an engine may be asked again that refused a request
+	// without a fault of its own.
+	RestUntil time.Time
 
 	backlog Backlog
 	remote  Backlog // What other processes sent, as they last told.
@@ -79,15 +85,22 @@
 // Waiting returns the prompts that this process sent and the engine has not read.
 func (e *Engine) Waiting() int { return e.backlog.Prompts() }
 
-// Uncached returns the tokens of a prompt that the engine would have to read.
-func (e *Engine) Uncached(prompt Prompt) int {
-	return max(prompt.Tokens-e.cache.Held(prompt.Parts), 0)
+// work returns what the engine would have to read of a prompt, in tokens
+// without any context before them.
+func (e *Engine) work(prompt Prompt) float64 {
+	held := float64(min(e.cache.Held(prompt.Parts), prompt.Tokens))
+	unread := float64(prompt.Tokens) - held
+	return unread * (1 + contextCost*(held+unread/2))
+}
+
+// ahead returns the work that is done before a prompt of a level sent now.
+func (e *Engine) ahead(now time.Time, level int) float64 {
+	return e.backlog.Ahead(now, e.Rate(), level) + e.remote.Ahead(now, e.Rate(), level)
 }
 
 // predict returns the milliseconds until the engine has read a prompt sent now.
 func (e *Engine) predict(now time.Time, prompt Prompt, level int) float64 {
-	ahead := e.backlog.Ahead(now, e.Rate(), level) + e.remote.Ahead(now, e.Rate(), level)
-	return overhead + (ahead+float64(e.Uncached(prompt)))/e.Rate()
+	return overhead + (e.ahead(now, level)+e.work(prompt))/e.Rate()
 }
 
 // Ticket is a prompt that was sent to an engine.
@@ -102,8 +115,8 @@
 
 // Send notes that a prompt is sent to the engine now.
 func (e *Engine) Send(now time.Time, prompt Prompt, level int) *Ticket {
-	tokens := float64(e.Uncached(prompt))
-	ahead := e.backlog.Ahead(now, e.Rate(), level) + e.remote.Ahead(now, e.Rate(), level)
+	tokens := e.work(prompt)
+	ahead := e.ahead(now, level)
 	predicted := time.Duration((overhead + (ahead+tokens)/e.Rate()) * float64(time.Millisecond))
 	e.backlog.Add(now, e.Rate(), level, tokens)
 	e.cache.Use(prompt.Parts)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -58,6 +58,11 @@
 	patience = 0.7
 	// handover is the time to move a read prompt to another engine and begin there.
 	handover = 20 * time.Millisecond
+	// farMove is what moving a read prompt to another data centre may cost in time.
+	farMove = 30 * time.Millisecond
+	// streamDelay is the part of a prompt's reading time that each running stream
+	// of the same engine counts for.
+	streamDelay = 0.05
 	// failureCost is what a certain failure of an engine would cost in time.
 	failureCost = 3 * time.Second
 	// minRetry and maxRetry bound when a refused caller is told to come back.
@@ -111,7 +116,8 @@
 	reading := engine.predict(now, request.Prompt, level)
 	cost := reading + placeCost(now, request, engine)
 	// Reading what another engine holds takes capacity from other prompts too.
-	cost += float64(engine.Uncached(request.Prompt)) / engine.Rate() / 2
+	reread := engine.work(request.Prompt) / engine.Rate()
+	cost += reread / 2
 	option := Decision{Level: level}
 	if engine.Stage == Decode {
 		if full(engine) {
@@ -119,7 +125,8 @@
 		}
 		option.Decode = engine
 		option.Predicted = asDuration(reading)
-		return option, cost + float64(engine.Running())
+		// Each step that reads a part of a prompt delays all streams of the engine.
+		return option, cost + streamDelay*reread*float64(engine.Running())
 	}
 	if decode == nil {
 		return option, 0
@@ -127,9 +134,20 @@
 	option.Prefill = engine
 	option.Decode = decode
 	option.Predicted = asDuration(reading) + handover
+	if decode.DataCentre != engine.DataCentre {
+		decodeCost += asMillis(farMove)
+	}
 	return option, cost + asMillis(handover) + decodeCost
 }
 
+// Continue chooses the engine that goes on with a prompt which was read at
+// another. It is asked when the prompt has been read: what was known when the
+// request came may no longer hold. It returns nil when there is none.
+func Continue(now time.Time, request Request, engines []*Engine) *Engine {
+	best, _ := bestDecode(now, request, engines)
+	return best
+}
+
 // bestDecode returns the engine that goes on with a prompt read elsewhere.
 func bestDecode(now time.Time, request Request, engines []*Engine) (*Engine, float64) {
 	var best *Engine
@@ -147,7 +165,7 @@
 }
 
 func usable(now time.Time, engine *Engine, request Request) bool {
-	return !engine.Draining && !request.Exclude[engine.ID] && !engine.Health.Resting(now)
+	return !engine.Draining && !request.Exclude[engine.ID] && !engine.Health.Resting(now) && !now.Before(engine.RestUntil)
 }
 
 func full(engine *Engine) bool {
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -135,6 +135,18 @@
 	return placed
 }
 
+// Continue chooses the engine that goes on with a prompt which was read at another.
+func (l *Ledger) Continue(service string, request placement.Request) (site.Endpoint, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	request.Home = l.home
+	engine := placement.Continue(l.now(), request, l.services[service])
+	if engine == nil {
+		return site.Endpoint{}, false
+	}
+	return l.known[engine.ID], true
+}
+
 // Placed is a decision with the endpoints that it names.
 type Placed struct {
 	placement.Decision
@@ -213,8 +225,12 @@
 	Sound       Result = iota // It answered.
 	Faulty                    // It failed a request that it had taken.
 	Unreachable               // No connection could be opened.
+	Busy                      // It refused a request that it could not take now.
 )
 
+// busyRest is how long an engine is left alone that refused a request.
+const busyRest = 300 * time.Millisecond
+
 // Note records a result.
 func (l *Ledger) Note(id string, result Result) {
 	l.mu.Lock()
@@ -230,6 +246,10 @@
 		record.Failed(l.now())
 	case Unreachable:
 		record.Unreachable(l.now())
+	case Busy:
+		if engine, ok := l.models[id]; ok {
+			engine.RestUntil = l.now().Add(busyRest)
+		}
 	}
 }
 
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -34,8 +34,20 @@
 	Prefill  string        // The endpoint that read the prompt, if another.
 	Err      error         // Of the last attempt.
 	RetryIn  time.Duration // Told to the caller.
+	Level    int           // Priority told to the endpoint.
+	Prediction
 }
 
+// Prediction compares how long reading a prompt was expected to take with how
+// long it took.
+type Prediction struct {
+	Predicted time.Duration
+	Reading   time.Duration
+	Decode    time.Duration // Until the first event of the endpoint that produces the tokens.
+}
+
+func (p *Prediction) note(predicted, took time.Duration) { p.Predicted, p.Reading = predicted, took }
+
 // refuse answers a caller that its request has not run and when to come back.
 func refuse(w http.ResponseWriter, job *Job, reason Reason, retryIn time.Duration) Outcome {
 	site.SetRequestID(w.Header(), job.Caller.ID)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -288,7 +288,7 @@
 		r.Pool.Forget(endpoint.Address)
 		return
 	}
-	r.Engines.Note(endpoint.ID, engines.Faulty)
+	r.Engines.Note(endpoint.ID, engines.Busy)
 }
 
 // request returns the request of one attempt.
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -63,7 +63,7 @@
 			s.p.Attempts = s.p.sends
 			return s.p.Outcome
 		}
-		s.p.exclude[placed.DecodeAt.ID] = true
+		s.p.exclude[s.p.Endpoint] = true
 		if ctx.Err() != nil || !r.mayTryAgain(job, s.p, result.sent) {
 			return s.giveUp(ctx, ReasonEndpointsNo, placed.RetryIn)
 		}
@@ -119,6 +119,7 @@
 	}
 	s.p.Endpoint = placed.DecodeAt.ID
 	s.p.Prefill = ""
+	s.p.Level = placed.Level
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
@@ -128,6 +129,13 @@
 		s.p.exclude[placed.PrefillAt.ID] = true
 		return result
 	}
+	next, ok := s.relay.Engines.Continue(s.job.Service, s.placementRequest())
+	if !ok {
+		return tried{sent: true}
+	}
+	placed.DecodeAt = next
+	s.p.Endpoint = next.ID
+	run.EndpointID = next.ID
 	run.KVSource = handle
 	run.Remaining = s.job.remaining(time.Now())
 	return s.decode(ctx, placed, run)
@@ -144,6 +152,7 @@
 	run.LastEventID = ""
 	ticket := s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level)
 	defer ticket.Drop()
+	began := time.Now()
 	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
 	if err != nil {
 		s.noteFailure(ctx, endpoint, err)
@@ -160,7 +169,7 @@
 		s.noteFailure(ctx, endpoint, err)
 		return "", tried{sent: true}, false
 	}
-	s.relay.observePrediction(ticket, time.Since(s.job.Arrived))
+	s.p.Prediction.note(ticket.Predicted(), time.Since(began))
 	ticket.Read()
 	s.relay.Engines.Note(endpoint.ID, engines.Sound)
 	return site.KVSource(endpoint.Address, read.Handle), tried{}, true
@@ -186,11 +195,6 @@
 	s.relay.Engines.Note(endpoint.ID, engines.Faulty)
 }
 
-// observePrediction records by how much the time to read a prompt was misjudged.
-func (r *Relay) observePrediction(ticket *engines.Ticket, _ time.Duration) {
-	r.Meter.Observe(ticket.Predicted().Milliseconds(), "placement", "predicted_ms")
-}
-
 // decode has the tokens produced and passes them on.
 func (s *stream) decode(ctx context.Context, placed engines.Placed, run site.Run) tried {
 	ctx, cancel := context.WithCancel(ctx)
@@ -201,6 +205,7 @@
 		ticket = s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level)
 	}
 	defer ticket.Drop()
+	began := time.Now()
 	watch := newStallWatch(s.stallLimit(), cancel)
 	defer watch.stop()
 	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
@@ -221,7 +226,7 @@
 	if answer.Status != http.StatusOK {
 		return s.failedDecode(endpoint, answer)
 	}
-	return s.pass(ctx, endpoint, answer, ticket, watch)
+	return s.pass(ctx, endpoint, answer, ticket, watch, began)
 }
 
 func (s *stream) mayHaveRun() {
@@ -256,7 +261,7 @@
 }
 
 // pass sends the events of an answer to the caller as they come.
-func (s *stream) pass(ctx context.Context, endpoint site.Endpoint, answer *link.Answer, ticket *engines.Ticket, watch *stallWatch) tried {
+func (s *stream) pass(ctx context.Context, endpoint site.Endpoint, answer *link.Answer, ticket *engines.Ticket, watch *stallWatch, began time.Time) tried {
 	s.p.runs++
 	s.p.Ran = true
 	ended := func() {}
@@ -269,8 +274,7 @@
 			watch.progress()
 			if first {
 				first = false
-				s.relay.observePrediction(ticket, time.Since(s.job.Arrived))
-				ticket.Read()
+				s.noteFirst(ticket, began)
 				ended = s.relay.Engines.StreamStarted(endpoint.ID)
 				s.countBegun()
 			}
@@ -292,6 +296,16 @@
 	}
 }
 
+// noteFirst records the time to an endpoint's first event.
+func (s *stream) noteFirst(ticket *engines.Ticket, began time.Time) {
+	took := time.Since(began)
+	if ticket != nil {
+		s.p.Prediction.note(ticket.Predicted(), took)
+	}
+	s.p.Prediction.Decode = took
+	ticket.Read()
+}
+
 func (s *stream) countBegun() {
 	if !s.began {
 		s.began = true
