Count delays of engines in predictions; stage planner and peer messages (not used yet)

Cause: prompts queued behind engines that were slower than believed; predictions were a quarter of the time that reading took.

The planner needs a slower view.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -22,7 +22,7 @@
 	prefillRate = 60.0
 	decodeRate  = 25.0
 	// overhead is what an empty engine takes beside reading, in milliseconds.
-	overhead = 40.0
+	overhead = 58.0
 	// learn is the share of the latest observation in an engine's rate.
 	learn = 0.1
 	// least is the number of tokens below which an observation tells more of
@@ -31,6 +31,11 @@
 	// contextCost is how much longer a token takes to read for each token before
 	// it, by the time of a token without any: attention grows with the context.
 	contextCost = 3.5e-5
+	// overdueShare is the part of an engine's delay that the next prompt is
+	// expected to meet.
+	overdueShare = 0.5
+	// takeTime is how long an engine takes to go on with a prompt read elsewhere.
+	takeTime = 40 * time.Millisecond
 	// maxFactor bounds how far one engine's rate may stray from the assumption.
 	maxFactor = 4.0
 	// cacheShare is the part of an engine's memory that cached parts may take.
@@ -49,41 +54,61 @@
 	// without a fault of its own.
 	RestUntil time.Time
 
-	backlog Backlog
-	remote  Backlog // What other processes sent, as they last told.
+	backlog backlog
+	tickets map[*Ticket]bool // Open ones.
 	cache   *Cache
-	streams int     // Running past their first token, of this process.
-	others  int     // The same of other processes, as they last told.
-	factor  float64 // Observed rate by the assumed one.
+	streams int            // Running past their first token, of this process.
+	others  map[string]int // The same of other processes, as they last told.
+	pace    float64        // Milliseconds from one event of a stream to the next, 0 until seen.
+	factor  float64        // Observed rate by the assumed one.
+	sent    float64        // Work sent by this process in all, in tokens.
 }
 
 // NewEngine returns an engine with an empty cache of memory tokens.
 func NewEngine(id, dataCentre string, stage Stage, slots, memory int) *Engine {
-	return &Engine{ID: id, DataCentre: dataCentre, Stage: stage, Slots: slots, cache: NewCache(int(float64(memory) * cacheShare)), factor: 1}
+	return &Engine{
+		ID: id, DataCentre: dataCentre, Stage: stage, Slots: slots, cache: NewCache(int(float64(memory) * cacheShare)), factor: 1,
+		tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: backlog{remote: make(map[string]*Work)},
+	}
 }
 
 // Rate returns the prompt tokens that the engine reads a millisecond.
-func (e *Engine) Rate() float64 {
-	if e.Stage == Prefill {
+func (e *Engine) Rate() float64 { return e.RateAs(e.Stage) }
+
+// RateAs returns the rate that the engine would have at a stage.
+func (e *Engine) RateAs(stage Stage) float64 {
+	if stage == Prefill {
 		return prefillRate * e.factor
 	}
 	return decodeRate * e.factor
 }
 
-// SetStage changes the stage. The rate is learned anew.
+// Streams returns the streams past their first token, of this process.
+func (e *Engine) Streams() int { return e.streams }
+
+// WorkSent returns the reading work that this process has sent to the engine
+// since it is known, in tokens without context.
+func (e *Engine) WorkSent() float64 { return e.sent }
+
+// SetStage changes the stage. Its speed by the assumed one stays.
 func (e *Engine) SetStage(stage Stage) {
 	if e.Stage == stage {
 		return
 	}
 	e.Stage = stage
-	e.factor = 1
 }
 
 // Running returns the streams past their first token, of all processes.
-func (e *Engine) Running() int { return e.streams + e.others }
+func (e *Engine) Running() int {
+	running := e.streams
+	for _, streams := range e.others {
+		running += streams
+	}
+	return running
+}
 
 // Waiting returns the prompts that this process sent and the engine has not read.
-func (e *Engine) Waiting() int { return e.backlog.Prompts() }
+func (e *Engine) Waiting() int { return e.backlog.waiting() }
 
 // work returns what the engine would have to read of a prompt, in tokens
 // without any context before them.
@@ -95,14 +120,56 @@
 
 // ahead returns the work that is done before a prompt of a level sent now.
 func (e *Engine) ahead(now time.Time, level int) float64 {
-	return e.backlog.Ahead(now, e.Rate(), level) + e.remote.Ahead(now, e.Rate(), level)
+	e.backlog.drain(now, e.Rate())
+	return e.backlog.ahead(level)
 }
 
 // predict returns the milliseconds until the engine has read a prompt sent now.
 func (e *Engine) predict(now time.Time, prompt Prompt, level int) float64 {
-	return overhead + (e.ahead(now, level)+e.work(prompt))/e.Rate()
+	return overhead + (e.ahead(now, level)+e.work(prompt))/e.Rate() + e.overdue(now)
+}
+
+// overdue returns by how many milliseconds the engine is behind with what it
+// was sent: it is slower than believed, or silent.
+func (e *Engine) overdue(now time.Time) float64 {
+	behind := time.Duration(0)
+	for ticket := range e.tickets {
+		behind = max(behind, now.Sub(ticket.sent)-ticket.Predicted)
+	}
+	return overdueShare * asMillis(behind)
+}
+
+// Work returns the reading work that this process sent and that is not done.
+func (e *Engine) Work(now time.Time) Work {
+	e.backlog.drain(now, e.Rate())
+	return e.backlog.own
+}
+
+// SetRemote takes what another process tells of the engine.
+func (e *Engine) SetRemote(now time.Time, peer string, work Work, streams int) {
+	e.backlog.drain(now, e.Rate())
+	e.backlog.remote[peer] = &work
+	e.others[peer] = streams
 }
 
+// DropRemote forgets what another process told.
+func (e *Engine) DropRemote(peer string) {
+	delete(e.backlog.remote, peer)
+	delete(e.others, peer)
+}
+
+// NotePace notes the time from one event of a stream to the next.
+func (e *Engine) NotePace(gap time.Duration) {
+	if e.pace == 0 {
+		e.pace = asMillis(gap)
+		return
+	}
+	e.pace += learn * (asMillis(gap) - e.pace)
+}
+
+// Pace returns the time from one event of a stream to the next, 0 until seen.
+func (e *Engine) Pace() time.Duration { return asDuration(e.pace) }
+
 // Ticket is a prompt that was sent to an engine.
 type Ticket struct {
 	engine    *Engine
@@ -117,10 +184,23 @@
 func (e *Engine) Send(now time.Time, prompt Prompt, level int) *Ticket {
 	tokens := e.work(prompt)
 	ahead := e.ahead(now, level)
-	predicted := time.Duration((overhead + (ahead+tokens)/e.Rate()) * float64(time.Millisecond))
-	e.backlog.Add(now, e.Rate(), level, tokens)
 	e.cache.Use(prompt.Parts)
-	return &Ticket{engine: e, level: level, sent: now, work: ahead + tokens, Predicted: predicted, open: true}
+	e.sent += tokens
+	return e.open(now, level, tokens, ahead, asDuration(overhead+(ahead+tokens)/e.Rate()))
+}
+
+// Take notes that the engine is sent a prompt now that another has read.
+func (e *Engine) Take(now time.Time, prompt Prompt, level int) *Ticket {
+	e.backlog.drain(now, e.Rate())
+	e.cache.Use(prompt.Parts)
+	return e.open(now, level, 0, 0, takeTime)
+}
+
+func (e *Engine) open(now time.Time, level int, tokens, ahead float64, predicted time.Duration) *Ticket {
+	e.backlog.add(level, tokens)
+	ticket := &Ticket{engine: e, level: level, sent: now, work: ahead + tokens, Predicted: predicted, open: true}
+	e.tickets[ticket] = true
+	return ticket
 }
 
 // Read notes that the engine has read the prompt, and learns from the time
@@ -138,7 +218,9 @@
 		return
 	}
 	t.open = false
-	t.engine.backlog.Done(now, t.engine.Rate(), t.level)
+	delete(t.engine.tickets, t)
+	t.engine.backlog.drain(now, t.engine.Rate())
+	t.engine.backlog.done(t.level)
 }
 
 func (t *Ticket) learn(now time.Time) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -69,7 +69,7 @@
 	minRetry = 300 * time.Millisecond
 	maxRetry = 3 * time.Second
 	// fullShare is the part of an engine's slots after which it takes no more.
-	fullShare = 0.95
+	fullShare = 0.6
 )
 
 // Decide places a request on one of the engines.
@@ -156,7 +156,7 @@
 		if engine.Stage != Decode || !usable(now, engine, request) || full(engine) {
 			continue
 		}
-		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting())
+		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now)
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
 		}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -166,6 +166,26 @@
 	return &Ticket{ledger: l, ticket: engine.Send(l.now(), prompt, level)}
 }
 
+// Take notes that an engine is sent a prompt that another has read.
+func (l *Ledger) Take(id string, prompt placement.Prompt, level int) *Ticket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	engine, ok := l.models[id]
+	if !ok {
+		return nil
+	}
+	return &Ticket{ledger: l, ticket: engine.Take(l.now(), prompt, level)}
+}
+
+// NotePace notes the time from one event of a stream to the next.
+func (l *Ledger) NotePace(id string, gap time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if engine, ok := l.models[id]; ok {
+		engine.NotePace(gap)
+	}
+}
+
 // Ticket is a prompt sent to an engine. A nil ticket notes nothing.
 type Ticket struct {
 	ledger *Ledger
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -48,8 +48,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// stopMargin is left of the time to stop for the last writes.
 	stopMargin = 900 * time.Millisecond
-	// usageTerm is how long a renewal of the usage lease lasts.
-	usageTerm = 5 * time.Second
+	// dutyTerm is how long a renewal of the lease on the duties lasts.
+	dutyTerm = 5 * time.Second
 	// logLines bounds the log lines that wait for standard output.
 	logLines = 2048
 	// memoryShare is the part of the VM's memory at which the collector works harder.
@@ -78,6 +78,7 @@
 	ledger   *engines.Ledger
 	pool     *link.Pool
 	budgets  *relay.Budgets
+	client   *http.Client
 	store    *site.Store
 	duty     *site.DutyClient
 	trueTime *duties.TrueTime
@@ -106,7 +107,7 @@
 	client := platformClient()
 	n := &Node{
 		settings: settings, options: options, instance: settings.Node + "/" + uuid.NewString()[:8],
-		meter: meter.NewRegistry(), config: &config.Holder{}, pool: link.NewPool(),
+		meter: meter.NewRegistry(), client: client, config: &config.Holder{}, pool: link.NewPool(),
 		store: site.NewStore(settings.Store.Address, client), duty: site.NewDutyClient(settings.Duties.Address, client),
 	}
 	n.fleet = fleet.New(time.Now)
@@ -201,11 +202,14 @@
 
 // duties returns what runs beside the serving of requests, one goroutine each.
 func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
-	lease := leasekeeper.New(n.store.Tables(), "usage", n.instance)
-	lease.SetTerm(usageTerm)
+	lease := leasekeeper.New(n.store.Tables(), "duties", n.instance)
+	lease.SetTerm(dutyTerm)
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
 	}
+	planner := &duties.StagePlanner{
+		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: lease, Holder: n.settings.Node, Change: n.stageChange,
+	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	list := []func(context.Context){
 		n.configFollower().Run,
@@ -216,12 +220,24 @@
 			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.budgets.Set(budgetSettings(s, assumedVMs)) })
 		},
 	}
+	list = append(list, lease.Run, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
-		list = append(list, lease.Run, reporter.Run, writer.Run)
+		list = append(list, reporter.Run, writer.Run)
 	}
 	return list
 }
 
+// stageChange returns how long an engine of a service is out while it changes
+// its stage.
+func (n *Node) stageChange(service string) time.Duration {
+	if current := n.config.Current(); current != nil {
+		if engine := current.Services[service].Engine; engine != nil {
+			return engine.StageChange
+		}
+	}
+	return 0
+}
+
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: site.TableOperator, Wait: configWait,
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -203,6 +203,8 @@
 	var ticket *engines.Ticket
 	if run.KVSource == "" {
 		ticket = s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level)
+	} else {
+		ticket = s.relay.Engines.Take(endpoint.ID, s.prompt, placed.Level)
 	}
 	defer ticket.Drop()
 	began := time.Now()
@@ -299,7 +301,7 @@
 // noteFirst records the time to an endpoint's first event.
 func (s *stream) noteFirst(ticket *engines.Ticket, began time.Time) {
 	took := time.Since(began)
-	if ticket != nil {
+	if s.p.Prefill == "" {
 		s.p.Prediction.note(ticket.Predicted(), took)
 	}
 	s.p.Prediction.Decode = took
