Entry processes exchange loads, usage counts and configurations

Cause: each process knew only what it had sent itself, so predictions missed what others sent; counts of a killed process were lost with it, and windows were sealed before a process cut off from the store had written; a process that the store turns away heard of no withdrawn key.

Change: gateway/peers over connect: processes of the data centre each 250 ms, a few others each 2 s; the sealer waits for missing counts until the report is due and then uses their copies. A prompt read again takes from the retry budget.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -48,14 +48,15 @@
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
 
-// Take reports whether a retry may be sent now, and counts it.
-func (b *Budget) Take(now time.Time) bool {
+// Take reports whether a number of calls beyond a request's first may be sent
+// now, and counts them.
+func (b *Budget) Take(now time.Time, calls int) bool {
 	requests, retries := b.totals(now)
 	allowed := safety * (b.settings.Ratio*float64(requests) + b.settings.Allowance)
-	if float64(retries+1) > allowed {
+	if float64(retries+calls) > allowed {
 		return false
 	}
-	b.at(now).retries++
+	b.at(now).retries += calls
 	return true
 }
 
--- a/gateway/duties/tally.go
+++ b/gateway/duties/tally.go
@@ -8,6 +8,7 @@
 package duties
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -33,6 +34,7 @@
 
 	mu     sync.Mutex
 	counts map[Window]map[string]int64
+	closed map[Window]map[string]int64 // The last that were closed.
 }
 
 // NewTally returns a tally of windows of a length.
@@ -55,6 +57,21 @@
 	t.counts[window][team]++
 }
 
+// Open returns a copy of all counts that are not closed yet, and of those closed
+// last, for other processes.
+func (t *Tally) Open() map[Window]map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open := make(map[Window]map[string]int64, len(t.counts)+len(t.closed))
+	for window, counts := range t.counts {
+		open[window] = maps.Clone(counts)
+	}
+	for window, counts := range t.closed {
+		open[window] = maps.Clone(counts)
+	}
+	return open
+}
+
 // Closed removes and returns the counts of the windows before one.
 func (t *Tally) Closed(before Window) map[Window]map[string]int64 {
 	t.mu.Lock()
@@ -66,17 +83,8 @@
 			delete(t.counts, window)
 		}
 	}
-	return closed
-}
-
-// Return gives counts back that could not be written.
-func (t *Tally) Return(window Window, counts map[string]int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.counts[window] == nil {
-		t.counts[window] = make(map[string]int64)
-	}
-	for team, count := range counts {
-		t.counts[window][team] += count
+	if len(closed) > 0 {
+		t.closed = closed
 	}
+	return closed
 }
--- a/gateway/duties/usage.go
+++ b/gateway/duties/usage.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -30,10 +29,14 @@
 	// writeSpread spreads the processes' writes.
 	writeDelay  = 250 * time.Millisecond
 	writeSpread = 500 * time.Millisecond
-	// sealDelay is how long after a window's end it is sealed.
-	sealDelay = 2500 * time.Millisecond
-	callLimit = 1500 * time.Millisecond
-	retryWait = 500 * time.Millisecond
+	// sealDelay is how long after a window's end it is sealed when all processes
+	// that are known to have counts have written them.
+	sealDelay = 1500 * time.Millisecond
+	// sealMargin is left of the time until the report is due when the window is
+	// sealed without a process, from the copies of its counts.
+	sealMargin = 2500 * time.Millisecond
+	callLimit  = 1500 * time.Millisecond
+	retryWait  = 500 * time.Millisecond
 	// maxAttempts bounds the writes of one window's counts in a row.
 	maxAttempts = 4
 	// maxBehind is how many windows a new holder looks back.
@@ -42,6 +45,9 @@
 
 var log = logging.For("gateway/usage")
 
+// errIncomplete says that a process has not written its counts yet.
+var errIncomplete = errors.New("counts of a process are missing; remedy: wait until it has written them or the report is due")
+
 // counts is the value of a row of either table.
 type counts struct {
 	Began map[string]int64 `json:"began"`
@@ -91,8 +97,7 @@
 			log.Error(err, "Counts can't be encoded and are lost.", "window", window)
 			continue
 		}
-		key := countsKey(window, w.Instance) + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
-		w.pending = append(w.pending, pendingRow{window: window, key: key, value: value})
+		w.pending = append(w.pending, pendingRow{window: window, key: countsKey(window, w.Instance), value: value})
 	}
 	oldest := before - maxBehind
 	w.pending = slices.DeleteFunc(w.pending, func(row pendingRow) bool {
@@ -136,6 +141,8 @@
 	Holder   string // Name of this VM.
 	Clock    func() (time.Time, bool)
 	Length   time.Duration
+	Late     time.Duration // From a window's end until its report is due.
+	Replicas *Replicas
 	reported Window // The newest that was reported by this process.
 	term     int64  // Of which reported is.
 }
@@ -169,6 +176,9 @@
 	}
 	window := r.reported + 1
 	sealed, err := r.sealed(ctx, window, fence)
+	if errors.Is(err, errIncomplete) {
+		return retryWait
+	}
 	if err != nil {
 		log.Error(err, "A window was not sealed.", "window", window, "epoch", r.term)
 		return retryWait
@@ -208,17 +218,24 @@
 	}
 	total := counts{Began: make(map[string]int64)}
 	var tx site.Tx
+	missing := r.Replicas.Of(window)
 	for _, row := range page.Rows {
 		var part counts
 		if err := json.Unmarshal(row.Value, &part); err != nil {
 			log.Error(err, "Counts of a process can't be read and are left out.", "row", row.Key)
 			continue
 		}
-		for team, n := range part.Began {
-			total.Began[team] += n
-		}
+		total.add(part.Began)
+		delete(missing, strings.TrimPrefix(row.Key, key+"/"))
 		tx.Remove(tableCounts, row.Key)
 	}
+	if len(missing) > 0 && !r.mustSeal(window) {
+		return counts{}, errIncomplete
+	}
+	for instance, began := range missing {
+		log.Info("A process has not written its counts; their copy is used.", "window", window, "instance", instance)
+		total.add(began)
+	}
 	value, err := json.Marshal(total)
 	if err != nil {
 		return counts{}, err
@@ -233,6 +250,18 @@
 	return total, nil
 }
 
+func (c counts) add(began map[string]int64) {
+	for team, n := range began {
+		c.Began[team] += n
+	}
+}
+
+// mustSeal reports whether a window can't wait for missing counts any longer.
+func (r *Reporter) mustSeal(window Window) bool {
+	now, _ := r.Clock()
+	return !now.Before(window.endOf(r.Length).Add(r.Late - sealMargin))
+}
+
 // report sends a sealed window, if the lease is still held.
 func (r *Reporter) report(ctx context.Context, window Window, sealed counts) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -31,6 +31,7 @@
 	"flamingospar.org/gateway/follow"
 	"flamingospar.org/gateway/ingress"
 	"flamingospar.org/gateway/link"
+	"flamingospar.org/gateway/peers"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
 )
@@ -43,6 +44,11 @@
 	// at the fleet.
 	fleetShare = 0.4
 	sweepEvery = 1 * time.Second
+	// membersWait is how long the store holds the call for changes of the list
+	// of entry processes.
+	membersWait = 15 * time.Second
+	// maxOutage is how long endpoints stay in use while the store is away.
+	maxOutage = 24 * time.Hour
 	// balancerNotice is how long the balancer may go on sending connections
 	// after the process has called itself not ready.
 	balancerNotice = 2500 * time.Millisecond
@@ -83,7 +89,12 @@
 	duty     *site.DutyClient
 	trueTime *duties.TrueTime
 	tally    *duties.Tally
-	stopping atomic.Bool
+	replicas *duties.Replicas
+	circle   *peers.Circle
+	bounds   atomic.Pointer[site.Bounds] // As the settings say now.
+	// storeLost is true while the store does not answer this process.
+	storeLost atomic.Bool
+	stopping  atomic.Bool
 }
 
 // Run runs an entry process until ctx ends, and then stops it in order.
@@ -115,16 +126,19 @@
 	n.fleet.Listen(n.ledger)
 	n.trueTime = duties.NewTrueTime(n.store, clock.Now)
 	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
-	n.budgets = relay.NewBudgets(budgetSettings(settings, assumedVMs))
+	n.replicas = duties.NewReplicas()
+	self := peers.Member{VM: settings.Node, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
+	n.circle = peers.New(self, n.store, n)
+	n.budgets = relay.NewBudgets(budgetSettings(settings.Bounds, assumedVMs))
+	n.bounds.Store(&settings.Bounds)
 	n.pool.Dialled = func() { n.meter.Count("endpoint", "connections") }
 	return n
 }
 
 // budgetSettings gives one of several VMs its share of the allowance.
-func budgetSettings(settings site.Settings, vms int) retrybudget.Settings {
+func budgetSettings(bounds site.Bounds, vms int) retrybudget.Settings {
 	return retrybudget.Settings{
-		Window: settings.Bounds.RetryWindow, Ratio: settings.Bounds.RetryRatio,
-		Allowance: float64(settings.Bounds.RetryAllowance) / float64(max(vms, 1)),
+		Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Allowance: float64(bounds.RetryAllowance) / float64(max(vms, 1)),
 	}
 }
 
@@ -167,6 +181,10 @@
 	if err != nil {
 		return servers{}, fmt.Errorf("%w; remedy: free the readiness address of the settings", err)
 	}
+	control, err := listen(ctx, n.settings.ControlAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the control address of the settings", err)
+	}
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{},
 		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets},
@@ -174,6 +192,7 @@
 	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
 	serveOn(s.callers, callers)
 	serveOn(s.side, ready)
+	serveOn(s.side, control)
 	if n.options.MetricsPort > 0 {
 		n.serveMetrics(ctx, s.side)
 	}
@@ -206,6 +225,7 @@
 	lease.SetTerm(dutyTerm)
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
+		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas,
 	}
 	planner := &duties.StagePlanner{
 		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: lease, Holder: n.settings.Node, Change: n.stageChange,
@@ -214,10 +234,14 @@
 	list := []func(context.Context){
 		n.configFollower().Run,
 		n.fleetFollower().Run,
+		n.membersFollower().Run,
+		n.circle.Register,
+		n.circle.Run,
+		n.shareBudget,
 		n.sweep,
 		n.learnTime,
 		func(ctx context.Context) {
-			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.budgets.Set(budgetSettings(s, assumedVMs)) })
+			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
 		},
 	}
 	list = append(list, lease.Run, planner.Run)
@@ -274,8 +298,33 @@
 			}
 			n.fleet.Apply(rows, page.Version, whole)
 		},
-		Lost:     func() { n.fleet.HoldRemovals(time.Now().Add(24 * time.Hour)) },
-		Regained: func() { n.fleet.HoldRemovals(time.Now().Add(fleet.ReturnAllowance)) },
+		Lost: func() {
+			n.storeLost.Store(true)
+			n.fleet.HoldRemovals(time.Now().Add(maxOutage))
+		},
+		Regained: func() {
+			n.storeLost.Store(false)
+			n.fleet.HoldRemovals(time.Now().Add(fleet.ReturnAllowance))
+		},
+	}
+}
+
+func (n *Node) membersFollower() *follow.Follower {
+	return &follow.Follower{Store: n.store, Table: peers.TableVMs, Wait: membersWait, Every: time.Second, Apply: n.circle.Apply}
+}
+
+// shareBudget keeps this process's share of the retry budget at what the
+// number of processes gives.
+func (n *Node) shareBudget(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		n.budgets.Set(budgetSettings(*n.bounds.Load(), max(n.circle.Size(), assumedVMs)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
 	}
 }
 
--- /dev/null
+++ b/gateway/node/peers.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"flamingospar.org/core/placement"
+	"flamingospar.org/gateway/duties"
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/fleet"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+// State implements peers.Sources.
+func (n *Node) State(usage bool) *wirev1.PeerState {
+	state := &wirev1.PeerState{
+		Vm: n.settings.Node, Instance: n.instance, ConfigurationVersion: n.config.Version(), EndpointsVersion: n.fleet.Version(), StoreLost: n.storeLost.Load(),
+	}
+	for _, load := range n.ledger.Loads() {
+		state.Loads = append(state.Loads, encodeLoad(load))
+	}
+	if usage {
+		for window, began := range n.tally.Open() {
+			state.Usage = append(state.Usage, n.encodeCounts(window, began))
+		}
+	}
+	return state
+}
+
+func encodeLoad(load engines.Load) *wirev1.EngineLoad {
+	encoded := &wirev1.EngineLoad{Endpoint: load.Endpoint, Streams: int32(load.Streams)}
+	for level, work := range load.Work {
+		if work > 0 {
+			for len(encoded.Work) < level {
+				encoded.Work = append(encoded.Work, 0)
+			}
+			encoded.Work = append(encoded.Work, float32(work))
+		}
+	}
+	return encoded
+}
+
+func (n *Node) encodeCounts(window duties.Window, began map[string]int64) *wirev1.WindowCounts {
+	encoded := &wirev1.WindowCounts{Instance: n.instance, Window: int64(window)}
+	for team, count := range began {
+		encoded.Teams = append(encoded.Teams, &wirev1.TeamCount{Team: team, Began: count})
+	}
+	return encoded
+}
+
+// TakeState implements peers.Sources.
+func (n *Node) TakeState(state *wirev1.PeerState) {
+	loads := make([]engines.Load, 0, len(state.GetLoads()))
+	for _, encoded := range state.GetLoads() {
+		load := engines.Load{Endpoint: encoded.GetEndpoint(), Streams: int(encoded.GetStreams())}
+		for level, work := range encoded.GetWork() {
+			if level < placement.Levels {
+				load.Work[level] = float64(work)
+			}
+		}
+		loads = append(loads, load)
+	}
+	n.ledger.SetRemote(state.GetVm(), loads)
+	for _, counts := range state.GetUsage() {
+		began := make(map[string]int64, len(counts.GetTeams()))
+		for _, team := range counts.GetTeams() {
+			began[team.GetTeam()] = team.GetBegan()
+		}
+		n.replicas.Set(counts.GetInstance(), duties.Window(counts.GetWindow()), began)
+	}
+}
+
+// Newer implements peers.Sources.
+func (n *Node) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
+	if current := n.config.Current(); current != nil && current.Version > state.GetConfigurationVersion() {
+		reply.Configuration = current.Raw
+	}
+	if !state.GetStoreLost() || n.storeLost.Load() {
+		return
+	}
+	for _, row := range n.fleet.Rows(state.GetEndpointsVersion()) {
+		reply.Rows = append(reply.Rows, &wirev1.EndpointRow{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
+	}
+	reply.RowsVersion = n.fleet.Version()
+}
+
+// TakeNewer implements peers.Sources.
+func (n *Node) TakeNewer(reply *wirev1.ExchangeStateReply) {
+	if len(reply.GetConfiguration()) > 0 {
+		n.takeConfig(reply.GetConfiguration(), reply.GetState().GetVm())
+	}
+	if len(reply.GetRows()) == 0 || !n.storeLost.Load() {
+		return
+	}
+	rows := make([]fleet.Row, 0, len(reply.GetRows()))
+	for _, row := range reply.GetRows() {
+		rows = append(rows, fleet.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Removed: row.GetRemoved()})
+	}
+	n.fleet.Apply(rows, reply.GetRowsVersion(), false)
+}
+
+// StoreLost implements peers.Sources.
+func (n *Node) StoreLost() bool { return n.storeLost.Load() }
+
+// MemberGone implements peers.Sources.
+func (n *Node) MemberGone(vm string) {
+	n.ledger.SetRemote(vm, nil)
+}
--- a/gateway/node/serve.go
+++ b/gateway/node/serve.go
@@ -43,11 +43,13 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// sideHandler serves readiness and metrics.
+// sideHandler serves readiness, metrics and the other entry processes.
 func (n *Node) sideHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/readyz", n.serveReady)
 	router.Get("/metrics", n.meter.ServeText)
+	path, exchange := n.circle.Handler()
+	router.Handle(path+"*", exchange)
 	return router
 }
 
--- /dev/null
+++ b/gateway/peers/peers.go
@@ -0,0 +1,284 @@
+// Package peers joins the entry processes of a fleet. Each tells a few others
+// what it has sent to endpoints, what began to run and which configuration it
+// holds, so that loads add up, usage outlives a process that dies, and a process
+// that the store turns away still learns of changes.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"flamingospar.org/base/logging"
+	"flamingospar.org/platform/site"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
+)
+
+var log = logging.For("gateway/peers")
+
+// TableVMs lists the entry processes in the store.
+const TableVMs = "vms"
+
+// Times of the exchange.
+const (
+	// nearEvery and farEvery are between two exchanges with a process of the
+	// same and of another data centre. Bytes between data centres are dear.
+	nearEvery = 250 * time.Millisecond
+	farEvery  = 2 * time.Second
+	// lostEvery replaces both while the store does not answer.
+	lostEvery = 500 * time.Millisecond
+	// usageEvery is between two copies of the usage counts for a process.
+	usageEvery  = 1 * time.Second
+	tick        = 50 * time.Millisecond
+	callLimit   = 700 * time.Millisecond
+	backoffStep = 1 * time.Second
+	maxBackoff  = 8 * time.Second
+	// registerRetry is between two attempts to list this process.
+	registerRetry = 1 * time.Second
+)
+
+// maxNear and maxFar bound the processes that one exchanges with, so that the
+// cost of a process does not grow with the fleet.
+const (
+	maxNear = 6
+	maxFar  = 3
+)
+
+// Member is an entry process as the store lists it.
+type Member struct {
+	VM         string `json:"vm"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Instance   string `json:"instance"`
+}
+
+// Sources is what this process tells others and what it takes from them.
+type Sources interface {
+	// State returns what this process tells. usage asks for the counts too.
+	State(usage bool) *wirev1.PeerState
+	// TakeState takes what another process tells.
+	TakeState(*wirev1.PeerState)
+	// Newer returns what a process lacks that tells this state.
+	Newer(*wirev1.PeerState, *wirev1.ExchangeStateReply)
+	// TakeNewer takes what another process had newer.
+	TakeNewer(*wirev1.ExchangeStateReply)
+	// StoreLost reports whether the store does not answer this process.
+	StoreLost() bool
+	// MemberGone is told of a process that is no longer listed.
+	MemberGone(vm string)
+}
+
+// Circle is this process's place among the others.
+type Circle struct {
+	self    Member
+	store   *site.Store
+	sources Sources
+	client  *http.Client
+
+	mu      sync.Mutex
+	members map[string]*peer
+}
+
+type peer struct {
+	Member
+	client    wirev1connect.PeerServiceClient
+	next      time.Time
+	nextUsage time.Time
+	failures  int
+	calling   bool
+}
+
+// New returns the circle of a process.
+func New(self Member, store *site.Store, sources Sources) *Circle {
+	return &Circle{
+		self: self, store: store, sources: sources, members: make(map[string]*peer),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true}},
+	}
+}
+
+// Register lists this process in the store, and takes it off at ctx's end.
+func (c *Circle) Register(ctx context.Context) {
+	value, err := json.Marshal(c.self)
+	if err != nil {
+		log.Error(err, "This process can't be listed.", "vm", c.self.VM)
+		return
+	}
+	for ctx.Err() == nil {
+		var tx site.Tx
+		tx.Put(TableVMs, c.self.VM, value)
+		if c.commit(ctx, tx) == nil {
+			break
+		}
+		pause(ctx, registerRetry)
+	}
+	<-ctx.Done()
+	var tx site.Tx
+	tx.Remove(TableVMs, c.self.VM)
+	if err := c.commit(context.WithoutCancel(ctx), tx); err != nil {
+		log.Error(err, "This process stays listed after its end.", "vm", c.self.VM)
+	}
+}
+
+func (c *Circle) commit(ctx context.Context, tx site.Tx) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	_, err := c.store.Commit(ctx, tx)
+	return err
+}
+
+// Apply takes changed rows of the list, or all of them.
+func (c *Circle) Apply(page site.Page, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listed := make(map[string]bool)
+	for _, row := range page.Rows {
+		if row.Removed {
+			c.remove(row.Key)
+			continue
+		}
+		listed[row.Key] = true
+		var member Member
+		if err := json.Unmarshal(row.Value, &member); err != nil || member.Address == "" {
+			log.Info("A row names no process and is passed over.", "row", row.Key)
+			continue
+		}
+		c.add(member)
+	}
+	if !whole {
+		return
+	}
+	for vm := range c.members {
+		if !listed[vm] {
+			c.remove(vm)
+		}
+	}
+}
+
+func (c *Circle) add(member Member) {
+	if member.VM == c.self.VM {
+		return
+	}
+	known, ok := c.members[member.VM]
+	if ok && known.Member == member {
+		return
+	}
+	log.Info("An entry process is listed.", "vm", member.VM, "address", member.Address, "instance", member.Instance)
+	c.members[member.VM] = &peer{Member: member, client: wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address)}
+}
+
+func (c *Circle) remove(vm string) {
+	if _, ok := c.members[vm]; !ok {
+		return
+	}
+	delete(c.members, vm)
+	log.Info("An entry process is no longer listed.", "vm", vm)
+	c.sources.MemberGone(vm)
+}
+
+// Size returns the number of listed processes, this one included.
+func (c *Circle) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.members) + 1
+}
+
+// Run exchanges states until ctx ends.
+func (c *Circle) Run(ctx context.Context) {
+	for pause(ctx, tick) {
+		now := time.Now()
+		for _, p := range c.due(now) {
+			go c.exchange(ctx, p)
+		}
+	}
+}
+
+// due returns the processes to exchange with now, and marks them as called.
+func (c *Circle) due(now time.Time) []*peer {
+	lost := c.sources.StoreLost()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due []*peer
+	for _, p := range c.partners() {
+		if p.calling || now.Before(p.next) {
+			continue
+		}
+		p.calling = true
+		p.next = now.Add(c.interval(p, lost))
+		due = append(due, p)
+	}
+	return due
+}
+
+func (c *Circle) interval(p *peer, lost bool) time.Duration {
+	if lost {
+		return lostEvery
+	}
+	if p.DataCentre == c.self.DataCentre {
+		return nearEvery
+	}
+	return farEvery
+}
+
+func (c *Circle) exchange(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	c.mu.Lock()
+	usage := !time.Now().Before(p.nextUsage)
+	c.mu.Unlock()
+	request := connect.NewRequest(&wirev1.ExchangeStateRequest{State: c.sources.State(usage)})
+	reply, err := p.client.ExchangeState(ctx, request)
+	if err == nil {
+		c.sources.TakeState(reply.Msg.GetState())
+		c.sources.TakeNewer(reply.Msg)
+	}
+	c.called(p, usage, err)
+}
+
+func (c *Circle) called(p *peer, usage bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.calling = false
+	if err != nil {
+		p.failures++
+		p.next = time.Now().Add(min(time.Duration(p.failures)*backoffStep, maxBackoff))
+		if p.failures == 1 {
+			log.Error(err, "An entry process does not answer.", "vm", p.VM, "address", p.Address)
+		}
+		return
+	}
+	if p.failures > 0 {
+		log.Info("An entry process answers again.", "vm", p.VM, "failures", p.failures)
+	}
+	p.failures = 0
+	if usage {
+		p.nextUsage = time.Now().Add(usageEvery)
+	}
+}
+
+// ExchangeState implements the other side of the exchange.
+func (c *Circle) ExchangeState(_ context.Context, request *connect.Request[wirev1.ExchangeStateRequest]) (*connect.Response[wirev1.ExchangeStateReply], error) {
+	state := request.Msg.GetState()
+	c.sources.TakeState(state)
+	reply := &wirev1.ExchangeStateReply{State: c.sources.State(false)}
+	c.sources.Newer(state, reply)
+	return connect.NewResponse(reply), nil
+}
+
+// Handler returns the path and handler of the service.
+func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c) }
+
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -93,10 +93,10 @@
 	b.of(service).Request(time.Now())
 }
 
-func (b *Budgets) take(service string) bool {
+func (b *Budgets) take(service string, calls int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(service).Take(time.Now())
+	return b.of(service).Take(time.Now(), calls)
 }
 
 // Serve runs a job and answers its caller.
@@ -135,7 +135,7 @@
 	if !sent {
 		return true
 	}
-	if !r.Budgets.take(job.Service) {
+	if !r.Budgets.take(job.Service, 1) {
 		r.Meter.Count("retry", "denied", "budget")
 		return false
 	}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -44,6 +44,8 @@
 	events  events
 	started bool // The head and maybe events were sent to the caller.
 	began   bool // Counted as begun.
+	// prefills counts the calls that had the prompt read.
+	prefills int
 }
 
 // serveStream runs a request whose answer is a stream of events.
@@ -123,6 +125,11 @@
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
+	if s.prefills > 0 && !s.relay.Budgets.take(s.job.Service, 1) {
+		// Reading a prompt once more is a call beyond the first.
+		return s.decode(ctx, placed, run)
+	}
+	s.prefills++
 	s.p.Prefill = placed.PrefillAt.ID
 	handle, result, ok := s.prefill(ctx, placed, run)
 	if !ok {
