Learn the delay of each priority apart from an engine's rate

Cause: prompts of lower priority took 1.8 times the prediction: more urgent ones that come later go first; one factor for both kept neither right.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -25,6 +25,11 @@
 	overhead = 58.0
 	// learn is the share of the latest observation in an engine's rate.
 	learn = 0.1
+	// learnBias is the same in the bias of a priority.
+	learnBias = 0.05
+	// aloneShare is the part of a prompt's work that may be ahead of it for its
+	// time to tell the engine's rate.
+	aloneShare = 0.1
 	// least is the number of tokens below which an observation tells more of
 	// the overhead than of the rate.
 	least = 800.0
@@ -59,16 +64,29 @@
 	cache   *Cache
 	streams int            // Running past their first token, of this process.
 	others  map[string]int // The same of other processes, as they last told.
-	pace    float64        // Milliseconds from one event of a stream to the next, 0 until seen.
-	factor  float64        // Observed rate by the assumed one.
-	sent    float64        // Work sent by this process in all, in tokens.
+	bias    *Bias
+	pace    float64 // Milliseconds from one event of a stream to the next, 0 until seen.
+	factor  float64 // Observed rate by the assumed one.
+	sent    float64 // Work sent by this process in all, in tokens.
+}
+
+// Bias is by how much longer prompts of each priority take than the work ahead
+// of them says: more urgent ones that come later go first. It is shared by the
+// engines of a service. The zero Bias is none.
+type Bias [Levels]float64 // Logarithms.
+
+func (b *Bias) of(level int) float64 { return math.Exp(b[level]) }
+
+func (b *Bias) learn(level int, ratio float64) {
+	ratio = min(max(ratio, 1/maxFactor), maxFactor)
+	b[level] = (1-learnBias)*b[level] + learnBias*math.Log(ratio)
 }
 
 // NewEngine returns an engine with an empty cache of memory tokens.
-func NewEngine(id, dataCentre string, stage Stage, slots, memory int) *Engine {
+func NewEngine(id, dataCentre string, stage Stage, slots, memory int, bias *Bias) *Engine {
 	return &Engine{
 		ID: id, DataCentre: dataCentre, Stage: stage, Slots: slots, cache: NewCache(int(float64(memory) * cacheShare)), factor: 1,
-		tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: backlog{remote: make(map[string]*Work)},
+		bias: bias, tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: backlog{remote: make(map[string]*Work)},
 	}
 }
 
@@ -126,7 +144,13 @@
 
 // predict returns the milliseconds until the engine has read a prompt sent now.
 func (e *Engine) predict(now time.Time, prompt Prompt, level int) float64 {
-	return overhead + (e.ahead(now, level)+e.work(prompt))/e.Rate() + e.overdue(now)
+	return overhead + e.reading(e.ahead(now, level), e.work(prompt), level) + e.overdue(now)
+}
+
+// reading returns the milliseconds until a prompt of a level is read with some
+// work ahead of it.
+func (e *Engine) reading(ahead, own float64, level int) float64 {
+	return (ahead + own) / e.Rate() * e.bias.of(level)
 }
 
 // overdue returns by how many milliseconds the engine is behind with what it
@@ -175,7 +199,8 @@
 	engine    *Engine
 	level     int
 	sent      time.Time
-	work      float64 // Tokens ahead and its own when it was sent.
+	ahead     float64 // Work ahead of it when it was sent.
+	work      float64 // The same and its own.
 	Predicted time.Duration
 	open      bool
 }
@@ -186,7 +211,7 @@
 	ahead := e.ahead(now, level)
 	e.cache.Use(prompt.Parts)
 	e.sent += tokens
-	return e.open(now, level, tokens, ahead, asDuration(overhead+(ahead+tokens)/e.Rate()))
+	return e.open(now, level, tokens, ahead, asDuration(overhead+e.reading(ahead, tokens, level)))
 }
 
 // Take notes that the engine is sent a prompt now that another has read.
@@ -198,7 +223,7 @@
 
 func (e *Engine) open(now time.Time, level int, tokens, ahead float64, predicted time.Duration) *Ticket {
 	e.backlog.add(level, tokens)
-	ticket := &Ticket{engine: e, level: level, sent: now, work: ahead + tokens, Predicted: predicted, open: true}
+	ticket := &Ticket{engine: e, level: level, sent: now, ahead: ahead, work: ahead + tokens, Predicted: predicted, open: true}
 	e.tickets[ticket] = true
 	return ticket
 }
@@ -223,12 +248,18 @@
 	t.engine.backlog.done(t.level)
 }
 
+// learn corrects the engine's rate by a prompt that had nothing ahead of it, and
+// the bias by the others.
 func (t *Ticket) learn(now time.Time) {
-	reading := float64(now.Sub(t.sent))/float64(time.Millisecond) - overhead
+	reading := asMillis(now.Sub(t.sent)) - overhead
 	if t.work < least || reading <= 0 {
 		return
 	}
 	e := t.engine
+	if t.ahead > aloneShare*t.work {
+		e.bias.learn(t.level, reading/(t.work/e.Rate()))
+		return
+	}
 	observed := t.work / reading / (e.Rate() / e.factor)
 	e.factor = math.Exp((1-learn)*math.Log(e.factor) + learn*math.Log(min(max(observed, 1/maxFactor), maxFactor)))
 }
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -25,6 +25,7 @@
 	plain    map[string][]*plainEndpoint    // Other endpoints by service.
 	known    map[string]site.Endpoint
 	memory   map[string]int // Tokens, by service.
+	biases   map[string]*placement.Bias
 }
 
 type plainEndpoint struct {
@@ -39,6 +40,7 @@
 		home: home, now: now,
 		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
 		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
+		biases: make(map[string]*placement.Bias),
 	}
 }
 
@@ -86,7 +88,7 @@
 		if memory == 0 {
 			memory = assumedMemory
 		}
-		engine = placement.NewEngine(endpoint.ID, endpoint.DataCentre, stage, endpoint.Slots, memory)
+		engine = placement.NewEngine(endpoint.ID, endpoint.DataCentre, stage, endpoint.Slots, memory, l.bias(endpoint.Service))
 		l.models[endpoint.ID] = engine
 		l.services[endpoint.Service] = append(l.services[endpoint.Service], engine)
 	}
@@ -94,6 +96,13 @@
 	engine.Draining = endpoint.Draining
 }
 
+func (l *Ledger) bias(service string) *placement.Bias {
+	if l.biases[service] == nil {
+		l.biases[service] = &placement.Bias{}
+	}
+	return l.biases[service]
+}
+
 // EndpointGone implements fleet.Listener.
 func (l *Ledger) EndpointGone(id string) {
 	l.mu.Lock()
