--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -129,9 +129,10 @@
 func (e *Engine) Waiting() int { return e.backlog.waiting() }
 
 // work returns what the engine would have to read of a prompt, in tokens
-// without any context before them.
-func (e *Engine) work(prompt Prompt) float64 {
-	held := float64(min(e.cache.Held(prompt.Parts), prompt.Tokens))
+// without any context before them. fetched is how many tokens it can fetch from
+// another engine.
+func (e *Engine) work(prompt Prompt, fetched int) float64 {
+	held := float64(min(max(e.cache.Held(prompt.Parts), fetched), prompt.Tokens))
 	unread := float64(prompt.Tokens) - held
 	return unread * (1 + contextCost*(held+unread/2))
 }
@@ -143,8 +144,8 @@
 }
 
 // predict returns the milliseconds until the engine has read a prompt sent now.
-func (e *Engine) predict(now time.Time, prompt Prompt, level int) float64 {
-	return overhead + e.reading(e.ahead(now, level), e.work(prompt), level) + e.overdue(now)
+func (e *Engine) predict(now time.Time, prompt Prompt, level, fetched int) float64 {
+	return overhead + e.reading(e.ahead(now, level), e.work(prompt, fetched), level) + e.overdue(now)
 }
 
 // reading returns the milliseconds until a prompt of a level is read with some
@@ -182,6 +183,9 @@
 	delete(e.others, peer)
 }
 
+// Holds notes that the engine was sent a prompt with these leading parts.
+func (e *Engine) Holds(parts []Part) { e.cache.Use(parts) }
+
 // NotePace notes the time from one event of a stream to the next.
 func (e *Engine) NotePace(gap time.Duration) {
 	if e.pace == 0 {
@@ -205,9 +209,10 @@
 	open      bool
 }
 
-// Send notes that a prompt is sent to the engine now.
-func (e *Engine) Send(now time.Time, prompt Prompt, level int) *Ticket {
-	tokens := e.work(prompt)
+// Send notes that a prompt is sent to the engine now, which can fetch some
+// tokens of it from another.
+func (e *Engine) Send(now time.Time, prompt Prompt, level, fetched int) *Ticket {
+	tokens := e.work(prompt, fetched)
 	ahead := e.ahead(now, level)
 	e.cache.Use(prompt.Parts)
 	e.sent += tokens
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -43,6 +43,8 @@
 	Verdict   Verdict
 	Prefill   *Engine // Reads the prompt first; nil when Decode does.
 	Decode    *Engine
+	Source    *Engine // Holds parts of the prompt that the reading engine fetches; nil for none.
+	Fetched   int     // Tokens of the prompt that Source holds.
 	Level     int
 	Predicted time.Duration // Until the first token.
 	RetryIn   time.Duration // When to come back, if refused.
@@ -58,6 +60,8 @@
 	patience = 0.7
 	// handover is the time to move a read prompt to another engine and begin there.
 	handover = 20 * time.Millisecond
+	// minFetch is the least number of tokens that are worth a transfer.
+	minFetch = 150
 	// farMove is what moving a read prompt to another data centre may cost in time.
 	farMove = 30 * time.Millisecond
 	// streamDelay is the part of a prompt's reading time that each running stream
@@ -96,12 +100,16 @@
 func choose(now time.Time, request Request, engines []*Engine, level int) Decision {
 	best := Decision{Level: level}
 	decode, decodeCost := bestDecode(now, request, engines)
+	source, held := bestSource(now, request, engines)
 	bestCost := 0.0
 	for _, engine := range engines {
 		if !usable(now, engine, request) {
 			continue
 		}
-		option, cost := optionOf(now, request, engine, level, decode, decodeCost)
+		option, cost := optionOf(now, request, engine, level, fetchFor(engine, request.Prompt, source, held))
+		if engine.Stage == Prefill {
+			option, cost = handOver(option, cost, decode, decodeCost)
+		}
 		if option.Decode == nil {
 			continue
 		}
@@ -112,34 +120,64 @@
 	return best
 }
 
-func optionOf(now time.Time, request Request, engine *Engine, level int, decode *Engine, decodeCost float64) (Decision, float64) {
-	reading := engine.predict(now, request.Prompt, level)
+// fetchFor returns the option of an engine to fetch what source holds, if that
+// is worth a transfer.
+func fetchFor(engine *Engine, prompt Prompt, source *Engine, held int) Decision {
+	if source == nil || source == engine || held-engine.cache.Held(prompt.Parts) < minFetch {
+		return Decision{}
+	}
+	return Decision{Source: source, Fetched: held}
+}
+
+// optionOf returns what it would be to have a prompt read by an engine.
+func optionOf(now time.Time, request Request, engine *Engine, level int, option Decision) (Decision, float64) {
+	reading := engine.predict(now, request.Prompt, level, option.Fetched)
 	cost := reading + placeCost(now, request, engine)
 	// Reading what another engine holds takes capacity from other prompts too.
-	reread := engine.work(request.Prompt) / engine.Rate()
+	reread := engine.work(request.Prompt, option.Fetched) / engine.Rate()
 	cost += reread / 2
-	option := Decision{Level: level}
-	if engine.Stage == Decode {
-		if full(engine) {
-			return option, 0
-		}
+	option.Level = level
+	option.Predicted = asDuration(reading)
+	if engine.Stage == Prefill {
+		option.Prefill = engine
+		return option, cost
+	}
+	if !full(engine) {
 		option.Decode = engine
-		option.Predicted = asDuration(reading)
-		// Each step that reads a part of a prompt delays all streams of the engine.
-		return option, cost + streamDelay*reread*float64(engine.Running())
 	}
+	// Each step that reads a part of a prompt delays all streams of the engine.
+	return option, cost + streamDelay*reread*float64(engine.Running())
+}
+
+// handOver adds the engine that goes on with a prompt read by another.
+func handOver(option Decision, cost float64, decode *Engine, decodeCost float64) (Decision, float64) {
 	if decode == nil {
-		return option, 0
+		return option, cost
 	}
-	option.Prefill = engine
 	option.Decode = decode
-	option.Predicted = asDuration(reading) + handover
-	if decode.DataCentre != engine.DataCentre {
-		decodeCost += asMillis(farMove)
+	option.Predicted += handover
+	if decode.DataCentre != option.Prefill.DataCentre {
+		cost += asMillis(farMove)
 	}
 	return option, cost + asMillis(handover) + decodeCost
 }
 
+// bestSource returns the engine that holds most of a prompt, and how many tokens.
+func bestSource(now time.Time, request Request, engines []*Engine) (*Engine, int) {
+	var best *Engine
+	most := 0
+	for _, engine := range engines {
+		if engine.Health.Resting(now) {
+			continue
+		}
+		held := engine.cache.Held(request.Prompt.Parts)
+		if held > most || (held == most && best != nil && engine.DataCentre == request.Home && best.DataCentre != request.Home) {
+			best, most = engine, held
+		}
+	}
+	return best, most
+}
+
 // Continue chooses the engine that goes on with a prompt which was read at
 // another. It is asked when the prompt has been read: what was known when the
 // request came may no longer hold. It returns nil when there is none.
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -26,6 +26,7 @@
 	known    map[string]site.Endpoint
 	memory   map[string]int // Tokens, by service.
 	biases   map[string]*placement.Bias
+	uses     uses
 }
 
 type plainEndpoint struct {
@@ -40,7 +41,7 @@
 		home: home, now: now,
 		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
 		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
-		biases: make(map[string]*placement.Bias),
+		biases: make(map[string]*placement.Bias), uses: uses{told: make(map[string]int)},
 	}
 }
 
@@ -141,6 +142,9 @@
 	if decision.Prefill != nil {
 		placed.PrefillAt = l.known[decision.Prefill.ID]
 	}
+	if decision.Source != nil {
+		placed.FetchFrom = l.known[decision.Source.ID].Address
+	}
 	return placed
 }
 
@@ -161,18 +165,20 @@
 	placement.Decision
 	PrefillAt site.Endpoint
 	DecodeAt  site.Endpoint
+	FetchFrom string // Address of the engine that holds parts of the prompt, if any.
 }
 
 // Send notes that a prompt is sent to an engine, and returns nil when the
 // engine is no longer known.
-func (l *Ledger) Send(id string, prompt placement.Prompt, level int) *Ticket {
+func (l *Ledger) Send(id string, prompt placement.Prompt, level, fetched int) *Ticket {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	engine, ok := l.models[id]
 	if !ok {
 		return nil
 	}
-	return &Ticket{ledger: l, ticket: engine.Send(l.now(), prompt, level)}
+	l.uses.add(id, prompt.Parts)
+	return &Ticket{ledger: l, ticket: engine.Send(l.now(), prompt, level, fetched)}
 }
 
 // Take notes that an engine is sent a prompt that another has read.
@@ -183,6 +189,7 @@
 	if !ok {
 		return nil
 	}
+	l.uses.add(id, prompt.Parts)
 	return &Ticket{ledger: l, ticket: engine.Take(l.now(), prompt, level)}
 }
 
--- a/gateway/engines/peers.go
+++ b/gateway/engines/peers.go
@@ -2,6 +2,59 @@
 
 import "flamingospar.org/core/placement"
 
+// maxUses bounds the prompts kept for other processes.
+const maxUses = 512
+
+// Use is a prompt that an engine was sent, without its last part, which no
+// other prompt shares.
+type Use struct {
+	Endpoint string
+	Parts    []placement.Part
+}
+
+// uses is the list of the latest prompts, for other processes.
+type uses struct {
+	list  []Use
+	first int            // Number of the first of the list.
+	told  map[string]int // Number after the last that a process was told.
+}
+
+func (u *uses) add(endpoint string, parts []placement.Part) {
+	if len(parts) < 2 {
+		return
+	}
+	u.list = append(u.list, Use{Endpoint: endpoint, Parts: parts[:len(parts)-1]})
+	if over := len(u.list) - maxUses; over > 0 {
+		u.list = append([]Use(nil), u.list[over:]...)
+		u.first += over
+	}
+}
+
+// since returns what a process was not told yet.
+func (u *uses) since(peer string) []Use {
+	from := max(u.told[peer]-u.first, 0)
+	u.told[peer] = u.first + len(u.list)
+	return u.list[from:]
+}
+
+// Uses returns the prompts that another process was not told of yet.
+func (l *Ledger) Uses(peer string) []Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Use(nil), l.uses.since(peer)...)
+}
+
+// SetUses takes the prompts that another process tells of.
+func (l *Ledger) SetUses(told []Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, use := range told {
+		if engine, ok := l.models[use.Endpoint]; ok {
+			engine.Holds(use.Parts)
+		}
+	}
+}
+
 // Load is what one process has sent to an engine.
 type Load struct {
 	Endpoint string
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -9,13 +9,16 @@
 )
 
 // State implements peers.Sources.
-func (n *Node) State(usage bool) *wirev1.PeerState {
+func (n *Node) State(peer string, usage bool) *wirev1.PeerState {
 	state := &wirev1.PeerState{
 		Vm: n.settings.Node, Instance: n.instance, ConfigurationVersion: n.config.Version(), EndpointsVersion: n.fleet.Version(), StoreLost: n.storeLost.Load(),
 	}
 	for _, load := range n.ledger.Loads() {
 		state.Loads = append(state.Loads, encodeLoad(load))
 	}
+	for _, use := range n.ledger.Uses(peer) {
+		state.Prompts = append(state.Prompts, encodeUse(use))
+	}
 	if usage {
 		for window, began := range n.tally.Open() {
 			state.Usage = append(state.Usage, n.encodeCounts(window, began))
@@ -24,6 +27,26 @@
 	return state
 }
 
+func encodeUse(use engines.Use) *wirev1.PromptUse {
+	encoded := &wirev1.PromptUse{Endpoint: use.Endpoint}
+	for _, part := range use.Parts {
+		encoded.Parts = append(encoded.Parts, &wirev1.PromptPart{Id: part.ID, Tokens: int32(part.Tokens)})
+	}
+	return encoded
+}
+
+func decodeUses(encoded []*wirev1.PromptUse) []engines.Use {
+	uses := make([]engines.Use, 0, len(encoded))
+	for _, prompt := range encoded {
+		use := engines.Use{Endpoint: prompt.GetEndpoint()}
+		for _, part := range prompt.GetParts() {
+			use.Parts = append(use.Parts, placement.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+		}
+		uses = append(uses, use)
+	}
+	return uses
+}
+
 func encodeLoad(load engines.Load) *wirev1.EngineLoad {
 	encoded := &wirev1.EngineLoad{Endpoint: load.Endpoint, Streams: int32(load.Streams)}
 	for level, work := range load.Work {
@@ -58,6 +81,7 @@
 		loads = append(loads, load)
 	}
 	n.ledger.SetRemote(state.GetVm(), loads)
+	n.ledger.SetUses(decodeUses(state.GetPrompts()))
 	for _, counts := range state.GetUsage() {
 		began := make(map[string]int64, len(counts.GetTeams()))
 		for _, team := range counts.GetTeams() {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -29,7 +29,7 @@
 	// nearEvery and farEvery are between two exchanges with a process of the
 	// same and of another data centre. Bytes between data centres are dear.
 	nearEvery = 250 * time.Millisecond
-	farEvery  = 2 * time.Second
+	farEvery  = 1 * time.Second
 	// lostEvery replaces both while the store does not answer.
 	lostEvery = 500 * time.Millisecond
 	// usageEvery is between two copies of the usage counts for a process.
@@ -59,8 +59,9 @@
 
 // Sources is what this process tells others and what it takes from them.
 type Sources interface {
-	// State returns what this process tells. usage asks for the counts too.
-	State(usage bool) *wirev1.PeerState
+	// State returns what this process tells another VM. usage asks for the
+	// counts too.
+	State(peer string, usage bool) *wirev1.PeerState
 	// TakeState takes what another process tells.
 	TakeState(*wirev1.PeerState)
 	// Newer returns what a process lacks that tells this state.
@@ -230,7 +231,7 @@
 	c.mu.Lock()
 	usage := !time.Now().Before(p.nextUsage)
 	c.mu.Unlock()
-	request := connect.NewRequest(&wirev1.ExchangeStateRequest{State: c.sources.State(usage)})
+	request := connect.NewRequest(&wirev1.ExchangeStateRequest{State: c.sources.State(p.VM, usage)})
 	reply, err := p.client.ExchangeState(ctx, request)
 	if err == nil {
 		c.sources.TakeState(reply.Msg.GetState())
@@ -264,7 +265,7 @@
 func (c *Circle) ExchangeState(_ context.Context, request *connect.Request[wirev1.ExchangeStateRequest]) (*connect.Response[wirev1.ExchangeStateReply], error) {
 	state := request.Msg.GetState()
 	c.sources.TakeState(state)
-	reply := &wirev1.ExchangeStateReply{State: c.sources.State(false)}
+	reply := &wirev1.ExchangeStateReply{State: c.sources.State(state.GetVm(), false)}
 	c.sources.Newer(state, reply)
 	return connect.NewResponse(reply), nil
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -117,7 +117,7 @@
 func (s *stream) try(ctx context.Context, placed engines.Placed) tried {
 	run := site.Run{
 		EndpointID: placed.DecodeAt.ID, Team: s.job.Team, Remaining: s.job.remaining(time.Now()), Priority: placed.Level,
-		LastEventID: s.events.lastID,
+		LastEventID: s.events.lastID, KVFetch: placed.FetchFrom,
 	}
 	s.p.Endpoint = placed.DecodeAt.ID
 	s.p.Prefill = ""
@@ -144,6 +144,7 @@
 	s.p.Endpoint = next.ID
 	run.EndpointID = next.ID
 	run.KVSource = handle
+	run.KVFetch = ""
 	run.Remaining = s.job.remaining(time.Now())
 	return s.decode(ctx, placed, run)
 }
@@ -157,7 +158,7 @@
 	run.EndpointID = endpoint.ID
 	run.PrefillOnly = true
 	run.LastEventID = ""
-	ticket := s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level)
+	ticket := s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
 	defer ticket.Drop()
 	began := time.Now()
 	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
@@ -209,7 +210,7 @@
 	endpoint := placed.DecodeAt
 	var ticket *engines.Ticket
 	if run.KVSource == "" {
-		ticket = s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level)
+		ticket = s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
 	} else {
 		ticket = s.relay.Engines.Take(endpoint.ID, s.prompt, placed.Level)
 	}
