--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -44,7 +44,7 @@
 	// maxFactor bounds how far one engine's rate may stray from the assumption.
 	maxFactor = 4.0
 	// cacheShare is the part of an engine's memory that cached parts may take.
-	cacheShare = 0.85
+	cacheShare = 0.8
 )
 
 // Engine is what this process believes of one model engine.
