Run no request whose connection is closed; drop endpoints that left while only we were turned away

Ruled out: the outage's own end (other processes dropped the endpoint at 23.65 s, this one at 27.02 s).

Change: connections are marked when closed; the store's return allows 2 s only if no other process had the store. Tests for both. Few processes look at the lease often; choices among near equal engines are spread with the fleet's size.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -25,6 +25,11 @@
 	Far       time.Duration // What using another data centre may cost in time.
 	Exclude   map[string]bool
 	MustServe bool // Take the best engine even when it comes late.
+	// Spread is up to how much engines' times may seem to differ, so that
+	// processes which know little of each other don't all choose the same one.
+	// Random returns numbers in [0, 1); nil spreads nothing.
+	Spread time.Duration
+	Random func() float64
 }
 
 // Verdict says what becomes of a request.
@@ -113,6 +118,7 @@
 		if option.Decode == nil {
 			continue
 		}
+		cost += spread(request)
 		if best.Decode == nil || cost < bestCost {
 			best, bestCost = option, cost
 		}
@@ -120,6 +126,13 @@
 	return best
 }
 
+func spread(request Request) float64 {
+	if request.Random == nil {
+		return 0
+	}
+	return asMillis(request.Spread) * request.Random()
+}
+
 // fetchFor returns the option of an engine to fetch what source holds, if that
 // is worth a transfer.
 func fetchFor(engine *Engine, prompt Prompt, source *Engine, held int) Decision {
@@ -194,7 +207,7 @@
 		if engine.Stage != Decode || !usable(now, engine, request) || full(engine) {
 			continue
 		}
-		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now)
+		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now) + spread(request)/4
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
 		}
--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -27,7 +27,7 @@
 	soonest = 50 * time.Millisecond
 	// standbyEvery is the interval at which a process looks that is not among
 	// the first to take the lease.
-	standbyEvery = 60 * time.Second
+	standbyEvery = 15 * time.Second
 )
 
 var errEnded = errors.New("lease: the term has ended; remedy: the next holder goes on")
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -250,7 +250,7 @@
 	if _, held := keeper.Held(); !held {
 		t.Fatal("the lease is not held after a late answer")
 	}
-	now = began.Add(term - lease.Margin)
+	now = began.Add(defaultTerm - lease.Margin)
 	if _, held := keeper.Held(); held {
 		t.Fatal("the term was counted from the answer")
 	}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -3,6 +3,7 @@
 package engines
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	memory   map[string]int // Tokens, by service.
 	biases   map[string]*placement.Bias
 	uses     uses
+	spread   time.Duration
 }
 
 type plainEndpoint struct {
@@ -45,6 +47,20 @@
 	}
 }
 
+// spreadStep is by how much each further entry process spreads the choices of
+// engines, and maxSpread bounds that.
+const (
+	spreadStep = 4 * time.Millisecond
+	maxSpread  = 60 * time.Millisecond
+)
+
+// SetProcesses tells the number of entry processes that choose engines.
+func (l *Ledger) SetProcesses(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spread = min(time.Duration(max(n-1, 0))*spreadStep, maxSpread)
+}
+
 // SetMemory tells the memory of a service's engines in tokens.
 func (l *Ledger) SetMemory(service string, tokens int) {
 	l.mu.Lock()
@@ -134,6 +150,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request.Home = l.home
+	request.Spread, request.Random = l.spread, rand.Float64
 	decision := placement.Decide(l.now(), request, l.services[service])
 	placed := Placed{Decision: decision}
 	if decision.Decode != nil {
@@ -153,6 +170,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request.Home = l.home
+	request.Spread, request.Random = l.spread, rand.Float64
 	engine := placement.Continue(l.now(), request, l.services[service])
 	if engine == nil {
 		return site.Endpoint{}, false
--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -14,7 +14,7 @@
 
 // ReturnAllowance is how long after the store's return an endpoint whose row
 // lapsed in the outage may take to be listed again.
-const ReturnAllowance = 2500 * time.Millisecond
+const ReturnAllowance = 2 * time.Second
 
 // Row is an endpoint's row as it was read, for other VMs.
 type Row struct {
--- /dev/null
+++ b/gateway/ingress/conn_test.go
@@ -0,0 +1,50 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/ingress"
+)
+
+const manifest = `{"version":3,"routes":[{"name":"r","host":"h.example","path_prefix":"/p/","kind":"idempotent","timeout_ms":500,"goal_ms":100,"service":"s","max_attempts":1,"public":true}],"services":[{"name":"s"}],"limits":{"max_body_bytes":1000,"header_timeout_ms":300,"idle_timeout_ms":1000}}`
+
+// A server that stops closes idle connections while a request is on its way.
+// That request is still read, but must not be run: its caller gets no answer.
+func TestRequestOnAClosedConnectionIsNotRun(t *testing.T) {
+	holder := &config.Holder{}
+	holder.Offer([]byte(manifest), "test")
+	metrics := meter.NewRegistry()
+	// A nil relay would panic if the request got there.
+	handler := &ingress.Handler{Config: holder, Meter: metrics, Log: &ingress.RequestLog{}}
+	accepted := make(chan net.Conn, 1)
+	closing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		(<-accepted).Close()
+		handler.ServeHTTP(w, r)
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: closing, ReadHeaderTimeout: time.Second}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		accepted <- conn
+		return ingress.ConnContext(ctx, conn)
+	}
+	go func() { _ = server.Serve(ingress.Listener{Listener: listener}) }()
+	defer server.Close()
+
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a1\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	require.Error(t, err)
+	require.EqualValues(t, 1, metrics.Counter("request", "refused", "connection_closed"))
+}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -50,6 +50,11 @@
 		h.refuse(w, r, arrived, refused)
 		return
 	}
+	if connClosed(r.Context()) {
+		h.Meter.Count("request", "refused", "connection_closed")
+		h.Log.Refused(job.Caller.ID, 0, "connection_closed", current.Version, time.Since(arrived))
+		panic(http.ErrAbortHandler)
+	}
 	h.serve(r.Context(), w, job)
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -43,7 +43,7 @@
 	// fleetShare is the part of the bound on leaving endpoints between two looks
 	// at the fleet.
 	fleetShare = 0.4
-	sweepEvery = 1 * time.Second
+	sweepEvery = 300 * time.Millisecond
 	// membersWait is how long the store holds the call for changes of the list
 	// of entry processes.
 	membersWait = 15 * time.Second
@@ -56,6 +56,9 @@
 	stopMargin = 900 * time.Millisecond
 	// dutyTerm is how long a renewal of the lease on the duties lasts.
 	dutyTerm = 5 * time.Second
+	// dutyCandidates is how many processes look at the lease often, so that its
+	// reads don't grow with the fleet.
+	dutyCandidates = 3
 	// logLines bounds the log lines that wait for standard output.
 	logLines = 2048
 	// memoryShare is the part of the VM's memory at which the collector works harder.
@@ -78,23 +81,22 @@
 	options  Options
 	instance string
 
-	meter    *meter.Registry
-	config   *config.Holder
-	fleet    *fleet.Fleet
-	ledger   *engines.Ledger
-	pool     *link.Pool
-	budgets  *relay.Budgets
-	client   *http.Client
-	store    *site.Store
-	duty     *site.DutyClient
-	trueTime *duties.TrueTime
-	tally    *duties.Tally
-	replicas *duties.Replicas
-	circle   *peers.Circle
-	bounds   atomic.Pointer[site.Bounds] // As the settings say now.
-	// storeLost is true while the store does not answer this process.
-	storeLost atomic.Bool
-	stopping  atomic.Bool
+	meter      *meter.Registry
+	config     *config.Holder
+	fleet      *fleet.Fleet
+	ledger     *engines.Ledger
+	pool       *link.Pool
+	budgets    *relay.Budgets
+	client     *http.Client
+	store      *site.Store
+	duty       *site.DutyClient
+	trueTime   *duties.TrueTime
+	tally      *duties.Tally
+	replicas   *duties.Replicas
+	circle     *peers.Circle
+	bounds     atomic.Pointer[site.Bounds] // As the settings say now.
+	storeWatch *storeWatch
+	stopping   atomic.Bool
 }
 
 // Run runs an entry process until ctx ends, and then stops it in order.
@@ -124,6 +126,7 @@
 	n.fleet = fleet.New(time.Now)
 	n.ledger = engines.New(settings.DataCentre, time.Now)
 	n.fleet.Listen(n.ledger)
+	n.storeWatch = &storeWatch{fleet: n.fleet}
 	n.trueTime = duties.NewTrueTime(n.store, clock.Now)
 	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
 	n.replicas = duties.NewReplicas()
@@ -190,7 +193,8 @@
 		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets},
 	}
 	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
-	serveOn(s.callers, callers)
+	s.callers.ConnContext = ingress.ConnContext
+	serveOn(s.callers, ingress.Listener{Listener: callers})
 	serveOn(s.side, ready)
 	serveOn(s.side, control)
 	if n.options.MetricsPort > 0 {
@@ -223,6 +227,7 @@
 func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
 	lease := leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	lease.SetTerm(dutyTerm)
+	lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
 		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas,
@@ -264,7 +269,7 @@
 
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
-		Store: n.store, Table: site.TableOperator, Wait: configWait,
+		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
 		Apply: func(page site.Page, _ bool) {
 			for _, row := range page.Rows {
 				if row.Key == site.KeyConfiguration && !row.Removed {
@@ -298,14 +303,7 @@
 			}
 			n.fleet.Apply(rows, page.Version, whole)
 		},
-		Lost: func() {
-			n.storeLost.Store(true)
-			n.fleet.HoldRemovals(time.Now().Add(maxOutage))
-		},
-		Regained: func() {
-			n.storeLost.Store(false)
-			n.fleet.HoldRemovals(time.Now().Add(fleet.ReturnAllowance))
-		},
+		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
 	}
 }
 
@@ -319,6 +317,7 @@
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
+		n.ledger.SetProcesses(n.circle.Size())
 		n.budgets.Set(budgetSettings(*n.bounds.Load(), max(n.circle.Size(), assumedVMs)))
 		select {
 		case <-ctx.Done():
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -11,7 +11,7 @@
 // State implements peers.Sources.
 func (n *Node) State(peer string, usage bool) *wirev1.PeerState {
 	state := &wirev1.PeerState{
-		Vm: n.settings.Node, Instance: n.instance, ConfigurationVersion: n.config.Version(), EndpointsVersion: n.fleet.Version(), StoreLost: n.storeLost.Load(),
+		Vm: n.settings.Node, Instance: n.instance, ConfigurationVersion: n.config.Version(), EndpointsVersion: n.fleet.Version(), StoreLost: n.storeWatch.IsLost(),
 	}
 	for _, load := range n.ledger.Loads() {
 		state.Loads = append(state.Loads, encodeLoad(load))
@@ -70,6 +70,9 @@
 
 // TakeState implements peers.Sources.
 func (n *Node) TakeState(state *wirev1.PeerState) {
+	if !state.GetStoreLost() {
+		n.storeWatch.AnswersOthers()
+	}
 	loads := make([]engines.Load, 0, len(state.GetLoads()))
 	for _, encoded := range state.GetLoads() {
 		load := engines.Load{Endpoint: encoded.GetEndpoint(), Streams: int(encoded.GetStreams())}
@@ -96,7 +99,7 @@
 	if current := n.config.Current(); current != nil && current.Version > state.GetConfigurationVersion() {
 		reply.Configuration = current.Raw
 	}
-	if !state.GetStoreLost() || n.storeLost.Load() {
+	if !state.GetStoreLost() || n.storeWatch.IsLost() {
 		return
 	}
 	for _, row := range n.fleet.Rows(state.GetEndpointsVersion()) {
@@ -110,7 +113,7 @@
 	if len(reply.GetConfiguration()) > 0 {
 		n.takeConfig(reply.GetConfiguration(), reply.GetState().GetVm())
 	}
-	if len(reply.GetRows()) == 0 || !n.storeLost.Load() {
+	if len(reply.GetRows()) == 0 || !n.storeWatch.IsLost() {
 		return
 	}
 	rows := make([]fleet.Row, 0, len(reply.GetRows()))
@@ -121,7 +124,7 @@
 }
 
 // StoreLost implements peers.Sources.
-func (n *Node) StoreLost() bool { return n.storeLost.Load() }
+func (n *Node) StoreLost() bool { return n.storeWatch.IsLost() }
 
 // MemberGone implements peers.Sources.
 func (n *Node) MemberGone(vm string) {
--- /dev/null
+++ b/gateway/node/storewatch_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/fleet"
+)
+
+func listed(t *testing.T, f *fleet.Fleet) bool {
+	t.Helper()
+	_, ok := f.Get("e1")
+	return ok
+}
+
+func newFleet() (*fleet.Fleet, *storeWatch) {
+	f := fleet.New(time.Now)
+	f.Apply([]fleet.Row{{Key: "e1", Value: []byte(`{"service":"s","addr":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`), Version: 1}}, 1, true)
+	return f, &storeWatch{fleet: f}
+}
+
+func gone(f *fleet.Fleet) {
+	f.Apply([]fleet.Row{{Key: "e1", Version: 2, Removed: true}}, 2, false)
+}
+
+// Rows lapse while the store is away; an endpoint that lives lists itself again
+// within the allowance, and one that does not is gone then.
+func TestEndpointsOutliveAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, watch := newFleet()
+		watch.Lost()
+		time.Sleep(8 * time.Second)
+		watch.Regained()
+		gone(f)
+		require.True(t, listed(t, f), "the row lapsed in the outage")
+		time.Sleep(fleet.ReturnAllowance + time.Millisecond)
+		f.Settle()
+		require.False(t, listed(t, f))
+	})
+}
+
+// The store turned this process away and served the others: a row that is gone
+// was taken back by its endpoint, which must get no more work (hunt-1313-19 of
+// shedline-wa: a request reached an endpoint 3.4 s after it had left).
+func TestEndpointThatLeftWhileOnlyThisProcessWasTurnedAwayIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, watch := newFleet()
+		watch.Lost()
+		watch.AnswersOthers()
+		time.Sleep(time.Second)
+		watch.Regained()
+		gone(f)
+		require.False(t, listed(t, f))
+	})
+}
+
+func TestEndpointThatLeavesWhileTheStoreAnswersIsGoneAtOnce(t *testing.T) {
+	f, _ := newFleet()
+	gone(f)
+	require.False(t, listed(t, f))
+}
--- a/gateway/peers/partners.go
+++ b/gateway/peers/partners.go
@@ -34,3 +34,18 @@
 	hash.Write([]byte(vm)) // A hash takes every write.
 	return hash.Sum64()
 }
+
+// AmongFirst reports whether this process is one of the first n of the fleet,
+// by an order that all compute alike.
+func (c *Circle) AmongFirst(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	self := place(c.self.VM)
+	before := 0
+	for vm, p := range c.members {
+		if p.failures == 0 && place(vm) < self {
+			before++
+		}
+	}
+	return before < n
+}
