--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -106,12 +106,13 @@
 	best := Decision{Level: level}
 	decode, decodeCost := bestDecode(now, request, engines)
 	source, held := bestSource(now, request, engines)
+	homes := homesOf(request, engines)
 	bestCost := 0.0
 	for _, engine := range engines {
 		if !usable(now, engine, request) {
 			continue
 		}
-		option, cost := optionOf(now, request, engine, level, fetchFor(engine, request.Prompt, source, held))
+		option, cost := optionOf(now, request, engine, level, fetchFor(engine, request.Prompt, source, held, homes))
 		if engine.Stage == Prefill {
 			option, cost = handOver(option, cost, decode, decodeCost)
 		}
@@ -119,6 +120,9 @@
 			continue
 		}
 		cost += spread(request)
+		if engine == homes.near {
+			cost -= homeShare * float64(homes.tokens) / engine.Rate()
+		}
 		if best.Decode == nil || cost < bestCost {
 			best, bestCost = option, cost
 		}
@@ -133,13 +137,18 @@
 	return asMillis(request.Spread) * request.Random()
 }
 
-// fetchFor returns the option of an engine to fetch what source holds, if that
-// is worth a transfer.
-func fetchFor(engine *Engine, prompt Prompt, source *Engine, held int) Decision {
-	if source == nil || source == engine || held-engine.cache.Held(prompt.Parts) < minFetch {
-		return Decision{}
+// fetchFor returns the option of an engine to fetch what another holds, if that
+// is worth a transfer. Where none is known to hold the shared parts, their home
+// may.
+func fetchFor(engine *Engine, prompt Prompt, source *Engine, held int, homes homes) Decision {
+	own := engine.cache.Held(prompt.Parts)
+	if source != nil && source != engine && held-own >= minFetch {
+		return Decision{Source: source, Fetched: held}
+	}
+	if homes.any != nil && homes.any != engine && homes.tokens-max(own, held) >= minFetch {
+		return Decision{Source: homes.any}
 	}
-	return Decision{Source: source, Fetched: held}
+	return Decision{}
 }
 
 // optionOf returns what it would be to have a prompt read by an engine.
