--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -77,8 +77,10 @@
 	// minRetry and maxRetry bound when a refused caller is told to come back.
 	minRetry = 300 * time.Millisecond
 	maxRetry = 3 * time.Second
-	// fullShare is the part of an engine's slots after which it takes no more.
-	fullShare = 0.6
+	// fullShare is the part of an engine's slots after which streams wait.
+	fullShare = 0.95
+	// slotTurn is about how often a slot of an engine falls free.
+	slotTurn = 40 * time.Millisecond
 )
 
 // Decide places a request on one of the engines.
@@ -104,14 +106,12 @@
 // choose returns the engines with the least expected time for a level.
 func choose(now time.Time, request Request, engines []*Engine, level int) Decision {
 	best := Decision{Level: level}
+	engines = candidates(now, request, engines)
 	decode, decodeCost := bestDecode(now, request, engines)
 	source, held := bestSource(now, request, engines)
 	homes := homesOf(request, engines)
 	bestCost := 0.0
 	for _, engine := range engines {
-		if !usable(now, engine, request) {
-			continue
-		}
 		option, cost := optionOf(now, request, engine, level, fetchFor(engine, request.Prompt, source, held, homes))
 		if engine.Stage == Prefill {
 			option, cost = handOver(option, cost, decode, decodeCost)
@@ -164,9 +164,10 @@
 		option.Prefill = engine
 		return option, cost
 	}
-	if !full(engine) {
-		option.Decode = engine
-	}
+	option.Decode = engine
+	wait := slotWait(engine)
+	option.Predicted += asDuration(wait)
+	cost += wait
 	// Each step that reads a part of a prompt delays all streams of the engine.
 	return option, cost + streamDelay*reread*float64(engine.Running())
 }
@@ -177,7 +178,7 @@
 		return option, cost
 	}
 	option.Decode = decode
-	option.Predicted += handover
+	option.Predicted += handover + asDuration(slotWait(decode))
 	if decode.DataCentre != option.Prefill.DataCentre {
 		cost += asMillis(farMove)
 	}
@@ -204,7 +205,7 @@
 // another. It is asked when the prompt has been read: what was known when the
 // request came may no longer hold. It returns nil when there is none.
 func Continue(now time.Time, request Request, engines []*Engine) *Engine {
-	best, _ := bestDecode(now, request, engines)
+	best, _ := bestDecode(now, request, candidates(now, request, engines))
 	return best
 }
 
@@ -213,10 +214,10 @@
 	var best *Engine
 	bestCost := 0.0
 	for _, engine := range engines {
-		if engine.Stage != Decode || !usable(now, engine, request) || full(engine) {
+		if engine.Stage != Decode {
 			continue
 		}
-		cost := placeCost(now, request, engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now) + spread(request)/4
+		cost := placeCost(now, request, engine) + slotWait(engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now) + spread(request)/4
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
 		}
@@ -224,12 +225,35 @@
 	return best, bestCost
 }
 
-func usable(now time.Time, engine *Engine, request Request) bool {
-	return !engine.Draining && !request.Exclude[engine.ID] && !engine.Health.Resting(now) && !now.Before(engine.RestUntil)
+// candidates returns the engines that may be used: those that are not left
+// alone for now, or all that stay if there are no such engines that produce
+// tokens.
+func candidates(now time.Time, request Request, engines []*Engine) []*Engine {
+	staying := make([]*Engine, 0, len(engines))
+	rested := make([]*Engine, 0, len(engines))
+	produces := false
+	for _, engine := range engines {
+		if engine.Draining || request.Exclude[engine.ID] {
+			continue
+		}
+		staying = append(staying, engine)
+		if engine.Health.Resting(now) || now.Before(engine.RestUntil) {
+			continue
+		}
+		rested = append(rested, engine)
+		produces = produces || engine.Stage == Decode
+	}
+	if produces {
+		return rested
+	}
+	return staying
 }
 
-func full(engine *Engine) bool {
-	return float64(engine.Running()+engine.Waiting()) >= fullShare*float64(max(engine.Slots, 1))
+// slotWait returns the milliseconds that a stream waits for a slot of an engine.
+func slotWait(engine *Engine) float64 {
+	used := engine.Running() + engine.Waiting()
+	over := float64(used+1) - fullShare*float64(max(engine.Slots, 1))
+	return max(over, 0) * asMillis(slotTurn)
 }
 
 // placeCost is what an engine's place and failures cost, in milliseconds.
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -70,7 +70,7 @@
 		"request", job.Caller.ID, "team", job.Team, "route", job.Route.Name, "configuration", job.Version,
 		"status", outcome.Status, "reason", string(outcome.Reason), "endpoint", outcome.Endpoint, "prefill", outcome.Prefill,
 		"attempts", outcome.Attempts, "may_have_run", outcome.Ran, "first_ms", outcome.First.Milliseconds(), "ms", took.Milliseconds(),
-		"late", late, "level", outcome.Level, "predicted_ms", outcome.Predicted.Milliseconds(), "reading_ms", outcome.Reading.Milliseconds(),
+		"late", late, "level", outcome.Level, "fetched_tokens", outcome.Fetched, "predicted_ms", outcome.Predicted.Milliseconds(), "reading_ms", outcome.Reading.Milliseconds(),
 		"decode_first_ms", outcome.Decode.Milliseconds(), "prompt_tokens", job.Caller.Prompt.Input, "lines_omitted", omitted,
 	}
 	if outcome.RetryIn > 0 {
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -35,6 +35,7 @@
 	Err      error         // Of the last attempt.
 	RetryIn  time.Duration // Told to the caller.
 	Level    int           // Priority told to the endpoint.
+	Fetched  int           // Prompt tokens that another engine was believed to hold; -1 for its home's, unknown.
 	Prediction
 }
 
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -122,6 +122,10 @@
 	s.p.Endpoint = placed.DecodeAt.ID
 	s.p.Prefill = ""
 	s.p.Level = placed.Level
+	s.p.Fetched = placed.Fetched
+	if placed.FetchFrom != "" && placed.Fetched == 0 {
+		s.p.Fetched = -1
+	}
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
