Have a prompt read elsewhere when an engine does not read it

To read a prompt is not to run it.

Change: an engine has three times the expected time and 0.5 s; the second call is paid once from the retry budget.

--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -28,6 +28,10 @@
 	stallShare = 0.45
 	// prefillShare is the part of the time left that reading a prompt may take.
 	prefillShare = 0.7
+	// readPatience and readSlack bound how long reading a prompt may take, by the
+	// time that it was expected to take.
+	readPatience = 3
+	readSlack    = 500 * time.Millisecond
 	streamBuffer = 8 << 10
 	// maxPrefillAnswer is the largest answer to a prompt that was read, in bytes.
 	maxPrefillAnswer = 64 << 10
@@ -46,6 +50,8 @@
 	began   bool // Counted as begun.
 	// prefills counts the calls that had the prompt read.
 	prefills int
+	// readFailed says that the last attempt ended before the prompt was read.
+	readFailed bool
 }
 
 // serveStream runs a request whose answer is a stream of events.
@@ -129,14 +135,13 @@
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
-	if s.prefills > 0 && !s.relay.Budgets.take(s.job.Service, 1) {
-		// Reading a prompt once more is a call beyond the first.
+	if !s.mayRead() {
 		return s.decode(ctx, placed, run)
 	}
-	s.prefills++
 	s.p.Prefill = placed.PrefillAt.ID
 	handle, result, ok := s.prefill(ctx, placed, run)
 	if !ok {
+		s.readFailed = true
 		s.p.exclude[placed.PrefillAt.ID] = true
 		return result
 	}
@@ -153,17 +158,28 @@
 	return s.decode(ctx, placed, run)
 }
 
+// mayRead reports whether the prompt may be read apart: once, and again within
+// the retry budget. A second call that replaces a failed first was paid as a
+// retry already.
+func (s *stream) mayRead() bool {
+	if s.prefills > 0 && !s.readFailed && !s.relay.Budgets.take(s.job.Service, 1) {
+		return false
+	}
+	s.prefills++
+	s.readFailed = false
+	return true
+}
+
 // prefill has a prompt read and returns the handle of its cache.
 func (s *stream) prefill(ctx context.Context, placed engines.Placed, run site.Run) (string, tried, bool) {
-	limit := time.Duration(prefillShare * float64(s.job.remaining(time.Now())))
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	endpoint := placed.PrefillAt
 	run.EndpointID = endpoint.ID
 	run.PrefillOnly = true
 	run.LastEventID = ""
 	ticket := s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
 	defer ticket.Drop()
+	ctx, cancel := context.WithTimeout(ctx, s.readLimit(ticket.Predicted()))
+	defer cancel()
 	began := time.Now()
 	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
 	if err != nil {
@@ -187,6 +203,13 @@
 	return site.KVSource(endpoint.Address, read.Handle), tried{}, true
 }
 
+// readLimit is how long an engine may take to read a prompt before another is
+// asked. To read a prompt is not to run it, so it may be read again.
+func (s *stream) readLimit(predicted time.Duration) time.Duration {
+	most := time.Duration(prefillShare * float64(s.job.remaining(time.Now())))
+	return min(readPatience*predicted+readSlack, most)
+}
+
 func (s *stream) prefillRefused(ctx context.Context, endpoint site.Endpoint, answer *link.Answer, err error) {
 	if err != nil {
 		s.noteFailure(ctx, endpoint, err)
