Take the stage planner out again

Cause: the mix swings each 3 to 14 s, a change takes an engine out for 3 s, and engines without slots delay every stream for seconds, while engines that produce can read as well. Conclusion: no orders; what is left is the case that no engine of a stage is left, for which none is built.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -67,7 +67,6 @@
 	bias    *Bias
 	pace    float64 // Milliseconds from one event of a stream to the next, 0 until seen.
 	factor  float64 // Observed rate by the assumed one.
-	sent    float64 // Work sent by this process in all, in tokens.
 }
 
 // Bias is by how much longer prompts of each priority take than the work ahead
@@ -104,17 +103,8 @@
 // Streams returns the streams past their first token, of this process.
 func (e *Engine) Streams() int { return e.streams }
 
-// WorkSent returns the reading work that this process has sent to the engine
-// since it is known, in tokens without context.
-func (e *Engine) WorkSent() float64 { return e.sent }
-
 // SetStage changes the stage. Its speed by the assumed one stays.
-func (e *Engine) SetStage(stage Stage) {
-	if e.Stage == stage {
-		return
-	}
-	e.Stage = stage
-}
+func (e *Engine) SetStage(stage Stage) { e.Stage = stage }
 
 // Running returns the streams past their first token, of all processes.
 func (e *Engine) Running() int {
@@ -215,7 +205,6 @@
 	tokens := e.work(prompt, fetched)
 	ahead := e.ahead(now, level)
 	e.cache.Use(prompt.Parts)
-	e.sent += tokens
 	return e.open(now, level, tokens, ahead, asDuration(overhead+e.reading(ahead, tokens, level)))
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -232,9 +232,6 @@
 		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
 		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas,
 	}
-	planner := &duties.StagePlanner{
-		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: lease, Holder: n.settings.Node, Change: n.stageChange,
-	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	list := []func(context.Context){
 		n.configFollower().Run,
@@ -249,24 +246,12 @@
 			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
 		},
 	}
-	list = append(list, lease.Run, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
-		list = append(list, reporter.Run, writer.Run)
+		list = append(list, lease.Run, reporter.Run, writer.Run)
 	}
 	return list
 }
 
-// stageChange returns how long an engine of a service is out while it changes
-// its stage.
-func (n *Node) stageChange(service string) time.Duration {
-	if current := n.config.Current(); current != nil {
-		if engine := current.Services[service].Engine; engine != nil {
-			return engine.StageChange
-		}
-	}
-	return 0
-}
-
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
