Refuse requests that were running at two crashes of endpoints

Change: gateway/crashes marks the request of a broken run once its endpoint refuses connections; marks travel with the exchange of states.

--- a/gateway/ingress/conn_test.go
+++ b/gateway/ingress/conn_test.go
@@ -12,6 +12,7 @@
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/ingress"
 )
 
@@ -24,9 +25,11 @@
 	holder.Offer([]byte(manifest), "test")
 	metrics := meter.NewRegistry()
 	// A nil relay would panic if the request got there.
-	handler := &ingress.Handler{Config: holder, Meter: metrics, Log: &ingress.RequestLog{}}
+	handler := &ingress.Handler{Config: holder, Meter: metrics, Log: &ingress.RequestLog{}, Crashes: crashes.New()}
 	accepted := make(chan net.Conn, 1)
+	handled := make(chan struct{})
 	closing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(handled)
 		(<-accepted).Close()
 		handler.ServeHTTP(w, r)
 	})
@@ -46,5 +49,6 @@
 	require.NoError(t, err)
 	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	require.Error(t, err)
+	<-handled
 	require.EqualValues(t, 1, metrics.Counter("request", "refused", "connection_closed"))
 }
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -14,6 +14,7 @@
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
 )
@@ -27,6 +28,9 @@
 	defaultMaxBody = 4 << 20
 	// notReadyRetry is when to come back to a process without a configuration.
 	notReadyRetry = 500 * time.Millisecond
+	// crashRetry is the same of a request that crashes endpoints: an operator
+	// has to look first.
+	crashRetry = 60 * time.Second
 )
 
 // Handler serves callers.
@@ -35,6 +39,8 @@
 	Relay  *relay.Relay
 	Meter  *meter.Registry
 	Log    *RequestLog
+	// Crashes tells of requests that are not run, since they crash endpoints.
+	Crashes *crashes.Marks
 }
 
 // ServeHTTP implements http.Handler.
@@ -87,6 +93,9 @@
 	if refused.status != 0 {
 		return nil, refused
 	}
+	if h.Crashes.Refused(team.Name, path, body) {
+		return nil, refusal{http.StatusServiceUnavailable, "crashes_endpoints"}
+	}
 	job := &relay.Job{
 		Caller: caller, Method: r.Method, Target: target, Host: r.Host, Header: site.ForwardHeaders(r.Header), Body: body,
 		Route: route, Service: pickTarget(route), Team: team.Name, Priority: route.Priority, Arrived: arrived,
@@ -166,13 +175,20 @@
 	caller := site.ReadCallerRequest(r.Header)
 	site.SetRequestID(w.Header(), caller.ID)
 	if refused.status == http.StatusServiceUnavailable {
-		site.SetRetryAfter(w.Header(), notReadyRetry)
+		site.SetRetryAfter(w.Header(), retryAfter(refused.reason))
 	}
 	http.Error(w, refused.reason, refused.status)
 	h.Meter.Count("request", "refused", refused.reason)
 	h.Log.Refused(caller.ID, refused.status, refused.reason, h.Config.Version(), time.Since(arrived))
 }
 
+func retryAfter(reason string) time.Duration {
+	if reason == "crashes_endpoints" {
+		return crashRetry
+	}
+	return notReadyRetry
+}
+
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
 	outcome := h.Relay.Serve(ctx, w, job)
 	took := time.Since(job.Arrived)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,7 @@
 	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/fleet"
@@ -93,6 +95,7 @@
 	trueTime   *duties.TrueTime
 	tally      *duties.Tally
 	replicas   *duties.Replicas
+	crashes    *crashes.Marks
 	circle     *peers.Circle
 	bounds     atomic.Pointer[site.Bounds] // As the settings say now.
 	storeWatch *storeWatch
@@ -130,6 +133,7 @@
 	n.trueTime = duties.NewTrueTime(n.store, clock.Now)
 	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
 	n.replicas = duties.NewReplicas()
+	n.crashes = crashes.New()
 	self := peers.Member{VM: settings.Node, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
 	n.circle = peers.New(self, n.store, n)
 	n.budgets = relay.NewBudgets(budgetSettings(settings.Bounds, assumedVMs))
@@ -174,6 +178,14 @@
 	side    *http.Server
 }
 
+// broke has a run looked at whose connection broke.
+func (n *Node) broke(job *relay.Job, endpoint site.Endpoint) {
+	path, _, _ := strings.Cut(job.Target, "?")
+	n.crashes.Note(crashes.Broken{
+		RequestID: job.Caller.ID, Team: job.Team, Path: path, Body: job.Body, Endpoint: endpoint.ID, Address: endpoint.Address,
+	})
+}
+
 // open listens on all addresses of the process.
 func (n *Node) open(ctx context.Context) (servers, error) {
 	callers, err := listen(ctx, n.settings.CallersAddress)
@@ -189,8 +201,8 @@
 		return servers{}, fmt.Errorf("%w; remedy: free the control address of the settings", err)
 	}
 	handler := &ingress.Handler{
-		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{},
-		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets},
+		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{}, Crashes: n.crashes,
+		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets, Broke: n.broke},
 	}
 	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
 	s.callers.ConnContext = ingress.ConnContext
@@ -237,6 +249,7 @@
 		n.configFollower().Run,
 		n.fleetFollower().Run,
 		n.membersFollower().Run,
+		n.crashes.Run,
 		n.circle.Register,
 		n.circle.Run,
 		n.shareBudget,
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"flamingospar.org/core/crash"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
@@ -19,6 +20,11 @@
 	for _, use := range n.ledger.Uses(peer) {
 		state.Prompts = append(state.Prompts, encodeUse(use))
 	}
+	for _, mark := range n.crashes.Told() {
+		state.Marks = append(state.Marks, &wirev1.CrashMark{
+			Fingerprint: string(mark.Fingerprint), Team: mark.Team, Crashes: mark.Crashes, ClearedUnixMillis: mark.Cleared,
+		})
+	}
 	if usage {
 		for window, began := range n.tally.Open() {
 			state.Usage = append(state.Usage, n.encodeCounts(window, began))
@@ -85,6 +91,7 @@
 	}
 	n.ledger.SetRemote(state.GetVm(), loads)
 	n.ledger.SetUses(decodeUses(state.GetPrompts()))
+	n.crashes.Merge(decodeMarks(state.GetMarks()))
 	for _, counts := range state.GetUsage() {
 		began := make(map[string]int64, len(counts.GetTeams()))
 		for _, team := range counts.GetTeams() {
@@ -94,6 +101,16 @@
 	}
 }
 
+func decodeMarks(encoded []*wirev1.CrashMark) []crash.Mark {
+	marks := make([]crash.Mark, 0, len(encoded))
+	for _, mark := range encoded {
+		marks = append(marks, crash.Mark{
+			Fingerprint: crash.Fingerprint(mark.GetFingerprint()), Team: mark.GetTeam(), Crashes: mark.GetCrashes(), Cleared: mark.GetClearedUnixMillis(),
+		})
+	}
+	return marks
+}
+
 // Newer implements peers.Sources.
 func (n *Node) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
 	if current := n.config.Current(); current != nil && current.Version > state.GetConfigurationVersion() {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -54,6 +54,8 @@
 	Meter   *meter.Registry
 	Began   Began
 	Budgets *Budgets
+	// Broke hears of each run whose connection broke before the whole answer.
+	Broke func(*Job, site.Endpoint)
 }
 
 // Budgets holds the retry budget of each service.
@@ -211,7 +213,7 @@
 	p.sends++
 	if err != nil {
 		p.runs++
-		return r.plainBroken(ctx, endpoint, p, err)
+		return r.plainBroken(ctx, job, endpoint, p, err)
 	}
 	defer answer.Close()
 	if answer.Meta.NotRun {
@@ -224,7 +226,7 @@
 	p.runs++
 	body, whole, err := readWhole(answer)
 	if err != nil {
-		return r.plainBroken(ctx, endpoint, p, err)
+		return r.plainBroken(ctx, job, endpoint, p, err)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		r.Engines.Note(endpoint.ID, engines.Faulty)
@@ -271,11 +273,12 @@
 	return context.WithTimeout(ctx, limit)
 }
 
-func (r *Relay) plainBroken(ctx context.Context, endpoint site.Endpoint, p *progress, err error) tried {
+func (r *Relay) plainBroken(ctx context.Context, job *Job, endpoint site.Endpoint, p *progress, err error) tried {
 	p.Err = err
 	p.Ran = true
 	if ctx.Err() == nil {
 		r.Engines.Note(endpoint.ID, engines.Faulty)
+		r.Broke(job, endpoint)
 	}
 	return tried{sent: true}
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -228,6 +228,9 @@
 		return
 	}
 	s.relay.Engines.Note(endpoint.ID, engines.Faulty)
+	if ctx.Err() == nil {
+		s.relay.Broke(s.job, endpoint)
+	}
 }
 
 // decode has the tokens produced and passes them on.
