--- a/flamingospar/command/gateway.go
+++ b/flamingospar/command/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 
+	"flamingospar.org/base/logging"
 	"flamingospar.org/gateway/node"
 	"flamingospar.org/platform/site"
 )
@@ -12,6 +13,9 @@
 // defaultMetricsPort is beside the ports that the users' VMs keep for others.
 const defaultMetricsPort = 9464
 
+// logLines bounds the log lines that wait for standard output.
+const logLines = 2048
+
 var errNoSettings = errors.New("no settings file is named; remedy: set " + site.SettingsVariable + " or give --settings")
 
 func (a *app) addGateway() {
@@ -23,6 +27,11 @@
 		if options.SettingsPath == "" {
 			return misuse{errNoSettings}
 		}
+		out := logging.NewAsync(os.Stdout, logLines)
+		defer out.Close()
+		if err := logging.SetFormat(logging.FormatJSON, out); err != nil {
+			return err
+		}
 		return node.Run(ctx, options)
 	})
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -61,8 +61,6 @@
 	// dutyCandidates is how many processes look at the lease often, so that its
 	// reads don't grow with the fleet.
 	dutyCandidates = 3
-	// logLines bounds the log lines that wait for standard output.
-	logLines = 2048
 	// memoryShare is the part of the VM's memory at which the collector works harder.
 	memoryShare = 0.6
 	// assumedVMs is how many VMs share the allowance of retries until more is known.
@@ -108,11 +106,6 @@
 	if err != nil {
 		return err
 	}
-	out := logging.NewAsync(os.Stdout, logLines)
-	defer out.Close()
-	if err := logging.SetFormat(logging.FormatJSON, out); err != nil {
-		return err
-	}
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
 	}
