--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,166 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/core/placement"
+)
+
+const memory = 400_000
+
+var start = time.Unix(1_000_000, 0)
+
+func engine(id string, stage placement.Stage) *placement.Engine {
+	return placement.NewEngine(id, "home", stage, 64, memory, &placement.Bias{})
+}
+
+func prompt(tokens int, shared string) placement.Prompt {
+	return placement.Prompt{Tokens: tokens, Parts: []placement.Part{{ID: shared, Tokens: tokens / 2}, {ID: shared + "-own", Tokens: tokens - tokens/2}}}
+}
+
+func request(p placement.Prompt, level int) placement.Request {
+	return placement.Request{Prompt: p, Level: level, Budget: 600 * time.Millisecond, Patience: 2400 * time.Millisecond, Home: "home", Far: 200 * time.Millisecond}
+}
+
+// Pattern: long prompts in a mix of short ones. The long ones are read by the
+// engine that only reads, short ones beside the streams.
+func TestLongPromptsAreReadApart(t *testing.T) {
+	engines := []*placement.Engine{engine("p", placement.Prefill), engine("d", placement.Decode)}
+	long := placement.Decide(start, request(prompt(8000, "a"), 2), engines)
+	require.Equal(t, "p", long.Prefill.ID)
+	require.Equal(t, "d", long.Decode.ID)
+	short := placement.Decide(start, request(prompt(200, "b"), 2), engines)
+	require.Nil(t, short.Prefill)
+	require.Equal(t, "d", short.Decode.ID)
+}
+
+// Pattern: more prompts than can be read in time. Those that can't be in time
+// go behind the others, and those whose callers would leave are refused at once
+// with a time to come back; none is refused while it could be in time.
+func TestOverloadIsLateThenRefused(t *testing.T) {
+	engines := []*placement.Engine{engine("p", placement.Prefill), engine("d", placement.Decode)}
+	var seen []placement.Verdict
+	for i := range 40 {
+		p := prompt(9000, fmt.Sprint(i))
+		decision := placement.Decide(start, request(p, 2), engines)
+		if len(seen) == 0 || seen[len(seen)-1] != decision.Verdict {
+			seen = append(seen, decision.Verdict)
+		}
+		switch decision.Verdict {
+		case placement.Refused:
+			require.Positive(t, decision.RetryIn)
+			continue
+		case placement.Late:
+			require.Equal(t, placement.LateLevel, decision.Level)
+		}
+		reader := decision.Decode
+		if decision.Prefill != nil {
+			reader = decision.Prefill
+		}
+		reader.Send(start, p, decision.Level, 0)
+	}
+	require.Equal(t, []placement.Verdict{placement.InTime, placement.Late, placement.Refused}, seen)
+	// A more urgent prompt does not wait behind them.
+	urgent := placement.Decide(start, request(prompt(2000, "urgent"), 0), engines)
+	require.Equal(t, placement.InTime, urgent.Verdict)
+}
+
+// Pattern: many prompts share long parts. An engine that holds a part is used
+// for it, and when it is busy another fetches the part from it.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	first, second := engine("p1", placement.Prefill), engine("p2", placement.Prefill)
+	engines := []*placement.Engine{first, second, engine("d", placement.Decode)}
+	p := prompt(10_000, "shared")
+	one := placement.Decide(start, request(p, 2), engines)
+	one.Prefill.Send(start, p, 2, one.Fetched).Read(start.Add(200 * time.Millisecond))
+	now := start.Add(time.Second)
+	again := placement.Prompt{Tokens: 10_000, Parts: []placement.Part{{ID: "shared", Tokens: 5000}, {ID: "other", Tokens: 5000}}}
+	two := placement.Decide(now, request(again, 2), engines)
+	require.Same(t, one.Prefill, two.Prefill)
+	for i := range 4 {
+		two.Prefill.Send(now, prompt(9000, fmt.Sprint("busy", i)), 0, 0)
+	}
+	three := placement.Decide(now, request(again, 2), engines)
+	require.NotSame(t, one.Prefill, three.Prefill)
+	require.Same(t, one.Prefill, three.Source)
+	require.Equal(t, 5000, three.Fetched)
+}
+
+// Pattern: an engine goes silent or slow. What it was sent is overdue, and the
+// next prompts go elsewhere before any failure is seen.
+func TestPromptsAvoidAnEngineThatIsBehind(t *testing.T) {
+	silent, sound := engine("p1", placement.Prefill), engine("p2", placement.Prefill)
+	engines := []*placement.Engine{silent, sound, engine("d", placement.Decode)}
+	silent.Send(start, prompt(1000, "x"), 2, 0)
+	decision := placement.Decide(start.Add(1500*time.Millisecond), request(prompt(4000, "y"), 2), engines)
+	require.Same(t, sound, decision.Prefill)
+}
+
+// Pattern: an engine leaves while a prompt is read for it. The engine that goes
+// on is chosen when the prompt has been read.
+func TestEngineThatGoesOnIsChosenLate(t *testing.T) {
+	leaving, staying := engine("d1", placement.Decode), engine("d2", placement.Decode)
+	engines := []*placement.Engine{engine("p", placement.Prefill), leaving, staying}
+	staying.StreamStarted()
+	p := request(prompt(8000, "a"), 2)
+	require.Same(t, leaving, placement.Decide(start, p, engines).Decode)
+	leaving.Draining = true
+	require.Same(t, staying, placement.Continue(start.Add(time.Second), p, engines))
+	staying.Draining = true
+	require.Nil(t, placement.Continue(start.Add(time.Second), p, engines))
+}
+
+// Pattern: all engines are full or left alone for a moment. Work waits for a
+// slot; it is not refused while its caller would still get it.
+func TestFullEnginesAreNoReasonToRefuse(t *testing.T) {
+	only := engine("d", placement.Decode)
+	for range 64 {
+		only.StreamStarted()
+	}
+	only.RestUntil = start.Add(time.Second)
+	decision := placement.Decide(start, request(prompt(200, "a"), 2), []*placement.Engine{only})
+	require.Equal(t, placement.InTime, decision.Verdict)
+	require.Equal(t, placement.Nobody, placement.Decide(start, request(prompt(200, "a"), 2), nil).Verdict)
+}
+
+// Pattern: several entry processes send to the same engines. What others sent
+// counts, and is forgotten with them.
+func TestLoadsOfOtherProcessesCount(t *testing.T) {
+	busy, idle := engine("p1", placement.Prefill), engine("p2", placement.Prefill)
+	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
+	p := prompt(6000, "a")
+	favourite := placement.Decide(start, request(p, 2), engines).Prefill
+	favourite.SetRemote(start, "other", placement.Work{0: 40_000}, 3)
+	require.NotSame(t, favourite, placement.Decide(start, request(p, 2), engines).Prefill)
+	require.Equal(t, 3, favourite.Running())
+	favourite.DropRemote("other")
+	require.Same(t, favourite, placement.Decide(start, request(p, 2), engines).Prefill)
+}
+
+// Pattern: bytes between data centres are dear. Work stays at home while that
+// costs little time, and leaves when home is behind.
+func TestWorkStaysInItsDataCentreUntilThatIsLate(t *testing.T) {
+	home := engine("d1", placement.Decode)
+	far := placement.NewEngine("d2", "far", placement.Decode, 64, memory, &placement.Bias{})
+	engines := []*placement.Engine{home, far}
+	require.Same(t, home, placement.Decide(start, request(prompt(500, "a"), 2), engines).Decode)
+	for i := range 5 {
+		home.Send(start, prompt(3000, fmt.Sprint(i)), 0, 0)
+	}
+	require.Same(t, far, placement.Decide(start, request(prompt(500, "a"), 2), engines).Decode)
+}
+
+func TestRateIsLearned(t *testing.T) {
+	slow := engine("p", placement.Prefill)
+	assumed := slow.Rate()
+	now := start
+	for i := range 60 {
+		now = now.Add(5 * time.Second)
+		slow.Send(now, prompt(6000, fmt.Sprint(i)), 0, 0).Read(now.Add(600 * time.Millisecond))
+	}
+	require.Less(t, slow.Rate(), assumed/3)
+}
