Report after a long outage from the newest sealed window on

Cause: a new holder looked back six windows only; a window that was sealed and not reported before a longer outage was never reported (found by the test of a successor). Change: it begins at the newest sealed window, as each holder reports a window before it seals the next. Tests: sum of processes, successor, copy of a dead process, lost answer, shared time. Measured: all pass.

--- a/gateway/duties/usage.go
+++ b/gateway/duties/usage.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,8 +40,11 @@
 	retryWait  = 500 * time.Millisecond
 	// maxAttempts bounds the writes of one window's counts in a row.
 	maxAttempts = 4
-	// maxBehind is how many windows a new holder looks back.
+	// maxBehind is how many windows back counts are kept that can't be written.
 	maxBehind = 6
+	// lookBack is how many windows back a new holder looks for the newest that
+	// is sealed. The store returns up to 500 rows at once.
+	lookBack = 400
 )
 
 var log = logging.For("gateway/usage")
@@ -167,9 +171,9 @@
 		return retryWait
 	}
 	due := windowAt(now.Add(-sealDelay), r.Length) - 1
-	if term := int64(fence.Term.Row.Epoch); term != r.term {
-		r.term = term
-		r.reported = due - maxBehind
+	if err := r.begin(ctx, int64(fence.Term.Row.Epoch), due); err != nil {
+		log.Error(err, "It is not known yet which windows are sealed.", "epoch", fence.Term.Row.Epoch)
+		return retryWait
 	}
 	if r.reported >= due {
 		return min((due + 1).endOf(r.Length).Add(sealDelay).Sub(now), r.Length)
@@ -192,6 +196,31 @@
 	return 0
 }
 
+// begin finds where a new term goes on: at the newest sealed window, which the
+// holder before may not have reported. Each holder reports a window before it
+// seals the next.
+func (r *Reporter) begin(ctx context.Context, term int64, due Window) error {
+	if term == r.term {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	page, err := r.Store.Range(ctx, tableSealed, windowKey(due-lookBack), "")
+	if err != nil {
+		return err
+	}
+	r.reported = due - 1
+	if len(page.Rows) > 0 {
+		newest, err := strconv.ParseInt(page.Rows[len(page.Rows)-1].Key, 10, 64)
+		if err != nil {
+			return fmt.Errorf("sealed window %q: %w", page.Rows[len(page.Rows)-1].Key, err)
+		}
+		r.reported = min(r.reported, Window(newest)-1)
+	}
+	r.term = term
+	return nil
+}
+
 // sealed returns the window's figures, which never change once they are written.
 func (r *Reporter) sealed(ctx context.Context, window Window, fence leasekeeper.Fence) (counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
--- /dev/null
+++ b/gateway/duties/usage_test.go
@@ -0,0 +1,175 @@
+package duties
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/entry/leasekeeper"
+	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+const windowLength = time.Second
+
+// fixture is a store, the operator's interface and a clock that tests move.
+type fixture struct {
+	stand  *sitetest.Store
+	store  *site.Store
+	duties *sitetest.Duties
+	now    time.Time
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{stand: sitetest.NewStore(t), duties: sitetest.NewDuties(t), now: time.Unix(1_000_000, 0)}
+	f.store = site.NewStore(f.stand.Address, http.DefaultClient)
+	return f
+}
+
+func (f *fixture) clock() (time.Time, bool) { return f.now, true }
+
+// reporter returns a process that has looked at the lease once.
+func (f *fixture) reporter(name string) *Reporter {
+	keeper := leasekeeper.NewWithClock(f.store.Tables(), "duties", name, func() time.Time { return f.now })
+	r := &Reporter{
+		Store: f.store, Duty: site.NewDutyClient(f.duties.Address, http.DefaultClient), Lease: keeper, Holder: name,
+		Clock: f.clock, Length: windowLength, Late: 10 * time.Second, Replicas: NewReplicas(),
+	}
+	keeper.Step(context.Background())
+	return r
+}
+
+func (f *fixture) counted(t *testing.T, instance string, window Window, began int64) {
+	t.Helper()
+	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, windowLength), Instance: instance}
+	writer.Tally.counts[window] = map[string]int64{"team": began}
+	writer.collect(window + 1)
+	writer.flush(context.Background())
+	require.Empty(t, writer.pending)
+}
+
+// work has a reporter do what is due.
+func (f *fixture) work(r *Reporter) {
+	for range 2 * maxBehind {
+		fence, held := r.Lease.Fence()
+		if !held || r.step(context.Background(), fence) > 0 {
+			return
+		}
+	}
+}
+
+func (f *fixture) reportsOf(window Window) []sitetest.Report {
+	var reports []sitetest.Report
+	for _, report := range f.duties.Reports() {
+		if report.Window == int64(window) {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+func TestWindowIsTheSumOfItsProcesses(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	f.counted(t, "b/1", window, 7)
+	f.now = f.now.Add(windowLength + sealDelay)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	reports := f.reportsOf(window)
+	require.Len(t, reports, 1)
+	require.Equal(t, map[string]int64{"team": 12}, reports[0].Began)
+}
+
+// A holder that sealed a window and died before it reported it is followed by
+// one that reports the same figures under a higher token, also when counts were
+// written after the seal.
+func TestSuccessorReportsTheSealedFigures(t *testing.T) {
+	f := newFixture(t)
+	first := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	f.now = f.now.Add(windowLength + sealDelay)
+	first.Lease.Step(context.Background())
+	fence, held := first.Lease.Fence()
+	require.True(t, held)
+	_, err := first.seal(context.Background(), window, fence)
+	require.NoError(t, err)
+
+	f.counted(t, "b/1", window, 100)
+	second := f.reporter("b")
+	_, held = second.Lease.Fence()
+	require.False(t, held, "the first still holds the lease")
+	f.now = f.now.Add(12 * time.Second)
+	second.Lease.Step(context.Background())
+	_, held = second.Lease.Fence()
+	require.True(t, held)
+	_, held = first.Lease.Fence()
+	require.False(t, held, "two processes hold the lease")
+	f.work(second)
+	_, err = first.seal(context.Background(), window+1, fence)
+	require.Error(t, err, "a seal of a term that has ended")
+	reports := f.reportsOf(window)
+	require.Len(t, reports, 1)
+	require.Equal(t, map[string]int64{"team": 5}, reports[0].Began)
+	token, err := strconv.Atoi(reports[0].Fence)
+	require.NoError(t, err)
+	require.Greater(t, token, int(fence.Term.Row.Epoch))
+}
+
+// A process died before it wrote its counts. The window waits for them until
+// its report is due, and then holds the copy that others had.
+func TestCopyStandsInForAProcessThatDied(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	r.Replicas.Set("a/1", window, map[string]int64{"team": 4})
+	r.Replicas.Set("b/1", window, map[string]int64{"team": 7})
+	f.now = f.now.Add(windowLength + sealDelay)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Empty(t, f.reportsOf(window))
+	f.now = window.endOf(windowLength).Add(r.Late - sealMargin)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	reports := f.reportsOf(window)
+	require.Len(t, reports, 1)
+	require.Equal(t, map[string]int64{"team": 12}, reports[0].Began)
+}
+
+// The store did a write and its answer was lost: to write the row again counts
+// nothing twice.
+func TestLostAnswerCountsNothingTwice(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.stand.LoseAnswers(1)
+	f.counted(t, "b/1", window, 7)
+	f.now = f.now.Add(windowLength + sealDelay)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Equal(t, map[string]int64{"team": 7}, f.reportsOf(window)[0].Began)
+}
+
+// A VM whose time of day is wrong takes the time that the first one stored.
+func TestTrueTimeIsSharedByAll(t *testing.T) {
+	f := newFixture(t)
+	steady := time.Unix(500, 0)
+	right := NewTrueTime(f.store, func() time.Time { return steady })
+	_, sure := right.Now()
+	require.False(t, sure)
+	require.NoError(t, right.Learn(context.Background()))
+	wrong := NewTrueTime(f.store, func() time.Time { return steady.Add(time.Hour) })
+	require.NoError(t, wrong.Learn(context.Background()))
+	a, sure := right.Now()
+	require.True(t, sure)
+	b, _ := wrong.Now()
+	require.InDelta(t, 0, a.Sub(b).Seconds(), 0.5)
+	require.InDelta(t, 0, time.Until(a).Seconds(), 0.5)
+}
