--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -11,6 +11,8 @@
 	partial []byte
 	lastID  string // Of the last whole event that had one.
 	count   int    // Whole events.
+	// overlong says that a part of an event was passed on.
+	overlong bool
 }
 
 var eventEnd = []byte("\n\n")
@@ -20,6 +22,9 @@
 func (e *events) add(data []byte) []byte {
 	e.partial = append(e.partial, data...)
 	end := bytes.LastIndex(e.partial, eventEnd)
+	if end < 0 && len(e.partial) > maxEvent {
+		return e.overflow()
+	}
 	if end < 0 {
 		return nil
 	}
@@ -30,6 +35,15 @@
 	return whole
 }
 
+// overflow passes on what is too long to hold back. The stream can't go on at
+// another endpoint then.
+func (e *events) overflow() []byte {
+	all := e.partial
+	e.partial = nil
+	e.overlong = true
+	return all
+}
+
 // note remembers the last id among whole events.
 func (e *events) note(whole []byte) {
 	e.count += bytes.Count(whole, eventEnd)
--- a/gateway/relay/job.go
+++ b/gateway/relay/job.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -54,12 +53,5 @@
 	return max(minStreamPatience, objectivePatience*j.Route.Objective, gapPatience*j.Route.EventGap)
 }
 
-// attempt is one try of a job.
-type attempt struct {
-	ctx      context.Context
-	endpoint site.Endpoint
-	run      site.Run
-}
-
 // remaining returns the time that an endpoint may work from now.
 func (j *Job) remaining(now time.Time) time.Duration { return j.Deadline.Sub(now) }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -355,7 +355,7 @@
 
 // broken decides what follows an answer that ended before its end.
 func (s *stream) broken() tried {
-	if s.job.Route.Resumable && (s.events.lastID != "" || !s.started) {
+	if s.job.Route.Resumable && !s.events.overlong && (s.events.lastID != "" || !s.started) {
 		return tried{sent: true}
 	}
 	s.p.Reason = ReasonBroken
--- /dev/null
+++ b/gateway/soak/world_test.go
@@ -0,0 +1,223 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// Size of a run.
+const (
+	processes = 3
+	plains    = 3
+	engines   = 4 // The first reads prompts only.
+	events    = 12
+)
+
+// world is a fleet of real processes beside stand-ins.
+type world struct {
+	t       *testing.T
+	binary  string
+	logs    string
+	store   *sitetest.Store
+	duties  *sitetest.Duties
+	nodes   []*process
+	links   []*proxy // To endpoints.
+	ends    []*endpoint
+	mu      sync.Mutex
+	version int
+	keys    []string // In force, the newest last.
+}
+
+// process is one entry process, and the proxy between it and the store.
+type process struct {
+	vm    sitetest.VM
+	store *proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	log *os.File
+}
+
+// endpoint counts the runs of each request.
+type endpoint struct {
+	*sitetest.Endpoint
+	service string
+	stage   string
+	link    *proxy
+	seq     int
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (e *endpoint) ran(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[id]++
+}
+
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "flamingospar")
+	out, err := exec.Command("go", "build", "-o", binary, "flamingospar.org/flamingospar").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
+func newWorld(t *testing.T, binary string, seed int64) *world {
+	w := &world{t: t, binary: binary, store: sitetest.NewStore(t), duties: sitetest.NewDuties(t), keys: []string{"key0"}}
+	w.logs = filepath.Join(os.TempDir(), fmt.Sprintf("flamingospar-soak-%d", seed))
+	require.NoError(t, os.MkdirAll(w.logs, 0o700))
+	w.configure()
+	for i := range plains {
+		w.addEndpoint(fmt.Sprintf("s%d", i), "plain", "", servePlain)
+	}
+	for i := range engines {
+		stage := "decode"
+		if i == 0 {
+			stage = "prefill"
+		}
+		w.addEndpoint(fmt.Sprintf("m%d", i), "model", stage, serveStream)
+	}
+	for i := range processes {
+		link := newProxy(t, w.store.Address)
+		vm := sitetest.NewVM(t, fmt.Sprintf("vm%d", i), fmt.Sprintf("dc%d", i%2), link.address, w.duties.Address)
+		w.nodes = append(w.nodes, &process{vm: vm, store: link})
+	}
+	t.Cleanup(w.stopAll)
+	for _, node := range w.nodes {
+		w.startNode(node)
+	}
+	return w
+}
+
+func servePlain(e *endpoint, w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	e.ran(id)
+	time.Sleep(5 * time.Millisecond)
+	fmt.Fprint(w, "of "+id)
+}
+
+func serveStream(e *endpoint, w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Stage") == "" {
+		e.ran(r.Header.Get("X-Request-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	sitetest.PrefillThen("h"+r.Header.Get("X-Request-Id"), func(w http.ResponseWriter, r *http.Request) {
+		sitetest.Events(events, 0)(slowWriter{w}, r)
+	})(w, r)
+}
+
+// slowWriter spaces the events of a stream.
+type slowWriter struct{ http.ResponseWriter }
+
+// Unwrap lets the events be flushed.
+func (s slowWriter) Unwrap() http.ResponseWriter { return s.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (s slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(4 * time.Millisecond)
+	return s.ResponseWriter.Write(p)
+}
+
+func (w *world) addEndpoint(id, service, stage string, serve func(*endpoint, http.ResponseWriter, *http.Request)) {
+	e := &endpoint{service: service, stage: stage, seq: 1, runs: make(map[string]int)}
+	e.Endpoint = sitetest.NewEndpoint(w.t, id, func(rw http.ResponseWriter, r *http.Request) { serve(e, rw, r) })
+	e.link = newProxy(w.t, e.Address)
+	w.ends = append(w.ends, e)
+	w.links = append(w.links, e.link)
+	w.list(e, "ready")
+}
+
+// list writes an endpoint's row.
+func (w *world) list(e *endpoint, state string) {
+	e.seq++
+	row := e.Row(e.service, fmt.Sprintf("dc%d", len(e.ID)%2), state, e.stage)
+	row["addr"] = e.link.address
+	row["seq"] = e.seq
+	w.store.Put(site.TableEndpoints, e.ID, row)
+}
+
+// configure writes a configuration with the keys in force.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 2
+	keys := ""
+	for i, key := range w.keys {
+		if i > 0 {
+			keys += ","
+		}
+		keys += fmt.Sprintf("%q", key)
+	}
+	route := func(name, kind, service, more string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","kind":%q,"timeout_ms":3000,"goal_ms":400,"gap_aim_ms":300,"priority":1,"service":%q,"max_attempts":2%s}`, name, name, kind, service, more)
+	}
+	w.store.PutRaw(site.TableOperator, site.KeyConfiguration, fmt.Appendf(nil,
+		`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"plain"},{"name":"model","engine":{"slots":16,"kv_tokens":100000}}],"limits":{"max_body_bytes":100000,"header_timeout_ms":2000,"idle_timeout_ms":15000},"tenants":[{"name":"team","api_keys":[%s]}]}`,
+		w.version, route("many", "idempotent", "plain", ""), route("once", "non_idempotent", "plain", ""),
+		route("resumed", "stream", "model", `,"resumable":true,"sticky":true`), route("stream", "stream", "model", `,"sticky":true`), keys))
+}
+
+func (w *world) startNode(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(w.logs, filepath.Base(p.vm.Settings)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(w.t, err)
+	cmd := exec.Command(w.binary, "gateway", "--settings", p.vm.Settings, "--metrics-port", "0")
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(w.t, cmd.Start())
+	p.cmd, p.log = cmd, log
+}
+
+// signal sends a signal to a process that this run started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // It may have ended.
+}
+
+// end ends a process by a signal and waits until it is gone.
+func (p *process) end(s syscall.Signal) {
+	p.signal(s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Wait() // Ended by a signal.
+	p.log.Close()
+}
+
+func (w *world) stopAll() {
+	for _, p := range w.nodes {
+		if p.cmd == nil {
+			continue
+		}
+		p.signal(syscall.SIGCONT)
+		p.end(syscall.SIGKILL)
+	}
+}
+
+func (p *process) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.vm.Ready+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
