The fleet's rows travel with the exchange of states

Change: an exchange brings the rows that the other does not know, with their age; a process asks the store only when nobody has told it within 0.4 of the drain bound. The call for a new configuration is held 10 s.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -61,7 +61,8 @@
 	return f.version
 }
 
-// Age returns the time since the store last answered.
+// Age returns the time since the store last confirmed what is known, here or to
+// the process that told it.
 func (f *Fleet) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,13 +85,16 @@
 	f.holdUntil = until
 }
 
-// Apply takes rows that changed. whole says that rows are the whole table.
-func (f *Fleet) Apply(rows []Row, version int64, whole bool) {
+// Apply takes rows that changed, which the store confirmed age ago. whole says
+// that rows are the whole table.
+func (f *Fleet) Apply(rows []Row, version int64, whole bool, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen = f.now()
+	if seen := f.now().Add(-age); seen.After(f.seen) {
+		f.seen = seen
+	}
 	if whole {
-		f.removeUnlisted(rows)
+		f.removeUnlisted(rows, version)
 	}
 	for _, row := range rows {
 		if row.Version < f.rows[row.Key].Version {
@@ -107,13 +111,14 @@
 	f.settle()
 }
 
-func (f *Fleet) removeUnlisted(rows []Row) {
+func (f *Fleet) removeUnlisted(rows []Row, version int64) {
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
 	for id := range f.endpoints {
 		if !listed[id] {
+			f.rows[id] = Row{Key: id, Version: version, Removed: true}
 			f.lapse(id)
 		}
 	}
@@ -186,15 +191,22 @@
 	}
 }
 
-// Rows returns the rows newer than a version, for another VM.
-func (f *Fleet) Rows(after int64) []Row {
+// News is what another process may not know yet.
+type News struct {
+	Rows    []Row
+	Version int64         // Up to which Rows is complete.
+	Age     time.Duration // Since the store confirmed them.
+}
+
+// Since returns the rows newer than a version, as of one moment.
+func (f *Fleet) Since(after int64) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var rows []Row
+	news := News{Version: f.version, Age: f.now().Sub(f.seen)}
 	for _, row := range f.rows {
 		if row.Version > after {
-			rows = append(rows, row)
+			news.Rows = append(news.Rows, row)
 		}
 	}
-	return rows
+	return news
 }
--- /dev/null
+++ b/gateway/fleet/fleet_test.go
@@ -0,0 +1,70 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/fleet"
+)
+
+func row(id string, sequence, started int, state string, version int64) fleet.Row {
+	return fleet.Row{Key: id, Version: version, Value: fmt.Appendf(nil,
+		`{"service":"s","addr":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`, state, sequence, started)}
+}
+
+func draining(t *testing.T, f *fleet.Fleet) bool {
+	t.Helper()
+	endpoint, ok := f.Get("e")
+	require.True(t, ok)
+	return endpoint.Draining
+}
+
+// A heartbeat that was on its way when the endpoint began to leave, or one of
+// the endpoint's life before a restart, changes nothing.
+func TestOlderHeartbeatsChangeNothing(t *testing.T) {
+	f := fleet.New(time.Now)
+	f.Apply([]fleet.Row{row("e", 7, 2, "draining", 1)}, 1, true, 0)
+	f.Apply([]fleet.Row{row("e", 6, 2, "ready", 2)}, 2, false, 0)
+	require.True(t, draining(t, f))
+	f.Apply([]fleet.Row{row("e", 90, 1, "ready", 3)}, 3, false, 0)
+	require.True(t, draining(t, f))
+	f.Apply([]fleet.Row{row("e", 1, 3, "ready", 4)}, 4, false, 0)
+	require.False(t, draining(t, f), "the endpoint has started again")
+}
+
+// What one process tells another is complete and as old as it says, also over
+// several processes and for rows that a whole reading no longer held.
+func TestNewsTravelsWithItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, third := fleet.New(time.Now), fleet.New(time.Now), fleet.New(time.Now)
+		first.Apply([]fleet.Row{row("e", 1, 1, "ready", 1), row("gone", 1, 1, "ready", 2)}, 2, true, 0)
+		tell(first, second)
+		first.Apply([]fleet.Row{row("e", 2, 1, "draining", 3)}, 5, true, 0)
+		time.Sleep(300 * time.Millisecond)
+		tell(first, second)
+		time.Sleep(200 * time.Millisecond)
+		tell(second, third)
+		require.True(t, draining(t, third))
+		_, listed := third.Get("gone")
+		require.False(t, listed)
+		require.EqualValues(t, 5, third.Version())
+		require.Equal(t, 500*time.Millisecond, third.Age())
+	})
+}
+
+func tell(from, to *fleet.Fleet) {
+	news := from.Since(to.Version())
+	to.Apply(news.Rows, news.Version, false, news.Age)
+}
+
+func TestForeignRowTakesNothingElseDown(t *testing.T) {
+	f := fleet.New(time.Now)
+	f.Apply([]fleet.Row{{Key: "x", Value: []byte("nonsense"), Version: 1}, row("e", 1, 1, "ready", 2)}, 2, true, 0)
+	require.False(t, draining(t, f))
+	_, listed := f.Get("x")
+	require.False(t, listed)
+}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -18,6 +18,8 @@
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// skipFor is how soon a follower looks again that needs no call now.
+	skipFor = 50 * time.Millisecond
 )
 
 var log = logging.For("gateway/follow")
@@ -36,6 +38,11 @@
 	Wait time.Duration
 	// Every is the shortest time between two calls.
 	Every time.Duration
+	// Skip reports whether what is known is fresh enough without a call; nil
+	// never is. After returns the version that is known, also from elsewhere;
+	// nil counts what this follower read.
+	Skip  func() bool
+	After func() int64
 	// Apply takes changed rows, or the whole table.
 	Apply func(page site.Page, whole bool)
 	// Lost and Regained are called when the store stops and begins to answer.
@@ -50,6 +57,10 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.skip() {
+			sleep(ctx, skipFor)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -65,6 +76,14 @@
 	}
 }
 
+func (f *Follower) skip() bool {
+	if f.Skip == nil || f.after == 0 || f.lost || !f.Skip() {
+		return false
+	}
+	f.after = max(f.after, f.After())
+	return true
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
 	defer cancel()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -41,10 +41,12 @@
 // Times of the process.
 const (
 	// configWait is how long the store holds the call for a new configuration.
-	configWait = 3 * time.Second
+	configWait = 10 * time.Second
 	// fleetShare is the part of the bound on leaving endpoints between two looks
 	// at the fleet.
 	fleetShare = 0.4
+	// skipStep is the least time between two calls for the fleet.
+	skipStep   = 50 * time.Millisecond
 	sweepEvery = 300 * time.Millisecond
 	// membersWait is how long the store holds the call for changes of the list
 	// of entry processes.
@@ -285,14 +287,17 @@
 }
 
 func (n *Node) fleetFollower() *follow.Follower {
+	every := time.Duration(fleetShare * float64(n.settings.Bounds.Drain))
 	return &follow.Follower{
-		Store: n.store, Table: site.TableEndpoints, Every: time.Duration(fleetShare * float64(n.settings.Bounds.Drain)),
+		Store: n.store, Table: site.TableEndpoints, Every: skipStep,
+		Skip:  func() bool { return n.fleet.Age() < every },
+		After: n.fleet.Version,
 		Apply: func(page site.Page, whole bool) {
 			rows := make([]fleet.Row, 0, len(page.Rows))
 			for _, row := range page.Rows {
 				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
 			}
-			n.fleet.Apply(rows, page.Version, whole)
+			n.fleet.Apply(rows, page.Version, whole, 0)
 		},
 		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
 	}
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"flamingospar.org/core/crash"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/gateway/duties"
@@ -116,13 +118,15 @@
 	if current := n.config.Current(); current != nil && current.Version > state.GetConfigurationVersion() {
 		reply.Configuration = current.Raw
 	}
-	if !state.GetStoreLost() || n.storeWatch.IsLost() {
+	if n.storeWatch.IsLost() {
 		return
 	}
-	for _, row := range n.fleet.Rows(state.GetEndpointsVersion()) {
+	news := n.fleet.Since(state.GetEndpointsVersion())
+	for _, row := range news.Rows {
 		reply.Rows = append(reply.Rows, &wirev1.EndpointRow{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
 	}
-	reply.RowsVersion = n.fleet.Version()
+	reply.RowsVersion = news.Version
+	reply.RowsAgeMs = news.Age.Milliseconds()
 }
 
 // TakeNewer implements peers.Sources.
@@ -130,14 +134,14 @@
 	if len(reply.GetConfiguration()) > 0 {
 		n.takeConfig(reply.GetConfiguration(), reply.GetState().GetVm())
 	}
-	if len(reply.GetRows()) == 0 || !n.storeWatch.IsLost() {
+	if reply.GetRowsVersion() < n.fleet.Version() || reply.GetRowsVersion() == 0 {
 		return
 	}
 	rows := make([]fleet.Row, 0, len(reply.GetRows()))
 	for _, row := range reply.GetRows() {
 		rows = append(rows, fleet.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Removed: row.GetRemoved()})
 	}
-	n.fleet.Apply(rows, reply.GetRowsVersion(), false)
+	n.fleet.Apply(rows, reply.GetRowsVersion(), false, time.Duration(reply.GetRowsAgeMs())*time.Millisecond)
 }
 
 // StoreLost implements peers.Sources.
--- a/gateway/node/storewatch_test.go
+++ b/gateway/node/storewatch_test.go
@@ -18,12 +18,12 @@
 
 func newFleet() (*fleet.Fleet, *storeWatch) {
 	f := fleet.New(time.Now)
-	f.Apply([]fleet.Row{{Key: "e1", Value: []byte(`{"service":"s","addr":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`), Version: 1}}, 1, true)
+	f.Apply([]fleet.Row{{Key: "e1", Value: []byte(`{"service":"s","addr":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`), Version: 1}}, 1, true, 0)
 	return f, &storeWatch{fleet: f}
 }
 
 func gone(f *fleet.Fleet) {
-	f.Apply([]fleet.Row{{Key: "e1", Version: 2, Removed: true}}, 2, false)
+	f.Apply([]fleet.Row{{Key: "e1", Version: 2, Removed: true}}, 2, false, 0)
 }
 
 // Rows lapse while the store is away; an endpoint that lives lists itself again
