True time by a steady duration; a whole reading tells no older process

The retry budget counted by the wall clock too.

Change: both count a duration since the start; news is given only to processes that know at least what was read whole.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -25,6 +25,7 @@
 // not safe for concurrent use.
 type Budget struct {
 	settings Settings
+	since    time.Time // Of the first call; times count from there, so that no set wall clock moves them.
 	counts   [buckets + 1]bucket
 }
 
@@ -72,7 +73,10 @@
 }
 
 func (b *Budget) number(now time.Time) int64 {
-	return now.UnixNano() / max(int64(b.settings.Window)/buckets, 1)
+	if b.since.IsZero() {
+		b.since = now
+	}
+	return buckets + 1 + int64(now.Sub(b.since))/max(int64(b.settings.Window)/buckets, 1)
 }
 
 func (b *Budget) at(now time.Time) *bucket {
--- a/gateway/duties/clock.go
+++ b/gateway/duties/clock.go
@@ -20,17 +20,18 @@
 // the first process wrote. A VM whose own time of day jumps does not move it.
 type TrueTime struct {
 	store *site.Store
-	// steady is a clock that runs on when the time of day is set.
-	steady func() time.Time
+	// steady is the time since some moment. It runs on when the time of day is
+	// set, and it is no time.Time, whose wall clock would be set with it.
+	steady func() time.Duration
 
 	mu     sync.Mutex
-	offset time.Duration // Of the time of day from the steady clock.
+	origin time.Time // The true time at which steady was 0.
 	known  bool
 }
 
 // NewTrueTime returns a clock that follows this VM's time of day until Learn
 // has succeeded.
-func NewTrueTime(store *site.Store, steady func() time.Time) *TrueTime {
+func NewTrueTime(store *site.Store, steady func() time.Duration) *TrueTime {
 	return &TrueTime{store: store, steady: steady}
 }
 
@@ -74,7 +75,7 @@
 func (t *TrueTime) set(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.offset = now.Sub(t.steady())
+	t.origin = now.Add(-t.steady())
 	t.known = true
 }
 
@@ -85,5 +86,5 @@
 	if !t.known {
 		return time.Now(), false
 	}
-	return t.steady().Add(t.offset), true
+	return t.origin.Add(t.steady()), true
 }
--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -43,6 +43,9 @@
 	lapsed    map[string]bool // Rows that lapsed and may come back.
 	holdUntil time.Time       // Rows that lapse before then are kept until then.
 	version   int64           // Of the newest row or whole reading applied.
+	// complete is the version after which every change is known here. A whole
+	// reading does not tell which rows went before it.
+	complete int64
 	seen      time.Time       // When the store last answered.
 }
 
@@ -95,6 +98,7 @@
 	}
 	if whole {
 		f.removeUnlisted(rows, version)
+		f.complete = version
 	}
 	for _, row := range rows {
 		if row.Version < f.rows[row.Key].Version {
@@ -198,10 +202,14 @@
 	Age     time.Duration // Since the store confirmed them.
 }
 
-// Since returns the rows newer than a version, as of one moment.
+// Since returns the rows newer than a version, as of one moment. There is no
+// news, of version 0, for a process that knows less than this one read whole.
 func (f *Fleet) Since(after int64) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if after < f.complete {
+		return News{}
+	}
 	news := News{Version: f.version, Age: f.now().Sub(f.seen)}
 	for _, row := range f.rows {
 		if row.Version > after {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -125,7 +125,8 @@
 	n.ledger = engines.New(settings.DataCentre, time.Now)
 	n.fleet.Listen(n.ledger)
 	n.storeWatch = &storeWatch{fleet: n.fleet}
-	n.trueTime = duties.NewTrueTime(n.store, clock.Now)
+	started := clock.Now()
+	n.trueTime = duties.NewTrueTime(n.store, func() time.Duration { return clock.Now().Sub(started) })
 	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
 	n.replicas = duties.NewReplicas()
 	n.crashes = crashes.New()
