--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -46,7 +46,7 @@
 	// complete is the version after which every change is known here. A whole
 	// reading does not tell which rows went before it.
 	complete int64
-	seen      time.Time       // When the store last answered.
+	seen     time.Time // When the store last answered.
 }
 
 // New returns an empty fleet.
