--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -88,14 +88,18 @@
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
 	defer cancel()
 	whole := f.after == 0
+	wait := f.Wait
+	if f.lost {
+		wait = 0 // The answer shall tell that the store is back, not a change.
+	}
 	var page site.Page
 	var err error
 	if whole {
 		page, err = f.Store.Table(ctx, f.Table)
 	} else {
-		page, err = f.Store.Feed(ctx, f.Table, f.after, f.Wait)
+		page, err = f.Store.Feed(ctx, f.Table, f.after, wait)
 	}
-	if errors.Is(err, site.ErrHistoryGone) {
+	if !whole && errors.Is(err, site.ErrHistoryGone) {
 		log.Info("The store has dropped its history; the table is read whole.", "table", f.Table, "after", f.after)
 		f.after = 0
 		return nil
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -160,6 +160,10 @@
 }
 
 func (w *world) restart(p *process, s syscall.Signal) {
+	if !p.restarting.TryLock() {
+		return // It ends already.
+	}
+	defer p.restarting.Unlock()
 	p.signal(syscall.SIGCONT) // A paused process would not end by SIGTERM.
 	p.end(s)
 	w.startNode(p)
--- a/gateway/soak/world_test.go
+++ b/gateway/soak/world_test.go
@@ -46,6 +46,8 @@
 	vm    sitetest.VM
 	store *proxy
 
+	restarting sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	log *os.File
@@ -190,13 +192,15 @@
 	_ = p.cmd.Process.Signal(s) // It may have ended.
 }
 
-// end ends a process by a signal and waits until it is gone.
+// end ends a process by a signal and waits until it is gone. Other signals may
+// come meanwhile.
 func (p *process) end(s syscall.Signal) {
 	p.signal(s)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Wait() // Ended by a signal.
-	p.log.Close()
+	cmd, log := p.cmd, p.log
+	p.mu.Unlock()
+	_ = cmd.Wait() // Ended by a signal.
+	log.Close()
 }
 
 func (w *world) stopAll() {
