--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -86,7 +88,8 @@
 	}
 }
 
-// confirm tries the endpoint: a connection that broke alone tells of no crash.
+// confirm tries the endpoint: a connection that broke alone tells of no crash,
+// and an endpoint that can't be reached may have none either.
 func (m *Marks) confirm(ctx context.Context, broken Broken) {
 	select {
 	case <-ctx.Done():
@@ -100,6 +103,9 @@
 		_ = conn.Close() // Nothing was sent on it.
 		return
 	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return // It may be this process that is cut off.
+	}
 	mark := crash.New(crash.FingerprintOf(broken.Team, broken.Path, broken.Body), broken.Team, uuid.NewString()[:8], time.Now())
 	m.Merge([]crash.Mark{mark})
 	log.Info("A request was running when its endpoint crashed.", "request", broken.RequestID, "endpoint", broken.Endpoint, "fingerprint", string(mark.Fingerprint))
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -33,11 +33,17 @@
 	for range 3 {
 		marks.Note(crashes.Broken{Team: "t", Path: "/p", Body: []byte("sound"), Address: sound.Addr().String()})
 	}
+	// A process that is cut off reaches nobody; its requests crashed nothing
+	// (incident inc-b685 of lshrt-recall).
+	for range 2 {
+		marks.Note(crashes.Broken{Team: "t", Path: "/p", Body: []byte("cut off"), Address: "not an address"})
+	}
 	for range 2 {
 		marks.Note(crashes.Broken{Team: "t", Path: "/p", Body: []byte("poison"), Address: freeAddress(t)})
 	}
 	require.Eventually(t, func() bool { return marks.Refused("t", "/p", []byte("poison")) }, 10*time.Second, 20*time.Millisecond)
 	require.False(t, marks.Refused("t", "/p", []byte("sound")))
+	require.False(t, marks.Refused("t", "/p", []byte("cut off")))
 	require.False(t, marks.Refused("other", "/p", []byte("poison")))
 
 	other := crashes.New()
