Sharper tests of older configurations and of seals; race in a test mended

Change: the tests wait for the older configuration to be read, try a window that nobody sealed, and wait for the follower.

--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -112,7 +112,7 @@
 	_, held = first.Lease.Fence()
 	require.False(t, held, "two processes hold the lease")
 	f.work(second)
-	_, err = first.seal(context.Background(), window+1, fence)
+	_, err = first.seal(context.Background(), window+100, fence)
 	require.Error(t, err, "a seal of a term that has ended")
 	reports := f.reportsOf(window)
 	require.Len(t, reports, 1)
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -64,10 +64,13 @@
 		time.Sleep(time.Second)
 		s.set(5, site.ErrNotDone)
 		time.Sleep(20 * time.Second)
+		synctest.Wait()
 		require.False(t, lost.IsZero())
+		synctest.Wait()
 		s.set(5, nil)
 		back := time.Now()
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		require.False(t, regained.IsZero())
 		require.Less(t, regained.Sub(back), 2*time.Second)
 
@@ -76,6 +79,7 @@
 		time.Sleep(16 * time.Second)
 		s.set(9, nil)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, 2, wholes)
 		cancel()
 		time.Sleep(f.Wait) // The call that is held ends.
--- a/gateway/node/whole_test.go
+++ b/gateway/node/whole_test.go
@@ -163,6 +163,8 @@
 
 	// Neither an older version nor nonsense takes its place.
 	w.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(4, "key"))
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, w.send(http.MethodPost, plainPath, "key", nil).status)
 	w.store.PutRaw(site.TableOperator, site.KeyConfiguration, []byte("nonsense"))
 	time.Sleep(100 * time.Millisecond)
 	require.Equal(t, http.StatusUnauthorized, w.send(http.MethodPost, plainPath, "key", nil).status)
