--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -122,6 +122,20 @@
 	require.Greater(t, token, int(fence.Term.Row.Epoch))
 }
 
+// Nothing is reported under a term that has ended, also when the window was
+// sealed in it.
+func TestNoReportUnderAnEndedTerm(t *testing.T) {
+	f := newFixture(t)
+	first := f.reporter("a")
+	fence, held := first.Lease.Fence()
+	require.True(t, held)
+	first.term = int64(fence.Term.Row.Epoch)
+	f.now = f.now.Add(12 * time.Second)
+	err := first.report(context.Background(), windowAt(f.now, windowLength), counts{Began: map[string]int64{"team": 1}})
+	require.Error(t, err)
+	require.Empty(t, f.duties.Reports())
+}
+
 // A process died before it wrote its counts. The window waits for them until
 // its report is due, and then holds the copy that others had.
 func TestCopyStandsInForAProcessThatDied(t *testing.T) {
--- a/gateway/node/whole_test.go
+++ b/gateway/node/whole_test.go
@@ -388,6 +388,7 @@
 	w.eventually(func() bool { return len(e.Arrivals()) == 1 })
 	w.stop()
 	w.eventually(func() bool { return w.status("http://"+w.vm.Ready+site.ReadyPath) == http.StatusServiceUnavailable })
+	time.Sleep(4 * time.Second) // Past the time in which the balancer still sends callers.
 	close(release)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
