--- a/gateway/node/whole_test.go
+++ b/gateway/node/whole_test.go
@@ -388,7 +388,7 @@
 	w.eventually(func() bool { return len(e.Arrivals()) == 1 })
 	w.stop()
 	w.eventually(func() bool { return w.status("http://"+w.vm.Ready+site.ReadyPath) == http.StatusServiceUnavailable })
-	time.Sleep(4 * time.Second) // Past the time in which the balancer still sends callers.
+	w.eventually(func() bool { return !accepts(w.vm.Callers) }) // The server has begun to stop.
 	close(release)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
@@ -397,6 +397,15 @@
 	require.Equal(t, "whole", string(body))
 }
 
+func accepts(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 func TestUsageIsReportedOnceAWindow(t *testing.T) {
 	w := start(t)
 	w.add(sitetest.NewEndpoint(t, "e1", nil), "plain", "")
