--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -40,8 +40,10 @@
 
 // Times of the process.
 const (
-	// configWait is how long the store holds the call for a new configuration.
-	configWait = 10 * time.Second
+	// configWait is how long the store holds the call for a new configuration. A
+	// call whose answer is lost keeps this process from the next one for that
+	// long, which must stay near the calm time after which all bounds hold.
+	configWait = 3 * time.Second
 	// fleetShare is the part of the bound on leaving endpoints between two looks
 	// at the fleet.
 	fleetShare = 0.4
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -29,6 +29,8 @@
 const (
 	// recovery is how soon after the last fault every process serves again.
 	recovery = 15 * time.Second
+	// calm is how long after the last fault every bound holds again.
+	calm = 3 * time.Second
 	// inForce is how soon a configuration is in force at calm processes.
 	inForce = 3 * time.Second
 	callers = 8
@@ -36,8 +38,16 @@
 	callerTimeout = 6 * time.Second
 )
 
+// regressions are seeds that failed once, with the cause.
+var regressions = []int64{
+	214, // A held call for the configuration lost its answer, and the next came 11 s later.
+}
+
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
+	for _, seed := range regressions {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed) })
+	}
 	for i := range int64(*seeds) {
 		seed := *first + i
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed) })
@@ -57,6 +67,7 @@
 	w.inject(ctx, rand.New(rand.NewPCG(uint64(seed), 1000)))
 	running.Wait()
 	w.recover("the faults")
+	time.Sleep(calm)
 	w.keysChange()
 	time.Sleep(500 * time.Millisecond) // Work of callers that left ends.
 	c.check(t)
