A process that lost its held calls is told by others; seals wait after an outage

Ruled out: shorter held calls alone (3 s hid the first fault, more store calls); waiting for all listed processes (a VM without power stays listed and would put off each report). Change: a process that finds another behind sends it the configuration; a caller that is not listed becomes a member, unless its instance is known to have ended. Failed writes of counts are tried again after 0.7 s; a window waits until the store has been steady for 3 s or its report is due. clock.Sleep replaces four copies.

--- /dev/null
+++ b/base/clock/sleep_test.go
@@ -0,0 +1,25 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/base/clock"
+)
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		require.True(t, clock.Sleep(ctx, 0))
+		require.True(t, clock.Sleep(ctx, 2*time.Second))
+		require.False(t, clock.Sleep(ctx, 2*time.Second))
+		require.Equal(t, 3*time.Second, time.Since(began))
+		require.False(t, clock.Sleep(ctx, -1), "the context has ended")
+	})
+}
--- a/entry/configview/spread.go
+++ b/entry/configview/spread.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/core/config"
 )
 
@@ -34,10 +35,10 @@
 			return standing
 		}
 		if 2*standing.Acknowledged > standing.Listed {
-			standing.InForce = pause(ctx, config.EntryFreshFor)
+			standing.InForce = clock.Sleep(ctx, config.EntryFreshFor)
 			return standing
 		}
-		if !pause(ctx, spreadEvery) {
+		if !clock.Sleep(ctx, spreadEvery) {
 			return standing
 		}
 	}
@@ -118,15 +119,3 @@
 	answer, err := v.exchange(ctx, address, question)
 	return answer, err == nil && answer.Remembers && answer.Revision >= revision
 }
-
-// pause waits and reports whether it waited to the end.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/gateway/duties/usage.go
+++ b/gateway/duties/usage.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/platform/site"
@@ -36,10 +37,15 @@
 	// sealMargin is left of the time until the report is due when the window is
 	// sealed without a process, from the copies of its counts.
 	sealMargin = 2500 * time.Millisecond
+	// returnWait is how long after the store's return counts that could not be
+	// written meanwhile may take: an attempt under way, the pause and the next.
+	returnWait = 3 * time.Second
 	callLimit  = 1500 * time.Millisecond
 	retryWait  = 500 * time.Millisecond
-	// maxAttempts bounds the writes of one window's counts in a row.
-	maxAttempts = 4
+	// rewriteWait is between two attempts to write a window's counts.
+	rewriteWait = 700 * time.Millisecond
+	// finalLimit bounds the last writes of a process that stops.
+	finalLimit = 1500 * time.Millisecond
 	// maxBehind is how many windows back counts are kept that can't be written.
 	maxBehind = 6
 	// lookBack is how many windows back a new holder looks for the newest that
@@ -76,21 +82,33 @@
 
 // Run writes the counts of each window until ctx ends, and then what is left.
 func (w *Writer) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		now, _ := w.Tally.clock()
-		current := windowAt(now, w.Tally.length)
-		next := current.endOf(w.Tally.length).Add(writeDelay + rand.N(writeSpread))
-		if !pause(ctx, next.Sub(now)) {
-			break
-		}
-		w.collect(current + 1)
+	for clock.Sleep(ctx, w.untilNext()) {
+		w.collect(w.current())
 		w.flush(ctx)
 	}
-	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), callLimit)
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalLimit)
 	defer cancel()
+	w.collect(w.current() + 1)
+	for len(w.pending) > 0 && final.Err() == nil {
+		w.flush(final)
+		clock.Sleep(final, retryWait)
+	}
+}
+
+func (w *Writer) current() Window {
+	now, _ := w.Tally.clock()
+	return windowAt(now, w.Tally.length)
+}
+
+// untilNext returns the time until there is something to write: soon when the
+// last write failed, or else a little after the present window's end.
+func (w *Writer) untilNext() time.Duration {
+	if len(w.pending) > 0 {
+		return rewriteWait
+	}
 	now, _ := w.Tally.clock()
-	w.collect(windowAt(now, w.Tally.length) + 1)
-	w.flush(final)
+	end := windowAt(now, w.Tally.length).endOf(w.Tally.length)
+	return end.Add(writeDelay + rand.N(writeSpread)).Sub(now)
 }
 
 // collect makes rows of the counts of the windows before one.
@@ -114,23 +132,20 @@
 
 // flush writes what is pending, one transaction for all.
 func (w *Writer) flush(ctx context.Context) {
-	for attempt := 0; len(w.pending) > 0 && attempt < maxAttempts; attempt++ {
-		var tx site.Tx
-		for _, row := range w.pending {
-			tx.Put(tableCounts, row.key, row.value)
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callLimit)
-		_, err := w.Store.Commit(callCtx, tx)
-		cancel()
-		if err == nil {
-			w.pending = nil
-			return
-		}
-		log.Error(err, "Counts are not known to be written and are tried again.", "rows", len(w.pending), "attempt", attempt)
-		if !pause(ctx, retryWait) {
-			return
-		}
+	if len(w.pending) == 0 {
+		return
+	}
+	var tx site.Tx
+	for _, row := range w.pending {
+		tx.Put(tableCounts, row.key, row.value)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if _, err := w.Store.Commit(ctx, tx); err != nil {
+		log.Error(err, "Counts are not known to be written and are tried again.", "rows", len(w.pending))
+		return
+	}
+	w.pending = nil
 }
 
 func windowKey(window Window) string { return fmt.Sprintf("%0*d", keyDigits, int64(window)) }
@@ -147,8 +162,10 @@
 	Length   time.Duration
 	Late     time.Duration // From a window's end until its report is due.
 	Replicas *Replicas
-	reported Window // The newest that was reported by this process.
-	term     int64  // Of which reported is.
+	// StoreSteady returns how long the store has answered without a break.
+	StoreSteady func() time.Duration
+	reported    Window // The newest that was reported by this process.
+	term        int64  // Of which reported is.
 }
 
 // Run reports windows until ctx ends.
@@ -158,7 +175,7 @@
 		if fence, held := r.Lease.Fence(); held {
 			wait = r.step(ctx, fence)
 		}
-		if !pause(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -238,7 +255,9 @@
 	return r.seal(ctx, window, fence)
 }
 
-// seal adds up the processes' counts and writes the sum, if the lease is still held.
+// seal adds up the processes' counts and writes the sum, if the lease is still
+// held. After an outage of the store processes of which there is no copy may
+// still have to write theirs.
 func (r *Reporter) seal(ctx context.Context, window Window, fence leasekeeper.Fence) (counts, error) {
 	key := windowKey(window)
 	page, err := r.Store.Range(ctx, tableCounts, key+"/", key+"0")
@@ -258,7 +277,7 @@
 		delete(missing, strings.TrimPrefix(row.Key, key+"/"))
 		tx.Remove(tableCounts, row.Key)
 	}
-	if len(missing) > 0 && !r.mustSeal(window) {
+	if (len(missing) > 0 || r.StoreSteady() < returnWait) && !r.mustSeal(window) {
 		return counts{}, errIncomplete
 	}
 	for instance, began := range missing {
@@ -307,17 +326,3 @@
 	log.Info("A window was reported.", "window", window, "epoch", r.term)
 	return nil
 }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -22,10 +22,11 @@
 	store  *site.Store
 	duties *sitetest.Duties
 	now    time.Time
+	steady time.Duration // How long the store has answered.
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{stand: sitetest.NewStore(t), duties: sitetest.NewDuties(t), now: time.Unix(1_000_000, 0)}
+	f := &fixture{stand: sitetest.NewStore(t), duties: sitetest.NewDuties(t), now: time.Unix(1_000_000, 0), steady: time.Hour}
 	f.store = site.NewStore(f.stand.Address, http.DefaultClient)
 	return f
 }
@@ -37,7 +38,7 @@
 	keeper := leasekeeper.NewWithClock(f.store.Tables(), "duties", name, func() time.Time { return f.now })
 	r := &Reporter{
 		Store: f.store, Duty: site.NewDutyClient(f.duties.Address, http.DefaultClient), Lease: keeper, Holder: name,
-		Clock: f.clock, Length: windowLength, Late: 10 * time.Second, Replicas: NewReplicas(),
+		Clock: f.clock, Length: windowLength, Late: 10 * time.Second, Replicas: NewReplicas(), StoreSteady: func() time.Duration { return f.steady },
 	}
 	keeper.Step(context.Background())
 	return r
@@ -48,7 +49,9 @@
 	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, windowLength), Instance: instance}
 	writer.Tally.counts[window] = map[string]int64{"team": began}
 	writer.collect(window + 1)
-	writer.flush(context.Background())
+	for range 2 { // The answer of the first may be lost.
+		writer.flush(context.Background())
+	}
 	require.Empty(t, writer.pending)
 }
 
@@ -157,6 +160,61 @@
 	require.Equal(t, map[string]int64{"team": 12}, reports[0].Began)
 }
 
+// The store was away, and a process of which the holder has no copy writes its
+// counts only after its return. The window waits for it.
+func TestWindowWaitsForWritersAfterAnOutage(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	f.now = f.now.Add(windowLength + sealDelay)
+	f.steady = time.Second
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Empty(t, f.reportsOf(window), "sealed without those who could not write")
+	f.counted(t, "b/1", window, 7)
+	f.now = f.now.Add(returnWait)
+	f.steady += returnWait
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Equal(t, map[string]int64{"team": 12}, f.reportsOf(window)[0].Began)
+}
+
+// A window that is about to be due is sealed also when the store is not steady.
+func TestUnsteadyStoreDelaysNoReportPastItsTime(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	f.steady = 0
+	f.now = f.now.Add(windowLength + sealDelay)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Empty(t, f.reportsOf(window))
+	f.now = window.endOf(windowLength).Add(r.Late - sealMargin)
+	r.Lease.Step(context.Background())
+	f.work(r)
+	require.Len(t, f.reportsOf(window), 1)
+}
+
+// Counts that could not be written are tried again soon, not at the next
+// window's end, by when their window may be sealed.
+func TestFailedWritesAreTriedAgainSoon(t *testing.T) {
+	f := newFixture(t)
+	const long = time.Minute
+	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, long), Instance: "a/1"}
+	window := windowAt(f.now, long)
+	writer.Tally.counts[window] = map[string]int64{"team": 3}
+	f.stand.SetDown(true)
+	writer.collect(window + 1)
+	writer.flush(context.Background())
+	require.Len(t, writer.pending, 1)
+	require.Equal(t, rewriteWait, writer.untilNext())
+	f.stand.SetDown(false)
+	writer.flush(context.Background())
+	require.Empty(t, writer.pending)
+}
+
 // The store did a write and its answer was lost: to write the row again counts
 // nothing twice.
 func TestLostAnswerCountsNothingTwice(t *testing.T) {
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/platform/site"
 )
@@ -58,7 +59,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.skip() {
-			sleep(ctx, skipFor)
+			clock.Sleep(ctx, skipFor)
 			continue
 		}
 		began := time.Now()
@@ -70,7 +71,7 @@
 		if err != nil {
 			wait = f.failed(err)
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
@@ -136,17 +137,3 @@
 	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
 	return f.backoff/2 + rand.N(f.backoff)
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -126,7 +126,7 @@
 	n.fleet = fleet.New(time.Now)
 	n.ledger = engines.New(settings.DataCentre, time.Now)
 	n.fleet.Listen(n.ledger)
-	n.storeWatch = &storeWatch{fleet: n.fleet}
+	n.storeWatch = newStoreWatch(n.fleet)
 	started := clock.Now()
 	n.trueTime = duties.NewTrueTime(n.store, func() time.Duration { return clock.Now().Sub(started) })
 	n.tally = duties.NewTally(n.trueTime.Now, settings.Bounds.UsageWindow)
@@ -240,7 +240,7 @@
 	lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
-		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas,
+		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady,
 	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	list := []func(context.Context){
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -115,9 +115,7 @@
 
 // Newer implements peers.Sources.
 func (n *Node) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
-	if current := n.config.Current(); current != nil && current.Version > state.GetConfigurationVersion() {
-		reply.Configuration = current.Raw
-	}
+	reply.Configuration = n.NewerConfiguration(state)
 	if n.storeWatch.IsLost() {
 		return
 	}
@@ -132,7 +130,7 @@
 // TakeNewer implements peers.Sources.
 func (n *Node) TakeNewer(reply *wirev1.ExchangeStateReply) {
 	if len(reply.GetConfiguration()) > 0 {
-		n.takeConfig(reply.GetConfiguration(), reply.GetState().GetVm())
+		n.TakeConfiguration(reply.GetState().GetVm(), reply.GetConfiguration())
 	}
 	if reply.GetRowsVersion() < n.fleet.Version() || reply.GetRowsVersion() == 0 {
 		return
@@ -144,6 +142,18 @@
 	n.fleet.Apply(rows, reply.GetRowsVersion(), false, time.Duration(reply.GetRowsAgeMs())*time.Millisecond)
 }
 
+// NewerConfiguration implements peers.Sources.
+func (n *Node) NewerConfiguration(state *wirev1.PeerState) []byte {
+	current := n.config.Current()
+	if current == nil || current.Version <= state.GetConfigurationVersion() {
+		return nil
+	}
+	return current.Raw
+}
+
+// TakeConfiguration implements peers.Sources.
+func (n *Node) TakeConfiguration(vm string, raw []byte) { n.takeConfig(raw, vm) }
+
 // StoreLost implements peers.Sources.
 func (n *Node) StoreLost() bool { return n.storeWatch.IsLost() }
 
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -12,9 +12,14 @@
 type storeWatch struct {
 	fleet *fleet.Fleet
 
-	mu    sync.Mutex
-	lost  bool
-	alone bool // The store has answered another process since it was lost here.
+	mu     sync.Mutex
+	lost   bool
+	alone  bool      // The store has answered another process since it was lost here.
+	steady time.Time // Since when it answers without a break.
+}
+
+func newStoreWatch(f *fleet.Fleet) *storeWatch {
+	return &storeWatch{fleet: f, steady: time.Now()}
 }
 
 // Lost notes that a call was not answered.
@@ -38,6 +43,7 @@
 		return
 	}
 	w.lost = false
+	w.steady = time.Now()
 	allowance := fleet.ReturnAllowance
 	if w.alone {
 		allowance = 0
@@ -61,3 +67,13 @@
 	defer w.mu.Unlock()
 	return w.lost
 }
+
+// Steady returns how long the store has answered this process without a break.
+func (w *storeWatch) Steady() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lost {
+		return 0
+	}
+	return time.Since(w.steady)
+}
--- a/gateway/node/storewatch_test.go
+++ b/gateway/node/storewatch_test.go
@@ -20,7 +20,7 @@
 func newFleet() (*fleet.Fleet, *storeWatch) {
 	f := fleet.New(time.Now)
 	f.Apply([]fleet.Row{{Key: "e1", Value: sitetest.EndpointRow(1, 1, false), Version: 1}}, 1, true, 0)
-	return f, &storeWatch{fleet: f}
+	return f, newStoreWatch(f)
 }
 
 func gone(f *fleet.Fleet) {
@@ -63,3 +63,17 @@
 	gone(f)
 	require.False(t, listed(t, f))
 }
+
+func TestTheStoreIsSteadySinceItsLastReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, watch := newFleet()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 5*time.Second, watch.Steady())
+		watch.Lost()
+		require.Zero(t, watch.Steady())
+		time.Sleep(time.Second)
+		watch.Regained()
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 2*time.Second, watch.Steady())
+	})
+}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/platform/site"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
@@ -68,6 +69,11 @@
 	Newer(*wirev1.PeerState, *wirev1.ExchangeStateReply)
 	// TakeNewer takes what another process had newer.
 	TakeNewer(*wirev1.ExchangeStateReply)
+	// NewerConfiguration returns the configuration if the one that another
+	// process told is older, or else nil.
+	NewerConfiguration(*wirev1.PeerState) []byte
+	// TakeConfiguration takes the configuration that a VM sent.
+	TakeConfiguration(vm string, raw []byte)
 	// StoreLost reports whether the store does not answer this process.
 	StoreLost() bool
 	// MemberGone is told of a process that is no longer listed.
@@ -83,6 +89,7 @@
 
 	mu      sync.Mutex
 	members map[string]*peer
+	gone    map[string]string // The last instance by VM that is known to have ended.
 }
 
 type peer struct {
@@ -97,7 +104,7 @@
 // New returns the circle of a process.
 func New(self Member, store *site.Store, sources Sources) *Circle {
 	return &Circle{
-		self: self, store: store, sources: sources, members: make(map[string]*peer),
+		self: self, store: store, sources: sources, members: make(map[string]*peer), gone: make(map[string]string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true}},
 	}
 }
@@ -115,7 +122,7 @@
 		if c.commit(ctx, tx) == nil {
 			break
 		}
-		pause(ctx, registerRetry)
+		clock.Sleep(ctx, registerRetry)
 	}
 	<-ctx.Done()
 	var tx site.Tx
@@ -168,16 +175,21 @@
 	if ok && known.Member == member {
 		return
 	}
+	if ok {
+		c.gone[member.VM] = known.Instance
+	}
 	log.Info("An entry process is listed.", "vm", member.VM, "address", member.Address, "instance", member.Instance)
 	c.members[member.VM] = &peer{Member: member, client: wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address)}
 }
 
 func (c *Circle) remove(vm string) {
-	if _, ok := c.members[vm]; !ok {
+	known, ok := c.members[vm]
+	if !ok {
 		return
 	}
 	delete(c.members, vm)
-	log.Info("An entry process is no longer listed.", "vm", vm)
+	c.gone[vm] = known.Instance
+	log.Info("An entry process is no longer listed.", "vm", vm, "instance", known.Instance)
 	c.sources.MemberGone(vm)
 }
 
@@ -190,7 +202,7 @@
 
 // Run exchanges states until ctx ends.
 func (c *Circle) Run(ctx context.Context) {
-	for pause(ctx, tick) {
+	for clock.Sleep(ctx, tick) {
 		now := time.Now()
 		for _, p := range c.due(now) {
 			go c.exchange(ctx, p)
@@ -231,15 +243,33 @@
 	c.mu.Lock()
 	usage := !time.Now().Before(p.nextUsage)
 	c.mu.Unlock()
-	request := connect.NewRequest(&wirev1.ExchangeStateRequest{State: c.sources.State(p.VM, usage)})
-	reply, err := p.client.ExchangeState(ctx, request)
-	if err == nil {
-		c.sources.TakeState(reply.Msg.GetState())
-		c.sources.TakeNewer(reply.Msg)
-	}
+	err := c.tell(ctx, p, usage)
 	c.called(p, usage, err)
 }
 
+// tell makes one exchange, and a second that carries the configuration when the
+// other process turns out to hold an older one: its call for it may have lost
+// its answer.
+func (c *Circle) tell(ctx context.Context, p *peer, usage bool) error {
+	request := &wirev1.ExchangeStateRequest{
+		State: c.sources.State(p.VM, usage), Address: c.self.Address, DataCentre: c.self.DataCentre,
+	}
+	reply, err := p.client.ExchangeState(ctx, connect.NewRequest(request))
+	if err != nil {
+		return err
+	}
+	c.sources.TakeState(reply.Msg.GetState())
+	c.sources.TakeNewer(reply.Msg)
+	newer := c.sources.NewerConfiguration(reply.Msg.GetState())
+	if newer == nil {
+		return nil
+	}
+	log.Info("An entry process holds an older configuration and is sent this one.", "vm", p.VM, "version", reply.Msg.GetState().GetConfigurationVersion())
+	request.Configuration = newer
+	_, err = p.client.ExchangeState(ctx, connect.NewRequest(request))
+	return err
+}
+
 func (c *Circle) called(p *peer, usage bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -264,22 +294,27 @@
 // ExchangeState implements the other side of the exchange.
 func (c *Circle) ExchangeState(_ context.Context, request *connect.Request[wirev1.ExchangeStateRequest]) (*connect.Response[wirev1.ExchangeStateReply], error) {
 	state := request.Msg.GetState()
+	c.learn(request.Msg)
 	c.sources.TakeState(state)
+	if raw := request.Msg.GetConfiguration(); len(raw) > 0 {
+		c.sources.TakeConfiguration(state.GetVm(), raw)
+	}
 	reply := &wirev1.ExchangeStateReply{State: c.sources.State(state.GetVm(), false)}
 	c.sources.Newer(state, reply)
 	return connect.NewResponse(reply), nil
 }
 
-// Handler returns the path and handler of the service.
-func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c) }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// learn adds a process to the members that was not listed yet when this one
+// last read the list. One that was taken off it is not added again.
+func (c *Circle) learn(request *wirev1.ExchangeStateRequest) {
+	state := request.GetState()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request.GetAddress() == "" || c.gone[state.GetVm()] == state.GetInstance() {
+		return
 	}
+	c.add(Member{VM: state.GetVm(), Address: request.GetAddress(), DataCentre: request.GetDataCentre(), Instance: state.GetInstance()})
 }
+
+// Handler returns the path and handler of the service.
+func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c) }
--- /dev/null
+++ b/gateway/peers/peers_test.go
@@ -0,0 +1,153 @@
+package peers
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/platform/site"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+// known is what a process of these tests knows.
+type known struct {
+	vm string
+
+	mu      sync.Mutex
+	version int64
+	raw     []byte
+	taken   []string // VMs whose state was taken.
+}
+
+func (k *known) State(string, bool) *wirev1.PeerState {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return &wirev1.PeerState{Vm: k.vm, Instance: k.vm + "/1", ConfigurationVersion: k.version}
+}
+
+func (k *known) TakeState(state *wirev1.PeerState) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.taken = append(k.taken, state.GetVm())
+}
+
+func (k *known) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
+	reply.Configuration = k.NewerConfiguration(state)
+}
+
+func (k *known) TakeNewer(reply *wirev1.ExchangeStateReply) {
+	if len(reply.GetConfiguration()) > 0 {
+		k.TakeConfiguration("", reply.GetConfiguration())
+	}
+}
+
+func (k *known) NewerConfiguration(state *wirev1.PeerState) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.version <= state.GetConfigurationVersion() {
+		return nil
+	}
+	return k.raw
+}
+
+func (k *known) TakeConfiguration(_ string, raw []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.raw = raw
+	k.version = int64(len(raw)) // In these tests a configuration's version is its length.
+}
+
+func (k *known) holds() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.version
+}
+
+func (k *known) StoreLost() bool   { return false }
+func (k *known) MemberGone(string) {}
+
+// process is a circle that serves, and what it knows.
+func process(t *testing.T, vm string, version int64) (*Circle, *known) {
+	t.Helper()
+	k := &known{vm: vm, version: version, raw: make([]byte, version)}
+	server := httptest.NewUnstartedServer(nil)
+	self := Member{VM: vm, Address: server.Listener.Addr().String(), DataCentre: "dc-1", Instance: vm + "/1"}
+	c := New(self, nil, k)
+	_, server.Config.Handler = c.Handler()
+	server.Start()
+	t.Cleanup(server.Close)
+	return c, k
+}
+
+// list has a circle read members from the store's list.
+func list(t *testing.T, c *Circle, members ...Member) {
+	t.Helper()
+	var page site.Page
+	for _, member := range members {
+		value, err := json.Marshal(member)
+		require.NoError(t, err)
+		page.Rows = append(page.Rows, site.Row{Key: member.VM, Value: value})
+	}
+	c.Apply(page, true)
+}
+
+func memberNames(c *Circle) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for vm := range c.members {
+		names = append(names, vm)
+	}
+	return strings.Join(names, ",")
+}
+
+// One process has lost the answer to its call for the configuration. It is sent
+// the newer one by a process that finds it behind, without asking.
+func TestAProcessThatIsBehindIsSentTheConfiguration(t *testing.T) {
+	a, _ := process(t, "a", 9)
+	b, behind := process(t, "b", 5)
+	list(t, a, b.self)
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.EqualValues(t, 9, behind.holds())
+}
+
+// A process that has a newer configuration gives it in its reply.
+func TestAProcessThatIsBehindTakesTheReply(t *testing.T) {
+	a, behind := process(t, "a", 5)
+	b, _ := process(t, "b", 9)
+	list(t, a, b.self)
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.EqualValues(t, 9, behind.holds())
+}
+
+// One process has lost the answer to its call for the list. It learns of a
+// process that is not on the list it read from that process's own call.
+func TestACallerThatIsNotListedBecomesAMember(t *testing.T) {
+	a, _ := process(t, "a", 5)
+	b, _ := process(t, "b", 5)
+	list(t, a, b.self)
+	require.Empty(t, memberNames(b))
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.Equal(t, "a", memberNames(b))
+}
+
+// A call that was under way when its sender was taken off the list does not put
+// it back.
+func TestALateCallDoesNotBringAProcessBack(t *testing.T) {
+	a, _ := process(t, "a", 5)
+	b, _ := process(t, "b", 5)
+	list(t, a, b.self)
+	list(t, b, a.self)
+	list(t, b)
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.Empty(t, memberNames(b))
+	restarted := a.self
+	restarted.Instance = "a/2"
+	list(t, b, restarted)
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.Equal(t, "a/2", b.members["a"].Instance, "the former instance took the place of the new one")
+}
