Prompts count at an engine until they are read; loads are told more often

Each process drained its own work by the time that the engine would take if the work it knows were all there is, and told others the rest. Change: half of an own prompt's work counts until its answer comes, half of what was told until the next telling; exchange each 100 ms within a data centre and 500 ms beyond, with up to six others there.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -85,7 +85,7 @@
 func NewEngine(id, dataCentre string, stage Stage, slots, memory int, bias *Bias) *Engine {
 	return &Engine{
 		ID: id, DataCentre: dataCentre, Stage: stage, Slots: slots, cache: NewCache(int(float64(memory) * cacheShare)), factor: 1,
-		bias: bias, tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: backlog{remote: make(map[string]*Work)},
+		bias: bias, tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: newBacklog(),
 	}
 }
 
@@ -157,13 +157,13 @@
 // Work returns the reading work that this process sent and that is not done.
 func (e *Engine) Work(now time.Time) Work {
 	e.backlog.drain(now, e.Rate())
-	return e.backlog.own
+	return e.backlog.ownWork()
 }
 
 // SetRemote takes what another process tells of the engine.
 func (e *Engine) SetRemote(now time.Time, peer string, work Work, streams int) {
 	e.backlog.drain(now, e.Rate())
-	e.backlog.remote[peer] = &work
+	e.backlog.tell(peer, work)
 	e.others[peer] = streams
 }
 
@@ -191,6 +191,7 @@
 // Ticket is a prompt that was sent to an engine.
 type Ticket struct {
 	engine    *Engine
+	task      *task
 	level     int
 	sent      time.Time
 	ahead     float64 // Work ahead of it when it was sent.
@@ -216,8 +217,7 @@
 }
 
 func (e *Engine) open(now time.Time, level int, tokens, ahead float64, predicted time.Duration) *Ticket {
-	e.backlog.add(level, tokens)
-	ticket := &Ticket{engine: e, level: level, sent: now, ahead: ahead, work: ahead + tokens, Predicted: predicted, open: true}
+	ticket := &Ticket{engine: e, task: e.backlog.add(level, tokens), level: level, sent: now, ahead: ahead, work: ahead + tokens, Predicted: predicted, open: true}
 	e.tickets[ticket] = true
 	return ticket
 }
@@ -239,7 +239,7 @@
 	t.open = false
 	delete(t.engine.tickets, t)
 	t.engine.backlog.drain(now, t.engine.Rate())
-	t.engine.backlog.done(t.level)
+	t.engine.backlog.done(t.task)
 }
 
 // learn corrects the engine's rate by a prompt that had nothing ahead of it, and
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -141,6 +141,35 @@
 	require.Same(t, favourite, placement.Decide(start, request(p, 2), engines).Prefill)
 }
 
+// Pattern: many processes use one engine, and each knows little of the others.
+// An own prompt counts, here and for others, until the engine is seen to have
+// read it, however long ago it should have; then nothing of it is left.
+func TestOwnPromptsCountUntilTheyAreRead(t *testing.T) {
+	shared := engine("p", placement.Prefill)
+	ticket := shared.Send(start, prompt(8000, "a"), 2, 0)
+	sent := shared.Work(start)
+	require.Positive(t, sent[2])
+	later := shared.Work(start.Add(2 * time.Second))
+	require.GreaterOrEqual(t, later[2], sent[2]/2)
+	require.Less(t, later[2], sent[2], "it may have begun to read")
+	ticket.Read(start.Add(2 * time.Second))
+	require.Equal(t, placement.Work{}, shared.Work(start.Add(2*time.Second)))
+}
+
+// Pattern: others go on sending between two tellings. What they told is not
+// taken for done before they tell again.
+func TestToldWorkLastsUntilTheNextTelling(t *testing.T) {
+	busy, idle := engine("p1", placement.Prefill), engine("p2", placement.Prefill)
+	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
+	p := prompt(6000, "a")
+	favourite := placement.Decide(start, request(p, 2), engines).Prefill
+	favourite.SetRemote(start, "other", placement.Work{0: 40_000}, 0)
+	later := start.Add(2 * time.Second)
+	require.NotSame(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
+	favourite.SetRemote(later, "other", placement.Work{}, 0)
+	require.Same(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
+}
+
 // Pattern: bytes between data centres are dear. Work stays at home while that
 // costs little time, and leaves when home is behind.
 func TestWorkStaysInItsDataCentreUntilThatIsLate(t *testing.T) {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -29,13 +29,13 @@
 const (
 	// nearEvery and farEvery are between two exchanges with a process of the
 	// same and of another data centre. Bytes between data centres are dear.
-	nearEvery = 250 * time.Millisecond
-	farEvery  = 1 * time.Second
+	nearEvery = 100 * time.Millisecond
+	farEvery  = 500 * time.Millisecond
 	// lostEvery replaces both while the store does not answer.
 	lostEvery = 500 * time.Millisecond
 	// usageEvery is between two copies of the usage counts for a process.
 	usageEvery  = 1 * time.Second
-	tick        = 50 * time.Millisecond
+	tick        = 25 * time.Millisecond
 	callLimit   = 700 * time.Millisecond
 	backoffStep = 1 * time.Second
 	maxBackoff  = 8 * time.Second
@@ -47,7 +47,7 @@
 // cost of a process does not grow with the fleet.
 const (
 	maxNear = 6
-	maxFar  = 3
+	maxFar  = 6
 )
 
 // Member is an entry process as the store lists it.
