How old the list of endpoints is counts from the question

Processes pass the list on with its age, and each took it for as old at its arrival as it was when it was told. What is passed on hundreds of times a second so hardly aged, and nobody asked the store in time. Ruled out: rows passed over (versions and heartbeats rise), a hole after a whole reading (told only to those that know as much). Change: the age counts from when the question was sent, also in calls to the store.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -300,7 +300,7 @@
 			for _, row := range page.Rows {
 				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
 			}
-			n.fleet.Apply(rows, page.Version, whole, 0)
+			n.fleet.Apply(rows, page.Version, whole, time.Since(page.Asked))
 		},
 		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
 	}
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -128,7 +128,7 @@
 }
 
 // TakeNewer implements peers.Sources.
-func (n *Node) TakeNewer(reply *wirev1.ExchangeStateReply) {
+func (n *Node) TakeNewer(reply *wirev1.ExchangeStateReply, asked time.Time) {
 	if len(reply.GetConfiguration()) > 0 {
 		n.TakeConfiguration(reply.GetState().GetVm(), reply.GetConfiguration())
 	}
@@ -139,7 +139,8 @@
 	for _, row := range reply.GetRows() {
 		rows = append(rows, fleet.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Removed: row.GetRemoved()})
 	}
-	n.fleet.Apply(rows, reply.GetRowsVersion(), false, time.Duration(reply.GetRowsAgeMs())*time.Millisecond)
+	age := time.Since(asked) + time.Duration(reply.GetRowsAgeMs()+1)*time.Millisecond // The reply cuts a millisecond off.
+	n.fleet.Apply(rows, reply.GetRowsVersion(), false, age)
 }
 
 // NewerConfiguration implements peers.Sources.
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -67,8 +67,10 @@
 	TakeState(*wirev1.PeerState)
 	// Newer returns what a process lacks that tells this state.
 	Newer(*wirev1.PeerState, *wirev1.ExchangeStateReply)
-	// TakeNewer takes what another process had newer.
-	TakeNewer(*wirev1.ExchangeStateReply)
+	// TakeNewer takes what another process had newer, which was asked at a time.
+	// How old that is must be counted from then: what is passed on from process
+	// to process would else seem younger with each step.
+	TakeNewer(reply *wirev1.ExchangeStateReply, asked time.Time)
 	// NewerConfiguration returns the configuration if the one that another
 	// process told is older, or else nil.
 	NewerConfiguration(*wirev1.PeerState) []byte
@@ -254,12 +256,13 @@
 	request := &wirev1.ExchangeStateRequest{
 		State: c.sources.State(p.VM, usage), Address: c.self.Address, DataCentre: c.self.DataCentre,
 	}
+	asked := time.Now()
 	reply, err := p.client.ExchangeState(ctx, connect.NewRequest(request))
 	if err != nil {
 		return err
 	}
 	c.sources.TakeState(reply.Msg.GetState())
-	c.sources.TakeNewer(reply.Msg)
+	c.sources.TakeNewer(reply.Msg, asked)
 	newer := c.sources.NewerConfiguration(reply.Msg.GetState())
 	if newer == nil {
 		return nil
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -21,9 +22,12 @@
 	version int64
 	raw     []byte
 	taken   []string // VMs whose state was taken.
+	asked   time.Time
+	slow    time.Duration // How long it takes to answer.
 }
 
 func (k *known) State(string, bool) *wirev1.PeerState {
+	time.Sleep(k.slow)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return &wirev1.PeerState{Vm: k.vm, Instance: k.vm + "/1", ConfigurationVersion: k.version}
@@ -39,7 +43,8 @@
 	reply.Configuration = k.NewerConfiguration(state)
 }
 
-func (k *known) TakeNewer(reply *wirev1.ExchangeStateReply) {
+func (k *known) TakeNewer(reply *wirev1.ExchangeStateReply, asked time.Time) {
+	k.asked = asked
 	if len(reply.GetConfiguration()) > 0 {
 		k.TakeConfiguration("", reply.GetConfiguration())
 	}
@@ -151,3 +156,14 @@
 	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
 	require.Equal(t, "a/2", b.members["a"].Instance, "the former instance took the place of the new one")
 }
+
+// What a slow process tells is at least as old as the question.
+func TestWhatIsToldIsAsOldAsTheQuestion(t *testing.T) {
+	a, asking := process(t, "a", 5)
+	b, slow := process(t, "b", 5)
+	slow.slow = 100 * time.Millisecond
+	list(t, a, b.self)
+	before := time.Now()
+	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+	require.WithinRange(t, asking.asked, before, before.Add(slow.slow/2))
+}
