Engines turn to reading while a fleet is at rest or has room

Cause: on the grown sites prompts queue at the third of the engines that only read, while a tenth of the others' slots are in use. Change: the lease's holder has engines read, while nothing runs, up to 0.41 of all; under load only while an eighth of the slots was in use for 8 s; gives some back when slots are scarce; restores production when no engine produces. Orders carry the lease's epoch and the number of orders accepted; none from an old list of endpoints, none after a refusal for a higher fence.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -154,6 +154,11 @@
 	return overdueShare * asMillis(behind)
 }
 
+// Wait returns the time until the engine has read all that it was sent.
+func (e *Engine) Wait(now time.Time) time.Duration {
+	return asDuration(e.ahead(now, Levels-1) / e.Rate())
+}
+
 // Work returns the reading work that this process sent and that is not done.
 func (e *Engine) Work(now time.Time) Work {
 	e.backlog.drain(now, e.Rate())
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -29,6 +29,9 @@
 	biases   map[string]*placement.Bias
 	uses     uses
 	spread   time.Duration
+	// processes is the number of entry processes, and heard when each told last.
+	processes int
+	heard     map[string]time.Time
 }
 
 type plainEndpoint struct {
@@ -43,7 +46,7 @@
 		home: home, now: now,
 		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
 		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
-		biases: make(map[string]*placement.Bias), uses: uses{told: make(map[string]int)},
+		biases: make(map[string]*placement.Bias), uses: uses{told: make(map[string]int)}, heard: make(map[string]time.Time),
 	}
 }
 
@@ -58,6 +61,7 @@
 func (l *Ledger) SetProcesses(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.processes = n
 	l.spread = min(time.Duration(max(n-1, 0))*spreadStep, maxSpread)
 }
 
--- a/gateway/engines/peers.go
+++ b/gateway/engines/peers.go
@@ -83,6 +83,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	l.heard[peer] = now
 	named := make(map[string]bool, len(loads))
 	for _, load := range loads {
 		if engine, ok := l.models[load.Endpoint]; ok {
@@ -96,3 +97,13 @@
 		}
 	}
 }
+
+// DropPeer forgets what another process told.
+func (l *Ledger) DropPeer(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.heard, peer)
+	for _, engine := range l.models {
+		engine.DropRemote(peer)
+	}
+}
--- /dev/null
+++ b/gateway/engines/stages.go
@@ -0,0 +1,81 @@
+package engines
+
+import (
+	"maps"
+	"time"
+
+	"flamingospar.org/core/placement"
+	"flamingospar.org/core/stages"
+	"flamingospar.org/platform/site"
+)
+
+// heardFor is how long what a process told counts it among those heard.
+const heardFor = 3 * time.Second
+
+// ModelServices returns the services that have model engines.
+func (l *Ledger) ModelServices() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	services := make([]string, 0, len(l.services))
+	for service, list := range l.services {
+		if len(list) > 0 {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// Stages returns what is seen of a service's engines, and those that may change
+// their stage.
+func (l *Ledger) Stages(service string) (stages.View, []stages.Engine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	var view stages.View
+	var wait time.Duration
+	list := make([]stages.Engine, 0, len(l.services[service]))
+	for _, engine := range l.services[service] {
+		if engine.Draining || engine.Health.Resting(now) {
+			continue
+		}
+		reads := engine.Stage == placement.Prefill
+		list = append(list, stages.Engine{ID: engine.ID, DataCentre: engine.DataCentre, Reads: reads, Load: engine.Running() + engine.Waiting()})
+		if reads {
+			view.Readers++
+			wait += engine.Wait(now)
+			continue
+		}
+		view.Producers++
+		view.Slots += engine.Slots
+		view.Streams += float64(engine.Running())
+	}
+	unheard := l.unheard(now)
+	view.Streams *= unheard
+	view.Wait = time.Duration(unheard * float64(wait) / float64(max(view.Readers, 1)))
+	return view, list
+}
+
+// unheard returns by how much loads are larger than what the processes told that
+// this one hears of, if the others send as much. In a larger fleet it hears of
+// some only. It is called with mu held.
+func (l *Ledger) unheard(now time.Time) float64 {
+	maps.DeleteFunc(l.heard, func(_ string, at time.Time) bool { return now.Sub(at) > heardFor })
+	return max(float64(l.processes)/float64(len(l.heard)+1), 1)
+}
+
+// Leave leaves an engine alone for a time in which it changes its stage.
+func (l *Ledger) Leave(id string, span time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if engine, ok := l.models[id]; ok {
+		engine.RestUntil = l.now().Add(span)
+	}
+}
+
+// Endpoint returns a known endpoint.
+func (l *Ledger) Endpoint(id string) (site.Endpoint, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	endpoint, ok := l.known[id]
+	return endpoint, ok
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -257,12 +257,27 @@
 			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
 		},
 	}
+	planner := &duties.StagePlanner{
+		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
+	}
+	list = append(list, lease.Run, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
-		list = append(list, lease.Run, reporter.Run, writer.Run)
+		list = append(list, reporter.Run, writer.Run)
 	}
 	return list
 }
 
+// stageChange returns how long an engine of a service is out while it changes
+// its stage, 0 when that is not known.
+func (n *Node) stageChange(service string) time.Duration {
+	if current := n.config.Current(); current != nil {
+		if engine := current.Services[service].Engine; engine != nil {
+			return engine.StageChange
+		}
+	}
+	return 0
+}
+
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -160,5 +160,5 @@
 
 // MemberGone implements peers.Sources.
 func (n *Node) MemberGone(vm string) {
-	n.ledger.SetRemote(vm, nil)
+	n.ledger.DropPeer(vm)
 }
