Pairs of processes exchange once; metrics of store, lease, fleet and predictions

Metrics lacked store calls and their age, the lease and how wrong predictions are. Change: an exchange tells both sides, so each process calls only half of the others and all pairs of up to 12 near and 18 far exchange; the far ones less often the more there are; work is told in whole tokens. A process counts as alive by what was heard of it. Gauges are set when metrics are read. Ruled out: exchanging with all others each 500 ms (bytes).

--- a/base/meter/meter.go
+++ b/base/meter/meter.go
@@ -56,6 +56,25 @@
 	metrics.GetOrRegisterGauge(strings.Join(parts, "."), r.inner).Update(value)
 }
 
+// GaugeAll sets a gauge for each member of a group and each of its figures, and
+// removes those of members that are no longer in the group.
+func (r *Registry) GaugeAll(group string, members map[string]map[string]int64) {
+	current := make(map[string]bool)
+	for member, figures := range members {
+		for figure, value := range figures {
+			name := strings.Join([]string{group, member, figure}, ".")
+			current[name] = true
+			metrics.GetOrRegisterGauge(name, r.inner).Update(value)
+		}
+	}
+	r.inner.Each(func(name string, value any) {
+		_, gauge := value.(metrics.Gauge)
+		if gauge && strings.HasPrefix(name, group+".") && !current[name] {
+			r.inner.Unregister(name)
+		}
+	})
+}
+
 // Observe records a value in the histogram with the joined name.
 func (r *Registry) Observe(value int64, parts ...string) {
 	name := strings.Join(parts, ".")
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -99,6 +99,7 @@
 	replicas   *duties.Replicas
 	crashes    *crashes.Marks
 	circle     *peers.Circle
+	lease      *leasekeeper.Keeper         // Of the duties that one process holds.
 	bounds     atomic.Pointer[site.Bounds] // As the settings say now.
 	storeWatch *storeWatch
 	stopping   atomic.Bool
@@ -134,8 +135,12 @@
 	n.crashes = crashes.New()
 	self := peers.Member{VM: settings.Node, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
 	n.circle = peers.New(self, n.store, n)
+	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
+	n.lease.SetTerm(dutyTerm)
+	n.lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
 	n.budgets = relay.NewBudgets(budgetSettings(settings.Bounds, assumedVMs))
 	n.bounds.Store(&settings.Bounds)
+	n.store.Called = n.storeCalled
 	n.pool.Dialled = func() { n.meter.Count("endpoint", "connections") }
 	return n
 }
@@ -200,7 +205,7 @@
 	}
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{}, Crashes: n.crashes,
-		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets, Broke: n.broke},
+		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets, Broke: n.broke, Read: n.read},
 	}
 	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
 	s.callers.ConnContext = ingress.ConnContext
@@ -208,14 +213,14 @@
 	serveOn(s.side, ready)
 	serveOn(s.side, control)
 	if n.options.MetricsPort > 0 {
-		n.serveMetrics(ctx, s.side)
+		n.listenMetrics(ctx, s.side)
 	}
 	return s, nil
 }
 
-// serveMetrics serves metrics on a port of their own. Without them the process
+// listenMetrics serves metrics on a port of their own. Without them the process
 // still serves callers.
-func (n *Node) serveMetrics(ctx context.Context, server *http.Server) {
+func (n *Node) listenMetrics(ctx context.Context, server *http.Server) {
 	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
 	listener, err := listen(ctx, address)
 	if err != nil {
@@ -235,11 +240,8 @@
 
 // duties returns what runs beside the serving of requests, one goroutine each.
 func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
-	lease := leasekeeper.New(n.store.Tables(), "duties", n.instance)
-	lease.SetTerm(dutyTerm)
-	lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
 	reporter := &duties.Reporter{
-		Store: n.store, Duty: n.duty, Lease: lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
+		Store: n.store, Duty: n.duty, Lease: n.lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
 		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady,
 	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
@@ -258,9 +260,9 @@
 		},
 	}
 	planner := &duties.StagePlanner{
-		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
+		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: n.lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
 	}
-	list = append(list, lease.Run, planner.Run)
+	list = append(list, n.lease.Run, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
 		list = append(list, reporter.Run, writer.Run)
 	}
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -58,11 +58,9 @@
 func encodeLoad(load engines.Load) *wirev1.EngineLoad {
 	encoded := &wirev1.EngineLoad{Endpoint: load.Endpoint, Streams: int32(load.Streams)}
 	for level, work := range load.Work {
-		if work > 0 {
-			for len(encoded.Work) < level {
-				encoded.Work = append(encoded.Work, 0)
-			}
-			encoded.Work = append(encoded.Work, float32(work))
+		if tokens := uint32(work); tokens > 0 {
+			encoded.Work = append(encoded.Work, make([]uint32, level-len(encoded.Work))...)
+			encoded.Work = append(encoded.Work, tokens)
 		}
 	}
 	return encoded
--- a/gateway/node/serve.go
+++ b/gateway/node/serve.go
@@ -49,7 +49,7 @@
 func (n *Node) sideHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get(site.ReadyPath, n.serveReady)
-	router.Get("/metrics", n.meter.ServeText)
+	router.Get("/metrics", n.serveMetrics)
 	path, exchange := n.circle.Handler()
 	router.Handle(path+"*", exchange)
 	return router
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -27,11 +27,14 @@
 
 // Times of the exchange.
 const (
-	// nearEvery and farEvery are between two exchanges with a process of the
-	// same and of another data centre. Bytes between data centres are dear.
+	// nearEvery is between two exchanges with a process of the same data centre.
 	nearEvery = 100 * time.Millisecond
-	farEvery  = 500 * time.Millisecond
-	// lostEvery replaces both while the store does not answer.
+	// farEvery and farStep are the same of other data centres: at least the one,
+	// and the other for each process there that one exchanges with. Bytes between
+	// data centres are dear.
+	farEvery = 300 * time.Millisecond
+	farStep  = 120 * time.Millisecond
+	// lostEvery bounds that while the store does not answer.
 	lostEvery = 500 * time.Millisecond
 	// usageEvery is between two copies of the usage counts for a process.
 	usageEvery  = 1 * time.Second
@@ -47,7 +50,7 @@
 // cost of a process does not grow with the fleet.
 const (
 	maxNear = 6
-	maxFar  = 6
+	maxFar  = 9
 )
 
 // Member is an entry process as the store lists it.
@@ -101,6 +104,7 @@
 	nextUsage time.Time
 	failures  int
 	calling   bool
+	heard     time.Time // When it was listed, or told something last.
 }
 
 // New returns the circle of a process.
@@ -181,7 +185,7 @@
 		c.gone[member.VM] = known.Instance
 	}
 	log.Info("An entry process is listed.", "vm", member.VM, "address", member.Address, "instance", member.Instance)
-	c.members[member.VM] = &peer{Member: member, client: wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address)}
+	c.members[member.VM] = &peer{Member: member, heard: time.Now(), client: wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address)}
 }
 
 func (c *Circle) remove(vm string) {
@@ -218,25 +222,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var due []*peer
-	for _, p := range c.partners() {
+	near, far := c.partners()
+	farInterval := max(farEvery, time.Duration(len(far))*farStep)
+	for _, p := range append(near, far...) {
 		if p.calling || now.Before(p.next) {
 			continue
 		}
 		p.calling = true
-		p.next = now.Add(c.interval(p, lost))
+		p.next = now.Add(c.interval(p, farInterval, lost))
 		due = append(due, p)
 	}
 	return due
 }
 
-func (c *Circle) interval(p *peer, lost bool) time.Duration {
-	if lost {
-		return lostEvery
-	}
+func (c *Circle) interval(p *peer, far time.Duration, lost bool) time.Duration {
 	if p.DataCentre == c.self.DataCentre {
 		return nearEvery
 	}
-	return farEvery
+	if lost {
+		return min(far, lostEvery)
+	}
+	return far
 }
 
 func (c *Circle) exchange(ctx context.Context, p *peer) {
@@ -254,7 +260,7 @@
 // its answer.
 func (c *Circle) tell(ctx context.Context, p *peer, usage bool) error {
 	request := &wirev1.ExchangeStateRequest{
-		State: c.sources.State(p.VM, usage), Address: c.self.Address, DataCentre: c.self.DataCentre,
+		State: c.sources.State(p.VM, usage), Address: c.self.Address, DataCentre: c.self.DataCentre, WantUsage: usage,
 	}
 	asked := time.Now()
 	reply, err := p.client.ExchangeState(ctx, connect.NewRequest(request))
@@ -289,6 +295,7 @@
 		log.Info("An entry process answers again.", "vm", p.VM, "failures", p.failures)
 	}
 	p.failures = 0
+	p.heard = time.Now()
 	if usage {
 		p.nextUsage = time.Now().Add(usageEvery)
 	}
@@ -302,7 +309,7 @@
 	if raw := request.Msg.GetConfiguration(); len(raw) > 0 {
 		c.sources.TakeConfiguration(state.GetVm(), raw)
 	}
-	reply := &wirev1.ExchangeStateReply{State: c.sources.State(state.GetVm(), false)}
+	reply := &wirev1.ExchangeStateReply{State: c.sources.State(state.GetVm(), request.Msg.GetWantUsage())}
 	c.sources.Newer(state, reply)
 	return connect.NewResponse(reply), nil
 }
@@ -316,6 +323,10 @@
 	if request.GetAddress() == "" || c.gone[state.GetVm()] == state.GetInstance() {
 		return
 	}
+	if p, ok := c.members[state.GetVm()]; ok && p.Instance == state.GetInstance() {
+		p.heard = time.Now()
+		return
+	}
 	c.add(Member{VM: state.GetVm(), Address: request.GetAddress(), DataCentre: request.GetDataCentre(), Instance: state.GetInstance()})
 }
 
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -1,11 +1,15 @@
 package peers
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -157,6 +161,49 @@
 	require.Equal(t, "a/2", b.members["a"].Instance, "the former instance took the place of the new one")
 }
 
+// In a data centre of up to twelve others all pairs exchange, though each
+// process calls only half of the others.
+func TestAllPairsOfADataCentreExchange(t *testing.T) {
+	for _, size := range []int{2, 3, 4, 9, 13} {
+		told := make(map[string]int)
+		for i := range size {
+			c := New(Member{VM: fmt.Sprint("vm-", i), DataCentre: "dc-1"}, nil, nil)
+			for j := range size {
+				c.add(Member{VM: fmt.Sprint("vm-", j), Address: "a", DataCentre: "dc-1"})
+			}
+			near, far := c.partners()
+			require.Empty(t, far)
+			require.LessOrEqual(t, len(near), size/2)
+			for _, p := range near {
+				told[c.self.VM+" "+p.VM]++
+				told[p.VM+" "+c.self.VM]++
+			}
+		}
+		require.Len(t, told, size*(size-1), "of %d processes", size)
+	}
+}
+
+// The first processes look after the fleet's duties. When they are silent the
+// next ones do, whether or not they call them themselves.
+func TestTheNextTakeThePlaceOfSilentProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := []string{"vm-0", "vm-1", "vm-2", "vm-3"}
+		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(place(a), place(b)) })
+		last := New(Member{VM: names[3], DataCentre: "dc-1"}, nil, nil)
+		for _, vm := range names[:3] {
+			last.add(Member{VM: vm, Address: "a", DataCentre: "dc-2", Instance: vm + "/1"})
+		}
+		require.False(t, last.AmongFirst(3))
+		time.Sleep(aliveFor - time.Second)
+		for _, vm := range names[:2] {
+			last.learn(&wirev1.ExchangeStateRequest{Address: "a", DataCentre: "dc-2", State: &wirev1.PeerState{Vm: vm, Instance: vm + "/1"}})
+		}
+		time.Sleep(time.Second)
+		require.True(t, last.AmongFirst(3), "one of the first was not heard of")
+		require.False(t, last.AmongFirst(2))
+	})
+}
+
 // What a slow process tells is at least as old as the question.
 func TestWhatIsToldIsAsOldAsTheQuestion(t *testing.T) {
 	a, asking := process(t, "a", 5)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -56,6 +56,9 @@
 	Budgets *Budgets
 	// Broke hears of each run whose connection broke before the whole answer.
 	Broke func(*Job, site.Endpoint)
+	// Read hears of each prompt that was read, how long that was expected to take
+	// and how long it took.
+	Read func(predicted, took time.Duration)
 }
 
 // Budgets holds the retry budget of each service.
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -197,7 +197,7 @@
 		s.noteFailure(ctx, endpoint, err)
 		return "", tried{sent: true}, false
 	}
-	s.p.Prediction.note(ticket.Predicted(), time.Since(began))
+	s.noteRead(ticket, time.Since(began))
 	ticket.Read()
 	s.relay.Engines.Note(endpoint.ID, engines.Sound)
 	return site.KVSource(endpoint.Address, read.Handle), tried{}, true
@@ -340,12 +340,17 @@
 func (s *stream) noteFirst(ticket *engines.Ticket, began time.Time) {
 	took := time.Since(began)
 	if s.p.Prefill == "" {
-		s.p.Prediction.note(ticket.Predicted(), took)
+		s.noteRead(ticket, took)
 	}
 	s.p.Prediction.Decode = took
 	ticket.Read()
 }
 
+func (s *stream) noteRead(ticket *engines.Ticket, took time.Duration) {
+	s.p.Prediction.note(ticket.Predicted(), took)
+	s.relay.Read(ticket.Predicted(), took)
+}
+
 func (s *stream) countBegun() {
 	if !s.began {
 		s.began = true
