One process reads the fleet for all; configuration calls held 10 s

Ruled out: one reader a data centre (the exchange carries the list beyond within 0.3 s); longer held calls for the fleet (a lost answer would blind a process). Change: the first process looks each 0.3 of the bound, others when they were told nothing for 0.42 to 0.52 of it. Calls for the configuration are held 10 s, since a process that is behind is sent it. Readers at rest 0.38 of all instead of 0.41.

--- a/core/stages/stages.go
+++ b/core/stages/stages.go
@@ -68,7 +68,7 @@
 	keptReaders = 0.35
 	// restReaders is the share of engines that only read while nothing runs, and
 	// quietSpan for how long nothing must have run.
-	restReaders = 0.41
+	restReaders = 0.38
 	quietSpan   = 2 * time.Second
 	// step is the share of producers that change at once.
 	step = 0.12
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -41,12 +42,17 @@
 // Times of the process.
 const (
 	// configWait is how long the store holds the call for a new configuration. A
-	// call whose answer is lost keeps this process from the next one for that
-	// long, which must stay near the calm time after which all bounds hold.
-	configWait = 3 * time.Second
-	// fleetShare is the part of the bound on leaving endpoints between two looks
-	// at the fleet.
-	fleetShare = 0.4
+	// process that lost the answer to it is sent the configuration by others.
+	configWait = 10 * time.Second
+	// readerShare is the part of the bound on leaving endpoints between two looks
+	// at the fleet of a process that looks for all. leastShare and mostShare are
+	// the same of others, which look when they were not told that late; they
+	// differ, so that not all look at once.
+	readerShare = 0.3
+	leastShare  = 0.42
+	mostShare   = 0.52
+	// fleetReaders is how many processes look at the fleet for all.
+	fleetReaders = 1
 	// skipStep is the least time between two calls for the fleet.
 	skipStep   = 50 * time.Millisecond
 	sweepEvery = 300 * time.Millisecond
@@ -307,10 +313,15 @@
 }
 
 func (n *Node) fleetFollower() *follow.Follower {
-	every := time.Duration(fleetShare * float64(n.settings.Bounds.Drain))
+	drain := float64(n.settings.Bounds.Drain)
+	asReader := time.Duration(readerShare * drain)
+	asOther := time.Duration((leastShare + (mostShare-leastShare)*rand.Float64()) * drain)
 	return &follow.Follower{
 		Store: n.store, Table: site.TableEndpoints, Every: skipStep,
-		Skip:  func() bool { return n.fleet.Age() < every },
+		Skip: func() bool {
+			age := n.fleet.Age()
+			return age < asReader || (age < asOther && !n.circle.AmongFirst(fleetReaders))
+		},
 		After: n.fleet.Version,
 		Apply: func(page site.Page, whole bool) {
 			rows := make([]fleet.Row, 0, len(page.Rows))
