--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -32,8 +32,8 @@
 	// farEvery and farStep are the same of other data centres: at least the one,
 	// and the other for each process there that one exchanges with. Bytes between
 	// data centres are dear.
-	farEvery = 300 * time.Millisecond
-	farStep  = 120 * time.Millisecond
+	farEvery = 100 * time.Millisecond
+	farStep  = 100 * time.Millisecond
 	// lostEvery bounds that while the store does not answer.
 	lostEvery = 500 * time.Millisecond
 	// usageEvery is between two copies of the usage counts for a process.
