--- a/flamingospar/command/gateway.go
+++ b/flamingospar/command/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"os"
 
 	"flamingospar.org/base/logging"
@@ -22,11 +24,16 @@
 	options := node.Options{SettingsPath: os.Getenv(site.SettingsVariable), MetricsPort: defaultMetricsPort}
 	sub := command(a.parser, "gateway", "Run the entry process of one of the users' VMs.", "FLAMINGOSPAR_NODE_FILE=settings.toml flamingospar gateway")
 	sub.String(&options.SettingsPath, "s", "settings", "settings file of the VM; "+site.SettingsVariable+" names it otherwise")
+	check := false
+	sub.Bool(&check, "", "check", "read the settings file, say whether it can be used, and start nothing")
 	sub.Int(&options.MetricsPort, "", "metrics-port", "port for metrics on the VM's address; 0 for none")
 	a.bind(sub, func(ctx context.Context) error {
 		if options.SettingsPath == "" {
 			return misuse{errNoSettings}
 		}
+		if check {
+			return checkSettings(a.stdout, options.SettingsPath)
+		}
 		out := logging.NewAsync(os.Stdout, logLines)
 		defer out.Close()
 		if err := logging.SetFormat(logging.FormatJSON, out); err != nil {
@@ -35,3 +42,15 @@
 		return node.Run(ctx, options)
 	})
 }
+
+// checkSettings reads the settings of a VM as the process would at its start.
+// Its error names the file, the field and the remedy.
+func checkSettings(out io.Writer, path string) error {
+	settings, err := site.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s can be used: VM %s in data centre %s, callers at %s, store at %s.\n",
+		path, settings.Node, settings.DataCentre, settings.CallersAddress, settings.Store.Address)
+	return err
+}
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -251,3 +251,23 @@
 	later, _ := right.Now()
 	require.Equal(t, 3*time.Second, later.Sub(a))
 }
+
+// Sealed windows don't pile up: the holder removes those that nobody looks for,
+// and only while it holds the lease.
+func TestOldSealedWindowsAreRemoved(t *testing.T) {
+	f := newFixture(t)
+	r := f.reporter("a")
+	fence, held := r.Lease.Fence()
+	require.True(t, held)
+	window := windowAt(f.now, windowLength)
+	old, kept := windowKey(window-lookBack-1), windowKey(window-lookBack)
+	f.stand.PutRaw(tableSealed, old, []byte("{}"))
+	f.stand.PutRaw(tableSealed, kept, []byte("{}"))
+	ended := fence
+	ended.Guard.Version += 1000
+	r.forget(t.Context(), window, ended)
+	require.NotNil(t, f.stand.Value(tableSealed, old), "removed without the lease")
+	r.forget(t.Context(), window, fence)
+	require.Nil(t, f.stand.Value(tableSealed, old))
+	require.NotNil(t, f.stand.Value(tableSealed, kept))
+}
