A process that starts in an outage of the store joins by the seeds

All VMs are restarted in turn and the store goes down meanwhile: a new process read neither the configuration nor the endpoints nor the list of processes, and the others told it no endpoints, since they had lost the store too. Change: a process that knows no other asks the seeds of its settings, which tell it the processes that they know, the configuration and, with its age, the whole list of endpoints. The lease on the duties is given up when a stop begins, not at its end, when the store may be away. The true time is logged once while it is not known. Ruled out: not taking a stopped process off the list (rows of VMs that are gone would stay). One usage window is still late: the store is back at 15.7 s, the holder waits 3 s for counts and is cut off from the store at 17.3 s.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -199,20 +199,22 @@
 type News struct {
 	Rows    []Row
 	Version int64         // Up to which Rows is complete.
+	Whole   bool          // Rows are all that there are.
 	Age     time.Duration // Since the store confirmed them.
 }
 
-// Since returns the rows newer than a version, as of one moment. There is no
-// news, of version 0, for a process that knows less than this one read whole.
+// Since returns the rows newer than a version, as of one moment, or all rows for
+// a process that knows none. There is no news, of version 0, for one that knows
+// less than this one read whole.
 func (f *Fleet) Since(after int64) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after < f.complete {
+	if after > 0 && after < f.complete {
 		return News{}
 	}
-	news := News{Version: f.version, Age: f.now().Sub(f.seen)}
+	news := News{Version: f.version, Whole: after == 0, Age: f.now().Sub(f.seen)}
 	for _, row := range f.rows {
-		if row.Version > after {
+		if row.Version > after && !(news.Whole && row.Removed) {
 			news.Rows = append(news.Rows, row)
 		}
 	}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -71,6 +71,8 @@
 	// dutyCandidates is how many processes look at the lease often, so that its
 	// reads don't grow with the fleet.
 	dutyCandidates = 3
+	// timeLimit bounds one attempt to learn the true time.
+	timeLimit = 3 * time.Second
 	// memoryShare is the part of the VM's memory at which the collector works harder.
 	memoryShare = 0.6
 	// assumedVMs is how many VMs share the allowance of retries until more is known.
@@ -109,6 +111,7 @@
 	bounds     atomic.Pointer[site.Bounds] // As the settings say now.
 	storeWatch *storeWatch
 	stopping   atomic.Bool
+	stopBegins chan struct{} // Closed when the process is asked to stop.
 }
 
 // Run runs an entry process until ctx ends, and then stops it in order.
@@ -127,7 +130,7 @@
 	client := platformClient()
 	n := &Node{
 		settings: settings, options: options, instance: settings.Node + "/" + uuid.NewString()[:8],
-		meter: meter.NewRegistry(), client: client, config: &config.Holder{}, pool: link.NewPool(),
+		stopBegins: make(chan struct{}), meter: meter.NewRegistry(), client: client, config: &config.Holder{}, pool: link.NewPool(),
 		store: site.NewStore(settings.Store.Address, client), duty: site.NewDutyClient(settings.Duties.Address, client),
 	}
 	n.fleet = fleet.New(time.Now)
@@ -140,7 +143,7 @@
 	n.replicas = duties.NewReplicas()
 	n.crashes = crashes.New()
 	self := peers.Member{VM: settings.Node, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
-	n.circle = peers.New(self, n.store, n)
+	n.circle = peers.New(self, settings.Seeds, n.store, n)
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyTerm)
 	n.lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
@@ -268,13 +271,29 @@
 	planner := &duties.StagePlanner{
 		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: n.lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
 	}
-	list = append(list, n.lease.Run, planner.Run)
+	list = append(list, n.holdLease, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
 		list = append(list, reporter.Run, writer.Run)
 	}
 	return list
 }
 
+// holdLease holds or waits for the lease on the duties until the process is
+// asked to stop: another can take it at once then, also when the store is away
+// at this one's end.
+func (n *Node) holdLease(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.stopBegins:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	n.lease.Run(ctx)
+}
+
 // stageChange returns how long an engine of a service is out while it changes
 // its stage, 0 when that is not known.
 func (n *Node) stageChange(service string) time.Duration {
@@ -371,20 +390,19 @@
 
 // learnTime learns the true time once the store answers.
 func (n *Node) learnTime(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, configWait)
+	for attempt := 0; ; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, timeLimit)
 		err := n.trueTime.Learn(callCtx)
 		cancel()
 		if err == nil {
+			log.Info("The true time is known.", "attempts", attempt+1)
 			return
 		}
-		log.Error(err, "The true time is not known yet; no usage window is reported.")
-		select {
-		case <-ctx.Done():
+		if attempt == 0 {
+			log.Error(err, "The true time is not known yet; no usage window is reported.")
+		}
+		if !clock.Sleep(ctx, sweepEvery) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
@@ -392,6 +410,7 @@
 // stop lets the balancer send callers elsewhere and finishes what is running.
 func (n *Node) stop(callers *http.Server) {
 	n.stopping.Store(true)
+	close(n.stopBegins)
 	log.Info("The process is asked to stop; it finishes what it has.", "vm", n.settings.Node)
 	grace := max(n.settings.Bounds.StopGrace-stopMargin, balancerNotice)
 	deadline := time.Now().Add(grace)
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -114,7 +114,8 @@
 // Newer implements peers.Sources.
 func (n *Node) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
 	reply.Configuration = n.NewerConfiguration(state)
-	if n.storeWatch.IsLost() {
+	joins := state.GetEndpointsVersion() == 0
+	if n.storeWatch.IsLost() && !joins {
 		return
 	}
 	news := n.fleet.Since(state.GetEndpointsVersion())
@@ -123,6 +124,7 @@
 	}
 	reply.RowsVersion = news.Version
 	reply.RowsAgeMs = news.Age.Milliseconds()
+	reply.RowsWhole = news.Whole
 }
 
 // TakeNewer implements peers.Sources.
@@ -138,7 +140,11 @@
 		rows = append(rows, fleet.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Removed: row.GetRemoved()})
 	}
 	age := time.Since(asked) + time.Duration(reply.GetRowsAgeMs()+1)*time.Millisecond // The reply cuts a millisecond off.
-	n.fleet.Apply(rows, reply.GetRowsVersion(), false, age)
+	whole := reply.GetRowsWhole()
+	if whole && n.fleet.Version() > 0 {
+		return // The store has answered meanwhile.
+	}
+	n.fleet.Apply(rows, reply.GetRowsVersion(), whole, age)
 }
 
 // NewerConfiguration implements peers.Sources.
--- a/gateway/node/whole_test.go
+++ b/gateway/node/whole_test.go
@@ -388,6 +388,8 @@
 	w.eventually(func() bool { return len(e.Arrivals()) == 1 })
 	w.stop()
 	w.eventually(func() bool { return w.status("http://"+w.vm.Ready+site.ReadyPath) == http.StatusServiceUnavailable })
+	// Another process may take the duties over at once.
+	w.eventually(func() bool { return strings.Contains(string(w.store.Value("leases", "duties")), `"holder":""`) })
 	w.eventually(func() bool { return !accepts(w.vm.Callers) }) // The server has begun to stop.
 	close(release)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -88,12 +88,14 @@
 // Circle is this process's place among the others.
 type Circle struct {
 	self    Member
+	seeds   []string // Addresses of processes that may know others.
 	store   *site.Store
 	sources Sources
 	client  *http.Client
 
 	mu      sync.Mutex
 	members map[string]*peer
+	joined  time.Time         // When the seeds were asked last.
 	gone    map[string]string // The last instance by VM that is known to have ended.
 }
 
@@ -107,10 +109,11 @@
 	heard     time.Time // When it was listed, or told something last.
 }
 
-// New returns the circle of a process.
-func New(self Member, store *site.Store, sources Sources) *Circle {
+// New returns the circle of a process. It asks the processes at the seeds'
+// addresses for others while it knows none.
+func New(self Member, seeds []string, store *site.Store, sources Sources) *Circle {
 	return &Circle{
-		self: self, store: store, sources: sources, members: make(map[string]*peer), gone: make(map[string]string),
+		self: self, seeds: seeds, store: store, sources: sources, members: make(map[string]*peer), gone: make(map[string]string),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true}},
 	}
 }
@@ -219,6 +222,7 @@
 // Run exchanges states until ctx ends.
 func (c *Circle) Run(ctx context.Context) {
 	for clock.Sleep(ctx, tick) {
+		c.joinIfAlone(ctx)
 		now := time.Now()
 		for _, p := range c.due(now) {
 			go c.exchange(ctx, p)
@@ -321,6 +325,9 @@
 	}
 	reply := &wirev1.ExchangeStateReply{State: c.sources.State(state.GetVm(), request.Msg.GetWantUsage())}
 	c.sources.Newer(state, reply)
+	if request.Msg.GetWantMembers() {
+		reply.Members = c.knownMembers()
+	}
 	return connect.NewResponse(reply), nil
 }
 
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -85,7 +85,7 @@
 	k := &known{vm: vm, version: version, raw: make([]byte, version)}
 	server := httptest.NewUnstartedServer(nil)
 	self := Member{VM: vm, Address: server.Listener.Addr().String(), DataCentre: "dc-1", Instance: vm + "/1"}
-	c := New(self, nil, k)
+	c := New(self, nil, nil, k)
 	_, server.Config.Handler = c.Handler()
 	server.Start()
 	t.Cleanup(server.Close)
@@ -167,7 +167,7 @@
 	for _, size := range []int{2, 3, 4, 9, 13} {
 		told := make(map[string]int)
 		for i := range size {
-			c := New(Member{VM: fmt.Sprint("vm-", i), DataCentre: "dc-1"}, nil, nil)
+			c := New(Member{VM: fmt.Sprint("vm-", i), DataCentre: "dc-1"}, nil, nil, nil)
 			for j := range size {
 				c.add(Member{VM: fmt.Sprint("vm-", j), Address: "a", DataCentre: "dc-1"})
 			}
@@ -189,7 +189,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		names := []string{"vm-0", "vm-1", "vm-2", "vm-3"}
 		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(place(a), place(b)) })
-		last := New(Member{VM: names[3], DataCentre: "dc-1"}, nil, nil)
+		last := New(Member{VM: names[3], DataCentre: "dc-1"}, nil, nil, nil)
 		for _, vm := range names[:3] {
 			last.add(Member{VM: vm, Address: "a", DataCentre: "dc-2", Instance: vm + "/1"})
 		}
@@ -204,6 +204,20 @@
 	})
 }
 
+// A process starts while the store, which lists the others, is away. It learns
+// of them from a seed, and they of it.
+func TestNewProcessJoinsBySeeds(t *testing.T) {
+	a, _ := process(t, "a", 5)
+	b, _ := process(t, "b", 9)
+	list(t, b, Member{VM: "c", Address: "127.0.0.1:1", DataCentre: "dc-2", Instance: "c/1"})
+	a.seeds = []string{"127.0.0.1:1", a.self.Address, b.self.Address}
+	a.joinIfAlone(t.Context())
+	require.Eventually(t, func() bool { return len(memberNames(a)) == len("b,c") }, 5*time.Second, 5*time.Millisecond)
+	require.Contains(t, memberNames(b), "a")
+	a.joinIfAlone(t.Context())
+	require.Len(t, memberNames(a), len("b,c"))
+}
+
 // What a slow process tells is at least as old as the question.
 func TestWhatIsToldIsAsOldAsTheQuestion(t *testing.T) {
 	a, asking := process(t, "a", 5)
