--- a/gateway/peers/join.go
+++ b/gateway/peers/join.go
@@ -12,11 +12,11 @@
 // joinEvery is between two rounds of questions to the seeds.
 const joinEvery = 500 * time.Millisecond
 
-// joinIfAlone asks the seeds for other processes while none is known: this one
-// has started and the store, which lists them, does not answer.
+// joinIfAlone asks the seeds for other processes while none is known and the
+// list was not read: this one has started and the store does not answer.
 func (c *Circle) joinIfAlone(ctx context.Context) {
 	c.mu.Lock()
-	alone := len(c.members) == 0 && time.Since(c.joined) >= joinEvery
+	alone := !c.listRead && len(c.members) == 0 && time.Since(c.joined) >= joinEvery
 	if alone {
 		c.joined = time.Now()
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -95,8 +95,11 @@
 
 	mu      sync.Mutex
 	members map[string]*peer
-	joined  time.Time         // When the seeds were asked last.
-	gone    map[string]string // The last instance by VM that is known to have ended.
+	// listRead says that the list was read whole, and joined when the seeds were
+	// asked last.
+	listRead bool
+	joined   time.Time
+	gone     map[string]string // The last instance by VM that is known to have ended.
 }
 
 type peer struct {
@@ -169,6 +172,7 @@
 	if !whole {
 		return
 	}
+	c.listRead = true
 	for vm := range c.members {
 		if !listed[vm] {
 			c.remove(vm)
