What runs beside requests has a file of its own

Cause: node.go had grown to 438 lines, wiring and followers in one. Change: the list of duties, the followers and their times move to duties.go.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,7 +30,6 @@
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/fleet"
-	"flamingospar.org/gateway/follow"
 	"flamingospar.org/gateway/ingress"
 	"flamingospar.org/gateway/link"
 	"flamingospar.org/gateway/peers"
@@ -41,24 +39,6 @@
 
 // Times of the process.
 const (
-	// configWait is how long the store holds the call for a new configuration. A
-	// process that lost the answer to it is sent the configuration by others.
-	configWait = 10 * time.Second
-	// readerShare is the part of the bound on leaving endpoints between two looks
-	// at the fleet of a process that looks for all. leastShare and mostShare are
-	// the same of others, which look when they were not told that late; they
-	// differ, so that not all look at once.
-	readerShare = 0.3
-	leastShare  = 0.42
-	mostShare   = 0.52
-	// fleetReaders is how many processes look at the fleet for all.
-	fleetReaders = 1
-	// skipStep is the least time between two calls for the fleet.
-	skipStep   = 50 * time.Millisecond
-	sweepEvery = 300 * time.Millisecond
-	// membersWait is how long the store holds the call for changes of the list
-	// of entry processes.
-	membersWait = 15 * time.Second
 	// maxOutage is how long endpoints stay in use while the store is away.
 	maxOutage = 24 * time.Hour
 	// balancerNotice is how long the balancer may go on sending connections
@@ -71,8 +51,6 @@
 	// dutyCandidates is how many processes look at the lease often, so that its
 	// reads don't grow with the fleet.
 	dutyCandidates = 3
-	// timeLimit bounds one attempt to learn the true time.
-	timeLimit = 3 * time.Second
 	// memoryShare is the part of the VM's memory at which the collector works harder.
 	memoryShare = 0.6
 	// assumedVMs is how many VMs share the allowance of retries until more is known.
@@ -247,166 +225,6 @@
 	}()
 }
 
-// duties returns what runs beside the serving of requests, one goroutine each.
-func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
-	reporter := &duties.Reporter{
-		Store: n.store, Duty: n.duty, Lease: n.lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
-		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady,
-	}
-	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
-	list := []func(context.Context){
-		n.configFollower().Run,
-		n.fleetFollower().Run,
-		n.membersFollower().Run,
-		n.crashes.Run,
-		n.circle.Register,
-		n.circle.Run,
-		n.shareBudget,
-		n.sweep,
-		n.learnTime,
-		func(ctx context.Context) {
-			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
-		},
-	}
-	planner := &duties.StagePlanner{
-		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: n.lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
-	}
-	list = append(list, n.holdLease, planner.Run)
-	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
-		list = append(list, reporter.Run, writer.Run)
-	}
-	return list
-}
-
-// holdLease holds or waits for the lease on the duties until the process is
-// asked to stop: another can take it at once then, also when the store is away
-// at this one's end.
-func (n *Node) holdLease(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-n.stopBegins:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	n.lease.Run(ctx)
-}
-
-// stageChange returns how long an engine of a service is out while it changes
-// its stage, 0 when that is not known.
-func (n *Node) stageChange(service string) time.Duration {
-	if current := n.config.Current(); current != nil {
-		if engine := current.Services[service].Engine; engine != nil {
-			return engine.StageChange
-		}
-	}
-	return 0
-}
-
-func (n *Node) configFollower() *follow.Follower {
-	return &follow.Follower{
-		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
-		Apply: func(page site.Page, _ bool) {
-			for _, row := range page.Rows {
-				if row.Key == site.KeyConfiguration && !row.Removed {
-					n.takeConfig(row.Value, "store")
-				}
-			}
-		},
-	}
-}
-
-func (n *Node) takeConfig(raw []byte, source string) {
-	n.config.Offer(raw, source)
-	current := n.config.Current()
-	if current == nil {
-		return
-	}
-	for name, service := range current.Services {
-		if service.Engine != nil {
-			n.ledger.SetMemory(name, service.Engine.KVTokens)
-		}
-	}
-}
-
-func (n *Node) fleetFollower() *follow.Follower {
-	drain := float64(n.settings.Bounds.Drain)
-	asReader := time.Duration(readerShare * drain)
-	asOther := time.Duration((leastShare + (mostShare-leastShare)*rand.Float64()) * drain)
-	return &follow.Follower{
-		Store: n.store, Table: site.TableEndpoints, Every: skipStep,
-		Skip: func() bool {
-			age := n.fleet.Age()
-			return age < asReader || (age < asOther && !n.circle.AmongFirst(fleetReaders))
-		},
-		After: n.fleet.Version,
-		Apply: func(page site.Page, whole bool) {
-			rows := make([]fleet.Row, 0, len(page.Rows))
-			for _, row := range page.Rows {
-				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Removed})
-			}
-			n.fleet.Apply(rows, page.Version, whole, time.Since(page.Asked))
-		},
-		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
-	}
-}
-
-func (n *Node) membersFollower() *follow.Follower {
-	return &follow.Follower{Store: n.store, Table: peers.TableVMs, Wait: membersWait, Every: time.Second, Apply: n.circle.Apply}
-}
-
-// shareBudget keeps this process's share of the retry budget at what the
-// number of processes gives.
-func (n *Node) shareBudget(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		n.ledger.SetProcesses(n.circle.Size())
-		n.budgets.Set(budgetSettings(*n.bounds.Load(), max(n.circle.Size(), assumedVMs)))
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// sweep closes idle connections and forgets endpoints that did not come back.
-func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.pool.Sweep()
-			n.fleet.Settle()
-		}
-	}
-}
-
-// learnTime learns the true time once the store answers.
-func (n *Node) learnTime(ctx context.Context) {
-	for attempt := 0; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, timeLimit)
-		err := n.trueTime.Learn(callCtx)
-		cancel()
-		if err == nil {
-			log.Info("The true time is known.", "attempts", attempt+1)
-			return
-		}
-		if attempt == 0 {
-			log.Error(err, "The true time is not known yet; no usage window is reported.")
-		}
-		if !clock.Sleep(ctx, sweepEvery) {
-			return
-		}
-	}
-}
-
 // stop lets the balancer send callers elsewhere and finishes what is running.
 func (n *Node) stop(callers *http.Server) {
 	n.stopping.Store(true)
