--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -197,4 +197,3 @@
 		}
 	}
 }
-
