What stood twice stands once; names and unused parts

Ruled out: one loop for those that must stop at a failed send or look at once (agent/server, agent/execute, agent/orders): their loops differ.

--- a/agent/account/writer.go
+++ b/agent/account/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/platform/tables"
@@ -33,17 +34,8 @@
 
 // Run writes what is overdue until ctx ends, then all that is held.
 func (w *Writer) Run(ctx context.Context) {
-	ticker := time.NewTicker(writeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			w.finish(context.WithoutCancel(ctx))
-			return
-		case <-ticker.C:
-			w.Step(ctx, time.Now())
-		}
-	}
+	clock.Each(ctx, writeInterval, func() { w.Step(ctx, time.Now()) })
+	w.finish(context.WithoutCancel(ctx))
 }
 
 // Step writes the records that are overdue at now.
--- a/agent/explain/explain.go
+++ b/agent/explain/explain.go
@@ -19,6 +19,7 @@
 	"flamingospar.org/core/refusal"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
+	"flamingospar.org/wire/journalwire"
 )
 
 // Observer notes what became of each run.
@@ -91,7 +92,7 @@
 	})
 	reply := new(wirev1.FindReply)
 	for _, event := range events {
-		reply.Events = append(reply.Events, wireEvent(event))
+		reply.Events = append(reply.Events, journalwire.Encode(event))
 	}
 	return connect.NewResponse(reply), nil
 }
@@ -114,20 +115,3 @@
 	})
 	return connect.NewResponse(reply), nil
 }
-
-func wireEvent(event journal.Event) *wirev1.JournalEvent {
-	wired := &wirev1.JournalEvent{
-		UnixNanos: event.At.UnixNano(),
-		Process:   event.Process,
-		Part:      event.Part,
-		Code:      event.Code,
-		Sentence:  event.Sentence,
-		Request:   event.Request,
-		Team:      event.Team,
-		Endpoint:  event.Endpoint,
-	}
-	for _, fact := range event.Facts {
-		wired.Facts = append(wired.Facts, &wirev1.JournalFact{Name: fact.Name, Value: fact.Value})
-	}
-	return wired
-}
--- a/base/clock/sleep_test.go
+++ b/base/clock/sleep_test.go
@@ -23,3 +23,17 @@
 		require.False(t, clock.Sleep(ctx, -1), "the context has ended")
 	})
 }
+
+func TestEachIsCalledOnceAnInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		var at []time.Duration
+		began := time.Now()
+		clock.Each(ctx, time.Second, func() {
+			at = append(at, time.Since(began))
+			time.Sleep(300 * time.Millisecond)
+		})
+		require.Equal(t, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, at)
+	})
+}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,13 +10,11 @@
 	"pgregory.net/rapid"
 
 	"flamingospar.org/core/fair"
+	"flamingospar.org/core/propertytest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "6")
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 6})
 	os.Exit(m.Run())
 }
 
--- a/core/capacity/capacity_test.go
+++ b/core/capacity/capacity_test.go
@@ -1,20 +1,18 @@
 package capacity
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"flamingospar.org/core/propertytest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "6")
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 6})
 	os.Exit(m.Run())
 }
 
--- a/core/crash/main_test.go
+++ b/core/crash/main_test.go
@@ -1,16 +1,14 @@
 package crash_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"flamingospar.org/core/propertytest"
 )
 
 // TestMain fixes the seed of the drawn cases unless one is given.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 1})
 	os.Exit(m.Run())
 }
--- a/core/fair/queue_test.go
+++ b/core/fair/queue_test.go
@@ -1,7 +1,6 @@
 package fair
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -9,13 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"flamingospar.org/core/propertytest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "6")
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 6})
 	os.Exit(m.Run())
 }
 
--- a/core/orders/machine_test.go
+++ b/core/orders/machine_test.go
@@ -1,23 +1,20 @@
 package orders
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"flamingospar.org/core/propertytest"
 )
 
 // TestMain fixes the seed and the number of schedules; the flags -rapid.seed
 // and -rapid.checks run others, and more.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "120", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 1, Checks: 2000, Steps: 120})
 	os.Exit(m.Run())
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -10,13 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"flamingospar.org/core/propertytest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "6")
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 6})
 	os.Exit(m.Run())
 }
 
--- a/entry/account/writer.go
+++ b/entry/account/writer.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/usage"
@@ -66,18 +67,11 @@
 
 // Run writes batches until ctx ends, then what is left.
 func (w *Writer) Run(ctx context.Context) {
-	ticker := time.NewTicker(w.every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			w.finish(context.WithoutCancel(ctx))
-			return
-		case <-ticker.C:
-			w.Flush(ctx)
-			w.acknowledgeOld(ctx, time.Now().Add(-ackAfter))
-		}
-	}
+	clock.Each(ctx, w.every, func() {
+		w.Flush(ctx)
+		w.acknowledgeOld(ctx, time.Now().Add(-ackAfter))
+	})
+	w.finish(context.WithoutCancel(ctx))
 }
 
 // Flush writes what has gathered. What fails is written again unchanged.
--- a/entry/capacityorders/capacityorders.go
+++ b/entry/capacityorders/capacityorders.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/uuid"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/invariant"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/entry/leasekeeper"
@@ -85,18 +86,11 @@
 
 // Run orders endpoints until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Each(ctx, stepEvery, func() {
 		if err := d.Step(ctx); err != nil {
 			log.Error(err, "Endpoints could not be ordered; it is tried again.", "data_centre", d.dataCentre)
 		}
-	}
+	})
 }
 
 // Step places what is not yet placed, and then what the targets ask for.
--- a/entry/capacityorders/capacityorders_test.go
+++ b/entry/capacityorders/capacityorders_test.go
@@ -4,19 +4,18 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
 	"flamingospar.org/base/invariant"
+	"flamingospar.org/base/logging/logtest"
 	"flamingospar.org/core/lease"
+	"flamingospar.org/core/propertytest"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/platform/capacity"
 	"flamingospar.org/platform/tables"
@@ -26,16 +25,9 @@
 // TestMain fixes the seed and the number of schedules; the flags -rapid.seed
 // and -rapid.checks run others, and more.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "80", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	quiet := flag.NewFlagSet("klog", flag.PanicOnError)
-	klog.InitFlags(quiet)
-	_ = quiet.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"})
-	klog.SetOutput(io.Discard)
+	propertytest.Set(propertytest.Defaults{Seed: 1, Checks: 300, Steps: 80})
 	invariant.SetFatal(true)
+	logtest.Silence()
 	os.Exit(m.Run())
 }
 
--- a/entry/configview/world_test.go
+++ b/entry/configview/world_test.go
@@ -3,19 +3,18 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"io"
 	"os"
 	"testing"
 	"time"
 
-	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
 	"flamingospar.org/base/invariant"
+	"flamingospar.org/base/logging/logtest"
 	"flamingospar.org/core/catalogue"
 	"flamingospar.org/core/config"
+	"flamingospar.org/core/propertytest"
 	"flamingospar.org/entry/configview"
 	"flamingospar.org/platform/tables"
 	"flamingospar.org/standin/platform"
@@ -24,16 +23,9 @@
 // TestMain fixes the seed and the number of schedules; the flags -rapid.seed
 // and -rapid.checks run others, and more.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.steps": "60", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	propertytest.Set(propertytest.Defaults{Seed: 1, Checks: 1500, Steps: 60})
 	invariant.SetFatal(true)
-	quiet := flag.NewFlagSet("klog", flag.PanicOnError)
-	klog.InitFlags(quiet)
-	_ = quiet.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"})
-	klog.SetOutput(io.Discard)
+	logtest.Silence()
 	os.Exit(m.Run())
 }
 
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"io"
 	"os"
 	"testing"
 	"time"
 
-	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
 	"flamingospar.org/base/invariant"
+	"flamingospar.org/base/logging/logtest"
 	"flamingospar.org/core/lease"
+	"flamingospar.org/core/propertytest"
 	"flamingospar.org/platform/tables"
 	"flamingospar.org/standin/platform"
 )
@@ -21,16 +20,9 @@
 // TestMain fixes the seed and the number of schedules; the flags -rapid.seed
 // and -rapid.checks run others, and more.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "80", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	quiet := flag.NewFlagSet("klog", flag.PanicOnError)
-	klog.InitFlags(quiet)
-	_ = quiet.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"})
-	klog.SetOutput(io.Discard)
+	propertytest.Set(propertytest.Defaults{Seed: 1, Checks: 2000, Steps: 80})
 	invariant.SetFatal(true)
+	logtest.Silence()
 	os.Exit(m.Run())
 }
 
--- a/entry/observe/gather.go
+++ b/entry/observe/gather.go
@@ -11,6 +11,7 @@
 	"flamingospar.org/base/journal"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
+	"flamingospar.org/wire/journalwire"
 )
 
 const (
@@ -86,7 +87,7 @@
 			return
 		}
 		for _, event := range reply.Msg.Events {
-			answer.Events = append(answer.Events, eventOf(event))
+			answer.Events = append(answer.Events, journalwire.Decode(event))
 		}
 	})
 }
--- a/entry/observe/server.go
+++ b/entry/observe/server.go
@@ -19,6 +19,7 @@
 	"flamingospar.org/entry/fleet"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
+	"flamingospar.org/wire/journalwire"
 )
 
 // Identity does not change while the entry runs.
@@ -72,7 +73,7 @@
 func (s *Server) Find(_ context.Context, request *connect.Request[wirev1.FindRequest]) (*connect.Response[wirev1.FindReply], error) {
 	reply := new(wirev1.FindReply)
 	for _, event := range s.Journal.Find(queryOf(request.Msg)) {
-		reply.Events = append(reply.Events, wireEvent(event))
+		reply.Events = append(reply.Events, journalwire.Encode(event))
 	}
 	return connect.NewResponse(reply), nil
 }
--- a/entry/relay/attempts.go
+++ b/entry/relay/attempts.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/core/refusal"
 	"flamingospar.org/core/retry"
 	"flamingospar.org/entry/choose"
@@ -54,7 +55,7 @@
 func (a *attempts) pick(ctx context.Context) (choose.Pick, bool) {
 	pick, ok := a.filter.chooser.Pick(a.x, a.tried)
 	for waited := time.Duration(0); !ok && a.lost() && waited < readyWait; waited += readyPoll {
-		if !wait(ctx, readyPoll) {
+		if !clock.Sleep(ctx, readyPoll) {
 			return choose.Pick{}, false
 		}
 		pick, ok = a.filter.chooser.Pick(a.x, nil)
@@ -128,26 +129,12 @@
 		a.handovers++
 	}
 	f.counter.Count(kindNames[decision.Kind], string(ended.Code))
-	return wait(ctx, decision.Backoff)
+	return clock.Sleep(ctx, decision.Backoff)
 }
 
 // kindNames are the counters of attempts after the first.
 var kindNames = map[retry.Kind]string{retry.Again: "retried", retry.Resume: "resumed", retry.Handover: "handed_over"}
 
-func wait(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return true
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // noneReady is the result when no endpoint is left to try.
 func (a *attempts) noneReady() dispatch.Result {
 	if a.last.Refused == nil {
--- a/entry/sealing/sealing.go
+++ b/entry/sealing/sealing.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/lease"
@@ -84,16 +85,7 @@
 
 // Run seals and reports until ctx ends.
 func (s *Sealer) Run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.Step(ctx)
-		}
-	}
+	clock.Each(ctx, checkInterval, func() { s.Step(ctx) })
 }
 
 // Step seals what is due and reports what is sealed, if this process holds the
--- a/entry/spending/spending.go
+++ b/entry/spending/spending.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"flamingospar.org/base/clock"
 	"flamingospar.org/core/capacity"
 	"flamingospar.org/entry/match"
 )
@@ -82,16 +83,7 @@
 
 // Run publishes plans until ctx ends.
 func (b *Book) Run(ctx context.Context) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.Publish()
-		}
-	}
+	clock.Each(ctx, every, b.Publish)
 }
 
 // Publish closes the interval and sets the gauges of each model.
--- a/flamingospar/client/client.go
+++ b/flamingospar/client/client.go
@@ -2,7 +2,6 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +10,7 @@
 	"strings"
 
 	"flamingospar.org/entry/operator"
+	"flamingospar.org/platform/httpapi"
 )
 
 // maxAnswerBytes bounds an answer.
@@ -55,19 +55,10 @@
 }
 
 func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
-	var reader io.Reader
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		reader = bytes.NewReader(data)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	request, err := httpapi.NewRequest(ctx, method, c.base+path, body)
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set("Content-Type", "application/json")
 	if c.credential != "" {
 		request.Header.Set("Authorization", "Bearer "+c.credential)
 	}
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// pass lets time pass, renews the reporter's lease and has it do what is due.
+func (f *fixture) pass(r *Reporter, span time.Duration) {
+	f.now = f.now.Add(span)
+	r.Lease.Step(context.Background())
+	f.work(r)
+}
+
 func (f *fixture) reportsOf(window Window) []sitetest.Report {
 	var reports []sitetest.Report
 	for _, report := range f.duties.Reports() {
@@ -81,9 +88,7 @@
 	window := windowAt(f.now, windowLength)
 	f.counted(t, "a/1", window, 5)
 	f.counted(t, "b/1", window, 7)
-	f.now = f.now.Add(windowLength + sealDelay)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, windowLength+sealDelay)
 	reports := f.reportsOf(window)
 	require.Len(t, reports, 1)
 	require.Equal(t, map[string]int64{"team": 12}, reports[0].Began)
@@ -148,13 +153,9 @@
 	f.counted(t, "a/1", window, 5)
 	r.Replicas.Set("a/1", window, map[string]int64{"team": 4})
 	r.Replicas.Set("b/1", window, map[string]int64{"team": 7})
-	f.now = f.now.Add(windowLength + sealDelay)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, windowLength+sealDelay)
 	require.Empty(t, f.reportsOf(window))
-	f.now = window.endOf(windowLength).Add(r.Late - sealMargin)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, window.endOf(windowLength).Add(r.Late-sealMargin).Sub(f.now))
 	reports := f.reportsOf(window)
 	require.Len(t, reports, 1)
 	require.Equal(t, map[string]int64{"team": 12}, reports[0].Began)
@@ -167,16 +168,12 @@
 	r := f.reporter("a")
 	window := windowAt(f.now, windowLength)
 	f.counted(t, "a/1", window, 5)
-	f.now = f.now.Add(windowLength + sealDelay)
 	f.steady = time.Second
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, windowLength+sealDelay)
 	require.Empty(t, f.reportsOf(window), "sealed without those who could not write")
 	f.counted(t, "b/1", window, 7)
-	f.now = f.now.Add(returnWait)
 	f.steady += returnWait
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, returnWait)
 	require.Equal(t, map[string]int64{"team": 12}, f.reportsOf(window)[0].Began)
 }
 
@@ -187,13 +184,9 @@
 	window := windowAt(f.now, windowLength)
 	f.counted(t, "a/1", window, 5)
 	f.steady = 0
-	f.now = f.now.Add(windowLength + sealDelay)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, windowLength+sealDelay)
 	require.Empty(t, f.reportsOf(window))
-	f.now = window.endOf(windowLength).Add(r.Late - sealMargin)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, window.endOf(windowLength).Add(r.Late-sealMargin).Sub(f.now))
 	require.Len(t, f.reportsOf(window), 1)
 }
 
@@ -223,9 +216,7 @@
 	window := windowAt(f.now, windowLength)
 	f.stand.LoseAnswers(1)
 	f.counted(t, "b/1", window, 7)
-	f.now = f.now.Add(windowLength + sealDelay)
-	r.Lease.Step(context.Background())
-	f.work(r)
+	f.pass(r, windowLength+sealDelay)
 	require.Equal(t, map[string]int64{"team": 7}, f.reportsOf(window)[0].Began)
 }
 
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -193,18 +193,15 @@
 // Send notes that a prompt is sent to an engine, and returns nil when the
 // engine is no longer known.
 func (l *Ledger) Send(id string, prompt placement.Prompt, level, fetched int) *Ticket {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	engine, ok := l.models[id]
-	if !ok {
-		return nil
-	}
-	l.uses.add(id, prompt.Parts)
-	return &Ticket{ledger: l, ticket: engine.Send(l.now(), prompt, level, fetched)}
+	return l.note(id, prompt, func(engine *placement.Engine) *placement.Ticket { return engine.Send(l.now(), prompt, level, fetched) })
 }
 
 // Take notes that an engine is sent a prompt that another has read.
 func (l *Ledger) Take(id string, prompt placement.Prompt, level int) *Ticket {
+	return l.note(id, prompt, func(engine *placement.Engine) *placement.Ticket { return engine.Take(l.now(), prompt, level) })
+}
+
+func (l *Ledger) note(id string, prompt placement.Prompt, open func(*placement.Engine) *placement.Ticket) *Ticket {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	engine, ok := l.models[id]
@@ -212,7 +209,7 @@
 		return nil
 	}
 	l.uses.add(id, prompt.Parts)
-	return &Ticket{ledger: l, ticket: engine.Take(l.now(), prompt, level)}
+	return &Ticket{ledger: l, ticket: open(engine)}
 }
 
 // NotePace notes the time from one event of a stream to the next.
--- a/gateway/engines/gauges.go
+++ b/gateway/engines/gauges.go
@@ -4,7 +4,7 @@
 func (l *Ledger) Heard() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unheard(l.now()) // Forgets those that are silent.
+	l.unheardFactor(l.now()) // Forgets those that are silent.
 	return len(l.heard)
 }
 
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -49,16 +49,16 @@
 		view.Slots += engine.Slots
 		view.Streams += float64(engine.Running())
 	}
-	unheard := l.unheard(now)
-	view.Streams *= unheard
-	view.Wait = time.Duration(unheard * float64(wait) / float64(max(view.Readers, 1)))
+	factor := l.unheardFactor(now)
+	view.Streams *= factor
+	view.Wait = time.Duration(factor * float64(wait) / float64(max(view.Readers, 1)))
 	return view, list
 }
 
-// unheard returns by how much loads are larger than what the processes told that
+// unheardFactor returns by how much loads are larger than what the processes told that
 // this one hears of, if the others send as much. In a larger fleet it hears of
 // some only. It is called with mu held.
-func (l *Ledger) unheard(now time.Time) float64 {
+func (l *Ledger) unheardFactor(now time.Time) float64 {
 	maps.DeleteFunc(l.heard, func(_ string, at time.Time) bool { return now.Sub(at) > heardFor })
 	return max(float64(l.processes)/float64(len(l.heard)+1), 1)
 }
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -29,8 +29,8 @@
 	// fleetReaders is how many processes look at the fleet for all.
 	fleetReaders = 1
 	// skipStep is the least time between two calls for the fleet.
-	skipStep   = 50 * time.Millisecond
-	sweepEvery = 300 * time.Millisecond
+	skipStep    = 50 * time.Millisecond
+	keepUpEvery = 300 * time.Millisecond
 	// membersWait is how long the store holds the call for changes of the list
 	// of entry processes.
 	membersWait = 15 * time.Second
@@ -52,8 +52,7 @@
 		n.crashes.Run,
 		n.circle.Register,
 		n.circle.Run,
-		n.shareBudget,
-		n.sweep,
+		n.keepUp,
 		n.learnTime,
 		func(ctx context.Context) {
 			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
@@ -124,13 +123,13 @@
 
 func (n *Node) fleetFollower() *follow.Follower {
 	drain := float64(n.settings.Bounds.Drain)
-	asReader := time.Duration(readerShare * drain)
-	asOther := time.Duration((leastShare + (mostShare-leastShare)*rand.Float64()) * drain)
+	askAsReader := time.Duration(readerShare * drain)
+	askAsOther := time.Duration((leastShare + (mostShare-leastShare)*rand.Float64()) * drain)
 	return &follow.Follower{
 		Store: n.store, Table: site.TableEndpoints, Every: skipStep,
 		Skip: func() bool {
 			age := n.fleet.Age()
-			return age < asReader || (age < asOther && !n.circle.AmongFirst(fleetReaders))
+			return age < askAsReader || (age < askAsOther && !n.circle.AmongFirst(fleetReaders))
 		},
 		After: n.fleet.Version,
 		Apply: func(page site.Page, whole bool) {
@@ -148,35 +147,24 @@
 	return &follow.Follower{Store: n.store, Table: peers.TableVMs, Wait: membersWait, Every: time.Second, Apply: n.circle.Apply}
 }
 
-// shareBudget keeps this process's share of the retry budget at what the
-// number of processes gives.
-func (n *Node) shareBudget(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		n.ledger.SetProcesses(n.circle.Size())
-		n.budgets.Set(budgetSettings(*n.bounds.Load(), max(n.circle.Size(), assumedVMs)))
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+// keepUp does again and again what follows from the present state: this
+// process's share of the retry budget, idle connections to close, and endpoints
+// to forget that did not come back.
+func (n *Node) keepUp(ctx context.Context) {
+	n.shareBudget()
+	clock.Each(ctx, keepUpEvery, func() {
+		n.shareBudget()
+		n.pool.Sweep()
+		n.fleet.Settle()
+	})
 }
 
-// sweep closes idle connections and forgets endpoints that did not come back.
-func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.pool.Sweep()
-			n.fleet.Settle()
-		}
-	}
+// shareBudget sets this process's share of the retry budget to what the number
+// of processes gives.
+func (n *Node) shareBudget() {
+	processes := n.circle.Size()
+	n.ledger.SetProcesses(processes)
+	n.budgets.Set(budgetSettings(*n.bounds.Load(), max(processes, assumedVMs)))
 }
 
 // learnTime learns the true time once the store answers.
@@ -192,7 +180,7 @@
 		if attempt == 0 {
 			log.Error(err, "The true time is not known yet; no usage window is reported.")
 		}
-		if !clock.Sleep(ctx, sweepEvery) {
+		if !clock.Sleep(ctx, keepUpEvery) {
 			return
 		}
 	}
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -114,8 +114,8 @@
 // Newer implements peers.Sources.
 func (n *Node) Newer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
 	reply.Configuration = n.NewerConfiguration(state)
-	joins := state.GetEndpointsVersion() == 0
-	if n.storeWatch.IsLost() && !joins {
+	knowsNone := state.GetEndpointsVersion() == 0
+	if n.storeWatch.IsLost() && !knowsNone {
 		return
 	}
 	news := n.fleet.Since(state.GetEndpointsVersion())
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -115,22 +115,19 @@
 }
 
 // One process has lost the answer to its call for the configuration. It is sent
-// the newer one by a process that finds it behind, without asking.
-func TestAProcessThatIsBehindIsSentTheConfiguration(t *testing.T) {
-	a, _ := process(t, "a", 9)
-	b, behind := process(t, "b", 5)
-	list(t, a, b.self)
-	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
-	require.EqualValues(t, 9, behind.holds())
-}
-
-// A process that has a newer configuration gives it in its reply.
-func TestAProcessThatIsBehindTakesTheReply(t *testing.T) {
-	a, behind := process(t, "a", 5)
-	b, _ := process(t, "b", 9)
-	list(t, a, b.self)
-	require.NoError(t, a.tell(t.Context(), a.members["b"], false))
-	require.EqualValues(t, 9, behind.holds())
+// the newer one by a process that finds it behind, or takes it from the reply to
+// its own call.
+func TestAProcessThatIsBehindGetsTheConfiguration(t *testing.T) {
+	for name, versions := range map[string][2]int64{"the one called": {9, 5}, "the caller": {5, 9}} {
+		t.Run(name, func(t *testing.T) {
+			a, caller := process(t, "a", versions[0])
+			b, called := process(t, "b", versions[1])
+			list(t, a, b.self)
+			require.NoError(t, a.tell(t.Context(), a.members["b"], false))
+			require.EqualValues(t, 9, caller.holds())
+			require.EqualValues(t, 9, called.holds())
+		})
+	}
 }
 
 // One process has lost the answer to its call for the list. It learns of a
--- a/entry/observe/wire.go
+++ b/wire/journalwire/journalwire.go
@@ -1,4 +1,5 @@
-package observe
+// Package journalwire translates events of the journal to and from their messages.
+package journalwire
 
 import (
 	"time"
@@ -7,7 +8,8 @@
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
-func wireEvent(event journal.Event) *wirev1.JournalEvent {
+// Encode returns the message of an event.
+func Encode(event journal.Event) *wirev1.JournalEvent {
 	wired := &wirev1.JournalEvent{
 		UnixNanos: event.At.UnixNano(),
 		Process:   event.Process,
@@ -24,7 +26,8 @@
 	return wired
 }
 
-func eventOf(wired *wirev1.JournalEvent) journal.Event {
+// Decode returns the event of a message.
+func Decode(wired *wirev1.JournalEvent) journal.Event {
 	event := journal.Event{
 		At:       time.Unix(0, wired.UnixNanos).UTC(),
 		Process:  wired.Process,
