Bound the wait after a failed call of the store by its stated maximum

Cause: the wait after a failed call was drawn from half to one and a half of the backoff, so up to 1.2 s where the constant says 0.8 s at most. Ruled out: the held call (it ends 15 s earlier) and the scheduler (virtual time). The wait is now from half of the backoff to the whole.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -16,7 +16,8 @@
 const (
 	// callSlack is how much longer than its own wait a call may take.
 	callSlack = 1500 * time.Millisecond
-	// minBackoff and maxBackoff bound the wait after a failed call.
+	// minBackoff and maxBackoff are the longest waits after the first and after
+	// later failed calls; the wait is at least half of it.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// skipFor is how soon a follower looks again that needs no call now.
@@ -135,5 +136,11 @@
 		}
 	}
 	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
-	return f.backoff/2 + rand.N(f.backoff)
+	return jitter(f.backoff)
+}
+
+// jitter returns a random duration from half of d up to d, so that processes
+// that failed together don't call again together.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2)
 }
