Placement: an engine ends the prompt it reads before a more urgent one

Cause: predictions took an engine's queue for one that a more urgent prompt always passes, so an urgent prompt was sent behind a long one of no urgency that was being read.

Change: the backlog keeps single prompts and reads them one after another; processes tell each other single prompts instead of sums by priority. Test TestUrgentPromptsAvoidAnEngineThatReadsALongOne fails without the term.

--- a/core/placement/backlog.go
+++ b/core/placement/backlog.go
@@ -1,22 +1,19 @@
 package placement
 
 import (
+	"slices"
 	"time"
 )
 
 // Levels is the number of priorities that an engine orders prompts by.
 const Levels = 10
 
-// Work is reading work in tokens by priority.
-type Work [Levels]float64
-
-// ahead returns the work that is done before that of a level sent now.
-func (w *Work) ahead(level int) float64 {
-	sum := 0.0
-	for l := range level + 1 {
-		sum += w[l]
-	}
-	return sum
+// Unread is a prompt that an engine was sent and is not known to have read.
+type Unread struct {
+	Level int
+	Work  float64       // Of the whole prompt, in tokens without any context before them.
+	Left  float64       // What is guessed to be left of Work.
+	Ago   time.Duration // Since it was sent.
 }
 
 // unreadShare is the part of a prompt's work that is counted until the engine
@@ -28,30 +25,36 @@
 // tells again: about as much is sent meanwhile as is read.
 const toldShare = 0.5
 
-// task is the work of one own prompt.
+// task is a prompt that an engine has yet to read.
 type task struct {
-	level  int
-	tokens float64 // When it was sent.
-	left   float64 // As it is guessed now.
+	level int
+	sent  time.Time
+	work  float64
+	left  float64 // As it is guessed now.
+	least float64 // What left does not fall below before more is heard.
 }
 
-// told is the work that another process told of.
-type told struct {
-	work Work
-	left Work // As it is guessed now.
+// begun reports whether the engine is guessed to have begun to read it.
+func (t *task) begun() bool { return t.left < t.work }
+
+// before reports whether the engine reads t before other, if it reads neither yet.
+func (t *task) before(other *task) bool {
+	if t.level != other.level {
+		return t.level < other.level
+	}
+	return t.sent.Before(other.sent)
 }
 
-// backlog estimates the work that an engine has yet to do, by who sent it. The
-// engine does the most urgent first.
+// backlog estimates the work that an engine has yet to do. The engine reads one
+// prompt after another, the most urgent first and the oldest of those, and ends
+// what it has begun before it turns to a more urgent one.
 type backlog struct {
-	own    map[*task]bool   // Prompts whose reading has not been seen to end.
-	remote map[string]*told // What other processes sent, as they last told.
+	own    []*task            // Prompts whose reading has not been seen to end.
+	remote map[string][]*task // What other processes sent, as they last told.
 	at     time.Time
 }
 
-func newBacklog() backlog {
-	return backlog{own: make(map[*task]bool), remote: make(map[string]*told)}
-}
+func newBacklog() backlog { return backlog{remote: make(map[string][]*task)} }
 
 // drain takes off what the engine may have read since the last call.
 func (b *backlog) drain(now time.Time, tokensPerMS float64) {
@@ -61,69 +64,84 @@
 	}
 	read := float64(now.Sub(b.at)) / float64(time.Millisecond) * tokensPerMS
 	b.at = now
-	total := b.sum()
-	for level := range Levels {
-		if total[level] <= 0 {
-			continue
-		}
-		left := 1 - min(read, total[level])/total[level]
-		read -= total[level] * (1 - left)
-		b.scale(level, left)
-		if read <= 0 {
+	for read > 0 {
+		next := b.next()
+		if next == nil {
 			return
 		}
+		part := min(read, next.left-next.least)
+		next.left -= part
+		read -= part
 	}
 }
 
-// scale leaves a share of a level's work.
-func (b *backlog) scale(level int, share float64) {
-	for t := range b.own {
-		if t.level == level {
-			t.left = max(t.left*share, unreadShare*t.tokens)
+// next returns what the engine reads now, or nil when all may be read.
+func (b *backlog) next() *task {
+	var next *task
+	b.each(func(t *task) {
+		if t.left <= t.least || (next != nil && next.begun()) {
+			return
 		}
-	}
-	for _, r := range b.remote {
-		r.left[level] = max(r.left[level]*share, toldShare*r.work[level])
-	}
-}
-
-// sum returns all work by level.
-func (b *backlog) sum() Work {
-	total := b.ownWork()
-	for _, r := range b.remote {
-		for level, work := range r.left {
-			total[level] += work
+		if next == nil || t.begun() || t.before(next) {
+			next = t
 		}
-	}
-	return total
+	})
+	return next
 }
 
-// ownWork returns the work of own prompts by level.
-func (b *backlog) ownWork() Work {
-	var work Work
-	for t := range b.own {
-		work[t.level] += t.left
+func (b *backlog) each(visit func(*task)) {
+	for _, t := range b.own {
+		visit(t)
+	}
+	for _, tasks := range b.remote {
+		for _, t := range tasks {
+			visit(t)
+		}
 	}
-	return work
 }
 
 // add notes an own prompt that was sent to the engine.
-func (b *backlog) add(level int, tokens float64) *task {
-	t := &task{level: level, tokens: tokens, left: tokens}
-	b.own[t] = true
+func (b *backlog) add(now time.Time, level int, tokens float64) *task {
+	t := &task{level: level, sent: now, work: tokens, left: tokens, least: unreadShare * tokens}
+	b.own = append(b.own, t)
 	return t
 }
 
 // done notes that the engine has read an own prompt, or will not.
-func (b *backlog) done(t *task) { delete(b.own, t) }
+func (b *backlog) done(t *task) {
+	b.own = slices.DeleteFunc(b.own, func(other *task) bool { return other == t })
+}
+
+// unread returns the own prompts.
+func (b *backlog) unread(now time.Time) []Unread {
+	list := make([]Unread, 0, len(b.own))
+	for _, t := range b.own {
+		list = append(list, Unread{Level: t.level, Work: t.work, Left: t.left, Ago: now.Sub(t.sent)})
+	}
+	return list
+}
 
 // tell takes what another process tells.
-func (b *backlog) tell(peer string, work Work) { b.remote[peer] = &told{work: work, left: work} }
+func (b *backlog) tell(now time.Time, peer string, list []Unread) {
+	tasks := make([]*task, 0, len(list))
+	for _, u := range list {
+		tasks = append(tasks, &task{level: u.Level, sent: now.Add(-u.Ago), work: u.Work, left: u.Left, least: toldShare * u.Left})
+	}
+	b.remote[peer] = tasks
+}
 
-// ahead returns the work that is done before a prompt of a level sent now.
+// ahead returns the work that is done before a prompt of a level sent now: what
+// is as urgent, and the rest of a less urgent prompt that the engine reads now.
 func (b *backlog) ahead(level int) float64 {
-	total := b.sum()
-	return total.ahead(level)
+	sum, reads := 0.0, 0.0
+	b.each(func(t *task) {
+		if t.level <= level {
+			sum += t.left
+		} else if t.begun() {
+			reads = max(reads, t.left)
+		}
+	})
+	return sum + reads
 }
 
 // waiting returns the number of own prompts sent and not yet read.
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -159,16 +159,16 @@
 	return asDuration(e.ahead(now, Levels-1) / e.Rate())
 }
 
-// Work returns the reading work that this process sent and that is not done.
-func (e *Engine) Work(now time.Time) Work {
+// Unread returns the prompts that this process sent and the engine has not read.
+func (e *Engine) Unread(now time.Time) []Unread {
 	e.backlog.drain(now, e.Rate())
-	return e.backlog.ownWork()
+	return e.backlog.unread(now)
 }
 
 // SetRemote takes what another process tells of the engine.
-func (e *Engine) SetRemote(now time.Time, peer string, work Work, streams int) {
+func (e *Engine) SetRemote(now time.Time, peer string, unread []Unread, streams int) {
 	e.backlog.drain(now, e.Rate())
-	e.backlog.tell(peer, work)
+	e.backlog.tell(now, peer, unread)
 	e.others[peer] = streams
 }
 
@@ -222,7 +222,7 @@
 }
 
 func (e *Engine) open(now time.Time, level int, tokens, ahead float64, predicted time.Duration) *Ticket {
-	ticket := &Ticket{engine: e, task: e.backlog.add(level, tokens), level: level, sent: now, ahead: ahead, work: ahead + tokens, Predicted: predicted, open: true}
+	ticket := &Ticket{engine: e, task: e.backlog.add(now, level, tokens), level: level, sent: now, ahead: ahead, work: ahead + tokens, Predicted: predicted, open: true}
 	e.tickets[ticket] = true
 	return ticket
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -26,6 +26,11 @@
 	return placement.Request{Prompt: p, Level: level, Budget: 600 * time.Millisecond, Patience: 2400 * time.Millisecond, Home: "home", Far: 200 * time.Millisecond}
 }
 
+// waiting returns what another process tells of a prompt that it sent just now.
+func waiting(level int, work float64) []placement.Unread {
+	return []placement.Unread{{Level: level, Work: work, Left: work}}
+}
+
 // Pattern: long prompts in a mix of short ones. The long ones are read by the
 // engine that only reads, short ones beside the streams.
 func TestLongPromptsAreReadApart(t *testing.T) {
@@ -134,7 +139,7 @@
 	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
 	p := prompt(6000, "a")
 	favourite := placement.Decide(start, request(p, 2), engines).Prefill
-	favourite.SetRemote(start, "other", placement.Work{0: 40_000}, 3)
+	favourite.SetRemote(start, "other", waiting(0, 40_000), 3)
 	require.NotSame(t, favourite, placement.Decide(start, request(p, 2), engines).Prefill)
 	require.Equal(t, 3, favourite.Running())
 	favourite.DropRemote("other")
@@ -147,13 +152,17 @@
 func TestOwnPromptsCountUntilTheyAreRead(t *testing.T) {
 	shared := engine("p", placement.Prefill)
 	ticket := shared.Send(start, prompt(8000, "a"), 2, 0)
-	sent := shared.Work(start)
-	require.Positive(t, sent[2])
-	later := shared.Work(start.Add(2 * time.Second))
-	require.GreaterOrEqual(t, later[2], sent[2]/2)
-	require.Less(t, later[2], sent[2], "it may have begun to read")
+	sent := shared.Unread(start)
+	require.Len(t, sent, 1)
+	require.Equal(t, 2, sent[0].Level)
+	require.Positive(t, sent[0].Left)
+	later := shared.Unread(start.Add(2 * time.Second))
+	require.Len(t, later, 1)
+	require.GreaterOrEqual(t, later[0].Left, sent[0].Left/2)
+	require.Less(t, later[0].Left, sent[0].Left, "it may have begun to read")
+	require.Equal(t, 2*time.Second, later[0].Ago)
 	ticket.Read(start.Add(2 * time.Second))
-	require.Equal(t, placement.Work{}, shared.Work(start.Add(2*time.Second)))
+	require.Empty(t, shared.Unread(start.Add(2*time.Second)))
 }
 
 // Pattern: others go on sending between two tellings. What they told is not
@@ -163,10 +172,10 @@
 	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
 	p := prompt(6000, "a")
 	favourite := placement.Decide(start, request(p, 2), engines).Prefill
-	favourite.SetRemote(start, "other", placement.Work{0: 40_000}, 0)
+	favourite.SetRemote(start, "other", waiting(0, 40_000), 0)
 	later := start.Add(2 * time.Second)
 	require.NotSame(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
-	favourite.SetRemote(later, "other", placement.Work{}, 0)
+	favourite.SetRemote(later, "other", nil, 0)
 	require.Same(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
 }
 
@@ -193,3 +202,27 @@
 	}
 	require.Less(t, slow.Rate(), assumed/3)
 }
+
+// Pattern: a long prompt of little urgency is being read when an urgent one
+// comes. An engine ends what it has begun, so the urgent one goes elsewhere,
+// whoever sent the long one. One that has not begun is overtaken.
+func TestUrgentPromptsAvoidAnEngineThatReadsALongOne(t *testing.T) {
+	const work = 60_000 // About a second of reading.
+	urgent := request(prompt(3000, "urgent"), 0)
+	fresh := func() (*placement.Engine, []*placement.Engine) {
+		all := []*placement.Engine{engine("p1", placement.Prefill), engine("p2", placement.Prefill), engine("d", placement.Decode)}
+		return placement.Decide(start, urgent, all).Prefill, all
+	}
+	favourite, all := fresh()
+	favourite.Send(start, prompt(25_000, "long"), placement.LateLevel, 0)
+	soon := start.Add(50 * time.Millisecond)
+	require.NotSame(t, favourite, placement.Decide(soon, urgent, all).Prefill)
+
+	favourite, all = fresh()
+	favourite.SetRemote(start, "other", []placement.Unread{{Level: placement.LateLevel, Work: work, Left: work - 3000, Ago: 50 * time.Millisecond}}, 0)
+	require.NotSame(t, favourite, placement.Decide(start, urgent, all).Prefill)
+
+	favourite, all = fresh()
+	favourite.SetRemote(start, "other", waiting(placement.LateLevel, work), 0)
+	require.Same(t, favourite, placement.Decide(start, urgent, all).Prefill)
+}
--- a/gateway/engines/peers.go
+++ b/gateway/engines/peers.go
@@ -58,7 +58,7 @@
 // Load is what one process has sent to an engine.
 type Load struct {
 	Endpoint string
-	Work     placement.Work
+	Unread   []placement.Unread
 	Streams  int
 }
 
@@ -69,8 +69,8 @@
 	now := l.now()
 	var loads []Load
 	for id, engine := range l.models {
-		load := Load{Endpoint: id, Work: engine.Work(now), Streams: engine.Streams()}
-		if load.Streams > 0 || load.Work != (placement.Work{}) {
+		load := Load{Endpoint: id, Unread: engine.Unread(now), Streams: engine.Streams()}
+		if load.Streams > 0 || len(load.Unread) > 0 {
 			loads = append(loads, load)
 		}
 	}
@@ -88,7 +88,7 @@
 	for _, load := range loads {
 		if engine, ok := l.models[load.Endpoint]; ok {
 			named[load.Endpoint] = true
-			engine.SetRemote(now, peer, load.Work, load.Streams)
+			engine.SetRemote(now, peer, load.Unread, load.Streams)
 		}
 	}
 	for id, engine := range l.models {
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -57,15 +57,25 @@
 
 func encodeLoad(load engines.Load) *wirev1.EngineLoad {
 	encoded := &wirev1.EngineLoad{Endpoint: load.Endpoint, Streams: int32(load.Streams)}
-	for level, work := range load.Work {
-		if tokens := uint32(work); tokens > 0 {
-			encoded.Work = append(encoded.Work, make([]uint32, level-len(encoded.Work))...)
-			encoded.Work = append(encoded.Work, tokens)
-		}
+	for _, unread := range load.Unread {
+		encoded.Unread = append(encoded.Unread, &wirev1.UnreadPrompt{
+			Level: uint32(unread.Level), Work: uint32(unread.Work), Left: uint32(unread.Left), AgoMs: uint32(unread.Ago.Milliseconds()),
+		})
 	}
 	return encoded
 }
 
+func decodeLoad(encoded *wirev1.EngineLoad) engines.Load {
+	load := engines.Load{Endpoint: encoded.GetEndpoint(), Streams: int(encoded.GetStreams())}
+	for _, unread := range encoded.GetUnread() {
+		load.Unread = append(load.Unread, placement.Unread{
+			Level: int(unread.GetLevel()), Work: float64(unread.GetWork()), Left: float64(unread.GetLeft()),
+			Ago: time.Duration(unread.GetAgoMs()) * time.Millisecond,
+		})
+	}
+	return load
+}
+
 func (n *Node) encodeCounts(window duties.Window, began map[string]int64) *wirev1.WindowCounts {
 	encoded := &wirev1.WindowCounts{Instance: n.instance, Window: int64(window)}
 	for team, count := range began {
@@ -81,13 +91,7 @@
 	}
 	loads := make([]engines.Load, 0, len(state.GetLoads()))
 	for _, encoded := range state.GetLoads() {
-		load := engines.Load{Endpoint: encoded.GetEndpoint(), Streams: int(encoded.GetStreams())}
-		for level, work := range encoded.GetWork() {
-			if level < placement.Levels {
-				load.Work[level] = float64(work)
-			}
-		}
-		loads = append(loads, load)
+		loads = append(loads, decodeLoad(encoded))
 	}
 	n.ledger.SetRemote(state.GetVm(), loads)
 	n.ledger.SetUses(decodeUses(state.GetPrompts()))
