Placement: reading beside running streams costs three times as much

Cause: a prompt that is read at an engine which also produces tokens delays all its streams.

Test TestPromptsAreReadApartFromManyStreams fails with the former 0.05.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -71,7 +71,7 @@
 	farMove = 30 * time.Millisecond
 	// streamDelay is the part of a prompt's reading time that each running stream
 	// of the same engine counts for.
-	streamDelay = 0.05
+	streamDelay = 0.15
 	// failureCost is what a certain failure of an engine would cost in time.
 	failureCost = 3 * time.Second
 	// minRetry and maxRetry bound when a refused caller is told to come back.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -226,3 +226,19 @@
 	favourite.SetRemote(start, "other", waiting(placement.LateLevel, work), 0)
 	require.Same(t, favourite, placement.Decide(start, urgent, all).Prefill)
 }
+
+// Pattern: long answers run at an engine that also reads prompts. Each prompt
+// delays all its streams, so prompts of some length are read apart, though that
+// takes one longer by itself.
+func TestPromptsAreReadApartFromManyStreams(t *testing.T) {
+	const streams = 25
+	reader, producer := engine("p", placement.Prefill), engine("d", placement.Decode)
+	all := []*placement.Engine{reader, producer}
+	reader.SetRemote(start, "other", waiting(0, 5000), 0)
+	brief := request(prompt(700, "a"), 2)
+	require.Nil(t, placement.Decide(start, brief, all).Prefill, "nobody is delayed")
+	for range streams {
+		producer.StreamStarted()
+	}
+	require.Same(t, reader, placement.Decide(start, brief, all).Prefill)
+}
