Usage: a window is sealed at once when all counts are known

Ruled out: to shorten the wait, which loses counts of a process that writes late.

Change: an exchange that carries usage says that it holds all that its sender has not seen written. When each listed process has told so since the window's end, nothing can be missing and the window is sealed with the last row. TestWindowIsSealedAtOnceWhenAllCountsAreKnown fails without it. TestWindowWaitsForWritersAfterAnOutage got stricter: a process that told at the window's end only may have begun more, and is waited for.

--- a/gateway/duties/reporter.go
+++ b/gateway/duties/reporter.go
@@ -48,8 +48,11 @@
 	Replicas *Replicas
 	// StoreSteady returns how long the store has answered without a break.
 	StoreSteady func() time.Duration
-	reported    Window // The newest that was reported by this process.
-	term        int64  // Of which reported is.
+	// Others returns the instances of the other listed processes, and false while
+	// the list was not read.
+	Others   func() ([]string, bool)
+	reported Window // The newest that was reported by this process.
+	term     int64  // Of which reported is.
 }
 
 // Run reports windows until ctx ends.
@@ -168,8 +171,7 @@
 }
 
 // seal adds up the processes' counts and writes the sum, if the lease is still
-// held. After an outage of the store processes of which there is no copy may
-// still have to write theirs.
+// held.
 func (r *Reporter) seal(ctx context.Context, window Window, fence leasekeeper.Fence) (counts, error) {
 	key := windowKey(window)
 	page, err := r.Store.Range(ctx, tableCounts, key+"/", key+"0")
@@ -189,7 +191,7 @@
 		delete(missing, strings.TrimPrefix(row.Key, key+"/"))
 		tx.Remove(tableCounts, row.Key)
 	}
-	if (len(missing) > 0 || r.StoreSteady() < returnWait) && !r.mustSeal(window) {
+	if (len(missing) > 0 || !r.allKnown(window)) && !r.mustSeal(window) {
 		return counts{}, errIncomplete
 	}
 	for instance, began := range missing {
@@ -210,6 +212,18 @@
 	return total, nil
 }
 
+// allKnown reports whether no process has counts of a window of which there is
+// neither a row nor a copy. After an outage of the store processes may still have
+// to write theirs: it is enough that each has told what it has since the window's
+// end, or that they had the time to write.
+func (r *Reporter) allKnown(window Window) bool {
+	if r.StoreSteady() >= returnWait {
+		return true
+	}
+	others, known := r.Others()
+	return known && r.Replicas.Whole(others, window.endOf(r.Length))
+}
+
 // mustSeal reports whether a window can't wait for missing counts any longer.
 func (r *Reporter) mustSeal(window Window) bool {
 	now, _ := r.Clock()
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -23,6 +23,7 @@
 	duties *sitetest.Duties
 	now    time.Time
 	steady time.Duration // How long the store has answered.
+	others []string      // Instances of the other processes.
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -39,6 +40,7 @@
 	r := &Reporter{
 		Store: f.store, Duty: site.NewDutyClient(f.duties.Address, http.DefaultClient), Lease: keeper, Holder: name,
 		Clock: f.clock, Length: windowLength, Late: 10 * time.Second, Replicas: NewReplicas(), StoreSteady: func() time.Duration { return f.steady },
+		Others: func() ([]string, bool) { return f.others, f.others != nil },
 	}
 	keeper.Step(context.Background())
 	return r
@@ -165,10 +167,12 @@
 // counts only after its return. The window waits for it.
 func TestWindowWaitsForWritersAfterAnOutage(t *testing.T) {
 	f := newFixture(t)
+	f.others = []string{"b/1"}
 	r := f.reporter("a")
 	window := windowAt(f.now, windowLength)
 	f.counted(t, "a/1", window, 5)
 	f.steady = time.Second
+	r.Replicas.Heard("b/1", window.endOf(windowLength)) // It may have begun more since.
 	f.pass(r, windowLength+sealDelay)
 	require.Empty(t, f.reportsOf(window), "sealed without those who could not write")
 	f.counted(t, "b/1", window, 7)
@@ -177,9 +181,33 @@
 	require.Equal(t, map[string]int64{"team": 12}, f.reportsOf(window)[0].Began)
 }
 
+// The store was away, and all other processes have told since the window's end
+// what they counted. The window is sealed with the last of their rows, since the
+// holder may be cut off before it has waited (KNOWN-RED, window 353977088 of
+// shedline-wa mix 873944463417).
+func TestWindowIsSealedAtOnceWhenAllCountsAreKnown(t *testing.T) {
+	f := newFixture(t)
+	f.others = []string{"b/1", "c/1"}
+	r := f.reporter("a")
+	window := windowAt(f.now, windowLength)
+	f.counted(t, "a/1", window, 5)
+	f.steady = 0
+	told := window.endOf(windowLength).Add(maxCopyAge)
+	r.Replicas.Heard("c/1", told) // It has counted nothing.
+	f.pass(r, windowLength+sealDelay)
+	require.Empty(t, f.reportsOf(window), "b has not told")
+	r.Replicas.Set("b/1", window, map[string]int64{"team": 7})
+	r.Replicas.Heard("b/1", told)
+	f.pass(r, time.Second)
+	require.Empty(t, f.reportsOf(window), "b has not written what it told")
+	f.counted(t, "b/1", window, 7)
+	f.pass(r, time.Second)
+	require.Equal(t, map[string]int64{"team": 12}, f.reportsOf(window)[0].Began)
+}
+
 // A window that is about to be due is sealed also when the store is not steady.
 func TestUnsteadyStoreDelaysNoReportPastItsTime(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t) // It has not read who the others are.
 	r := f.reporter("a")
 	window := windowAt(f.now, windowLength)
 	f.counted(t, "a/1", window, 5)
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -42,7 +42,7 @@
 func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: n.lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
-		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady,
+		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady, Others: n.circle.Instances,
 	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	list := []func(context.Context){
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -28,6 +28,7 @@
 		})
 	}
 	if usage {
+		state.UsageWhole = true
 		for window, began := range n.tally.Open() {
 			state.Usage = append(state.Usage, n.encodeCounts(window, began))
 		}
@@ -103,6 +104,9 @@
 		}
 		n.replicas.Set(counts.GetInstance(), duties.Window(counts.GetWindow()), began)
 	}
+	if now, sure := n.trueTime.Now(); sure && state.GetUsageWhole() {
+		n.replicas.Heard(state.GetInstance(), now)
+	}
 }
 
 func decodeMarks(encoded []*wirev1.CrashMark) []crash.Mark {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -223,6 +223,18 @@
 	return len(c.members) + 1
 }
 
+// Instances returns the instances of the other processes, and false while the
+// list was not read.
+func (c *Circle) Instances() ([]string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	instances := make([]string, 0, len(c.members))
+	for _, p := range c.members {
+		instances = append(instances, p.Instance)
+	}
+	return instances, c.listRead
+}
+
 // Run exchanges states until ctx ends.
 func (c *Circle) Run(ctx context.Context) {
 	for clock.Sleep(ctx, tick) {
