--- a/core/stages/stages.go
+++ b/core/stages/stages.go
@@ -31,6 +31,9 @@
 	Wait      time.Duration // Until a reader has done what it was sent, in the mean.
 }
 
+// idle reports whether nothing runs or waits.
+func (v View) idle() bool { return v.Streams == 0 && v.Wait == 0 }
+
 // use returns the share of slots in use with some producers less.
 func (v View) use(less int) float64 {
 	if v.Producers <= less {
@@ -70,6 +73,9 @@
 	// quietSpan for how long nothing must have run.
 	restReaders = 0.38
 	quietSpan   = 2 * time.Second
+	// mostAtRest bounds the engines that change before any load is seen: each order
+	// has a price, and what the load will need is not known then.
+	mostAtRest = 8
 	// step is the share of producers that change at once.
 	step = 0.12
 	// restored is the share of readers that produce again when nobody else does.
@@ -79,6 +85,7 @@
 // Planner keeps what was seen of one service. It is not safe for concurrent use.
 type Planner struct {
 	samples []sample
+	rested  int // Engines that were ordered to change since something ran.
 }
 
 type sample struct {
@@ -94,6 +101,9 @@
 		old++
 	}
 	p.samples = slices.Delete(p.samples, 0, old)
+	if !view.idle() {
+		p.rested = 0
+	}
 }
 
 // Forget drops what was seen before a change.
@@ -111,7 +121,7 @@
 	}
 	span := latest.at.Sub(p.samples[0].at)
 	if span >= quietSpan && p.quiet() {
-		return atRest(view)
+		return p.atRest(view)
 	}
 	if span < waitSpan {
 		return Order{}, false
@@ -124,13 +134,19 @@
 
 // quiet reports whether nothing ran in all that was seen.
 func (p *Planner) quiet() bool {
-	return !slices.ContainsFunc(p.samples, func(s sample) bool { return s.view.Streams > 0 || s.view.Wait > 0 })
+	return !slices.ContainsFunc(p.samples, func(s sample) bool { return !s.view.idle() })
 }
 
-// atRest prepares for the load to come: a change costs nothing now.
-func atRest(view View) (Order, bool) {
-	count := int(restReaders*float64(view.Readers+view.Producers)) - view.Readers
-	return Order{ToRead: true, Count: count}, count > 0 && view.Readers > 0
+// atRest prepares for the load to come: a change takes no engine from anybody
+// now.
+func (p *Planner) atRest(view View) (Order, bool) {
+	missing := int(restReaders*float64(view.Readers+view.Producers)) - view.Readers
+	count := min(missing, mostAtRest-p.rested)
+	if count <= 0 || view.Readers == 0 {
+		return Order{}, false
+	}
+	p.rested += count
+	return Order{ToRead: true, Count: count}, true
 }
 
 func (p *Planner) toRead(latest sample) (Order, bool) {
--- a/core/stages/stages_test.go
+++ b/core/stages/stages_test.go
@@ -17,10 +17,15 @@
 // watched returns a planner that saw views, one each 250 ms.
 func watched(views ...stages.View) *stages.Planner {
 	p := &stages.Planner{}
+	watch(p, start, views)
+	return p
+}
+
+// watch has a planner see views, one each 250 ms.
+func watch(p *stages.Planner, from time.Time, views []stages.View) {
 	for i, view := range views {
-		p.Observe(start.Add(time.Duration(i)*sampleEvery), view)
+		p.Observe(from.Add(time.Duration(i)*sampleEvery), view)
 	}
-	return p
 }
 
 // steady is n views with a wait at the readers and streams at the producers.
@@ -123,3 +128,22 @@
 	_, ok = watched(steady(4, 15, 34, 0, 0)...).Plan()
 	require.False(t, ok, "it is not known yet whether anything runs")
 }
+
+// Pattern: a large fleet at rest before a light load (the sweep at 1,000
+// engines: 85 orders, which cost more than all that was served was worth). A few
+// engines change, however long the rest lasts; after some load a few more may.
+func TestLargeFleetAtRestChangesFewEngines(t *testing.T) {
+	planner := watched(steady(10, 300, 700, 0, 0)...)
+	order, ok := planner.Plan()
+	require.True(t, ok)
+	require.Equal(t, 8, order.Count)
+	planner.Forget()
+	watch(planner, start.Add(time.Minute), steady(10, 308, 692, 0, 0))
+	_, ok = planner.Plan()
+	require.False(t, ok, "it has prepared already")
+	watch(planner, start.Add(2*time.Minute), steady(1, 308, 692, 0, 1))
+	watch(planner, start.Add(3*time.Minute), steady(10, 308, 692, 0, 0))
+	order, ok = planner.Plan()
+	require.True(t, ok)
+	require.Equal(t, 8, order.Count)
+}
