Logs: each call of an unusual request, and the age of the endpoint list

Cause: the line of a request named its last endpoint only.

Change: calls (endpoint, result, ms) on lines of failed, repeated and late requests; predicted_ms when it is sent; endpoints_version and endpoints_age_ms.

--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -34,12 +34,6 @@
 	heard     map[string]time.Time
 }
 
-type plainEndpoint struct {
-	endpoint site.Endpoint
-	health   health.Record
-	running  int
-}
-
 // New returns an empty ledger of a process in the data centre home.
 func New(home string, now func() time.Time) *Ledger {
 	return &Ledger{
@@ -88,16 +82,6 @@
 	l.setModel(endpoint)
 }
 
-func (l *Ledger) setPlain(endpoint site.Endpoint) {
-	for _, known := range l.plain[endpoint.Service] {
-		if known.endpoint.ID == endpoint.ID {
-			known.endpoint = endpoint
-			return
-		}
-	}
-	l.plain[endpoint.Service] = append(l.plain[endpoint.Service], &plainEndpoint{endpoint: endpoint})
-}
-
 func (l *Ledger) setModel(endpoint site.Endpoint) {
 	stage := placement.Decode
 	if endpoint.Stage == site.Prefill {
@@ -190,71 +174,6 @@
 	FetchFrom string // Address of the engine that holds parts of the prompt, if any.
 }
 
-// Send notes that a prompt is sent to an engine, and returns nil when the
-// engine is no longer known.
-func (l *Ledger) Send(id string, prompt placement.Prompt, level, fetched int) *Ticket {
-	return l.note(id, prompt, func(engine *placement.Engine) *placement.Ticket { return engine.Send(l.now(), prompt, level, fetched) })
-}
-
-// Take notes that an engine is sent a prompt that another has read.
-func (l *Ledger) Take(id string, prompt placement.Prompt, level int) *Ticket {
-	return l.note(id, prompt, func(engine *placement.Engine) *placement.Ticket { return engine.Take(l.now(), prompt, level) })
-}
-
-func (l *Ledger) note(id string, prompt placement.Prompt, open func(*placement.Engine) *placement.Ticket) *Ticket {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	engine, ok := l.models[id]
-	if !ok {
-		return nil
-	}
-	l.uses.add(id, prompt.Parts)
-	return &Ticket{ledger: l, ticket: open(engine)}
-}
-
-// NotePace notes the time from one event of a stream to the next.
-func (l *Ledger) NotePace(id string, gap time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if engine, ok := l.models[id]; ok {
-		engine.NotePace(gap)
-	}
-}
-
-// Ticket is a prompt sent to an engine. A nil ticket notes nothing.
-type Ticket struct {
-	ledger *Ledger
-	ticket *placement.Ticket
-}
-
-// Predicted returns the time until the prompt is read, as it was expected.
-func (t *Ticket) Predicted() time.Duration {
-	if t == nil {
-		return 0
-	}
-	return t.ticket.Predicted
-}
-
-// Read notes that the engine has read the prompt.
-func (t *Ticket) Read() {
-	if t == nil {
-		return
-	}
-	t.ledger.mu.Lock()
-	defer t.ledger.mu.Unlock()
-	t.ticket.Read(t.ledger.now())
-}
-
-// Drop notes that the engine will not read the prompt.
-func (t *Ticket) Drop() {
-	if t == nil {
-		return
-	}
-	t.ledger.mu.Lock()
-	defer t.ledger.mu.Unlock()
-	t.ticket.Drop(t.ledger.now())
-}
-
 // StreamStarted notes a stream past its first token. The function returned
 // notes its end.
 func (l *Ledger) StreamStarted(id string) func() {
@@ -319,49 +238,3 @@
 	}
 	return nil
 }
-
-// Plain chooses an endpoint of a plain service: the least loaded by what this
-// process sent, a sound one before one that fails, its own data centre first.
-// done must be called at the request's end. ok is false when there is none.
-func (l *Ledger) Plain(service string, exclude map[string]bool) (endpoint site.Endpoint, done func(), ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	best := l.bestPlain(service, exclude, true)
-	if best == nil {
-		best = l.bestPlain(service, exclude, false)
-	}
-	if best == nil {
-		return site.Endpoint{}, nil, false
-	}
-	best.running++
-	return best.endpoint, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		best.running--
-	}, true
-}
-
-// Costs by which plain endpoints are compared, in requests in flight.
-const (
-	farCost     = 1.5
-	failureCost = 12.0
-)
-
-func (l *Ledger) bestPlain(service string, exclude map[string]bool, rested bool) *plainEndpoint {
-	now := l.now()
-	var best *plainEndpoint
-	bestCost := 0.0
-	for _, candidate := range l.plain[service] {
-		if candidate.endpoint.Draining || exclude[candidate.endpoint.ID] || (rested && candidate.health.Resting(now)) {
-			continue
-		}
-		cost := float64(candidate.running) + failureCost*candidate.health.Rate(now)
-		if candidate.endpoint.DataCentre != l.home {
-			cost += farCost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = candidate, cost
-		}
-	}
-	return best
-}
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -21,6 +21,9 @@
 // RequestLog writes a line for each request, within bounds. What is left out is
 // counted in the next line.
 type RequestLog struct {
+	// Endpoints returns the version and the age of the list of endpoints.
+	Endpoints func() (version int64, age time.Duration)
+
 	mu       sync.Mutex
 	second   int64
 	ordinary int
@@ -62,6 +65,7 @@
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, took time.Duration) {
 	late := outcome.First > job.Route.Objective && job.Route.Objective > 0
 	unusual := outcome.Reason != relay.ReasonNone || outcome.Attempts > 1 || late
+	endpointsVersion, endpointsAge := l.Endpoints()
 	ok, omitted := l.take(unusual)
 	if !ok {
 		return
@@ -72,6 +76,10 @@
 		"attempts", outcome.Attempts, "may_have_run", outcome.Ran, "first_ms", outcome.First.Milliseconds(), "ms", took.Milliseconds(),
 		"late", late, "level", outcome.Level, "fetched_tokens", outcome.Fetched, "predicted_ms", outcome.Predicted.Milliseconds(), "reading_ms", outcome.Reading.Milliseconds(),
 		"decode_first_ms", outcome.Decode.Milliseconds(), "prompt_tokens", job.Caller.Prompt.Input, "lines_omitted", omitted,
+		"endpoints_version", endpointsVersion, "endpoints_age_ms", endpointsAge.Milliseconds(),
+	}
+	if unusual {
+		fields = append(fields, "calls", outcome.Calls)
 	}
 	if outcome.RetryIn > 0 {
 		fields = append(fields, "retry_in_ms", outcome.RetryIn.Milliseconds())
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -191,7 +191,8 @@
 		return servers{}, fmt.Errorf("%w; remedy: free the control address of the settings", err)
 	}
 	handler := &ingress.Handler{
-		Config: n.config, Meter: n.meter, Log: &ingress.RequestLog{}, Crashes: n.crashes,
+		Config: n.config, Meter: n.meter, Crashes: n.crashes,
+		Log:   &ingress.RequestLog{Endpoints: func() (int64, time.Duration) { return n.fleet.Version(), n.fleet.Age() }},
 		Relay: &relay.Relay{Pool: n.pool, Engines: n.ledger, Meter: n.meter, Began: n.tally.Began, Budgets: n.budgets, Broke: n.broke, Read: n.read},
 	}
 	s := servers{callers: newServer(handler), side: newServer(n.sideHandler())}
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"flamingospar.org/gateway/link"
 	"flamingospar.org/platform/site"
 )
 
@@ -23,11 +26,55 @@
 	ReasonBroken      Reason = "broken_midway" // The answer had begun.
 )
 
+// Result is what one call to an endpoint came to.
+type Result string
+
+// The results of calls.
+const (
+	ResultRead     Result = "read"     // It read the prompt.
+	ResultAnswered Result = "answered" // Its whole answer came.
+	ResultFailed   Result = "failed"   // It answered with a failure of its own.
+	ResultRefused  Result = "refused"  // It said that it did not run the request.
+	ResultNotSent  Result = "not_sent" // The request can't have reached it.
+	ResultBroken   Result = "broken"   // The connection ended, or it was silent for too long.
+	ResultLeft     Result = "left"     // The caller left meanwhile.
+)
+
+// Call is one call to an endpoint for a job.
+type Call struct {
+	Endpoint string `json:"endpoint"`
+	Result   Result `json:"result"`
+	MS       int64  `json:"ms"`
+}
+
+// maxCalls bounds the calls that are kept of a job.
+const maxCalls = 8
+
+// called notes a call that began at a time and has ended now.
+func (o *Outcome) called(endpoint string, began time.Time, result Result) {
+	if len(o.Calls) < maxCalls {
+		o.Calls = append(o.Calls, Call{Endpoint: endpoint, Result: result, MS: time.Since(began).Milliseconds()})
+	}
+}
+
+// resultOf returns the result of a call that ended with an error.
+func resultOf(ctx context.Context, err error) Result {
+	switch {
+	case errors.Is(err, link.ErrNotSent):
+		return ResultNotSent
+	case errors.Is(ctx.Err(), context.Canceled):
+		return ResultLeft
+	default:
+		return ResultBroken
+	}
+}
+
 // Outcome is what became of a job.
 type Outcome struct {
 	Reason   Reason
 	Status   int // Sent to the caller; 0 when the answer was broken off or the caller left.
 	Attempts int
+	Calls    []Call        // In their order; at most maxCalls.
 	Ran      bool          // An endpoint began it, or may have.
 	First    time.Duration // Until the first byte of the answer was sent on.
 	Endpoint string        // The last one it was sent to.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -162,6 +162,7 @@
 		outcome = fail(w, job, ReasonMayHaveRun)
 	}
 	outcome.Attempts, outcome.Endpoint, outcome.Prefill, outcome.Err = p.sends, p.Endpoint, p.Prefill, p.Err
+	outcome.Calls, outcome.Level, outcome.Fetched, outcome.Prediction = p.Calls, p.Level, p.Fetched, p.Prediction
 	return outcome
 }
 
@@ -205,7 +206,11 @@
 	if !job.Repeatable() {
 		request.MaxIdle = freshIdle
 	}
+	began := time.Now()
 	answer, err := r.Pool.Send(attemptCtx, endpoint.Address, request)
+	if err != nil {
+		p.called(endpoint.ID, began, resultOf(ctx, err))
+	}
 	if errors.Is(err, link.ErrNotSent) {
 		p.Err = err
 		if ctx.Err() == nil {
@@ -220,6 +225,7 @@
 	}
 	defer answer.Close()
 	if answer.Meta.NotRun {
+		p.called(endpoint.ID, began, ResultRefused)
 		r.noteRefusal(endpoint, answer)
 		_, _ = io.CopyN(io.Discard, answer, maxPlainAnswer)
 		return tried{sent: true}
@@ -229,8 +235,10 @@
 	p.runs++
 	body, whole, err := readWhole(answer)
 	if err != nil {
+		p.called(endpoint.ID, began, resultOf(ctx, err))
 		return r.plainBroken(ctx, job, endpoint, p, err)
 	}
+	p.called(endpoint.ID, began, answeredAs(answer.Status))
 	if answer.Status >= http.StatusInternalServerError {
 		r.Engines.Note(endpoint.ID, engines.Faulty)
 		if job.Repeatable() && p.runs < job.Route.MaxAttempts && ctx.Err() == nil && r.mayTryAgain(job, p, true) {
@@ -266,6 +274,14 @@
 	return tried{answered: true, sent: true}
 }
 
+// answeredAs returns the result of a call that got a whole answer.
+func answeredAs(status int) Result {
+	if status >= http.StatusInternalServerError {
+		return ResultFailed
+	}
+	return ResultAnswered
+}
+
 // plainLimit bounds an attempt that another may follow, so that an endpoint
 // which does not answer leaves time for one that does.
 func (r *Relay) plainLimit(ctx context.Context, job *Job, p *progress) (context.Context, context.CancelFunc) {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"flamingospar.org/core/placement"
@@ -22,19 +21,8 @@
 	maxLevel        = 6
 	// farShare is the part of a route's objective that it may cost to stay in
 	// the data centre.
-	farShare = 0.35
-	// stallShare is the part of a caller's patience after which a silent
-	// endpoint is given up for another.
-	stallShare = 0.45
-	// prefillShare is the part of the time left that reading a prompt may take.
-	prefillShare = 0.7
-	// readPatience and readSlack bound how long reading a prompt may take, by the
-	// time that it was expected to take.
-	readPatience = 3
-	readSlack    = 500 * time.Millisecond
+	farShare     = 0.35
 	streamBuffer = 8 << 10
-	// maxPrefillAnswer is the largest answer to a prompt that was read, in bytes.
-	maxPrefillAnswer = 64 << 10
 )
 
 // stream is the state of one streamed answer over its attempts.
@@ -158,66 +146,6 @@
 	return s.decode(ctx, placed, run)
 }
 
-// mayRead reports whether the prompt may be read apart: once, and again within
-// the retry budget. A second call that replaces a failed first was paid as a
-// retry already.
-func (s *stream) mayRead() bool {
-	if s.prefills > 0 && !s.readFailed && !s.relay.Budgets.take(s.job.Service, 1) {
-		return false
-	}
-	s.prefills++
-	s.readFailed = false
-	return true
-}
-
-// prefill has a prompt read and returns the handle of its cache.
-func (s *stream) prefill(ctx context.Context, placed engines.Placed, run site.Run) (string, tried, bool) {
-	endpoint := placed.PrefillAt
-	run.EndpointID = endpoint.ID
-	run.PrefillOnly = true
-	run.LastEventID = ""
-	ticket := s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
-	defer ticket.Drop()
-	ctx, cancel := context.WithTimeout(ctx, s.readLimit(ticket.Predicted()))
-	defer cancel()
-	began := time.Now()
-	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
-	if err != nil {
-		s.noteFailure(ctx, endpoint, err)
-		return "", tried{sent: !errors.Is(err, link.ErrNotSent)}, false
-	}
-	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer, maxPrefillAnswer))
-	if err != nil || answer.Status != http.StatusOK {
-		s.prefillRefused(ctx, endpoint, answer, err)
-		return "", tried{sent: true}, false
-	}
-	read, err := site.ParsePrefillAnswer(body)
-	if err != nil {
-		s.noteFailure(ctx, endpoint, err)
-		return "", tried{sent: true}, false
-	}
-	s.noteRead(ticket, time.Since(began))
-	ticket.Read()
-	s.relay.Engines.Note(endpoint.ID, engines.Sound)
-	return site.KVSource(endpoint.Address, read.Handle), tried{}, true
-}
-
-// readLimit is how long an engine may take to read a prompt before another is
-// asked. To read a prompt is not to run it, so it may be read again.
-func (s *stream) readLimit(predicted time.Duration) time.Duration {
-	most := time.Duration(prefillShare * float64(s.job.remaining(time.Now())))
-	return min(readPatience*predicted+readSlack, most)
-}
-
-func (s *stream) prefillRefused(ctx context.Context, endpoint site.Endpoint, answer *link.Answer, err error) {
-	if err != nil {
-		s.noteFailure(ctx, endpoint, err)
-		return
-	}
-	s.relay.noteRefusal(endpoint, answer)
-}
-
 func (s *stream) noteFailure(ctx context.Context, endpoint site.Endpoint, err error) {
 	s.p.Err = err
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -241,6 +169,7 @@
 	var ticket *engines.Ticket
 	if run.KVSource == "" {
 		ticket = s.relay.Engines.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
+		s.p.Predicted = ticket.Predicted()
 	} else {
 		ticket = s.relay.Engines.Take(endpoint.ID, s.prompt, placed.Level)
 	}
@@ -250,6 +179,7 @@
 	defer watch.stop()
 	answer, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.request(s.job, run, s.job.Body))
 	if err != nil {
+		s.p.called(endpoint.ID, began, resultOf(ctx, err))
 		sent := !errors.Is(err, link.ErrNotSent)
 		if sent {
 			s.mayHaveRun()
@@ -260,10 +190,12 @@
 	s.p.sends++
 	defer answer.Close()
 	if answer.Meta.NotRun {
+		s.p.called(endpoint.ID, began, ResultRefused)
 		s.refusedDecode(endpoint, answer, run)
 		return tried{sent: true}
 	}
 	if answer.Status != http.StatusOK {
+		s.p.called(endpoint.ID, began, ResultFailed)
 		return s.failedDecode(endpoint, answer)
 	}
 	return s.pass(ctx, endpoint, answer, ticket, watch, began)
@@ -319,13 +251,16 @@
 				s.countBegun()
 			}
 			if s.send(answer, buffer[:n]) != nil {
+				s.p.called(endpoint.ID, began, ResultLeft)
 				return s.left()
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			s.p.called(endpoint.ID, began, ResultAnswered)
 			return s.finish(endpoint, answer)
 		}
 		if err != nil {
+			s.p.called(endpoint.ID, began, resultOf(ctx, err))
 			s.noteFailure(ctx, endpoint, err)
 			s.events.restart()
 			if !s.started && !s.job.Repeatable() {
@@ -412,42 +347,3 @@
 	}
 	return tried{answered: true, sent: true}
 }
-
-// stallLimit is how long an endpoint may be silent; 0 when no other may go on.
-func (s *stream) stallLimit() time.Duration {
-	if !s.job.Repeatable() || s.p.runs+1 >= s.job.Route.MaxAttempts {
-		return 0
-	}
-	return time.Duration(stallShare * float64(s.job.streamPatience()))
-}
-
-// stallWatch ends an attempt that has made no progress for a time.
-type stallWatch struct {
-	mu    sync.Mutex
-	limit time.Duration
-	timer *time.Timer
-}
-
-// newStallWatch calls end after limit without progress; a limit of 0 never does.
-func newStallWatch(limit time.Duration, end func()) *stallWatch {
-	w := &stallWatch{limit: limit}
-	if limit > 0 {
-		w.timer = time.AfterFunc(limit, end)
-	}
-	return w
-}
-
-func (w *stallWatch) progress() {
-	if w.timer == nil {
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer.Reset(w.limit)
-}
-
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
