Placement: full producers read less, and long answers go where they end in time

And of the answers that failed after their first event nearly all were the longest, which ran into their deadline at a slow engine: nothing looked at their length or at an engine's pace.

Changes: reading beside streams costs 0.1 of its time a stream, and up to 0.4 more as the slots fill (was 0.15). Each process learns an engine's pace from its own streams, tells it to the others, learns how many events follow from a caller's guess of tokens, and counts as cost by how much an answer would pass 0.7 of its time.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -62,10 +62,9 @@
 	backlog backlog
 	tickets map[*Ticket]bool // Open ones.
 	cache   *Cache
-	streams int            // Running past their first token, of this process.
-	others  map[string]int // The same of other processes, as they last told.
+	streams streams            // Of this process.
+	others  map[string]Streams // Of other processes, as they last told.
 	bias    *Bias
-	pace    float64 // Milliseconds from one event of a stream to the next, 0 until seen.
 	factor  float64 // Observed rate by the assumed one.
 }
 
@@ -85,7 +84,7 @@
 func NewEngine(id, dataCentre string, stage Stage, slots, memory int, bias *Bias) *Engine {
 	return &Engine{
 		ID: id, DataCentre: dataCentre, Stage: stage, Slots: slots, cache: NewCache(int(float64(memory) * cacheShare)), factor: 1,
-		bias: bias, tickets: make(map[*Ticket]bool), others: make(map[string]int), backlog: newBacklog(),
+		bias: bias, tickets: make(map[*Ticket]bool), others: make(map[string]Streams), backlog: newBacklog(),
 	}
 }
 
@@ -100,21 +99,9 @@
 	return decodeRate * e.factor
 }
 
-// Streams returns the streams past their first token, of this process.
-func (e *Engine) Streams() int { return e.streams }
-
 // SetStage changes the stage. Its speed by the assumed one stays.
 func (e *Engine) SetStage(stage Stage) { e.Stage = stage }
 
-// Running returns the streams past their first token, of all processes.
-func (e *Engine) Running() int {
-	running := e.streams
-	for _, streams := range e.others {
-		running += streams
-	}
-	return running
-}
-
 // Waiting returns the prompts that this process sent and the engine has not read.
 func (e *Engine) Waiting() int { return e.backlog.waiting() }
 
@@ -166,7 +153,7 @@
 }
 
 // SetRemote takes what another process tells of the engine.
-func (e *Engine) SetRemote(now time.Time, peer string, unread []Unread, streams int) {
+func (e *Engine) SetRemote(now time.Time, peer string, unread []Unread, streams Streams) {
 	e.backlog.drain(now, e.Rate())
 	e.backlog.tell(now, peer, unread)
 	e.others[peer] = streams
@@ -181,18 +168,6 @@
 // Holds notes that the engine was sent a prompt with these leading parts.
 func (e *Engine) Holds(parts []Part) { e.cache.Use(parts) }
 
-// NotePace notes the time from one event of a stream to the next.
-func (e *Engine) NotePace(gap time.Duration) {
-	if e.pace == 0 {
-		e.pace = asMillis(gap)
-		return
-	}
-	e.pace += learn * (asMillis(gap) - e.pace)
-}
-
-// Pace returns the time from one event of a stream to the next, 0 until seen.
-func (e *Engine) Pace() time.Duration { return asDuration(e.pace) }
-
 // Ticket is a prompt that was sent to an engine.
 type Ticket struct {
 	engine    *Engine
@@ -262,9 +237,3 @@
 	observed := t.work / reading / (e.Rate() / e.factor)
 	e.factor = math.Exp((1-learn)*math.Log(e.factor) + learn*math.Log(min(max(observed, 1/maxFactor), maxFactor)))
 }
-
-// StreamStarted and StreamEnded count the streams that run at the engine.
-func (e *Engine) StreamStarted() { e.streams++ }
-
-// StreamEnded is the counterpart of StreamStarted.
-func (e *Engine) StreamEnded() { e.streams = max(e.streams-1, 0) }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -21,6 +21,8 @@
 	Level     int           // Priority, 0 first.
 	Budget    time.Duration // Until the first token is late.
 	Patience  time.Duration // Until the caller leaves.
+	Events    float64       // Expected of the answer; 0 when unknown.
+	Deadline  time.Duration // Until the whole answer must be there.
 	Home      string        // Data centre of this process.
 	Far       time.Duration // What using another data centre may cost in time.
 	Exclude   map[string]bool
@@ -69,9 +71,6 @@
 	minFetch = 150
 	// farMove is what moving a read prompt to another data centre may cost in time.
 	farMove = 30 * time.Millisecond
-	// streamDelay is the part of a prompt's reading time that each running stream
-	// of the same engine counts for.
-	streamDelay = 0.15
 	// failureCost is what a certain failure of an engine would cost in time.
 	failureCost = 3 * time.Second
 	// minRetry and maxRetry bound when a refused caller is told to come back.
@@ -167,9 +166,7 @@
 	option.Decode = engine
 	wait := slotWait(engine)
 	option.Predicted += asDuration(wait)
-	cost += wait
-	// Each step that reads a part of a prompt delays all streams of the engine.
-	return option, cost + streamDelay*reread*float64(engine.Running())
+	return option, cost + wait + overrun(request, engine) + delayOfStreams(engine, reread)
 }
 
 // handOver adds the engine that goes on with a prompt read by another.
@@ -217,7 +214,7 @@
 		if engine.Stage != Decode {
 			continue
 		}
-		cost := placeCost(now, request, engine) + slotWait(engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now) + spread(request)/4
+		cost := placeCost(now, request, engine) + slotWait(engine) + overrun(request, engine) + float64(engine.Running()) + float64(engine.Waiting()) + engine.overdue(now) + spread(request)/4
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
 		}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -139,7 +139,7 @@
 	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
 	p := prompt(6000, "a")
 	favourite := placement.Decide(start, request(p, 2), engines).Prefill
-	favourite.SetRemote(start, "other", waiting(0, 40_000), 3)
+	favourite.SetRemote(start, "other", waiting(0, 40_000), placement.Streams{Running: 3})
 	require.NotSame(t, favourite, placement.Decide(start, request(p, 2), engines).Prefill)
 	require.Equal(t, 3, favourite.Running())
 	favourite.DropRemote("other")
@@ -172,10 +172,10 @@
 	engines := []*placement.Engine{busy, idle, engine("d", placement.Decode)}
 	p := prompt(6000, "a")
 	favourite := placement.Decide(start, request(p, 2), engines).Prefill
-	favourite.SetRemote(start, "other", waiting(0, 40_000), 0)
+	favourite.SetRemote(start, "other", waiting(0, 40_000), placement.Streams{})
 	later := start.Add(2 * time.Second)
 	require.NotSame(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
-	favourite.SetRemote(later, "other", nil, 0)
+	favourite.SetRemote(later, "other", nil, placement.Streams{})
 	require.Same(t, favourite, placement.Decide(later, request(p, 2), engines).Prefill)
 }
 
@@ -219,11 +219,11 @@
 	require.NotSame(t, favourite, placement.Decide(soon, urgent, all).Prefill)
 
 	favourite, all = fresh()
-	favourite.SetRemote(start, "other", []placement.Unread{{Level: placement.LateLevel, Work: work, Left: work - 3000, Ago: 50 * time.Millisecond}}, 0)
+	favourite.SetRemote(start, "other", []placement.Unread{{Level: placement.LateLevel, Work: work, Left: work - 3000, Ago: 50 * time.Millisecond}}, placement.Streams{})
 	require.NotSame(t, favourite, placement.Decide(start, urgent, all).Prefill)
 
 	favourite, all = fresh()
-	favourite.SetRemote(start, "other", waiting(placement.LateLevel, work), 0)
+	favourite.SetRemote(start, "other", waiting(placement.LateLevel, work), placement.Streams{})
 	require.Same(t, favourite, placement.Decide(start, urgent, all).Prefill)
 }
 
@@ -234,7 +234,7 @@
 	const streams = 25
 	reader, producer := engine("p", placement.Prefill), engine("d", placement.Decode)
 	all := []*placement.Engine{reader, producer}
-	reader.SetRemote(start, "other", waiting(0, 5000), 0)
+	reader.SetRemote(start, "other", waiting(0, 5000), placement.Streams{})
 	brief := request(prompt(700, "a"), 2)
 	require.Nil(t, placement.Decide(start, brief, all).Prefill, "nobody is delayed")
 	for range streams {
@@ -242,3 +242,39 @@
 	}
 	require.Same(t, reader, placement.Decide(start, brief, all).Prefill)
 }
+
+// Pattern: more streams than the producers have slots for. A prompt that is read
+// beside half as many streams is read apart beside a full house, where a delayed
+// stream keeps others from a slot.
+func TestReadingBesideStreamsCostsMoreWhenSlotsAreScarce(t *testing.T) {
+	readHere := func(slots int) bool {
+		reader := engine("p", placement.Prefill)
+		producer := placement.NewEngine("d", "home", placement.Decode, slots, memory, &placement.Bias{})
+		reader.SetRemote(start, "other", waiting(0, 5000), placement.Streams{})
+		producer.SetRemote(start, "other", nil, placement.Streams{Running: 16})
+		return placement.Decide(start, request(prompt(700, "a"), 2), []*placement.Engine{reader, producer}).Prefill == nil
+	}
+	require.True(t, readHere(64))
+	require.False(t, readHere(20))
+}
+
+// Pattern: a swing to long answers. An engine at which they would miss their
+// deadline is left to short ones, though it is nearer, whoever saw its pace.
+func TestLongAnswersGoWhereTheyEndInTime(t *testing.T) {
+	slow := engine("d1", placement.Decode)
+	fast := placement.NewEngine("d2", "far", placement.Decode, 64, memory, &placement.Bias{})
+	engines := []*placement.Engine{slow, fast}
+	slow.SetRemote(start, "other", nil, placement.Streams{Running: 4, Pace: 140 * time.Millisecond})
+	fast.StreamStarted()
+	for range 50 {
+		fast.NotePace(60 * time.Millisecond)
+	}
+	answer := request(prompt(300, "a"), 2)
+	answer.Deadline = 8 * time.Second
+	answer.Events = 20
+	require.Same(t, slow, placement.Decide(start, answer, engines).Decode)
+	require.Same(t, slow, placement.Continue(start, answer, engines))
+	answer.Events = 80
+	require.Same(t, fast, placement.Decide(start, answer, engines).Decode)
+	require.Same(t, fast, placement.Continue(start, answer, engines))
+}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -27,6 +27,7 @@
 	known    map[string]site.Endpoint
 	memory   map[string]int // Tokens, by service.
 	biases   map[string]*placement.Bias
+	lengths  map[string]*lengths // Of answers, by service.
 	uses     uses
 	spread   time.Duration
 	// processes is the number of entry processes, and heard when each told last.
@@ -41,6 +42,7 @@
 		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
 		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
 		biases: make(map[string]*placement.Bias), uses: uses{told: make(map[string]int)}, heard: make(map[string]time.Time),
+		lengths: make(map[string]*lengths),
 	}
 }
 
--- a/gateway/engines/engines_test.go
+++ b/gateway/engines/engines_test.go
@@ -29,7 +29,7 @@
 func TestLoadsOfUnheardProcessesAreEstimated(t *testing.T) {
 	l, now := fleet()
 	l.SetProcesses(4)
-	l.SetRemote("vm-2", []engines.Load{{Endpoint: "p1", Streams: 6}, {Endpoint: "r", Unread: []placement.Unread{{Level: 2, Work: 6000, Left: 6000}}}})
+	l.SetRemote("vm-2", []engines.Load{{Endpoint: "p1", Streams: placement.Streams{Running: 6}}, {Endpoint: "r", Unread: []placement.Unread{{Level: 2, Work: 6000, Left: 6000}}}})
 	view, list := l.Stages("model")
 	require.Len(t, list, 3)
 	require.Equal(t, 1, view.Readers)
--- a/gateway/engines/peers.go
+++ b/gateway/engines/peers.go
@@ -59,7 +59,7 @@
 type Load struct {
 	Endpoint string
 	Unread   []placement.Unread
-	Streams  int
+	Streams  placement.Streams
 }
 
 // Loads returns what this process has sent, for other processes.
@@ -70,7 +70,7 @@
 	var loads []Load
 	for id, engine := range l.models {
 		load := Load{Endpoint: id, Unread: engine.Unread(now), Streams: engine.Streams()}
-		if load.Streams > 0 || len(load.Unread) > 0 {
+		if load.Streams.Running > 0 || len(load.Unread) > 0 {
 			loads = append(loads, load)
 		}
 	}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -80,6 +80,8 @@
 		Level:     min(s.job.Priority*levelOfPriority, maxLevel),
 		Budget:    s.job.Route.Objective - waited,
 		Patience:  min(s.job.streamPatience()-waited, s.job.remaining(time.Now())),
+		Events:    s.relay.Engines.ExpectedEvents(s.job.Service, s.job.Caller.Prompt.LengthHint),
+		Deadline:  s.job.remaining(time.Now()),
 		Far:       time.Duration(farShare * float64(s.job.Route.Objective)),
 		Exclude:   s.p.exclude,
 		MustServe: s.started,
@@ -240,10 +242,12 @@
 	defer func() { ended() }()
 	buffer := make([]byte, streamBuffer)
 	first := true
+	pace := pace{ledger: s.relay.Engines, endpoint: endpoint.ID}
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			watch.progress()
+			pace.note(buffer[:n])
 			if first {
 				first = false
 				s.noteFirst(ticket, began)
@@ -257,6 +261,9 @@
 		}
 		if errors.Is(err, io.EOF) {
 			s.p.called(endpoint.ID, began, ResultAnswered)
+			if s.p.sends == 1 { // Or else it came in parts.
+				s.relay.Engines.NoteAnswer(s.job.Service, s.job.Caller.Prompt.LengthHint, pace.events)
+			}
 			return s.finish(endpoint, answer)
 		}
 		if err != nil {
