Placement: in a large fleet a decision looks at some engines only

Ruled out: to cut the exchange of loads (690 kB a second of a link that carries more) and to index caches by part, since the homes of parts already give the engine that holds them. Change: up to 96 engines all are looked at, as before; beyond that 64 of the own data centre and 24 of others, from another place in the list each time, and the homes of the prompt's shared parts, which are computed over all engines once and remembered. Tests: homes are kept and load spreads at 3,000 engines, a failing home is left, all engines are searched before refusing.

--- a/core/placement/home.go
+++ b/core/placement/home.go
@@ -1,6 +1,9 @@
 package placement
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // homeShare is the part of the time to read a prompt's shared parts that
 // reading them at their home saves later.
@@ -39,17 +42,21 @@
 	return x ^ x>>33
 }
 
-// shared returns the parts of a prompt that others may share, and their tokens.
-func (p Prompt) shared() ([]Part, int) {
+// homeKey names the parts of a prompt that others may share, and returns their
+// tokens; empty when there are too few.
+func (p Prompt) homeKey() (string, int) {
 	if len(p.Parts) < 2 {
-		return nil, 0
+		return "", 0
 	}
 	parts := p.Parts[:len(p.Parts)-1]
 	tokens := 0
 	for _, part := range parts {
 		tokens += part.Tokens
 	}
-	return parts, tokens
+	if tokens < minFetch {
+		return "", 0
+	}
+	return parts[len(parts)-1].ID, tokens
 }
 
 // homes are the homes of a prompt's shared parts.
@@ -60,10 +67,20 @@
 }
 
 func homesOf(request Request, engines []*Engine) homes {
-	parts, tokens := request.Prompt.shared()
-	if tokens < minFetch {
+	key, tokens := request.Prompt.homeKey()
+	if key == "" {
 		return homes{}
 	}
-	key := parts[len(parts)-1].ID
 	return homes{near: home(key, request.Home, engines), any: home(key, "", engines), tokens: tokens}
 }
+
+// usable returns the homes without those that are left alone now.
+func (h homes) usable(now time.Time) homes {
+	if h.near != nil && h.near.Health.Resting(now) {
+		h.near = nil
+	}
+	if h.any != nil && h.any.Health.Resting(now) {
+		h.any = nil
+	}
+	return h
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -32,6 +32,15 @@
 	// Random returns numbers in [0, 1); nil spreads nothing.
 	Spread time.Duration
 	Random func() float64
+
+	homes *homes // Of the prompt among all engines, when not all are looked at.
+}
+
+func (r Request) random() float64 {
+	if r.Random == nil {
+		return 0
+	}
+	return r.Random()
 }
 
 // Verdict says what becomes of a request.
@@ -108,7 +117,7 @@
 	engines = candidates(now, request, engines)
 	decode, decodeCost := bestDecode(now, request, engines)
 	source, held := bestSource(now, request, engines)
-	homes := homesOf(request, engines)
+	homes := homesFor(now, request, engines)
 	bestCost := 0.0
 	for _, engine := range engines {
 		option, cost := optionOf(now, request, engine, level, fetchFor(engine, request.Prompt, source, held, homes))
@@ -129,13 +138,15 @@
 	return best
 }
 
-func spread(request Request) float64 {
-	if request.Random == nil {
-		return 0
+func homesFor(now time.Time, request Request, engines []*Engine) homes {
+	if request.homes != nil {
+		return request.homes.usable(now)
 	}
-	return asMillis(request.Spread) * request.Random()
+	return homesOf(request, engines)
 }
 
+func spread(request Request) float64 { return asMillis(request.Spread) * request.random() }
+
 // fetchFor returns the option of an engine to fetch what another holds, if that
 // is worth a transfer. Where none is known to hold the shared parts, their home
 // may.
--- a/core/placement/streams.go
+++ b/core/placement/streams.go
@@ -97,6 +97,9 @@
 // overrun returns by how many milliseconds an answer is expected to miss the
 // time that it is meant to take at an engine.
 func overrun(request Request, engine *Engine) float64 {
+	if request.Events == 0 {
+		return 0
+	}
 	expected := request.Events * engine.pace()
 	return max(expected-answerShare*asMillis(request.Deadline), 0)
 }
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	models   map[string]*placement.Engine
 	services map[string][]*placement.Engine // Model engines by service.
+	fleets   map[string]*placement.Fleet    // The same, made anew after a change.
 	plain    map[string][]*plainEndpoint    // Other endpoints by service.
 	known    map[string]site.Endpoint
 	memory   map[string]int // Tokens, by service.
@@ -42,7 +43,7 @@
 		models: make(map[string]*placement.Engine), services: make(map[string][]*placement.Engine),
 		plain: make(map[string][]*plainEndpoint), known: make(map[string]site.Endpoint), memory: make(map[string]int),
 		biases: make(map[string]*placement.Bias), uses: uses{told: make(map[string]int)}, heard: make(map[string]time.Time),
-		lengths: make(map[string]*lengths),
+		lengths: make(map[string]*lengths), fleets: make(map[string]*placement.Fleet),
 	}
 }
 
@@ -99,6 +100,7 @@
 		l.models[endpoint.ID] = engine
 		l.services[endpoint.Service] = append(l.services[endpoint.Service], engine)
 	}
+	delete(l.fleets, endpoint.Service)
 	engine.SetStage(stage)
 	engine.Draining = endpoint.Draining
 }
@@ -121,6 +123,7 @@
 func (l *Ledger) drop(id string) {
 	service := l.known[id].Service
 	delete(l.models, id)
+	delete(l.fleets, service)
 	l.services[service] = without(l.services[service], func(e *placement.Engine) bool { return e.ID == id })
 	l.plain[service] = without(l.plain[service], func(p *plainEndpoint) bool { return p.endpoint.ID == id })
 }
@@ -135,13 +138,20 @@
 	return kept
 }
 
+func (l *Ledger) fleet(service string) *placement.Fleet {
+	if l.fleets[service] == nil {
+		l.fleets[service] = placement.NewFleet(l.home, l.services[service])
+	}
+	return l.fleets[service]
+}
+
 // Place decides where a prompt for a service goes.
 func (l *Ledger) Place(service string, request placement.Request) Placed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request.Home = l.home
 	request.Spread, request.Random = l.spread, rand.Float64
-	decision := placement.Decide(l.now(), request, l.services[service])
+	decision := l.fleet(service).Decide(l.now(), request)
 	placed := Placed{Decision: decision}
 	if decision.Decode != nil {
 		placed.DecodeAt = l.known[decision.Decode.ID]
@@ -161,7 +171,7 @@
 	defer l.mu.Unlock()
 	request.Home = l.home
 	request.Spread, request.Random = l.spread, rand.Float64
-	engine := placement.Continue(l.now(), request, l.services[service])
+	engine := l.fleet(service).Continue(l.now(), request)
 	if engine == nil {
 		return site.Endpoint{}, false
 	}
