--- a/flamingospar/command/gateway.go
+++ b/flamingospar/command/gateway.go
@@ -24,10 +24,14 @@
 	options := node.Options{SettingsPath: os.Getenv(site.SettingsVariable), MetricsPort: defaultMetricsPort}
 	sub := command(a.parser, "gateway", "Run the entry process of one of the users' VMs.", "FLAMINGOSPAR_NODE_FILE=settings.toml flamingospar gateway")
 	sub.String(&options.SettingsPath, "s", "settings", "settings file of the VM; "+site.SettingsVariable+" names it otherwise")
-	check := false
+	check, deploy := false, ""
 	sub.Bool(&check, "", "check", "read the settings file, say whether it can be used, and start nothing")
+	sub.String(&deploy, "", "deploy", "check this deploy file instead, and start nothing")
 	sub.Int(&options.MetricsPort, "", "metrics-port", "port for metrics on the VM's address; 0 for none")
 	a.bind(sub, func(ctx context.Context) error {
+		if deploy != "" {
+			return checkDeploy(a.stdout, deploy)
+		}
 		if options.SettingsPath == "" {
 			return misuse{errNoSettings}
 		}
@@ -54,3 +58,18 @@
 		path, settings.Node, settings.DataCentre, settings.CallersAddress, settings.Store.Address)
 	return err
 }
+
+// checkDeploy reads a deploy file. Its error names the file, the field and the
+// remedy.
+func checkDeploy(out io.Writer, path string) error {
+	deploy, err := site.ReadDeploy(path)
+	if err != nil {
+		return err
+	}
+	for _, role := range deploy.Roles {
+		if _, err := fmt.Fprintf(out, "%s can be used: role %s runs %q, metrics on port %d.\n", path, role.Name, role.Command, role.MetricsPort); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/flamingospar/command/gateway_test.go
+++ b/flamingospar/command/gateway_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/flamingospar/command"
+	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
 
@@ -28,3 +29,34 @@
 	require.Contains(t, errs.String(), broken)
 	require.Contains(t, errs.String(), "listen.ready")
 }
+
+// The repository's deploy file can be used, and names a subcommand that exists
+// and the port at which its metrics are; what is wrong in one is named.
+func TestGatewayChecksADeployFile(t *testing.T) {
+	const path = "../../deploy/system.toml"
+	var out, errs bytes.Buffer
+	require.Zero(t, command.Run([]string{"gateway", "--deploy", path}, &out, &errs), errs.String())
+	require.Contains(t, out.String(), "port 9464")
+	deploy, err := site.ReadDeploy(path)
+	require.NoError(t, err)
+	require.Equal(t, []string{"target/flamingospar", "gateway"}, deploy.Roles[0].Command)
+	require.True(t, deploy.Roles[0].TakesCalls)
+
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for field, change := range map[string][2]string{
+		"build":               {"-o target/", "-o bin/"},
+		"roles.entry.run":     {"target/flamingospar gateway", "flamingospar gateway"},
+		"roles.entry.on":      {`"front"`, `"edge"`},
+		"roles.entry.share":   {"1.0", "1.5"},
+		"roles.entry.serves":  {`"control"`, `"controls"`},
+		"roles.entry.metrics": {"9464/metrics", "metrics"},
+	} {
+		broken := filepath.Join(t.TempDir(), "broken.toml")
+		require.NoError(t, os.WriteFile(broken, bytes.Replace(text, []byte(change[0]), []byte(change[1]), 1), 0o600))
+		errs.Reset()
+		require.NotZero(t, command.Run([]string{"gateway", "--deploy", broken}, &out, &errs), field)
+		require.Contains(t, errs.String(), broken)
+		require.Contains(t, errs.String(), field)
+	}
+}
