--- a/gateway/duties/reporter.go
+++ b/gateway/duties/reporter.go
@@ -53,6 +53,7 @@
 	Others   func() ([]string, bool)
 	reported Window // The newest that was reported by this process.
 	term     int64  // Of which reported is.
+	waiting  Window // The last that was logged to wait.
 }
 
 // Run reports windows until ctx ends.
@@ -192,6 +193,7 @@
 		tx.Remove(tableCounts, row.Key)
 	}
 	if (len(missing) > 0 || !r.allKnown(window)) && !r.mustSeal(window) {
+		r.noteWait(window, missing)
 		return counts{}, errIncomplete
 	}
 	for instance, began := range missing {
@@ -212,6 +214,16 @@
 	return total, nil
 }
 
+// noteWait logs once that a window waits, and for whom.
+func (r *Reporter) noteWait(window Window, missing map[string]map[string]int64) {
+	if r.waiting == window {
+		return
+	}
+	r.waiting = window
+	log.Info("A window waits for counts that are not written yet.", "window", window, "epoch", r.term,
+		"instances", slices.Sorted(maps.Keys(missing)), "store_steady_ms", r.StoreSteady().Milliseconds())
+}
+
 // allKnown reports whether no process has counts of a window of which there is
 // neither a row nor a copy. After an outage of the store processes may still have
 // to write theirs: it is enough that each has told what it has since the window's
