--- a/gateway/duties/tally.go
+++ b/gateway/duties/tally.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,12 +35,12 @@
 
 	mu     sync.Mutex
 	counts map[Window]map[string]int64
-	closed map[Window]map[string]int64 // The last that were closed.
+	closed map[Window]map[string]int64 // Those not known to be written, and the last.
 }
 
 // NewTally returns a tally of windows of a length.
 func NewTally(clock func() (time.Time, bool), length time.Duration) *Tally {
-	return &Tally{clock: clock, length: length, counts: make(map[Window]map[string]int64)}
+	return &Tally{clock: clock, length: length, counts: make(map[Window]map[string]int64), closed: make(map[Window]map[string]int64)}
 }
 
 // Began counts a request of a team that begins to run now.
@@ -57,8 +58,8 @@
 	t.counts[window][team]++
 }
 
-// Open returns a copy of all counts that are not closed yet, and of those closed
-// last, for other processes.
+// Open returns a copy of all counts that are not known to be written, and of
+// those closed last, for other processes.
 func (t *Tally) Open() map[Window]map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,7 +73,7 @@
 	return open
 }
 
-// Closed removes and returns the counts of the windows before one.
+// Closed returns the counts of the windows before one that were not closed yet.
 func (t *Tally) Closed(before Window) map[Window]map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -83,8 +84,19 @@
 			delete(t.counts, window)
 		}
 	}
-	if len(closed) > 0 {
-		t.closed = closed
-	}
+	maps.Copy(t.closed, closed)
+	maps.DeleteFunc(t.closed, func(window Window, _ map[string]int64) bool { return window < before-maxBehind })
 	return closed
 }
+
+// Written notes that all closed windows are written: other processes are told of
+// the newest only.
+func (t *Tally) Written() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.closed) == 0 {
+		return
+	}
+	newest := slices.Max(slices.Collect(maps.Keys(t.closed)))
+	maps.DeleteFunc(t.closed, func(window Window, _ map[string]int64) bool { return window < newest })
+}
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -205,6 +205,25 @@
 	require.Equal(t, map[string]int64{"team": 12}, f.reportsOf(window)[0].Began)
 }
 
+// Other processes are told of all windows that are not written, however long the
+// store is away: one that takes the duties over meanwhile seals a window when all
+// have told what they counted.
+func TestUnwrittenWindowsAreTold(t *testing.T) {
+	f := newFixture(t)
+	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, windowLength), Instance: "b/1"}
+	first := windowAt(f.now, windowLength)
+	f.stand.SetDown(true)
+	for i := range Window(3) {
+		writer.Tally.counts[first+i] = map[string]int64{"team": int64(i) + 1}
+		writer.collect(first + i + 1)
+		writer.flush(context.Background())
+	}
+	require.Equal(t, map[Window]map[string]int64{first: {"team": 1}, first + 1: {"team": 2}, first + 2: {"team": 3}}, writer.Tally.Open())
+	f.stand.SetDown(false)
+	writer.flush(context.Background())
+	require.Equal(t, map[Window]map[string]int64{first + 2: {"team": 3}}, writer.Tally.Open())
+}
+
 // A window that is about to be due is sealed also when the store is not steady.
 func TestUnsteadyStoreDelaysNoReportPastItsTime(t *testing.T) {
 	f := newFixture(t) // It has not read who the others are.
--- a/gateway/duties/writer.go
+++ b/gateway/duties/writer.go
@@ -108,4 +108,5 @@
 		return
 	}
 	w.pending = nil
+	w.Tally.Written()
 }
