--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -45,17 +45,20 @@
 
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
+	total := newReport()
+	defer func() { t.Log(total) }()
 	for _, seed := range regressions {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed, total) })
 	}
 	for i := range int64(*seeds) {
 		seed := *first + i
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, binary, seed, total) })
 	}
 }
 
-func soak(t *testing.T, binary string, seed int64) {
+func soak(t *testing.T, binary string, seed int64, total *report) {
 	w := newWorld(t, binary, seed)
+	w.report = total
 	w.recover("start")
 	c := w.crowd()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Duration(*seconds)*time.Second)
@@ -76,6 +79,7 @@
 	w.checkUsage(t)
 	t.Logf("seed %d: %d requests, %d answered; logs in %s", seed, len(c.asked), c.answered.Load(), w.logs)
 	require.Positive(t, c.answered.Load())
+	total.seed(len(c.asked), int(c.answered.Load()))
 }
 
 // recover waits until every process is ready and serves.
@@ -140,7 +144,8 @@
 	var faults sync.WaitGroup
 	for ctx.Err() == nil {
 		lasts := time.Duration(100+random.IntN(1800)) * time.Millisecond
-		fault := w.draw(random)
+		kind, fault := w.draw(random)
+		w.report.fault(kind)
 		faults.Go(func() { fault(lasts) })
 		select {
 		case <-ctx.Done():
@@ -150,30 +155,30 @@
 	faults.Wait()
 }
 
-// draw returns a fault that lasts for a time and then ends.
-func (w *world) draw(random *rand.Rand) func(time.Duration) {
+// draw returns a kind of fault, and one that lasts for a time and then ends.
+func (w *world) draw(random *rand.Rand) (string, func(time.Duration)) {
 	node := w.nodes[random.IntN(len(w.nodes))]
 	end := w.ends[random.IntN(len(w.ends))]
 	link := mode(1 + random.IntN(int(modes)-1))
 	switch random.IntN(9) {
 	case 0, 1:
-		return func(d time.Duration) { held(end.link, link, d) }
+		return "endpoint link " + link.String(), func(d time.Duration) { held(end.link, link, d) }
 	case 2, 3:
-		return func(d time.Duration) { held(node.store, link, d) }
+		return "store link " + link.String(), func(d time.Duration) { held(node.store, link, d) }
 	case 4:
-		return func(d time.Duration) {
+		return "process paused", func(d time.Duration) {
 			node.signal(syscall.SIGSTOP)
 			time.Sleep(d)
 			node.signal(syscall.SIGCONT)
 		}
 	case 5:
-		return func(time.Duration) { w.restart(node, syscall.SIGKILL) }
+		return "process killed", func(time.Duration) { w.restart(node, syscall.SIGKILL) }
 	case 6:
-		return func(time.Duration) { w.restart(node, syscall.SIGTERM) }
+		return "process stopped", func(time.Duration) { w.restart(node, syscall.SIGTERM) }
 	case 7:
-		return func(time.Duration) { w.configure() }
+		return "configuration changed", func(time.Duration) { w.configure() }
 	default:
-		return func(d time.Duration) {
+		return "store away or answers lost", func(d time.Duration) {
 			w.store.LoseAnswers(2)
 			w.store.SetDown(d > time.Second)
 			time.Sleep(d / 2)
--- a/gateway/soak/world_test.go
+++ b/gateway/soak/world_test.go
@@ -39,6 +39,7 @@
 
 // world is a fleet of real processes beside stand-ins.
 type world struct {
+	report  *report
 	t       *testing.T
 	binary  string
 	logs    string
@@ -221,6 +222,7 @@
 	cmd := exec.Command(w.binary, "gateway", "--settings", p.vm.Settings, "--metrics-port", "0")
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(w.t, cmd.Start())
+	started.add(cmd.Process)
 	p.cmd, p.log = cmd, log
 }
 
@@ -239,6 +241,7 @@
 	cmd, log := p.cmd, p.log
 	p.mu.Unlock()
 	_ = cmd.Wait() // Ended by a signal.
+	started.remove(cmd.Process)
 	log.Close()
 }
 
