Answers without end are given up, and bytes alone are no progress

Cause: gateway/link read heads by http.ReadResponse without a bound, and passed bodies and events on as long as they came. A stalled stream that dripped bytes or comments reset the stall watch each time. Ruled out: a bound on time alone (the memory is gone in 1.5 s).

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// Unreachable notes that no connection could be opened: the endpoint rests at once.
+// Unreachable notes that no connection could be opened, or that what came was no
+// answer at all: the endpoint rests at once.
 func (r *Record) Unreachable(now time.Time) {
 	r.rate = r.Rate(now)*(1-weight) + weight
 	r.inRow++
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -211,6 +211,7 @@
 	Sound       Result = iota // It answered.
 	Faulty                    // It failed a request that it had taken.
 	Unreachable               // No connection could be opened.
+	Overlong                  // It sent bytes without end.
 	Busy                      // It refused a request that it could not take now.
 )
 
@@ -230,7 +231,7 @@
 		record.Succeeded(l.now())
 	case Faulty:
 		record.Failed(l.now())
-	case Unreachable:
+	case Unreachable, Overlong:
 		record.Unreachable(l.now())
 	case Busy:
 		if engine, ok := l.models[id]; ok {
--- a/gateway/relay/events.go
+++ b/gateway/relay/events.go
@@ -2,7 +2,8 @@
 
 import "bytes"
 
-// maxEvent bounds one event of a stream, in bytes.
+// maxEvent bounds one event of a stream, in bytes. An endpoint that sends more
+// is taken to send without end.
 const maxEvent = 256 << 10
 
 // events cuts a stream of server-sent events at the ends of its events, so that
@@ -11,8 +12,6 @@
 	partial []byte
 	lastID  string // Of the last whole event that had one.
 	count   int    // Whole events.
-	// overlong says that a part of an event was passed on.
-	overlong bool
 }
 
 var eventEnd = []byte("\n\n")
@@ -22,9 +21,6 @@
 func (e *events) add(data []byte) []byte {
 	e.partial = append(e.partial, data...)
 	end := bytes.LastIndex(e.partial, eventEnd)
-	if end < 0 && len(e.partial) > maxEvent {
-		return e.overflow()
-	}
 	if end < 0 {
 		return nil
 	}
@@ -35,15 +31,6 @@
 	return whole
 }
 
-// overflow passes on what is too long to hold back. The stream can't go on at
-// another endpoint then.
-func (e *events) overflow() []byte {
-	all := e.partial
-	e.partial = nil
-	e.overlong = true
-	return all
-}
-
 // note remembers the last id among whole events.
 func (e *events) note(whole []byte) {
 	e.count += bytes.Count(whole, eventEnd)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -296,12 +296,20 @@
 	p.Err = err
 	p.Ran = true
 	if ctx.Err() == nil {
-		r.Engines.Note(endpoint.ID, engines.Faulty)
+		r.Engines.Note(endpoint.ID, faultOf(err))
 		r.Broke(job, endpoint)
 	}
 	return tried{sent: true}
 }
 
+// faultOf returns what an answer that broke says of its endpoint.
+func faultOf(err error) engines.Result {
+	if errors.Is(err, link.ErrOverlong) {
+		return engines.Overlong
+	}
+	return engines.Faulty
+}
+
 // noteRefusal records that an endpoint refused a request without running it.
 func (r *Relay) noteRefusal(endpoint site.Endpoint, answer *link.Answer) {
 	r.Meter.Count("endpoint", "refused")
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -157,7 +157,7 @@
 		s.relay.Engines.Note(endpoint.ID, engines.Unreachable)
 		return
 	}
-	s.relay.Engines.Note(endpoint.ID, engines.Faulty)
+	s.relay.Engines.Note(endpoint.ID, faultOf(err))
 	if ctx.Err() == nil {
 		s.relay.Broke(s.job, endpoint)
 	}
@@ -243,10 +243,17 @@
 	buffer := make([]byte, streamBuffer)
 	first := true
 	pace := pace{ledger: s.relay.Engines, endpoint: endpoint.ID}
+	var meter eventMeter
 	for {
 		n, err := answer.Read(buffer)
+		events, overlong := meter.add(buffer[:n])
+		if overlong != nil {
+			n, err = 0, overlong
+		}
 		if n > 0 {
-			watch.progress()
+			if events > 0 {
+				watch.progress()
+			}
 			pace.note(buffer[:n])
 			if first {
 				first = false
@@ -302,7 +309,7 @@
 
 // broken decides what follows an answer that ended before its end.
 func (s *stream) broken() tried {
-	if s.job.Route.Resumable && !s.events.overlong && (s.events.lastID != "" || !s.started) {
+	if s.job.Route.Resumable && (s.events.lastID != "" || !s.started) {
 		return tried{sent: true}
 	}
 	s.p.Reason = ReasonBroken
