A silent store or a caller that hardly reads holds nothing past its time

Ruled out for the stop: shorter limits of each write (an answer that is late by a second would then lose counts on every stop). Change: the process ends 0.2 s before its time to stop is over, writes done or not, and says so; answers are written until 3 s after the request's deadline; 64 KB of head and 8 MB a message are taken.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -31,6 +31,9 @@
 	// crashRetry is the same of a request that crashes endpoints: an operator
 	// has to look first.
 	crashRetry = 60 * time.Second
+	// writeSlack is how long after its deadline an answer may still be written. A
+	// caller that reads a byte now and then must not hold it for longer.
+	writeSlack = 3 * time.Second
 )
 
 // Handler serves callers.
@@ -46,6 +49,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // That of the connection's last request.
 	current := h.Config.Current()
 	if current == nil {
 		h.refuse(w, r, arrived, refusal{http.StatusServiceUnavailable, "no_configuration"})
@@ -190,6 +194,7 @@
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
+	_ = http.NewResponseController(w).SetWriteDeadline(job.Deadline.Add(writeSlack)) // Every server connection takes one.
 	outcome := h.Relay.Serve(ctx, w, job)
 	took := time.Since(job.Arrived)
 	h.count(job, outcome, took)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -44,8 +44,10 @@
 	// balancerNotice is how long the balancer may go on sending connections
 	// after the process has called itself not ready.
 	balancerNotice = 2500 * time.Millisecond
-	// stopMargin is left of the time to stop for the last writes.
+	// stopMargin is left of the time to stop for the last writes, and exitMargin
+	// of that for the end of the process itself: the platform kills it then.
 	stopMargin = 900 * time.Millisecond
+	exitMargin = 200 * time.Millisecond
 	// dutyTerm is how long a renewal of the lease on the duties lasts.
 	dutyTerm = 5 * time.Second
 	// dutyCandidates is how many processes look at the lease often, so that its
@@ -59,6 +61,9 @@
 
 var log = logging.For("gateway/node")
 
+// errLastWrites is logged when the store did not take the last writes in time.
+var errLastWrites = errors.New("the last writes did not end in the time to stop; remedy: look at the store, copies of the counts are with other processes")
+
 // Options are the process's own, beside the settings of its VM.
 type Options struct {
 	SettingsPath string
@@ -155,14 +160,30 @@
 		duties.Go(func() { duty(running) })
 	}
 	<-ctx.Done()
+	exitBy := time.Now().Add(n.bounds.Load().StopGrace - exitMargin)
 	n.stop(servers.callers)
 	end()
-	duties.Wait()
+	n.awaitDuties(&duties, exitBy)
 	_ = servers.side.Close() // The process ends; nobody is left to tell.
 	log.Info("The process stops.", "vm", n.settings.Node, "instance", n.instance)
 	return nil
 }
 
+// awaitDuties waits for the last writes of the duties, but no longer than until
+// the process must end: a store that does not answer must not have it killed.
+func (n *Node) awaitDuties(duties *sync.WaitGroup, until time.Time) {
+	ended := make(chan struct{})
+	go func() {
+		duties.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Until(until)):
+		log.Error(errLastWrites, "The process stops without them.", "vm", n.settings.Node)
+	}
+}
+
 type servers struct {
 	callers *http.Server
 	side    *http.Server
@@ -253,5 +274,6 @@
 	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
--- a/gateway/node/whole_test.go
+++ b/gateway/node/whole_test.go
@@ -402,6 +402,30 @@
 // All processes are asked to stop while they still have work. One of them goes on
 // with the duties until its end (shedline-wa mix 873944463417: nobody had them
 // for ten seconds, and the store went down meanwhile).
+// Pattern: a planned stop while the store is silent and a request runs until the
+// end of the time to stop. The process ends before the platform kills it.
+func TestStopWhileTheStoreIsSilentKeepsItsTime(t *testing.T) {
+	const grace = 8 * time.Second // Of the settings.
+	w := start(t)
+	e := sitetest.NewEndpoint(t, "e1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	w.add(e, "plain", "")
+	w.run()
+	go func() {
+		w.send(http.MethodPost, oncePath, "key", func(r *http.Request) { r.Header.Set(sitetest.HeaderPatience, "20000") })
+	}()
+	w.eventually(func() bool { return len(e.Arrivals()) == 1 })
+	w.store.SetSilent(true)
+	began := time.Now()
+	w.stop()
+	select {
+	case err := <-w.done:
+		w.done <- err // The cleanup waits for it too.
+	case <-time.After(grace):
+		t.Fatal("the process overstays its time to stop")
+	}
+	require.Greater(t, time.Since(began), grace/2, "the request was given its time")
+}
+
 func TestStoppingProcessKeepsDutiesThatNobodyTakes(t *testing.T) {
 	w := start(t)
 	release := make(chan struct{})
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -53,6 +53,13 @@
 	maxFar  = 9
 )
 
+// maxPeerHeaders and maxMessage bound what one process takes from another in one
+// exchange, in bytes: a configuration and all endpoints fit well.
+const (
+	maxPeerHeaders = 64 << 10
+	maxMessage     = 8 << 20
+)
+
 // Member is an entry process as the store lists it.
 type Member struct {
 	VM         string `json:"vm"`
@@ -124,7 +131,9 @@
 func New(self Member, seeds []string, store *site.Store, sources Sources) *Circle {
 	return &Circle{
 		self: self, seeds: seeds, store: store, sources: sources, members: make(map[string]*peer), gone: make(map[string]string),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true}},
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeaders,
+		}},
 	}
 }
 
@@ -209,7 +218,7 @@
 	if member.DataCentre == c.self.DataCentre {
 		compression = connect.WithAcceptCompression("gzip", nil, nil) // None.
 	}
-	return wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address, compression)
+	return wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address, compression, connect.WithReadMaxBytes(maxMessage))
 }
 
 func (c *Circle) remove(vm string) {
@@ -380,4 +389,4 @@
 }
 
 // Handler returns the path and handler of the service.
-func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c) }
+func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c, connect.WithReadMaxBytes(maxMessage)) }
