A call held through a silent outage of the store is made anew

A held call for the configuration that the outage swallowed, and one sent while it lasts, ran into a limit of 10 s and 1.5 s more, so all processes could stay at the older version for up to 11.5 s, and the exchange had nothing newer to tell. A process that starts in the outage waited as long with its first read. Change: what is to be answered at once is given up after 1 s; a call is given up and made anew when any call of the process sees the store stop or begin to answer.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -14,8 +14,10 @@
 
 // Limits of the calls.
 const (
-	// callSlack is how much longer than its own wait a call may take.
+	// callSlack is how much longer than its own wait a call may take, and
+	// askLimit how long a call that is to be answered at once.
 	callSlack = 1500 * time.Millisecond
+	askLimit  = 1 * time.Second
 	// minBackoff and maxBackoff are the longest waits after the first and after
 	// later failed calls; the wait is at least half of it.
 	minBackoff = 100 * time.Millisecond
@@ -50,9 +52,15 @@
 	// Lost and Regained are called when the store stops and begins to answer.
 	Lost     func()
 	Regained func()
+	// Turned returns a channel that is closed when the store is next seen, by any
+	// call of the process, to stop or begin to answer. A call that it holds is
+	// then given up and made anew: one that was sent before or in an outage may
+	// never be answered. nil is never.
+	Turned func() <-chan struct{}
 
 	after   int64
 	lost    bool
+	ask     bool // The next call is to be answered at once.
 	backoff time.Duration
 }
 
@@ -63,19 +71,46 @@
 			clock.Sleep(ctx, skipFor)
 			continue
 		}
-		began := time.Now()
-		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		wait := f.Every - time.Since(began)
-		if err != nil {
-			wait = f.failed(err)
-		}
-		if !clock.Sleep(ctx, wait) {
-			return
-		}
+		f.round(ctx)
+	}
+}
+
+// round makes one call and waits until the next is due.
+func (f *Follower) round(ctx context.Context) {
+	began := time.Now()
+	untilTurn, cancel := f.untilTurn(ctx)
+	defer cancel()
+	err := f.step(untilTurn)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil && untilTurn.Err() != nil {
+		f.ask = true
+		return
+	}
+	wait := f.Every - time.Since(began)
+	if err != nil {
+		wait = f.failed(err)
 	}
+	clock.Sleep(untilTurn, wait)
+}
+
+// untilTurn returns a context that also ends when the store is seen to stop or
+// begin to answer.
+func (f *Follower) untilTurn(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if f.Turned == nil {
+		return ctx, cancel
+	}
+	turned := f.Turned()
+	go func() {
+		select {
+		case <-turned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 func (f *Follower) skip() bool {
@@ -87,13 +122,13 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
-	defer cancel()
 	whole := f.after == 0
-	wait := f.Wait
-	if f.lost {
-		wait = 0 // The answer shall tell that the store is back, not a change.
+	wait, limit := f.Wait, f.Wait+callSlack
+	if whole || f.lost || f.ask {
+		wait, limit = 0, askLimit // The answer shall tell that the store answers, not a change.
 	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	var page site.Page
 	var err error
 	if whole {
@@ -117,6 +152,7 @@
 
 func (f *Follower) answered() {
 	f.backoff = 0
+	f.ask = false
 	if !f.lost {
 		return
 	}
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -104,7 +104,7 @@
 
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
-		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
+		Store: n.store, Table: site.TableOperator, Wait: configWait, Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained, Turned: n.storeWatch.Turned,
 		Apply: func(page site.Page, _ bool) {
 			for _, row := range page.Rows {
 				if row.Key == site.KeyConfiguration && !row.Removed {
@@ -146,12 +146,14 @@
 			}
 			n.fleet.Apply(rows, page.Version, whole, time.Since(page.Asked))
 		},
-		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained,
+		Lost: n.storeWatch.Lost, Regained: n.storeWatch.Regained, Turned: n.storeWatch.Turned,
 	}
 }
 
 func (n *Node) membersFollower() *follow.Follower {
-	return &follow.Follower{Store: n.store, Table: peers.TableVMs, Wait: membersWait, Every: time.Second, Apply: n.circle.Apply}
+	return &follow.Follower{
+		Store: n.store, Table: peers.TableVMs, Wait: membersWait, Every: time.Second, Apply: n.circle.Apply, Turned: n.storeWatch.Turned,
+	}
 }
 
 // keepUp does again and again what follows from the present state: this
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -16,10 +16,11 @@
 	lost   bool
 	alone  bool      // The store has answered another process since it was lost here.
 	steady time.Time // Since when it answers without a break.
+	turned chan struct{}
 }
 
 func newStoreWatch(f *fleet.Fleet) *storeWatch {
-	return &storeWatch{fleet: f, steady: time.Now()}
+	return &storeWatch{fleet: f, steady: time.Now(), turned: make(chan struct{})}
 }
 
 // Lost notes that a call was not answered.
@@ -30,6 +31,7 @@
 		return
 	}
 	w.lost = true
+	w.turn()
 	w.alone = false
 	w.fleet.HoldRemovals(time.Now().Add(maxOutage))
 }
@@ -43,6 +45,7 @@
 		return
 	}
 	w.lost = false
+	w.turn()
 	w.steady = time.Now()
 	allowance := fleet.ReturnAllowance
 	if w.alone {
@@ -51,6 +54,20 @@
 	w.fleet.HoldRemovals(time.Now().Add(allowance))
 }
 
+// turn is called with mu held.
+func (w *storeWatch) turn() {
+	close(w.turned)
+	w.turned = make(chan struct{})
+}
+
+// Turned returns a channel that is closed when the store is next lost or
+// regained.
+func (w *storeWatch) Turned() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.turned
+}
+
 // AnswersOthers notes that another process has the store.
 func (w *storeWatch) AnswersOthers() {
 	w.mu.Lock()
