A VM that has the duties back waits before it acts again

Ruled out: waiting a lease_ms at every takeover (reports of a holder that was killed would miss their time); the former holders in the lease's row (more state for the same). Change: a process acts under a term only lease_ms after its start and after its own acts under other terms; usage and orders to engines share it.

--- a/gateway/duties/reporter.go
+++ b/gateway/duties/reporter.go
@@ -51,6 +51,7 @@
 	// Others returns the instances of the other listed processes, and false while
 	// the list was not read.
 	Others   func() ([]string, bool)
+	Handover *Handover
 	reported Window // The newest that was reported by this process.
 	term     int64  // Of which reported is.
 	waiting  Window // The last that was logged to wait.
@@ -83,6 +84,9 @@
 	if r.reported >= due {
 		return min((due + 1).endOf(r.Length).Add(sealDelay).Sub(now), r.Length)
 	}
+	if !r.Handover.May(r.term) {
+		return retryWait
+	}
 	window := r.reported + 1
 	sealed, err := r.sealed(ctx, window, fence)
 	if errors.Is(err, errIncomplete) {
@@ -250,6 +254,7 @@
 	if !held || int64(fence.Term.Row.Epoch) != r.term {
 		return errors.New("the lease's term has ended; remedy: its next holder reports")
 	}
+	r.Handover.Acts(r.term)
 	err := r.Duty.ReportUsage(ctx, site.Authority{Holder: r.Holder, Token: r.term}, int64(window), sealed.Began)
 	if err != nil {
 		log.Error(err, "A window was not reported; it is tried again while the lease is held.", "window", window, "epoch", r.term)
--- a/gateway/duties/stages.go
+++ b/gateway/duties/stages.go
@@ -41,7 +41,8 @@
 	// FleetAge returns how old the list of endpoints is.
 	FleetAge func() time.Duration
 	// Change returns how long an engine of a service is out while it changes.
-	Change func(service string) time.Duration
+	Change   func(service string) time.Duration
+	Handover *Handover
 
 	planners map[string]*stages.Planner
 	next     map[string]time.Time // By service: no order until then.
@@ -78,7 +79,8 @@
 	now := time.Now()
 	planner.Observe(now, view)
 	fence, held := p.Lease.Fence()
-	if !held || int64(fence.Term.Row.Epoch) <= p.fenced || now.Before(p.next[service]) || p.FleetAge() > freshFleet {
+	epoch := int64(fence.Term.Row.Epoch)
+	if !held || epoch <= p.fenced || !p.Handover.May(epoch) || now.Before(p.next[service]) || p.FleetAge() > freshFleet {
 		return
 	}
 	order, ok := planner.Plan()
@@ -142,6 +144,7 @@
 		return
 	}
 	epoch := int64(fence.Term.Row.Epoch)
+	p.Handover.Acts(epoch)
 	err = p.Endpoints.SetStage(ctx, endpoint, stage, site.Authority{Holder: p.Holder, Token: epoch}, report.Orders)
 	fields := []any{
 		"endpoint", id, "stage", string(stage), "epoch", epoch, "orders_before", report.Orders,
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -43,9 +43,11 @@
 
 // duties returns what runs beside the serving of requests, one goroutine each.
 func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
+	handover := duties.NewHandover(n.settings.Bounds.Lease, clock.Now)
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: n.lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
 		Late: n.settings.Bounds.UsageLate, Replicas: n.replicas, StoreSteady: n.storeWatch.Steady, Others: n.circle.Instances,
+		Handover: handover,
 	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	list := []func(context.Context){
@@ -63,6 +65,7 @@
 	}
 	planner := &duties.StagePlanner{
 		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: n.lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
+		Handover: handover,
 	}
 	list = append(list, n.holdLease, planner.Run)
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
