Placement: reading beside streams costs more where their pauses are long

Change: what a prompt delays counts up to five times as much as the pauses that were seen near those that the route allows.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -24,6 +24,7 @@
 	Events    float64       // Expected of the answer; 0 when unknown.
 	Deadline  time.Duration // Until the whole answer must be there.
 	Home      string        // Data centre of this process.
+	Gap       time.Duration // Longest pause between events that the route allows; 0 for any.
 	Far       time.Duration // What using another data centre may cost in time.
 	Exclude   map[string]bool
 	MustServe bool // Take the best engine even when it comes late.
@@ -177,7 +178,7 @@
 	option.Decode = engine
 	wait := slotWait(engine)
 	option.Predicted += asDuration(wait)
-	return option, cost + wait + overrun(request, engine) + delayOfStreams(engine, reread)
+	return option, cost + wait + overrun(request, engine) + delayOfStreams(request, engine, reread)
 }
 
 // handOver adds the engine that goes on with a prompt read by another.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -278,3 +278,23 @@
 	require.Same(t, fast, placement.Decide(start, answer, engines).Decode)
 	require.Same(t, fast, placement.Continue(start, answer, engines))
 }
+
+// Pattern: engines that read in large pieces stretch the pauses of the streams
+// beside to what their routes allow. A prompt then rather waits for a reader than
+// to make all these streams late; where routes allow longer pauses it does not.
+func TestPromptsAreReadApartWherePausesAreLong(t *testing.T) {
+	const pause = 180 * time.Millisecond
+	reader, producer := engine("p", placement.Prefill), engine("d", placement.Decode)
+	for range 6 {
+		producer.StreamStarted()
+		producer.NotePace(pause)
+	}
+	reader.SetRemote(start, "vm-2", waiting(0, 12_000), placement.Streams{})
+	r := request(prompt(3000, "a"), 2)
+	r.Gap = 10 * pause
+	require.Nil(t, placement.Decide(start, r, []*placement.Engine{reader, producer}).Prefill)
+	r.Gap = pause
+	tight := placement.Decide(start, r, []*placement.Engine{reader, producer})
+	require.NotNil(t, tight.Prefill)
+	require.Equal(t, "p", tight.Prefill.ID)
+}
--- a/core/placement/streams.go
+++ b/core/placement/streams.go
@@ -16,6 +16,13 @@
 	// slots fill: a delayed stream keeps its slot for longer, and others need it.
 	streamDelay = 0.1
 	fullDelay   = 0.4
+	// easyPace is the part of the allowed pause between events up to which longer
+	// pauses harm nobody, and strain by how many times more a delay counts where
+	// pauses are the allowed ones or longer, up to maxStrain: every stream of the
+	// engine then comes late.
+	easyPace  = 0.5
+	strain    = 4.0
+	maxStrain = 4.0
 	// answerShare is the part of the time until its deadline that an answer is
 	// meant to take: its length is a guess, and engines fill up.
 	answerShare = 0.7
@@ -87,11 +94,21 @@
 }
 
 // delayOfStreams returns what it costs the streams of an engine that it reads
-// for some milliseconds.
-func delayOfStreams(engine *Engine, reading float64) float64 {
+// for some milliseconds. The request's own route stands for theirs.
+func delayOfStreams(request Request, engine *Engine, reading float64) float64 {
 	running := float64(engine.Running())
 	used := running / float64(max(engine.Slots, 1))
-	return (streamDelay + fullDelay*used*used) * reading * running
+	return (streamDelay + fullDelay*used*used) * reading * running * strainOf(request, engine)
+}
+
+// strainOf returns how many times as much a delay counts at an engine whose
+// streams pause for about as long as the route allows.
+func strainOf(request Request, engine *Engine) float64 {
+	if request.Gap <= 0 {
+		return 1
+	}
+	over := max(engine.pace()/asMillis(request.Gap)-easyPace, 0)
+	return 1 + min(strain*over, maxStrain)
 }
 
 // overrun returns by how many milliseconds an answer is expected to miss the
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -389,4 +389,6 @@
 }
 
 // Handler returns the path and handler of the service.
-func (c *Circle) Handler() (string, http.Handler) { return wirev1connect.NewPeerServiceHandler(c, connect.WithReadMaxBytes(maxMessage)) }
+func (c *Circle) Handler() (string, http.Handler) {
+	return wirev1connect.NewPeerServiceHandler(c, connect.WithReadMaxBytes(maxMessage))
+}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -82,6 +82,7 @@
 		Patience:  min(s.job.streamPatience()-waited, s.job.remaining(time.Now())),
 		Events:    s.relay.Engines.ExpectedEvents(s.job.Service, s.job.Caller.Prompt.LengthHint),
 		Deadline:  s.job.remaining(time.Now()),
+		Gap:       s.job.Route.EventGap,
 		Far:       time.Duration(farShare * float64(s.job.Route.Objective)),
 		Exclude:   s.p.exclude,
 		MustServe: s.started,
