A panic costs one request, exchange or run of a duty, not the process

Cause: nothing recovered from a panic outside of net/http: one in a duty or in an exchange with another process ended the process, and one in a request was told on standard error without its id. Ruled out: an exit and a restart by the platform (all callers of the VM lose their answers).

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -46,8 +46,24 @@
 	Crashes *crashes.Marks
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. A panic ends the one request: what it did is
+// not known, so its connection is closed without an answer.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause != any(http.ErrAbortHandler) {
+			h.Meter.Count("panic", "request")
+			h.Log.Panicked(site.ReadCallerRequest(r.Header).ID, cause)
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	h.handle(w, r)
+}
+
+func (h *Handler) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // That of the connection's last request.
 	current := h.Config.Current()
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -61,6 +63,20 @@
 	log.Info("A request was refused.", "request", id, "status", status, "reason", reason, "configuration", version, "ms", took.Milliseconds(), "lines_omitted", omitted)
 }
 
+// maxStack bounds the stack in a log line, in bytes.
+const maxStack = 4 << 10
+
+// Panicked logs a request that this process could not end since it panicked.
+func (l *RequestLog) Panicked(id string, cause any) {
+	ok, omitted := l.take(true)
+	if !ok {
+		return
+	}
+	stack := debug.Stack()
+	log.Error(fmt.Errorf("a panic: %v; remedy: report the stack, it is a fault of this program", cause), "A request was given up and its connection closed.",
+		"request", id, "stack", string(stack[:min(len(stack), maxStack)]), "lines_omitted", omitted)
+}
+
 // Ended logs what became of a request.
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, took time.Duration) {
 	late := outcome.First > job.Route.Objective && job.Route.Objective > 0
--- /dev/null
+++ b/gateway/ingress/panic_test.go
@@ -0,0 +1,44 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/base/meter"
+	"flamingospar.org/gateway/config"
+	"flamingospar.org/gateway/crashes"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// Pattern: an unexpected error in one request. Its caller gets no answer that
+// looks like one, it is counted, and the next request is served.
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	holder := &config.Holder{}
+	holder.Offer(sitetest.Manifest(1, nil, sitetest.Route{Name: "plain", Kind: "idempotent", Service: "plain", Open: true}), "test")
+	registry := meter.NewRegistry()
+	handler := &Handler{ // Without a relay each request that is allowed panics.
+		Config: holder, Meter: registry, Crashes: crashes.New(),
+		Log: &RequestLog{Endpoints: func() (int64, time.Duration) { return 0, 0 }},
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	send := func(path string) (*http.Response, error) {
+		request, err := http.NewRequest(http.MethodGet, server.URL+path, nil)
+		require.NoError(t, err)
+		request.Host = "h.example"
+		request.Header.Set(sitetest.HeaderRequestID, "r1")
+		return http.DefaultClient.Do(request)
+	}
+	_, err := send("/plain/x")
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, registry.Counter("panic", "request"))
+	response, err := send("/nowhere")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+}
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -45,8 +45,14 @@
 	timeLimit = 3 * time.Second
 )
 
-// duties returns what runs beside the serving of requests, one goroutine each.
-func (n *Node) duties(reload <-chan os.Signal) []func(context.Context) {
+// duty is what runs beside the serving of requests, in a goroutine of its own.
+type duty struct {
+	name string
+	run  func(context.Context)
+}
+
+// duties returns all of them.
+func (n *Node) duties(reload <-chan os.Signal) []duty {
 	handover := duties.NewHandover(n.settings.Bounds.Lease, clock.Now)
 	reporter := &duties.Reporter{
 		Store: n.store, Duty: n.duty, Lease: n.lease, Holder: n.settings.Node, Clock: n.trueTime.Now, Length: n.settings.Bounds.UsageWindow,
@@ -54,26 +60,27 @@
 		Handover: handover,
 	}
 	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
-	list := []func(context.Context){
-		n.configFollower().Run,
-		n.fleetFollower().Run,
-		n.membersFollower().Run,
-		n.crashes.Run,
-		n.circle.Register,
-		n.circle.Run,
-		n.keepUp,
-		n.learnTime,
-		func(ctx context.Context) {
-			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
-		},
-	}
 	planner := &duties.StagePlanner{
 		Ledger: n.ledger, Endpoints: site.NewEndpointClient(n.client), Lease: n.lease, Holder: n.settings.Node, FleetAge: n.fleet.Age, Change: n.stageChange,
 		Handover: handover,
 	}
-	list = append(list, n.holdLease, planner.Run)
+	list := []duty{
+		{"configuration", n.configFollower().Run},
+		{"fleet", n.fleetFollower().Run},
+		{"members", n.membersFollower().Run},
+		{"crash_marks", n.crashes.Run},
+		{"register", n.circle.Register},
+		{"exchange", n.circle.Run},
+		{"keep_up", n.keepUp},
+		{"true_time", n.learnTime},
+		{"settings", func(ctx context.Context) {
+			watchSettings(ctx, n.options.SettingsPath, reload, func(s site.Settings) { n.bounds.Store(&s.Bounds) })
+		}},
+		{"lease", n.holdLease},
+		{"stages", planner.Run},
+	}
 	if n.settings.Duties.Usage && n.settings.Bounds.UsageWindow > 0 {
-		list = append(list, reporter.Run, writer.Run)
+		list = append(list, duty{"usage_reports", reporter.Run}, duty{"usage_counts", writer.Run})
 	}
 	return list
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -23,6 +23,7 @@
 	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
+	"flamingospar.org/base/supervise"
 	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/gateway/config"
@@ -93,6 +94,7 @@
 	lease      *leasekeeper.Keeper         // Of the duties that one process holds.
 	bounds     atomic.Pointer[site.Bounds] // As the settings say now.
 	storeWatch *storeWatch
+	supervisor supervise.Supervisor
 	stopping   atomic.Bool
 	stopBegins chan struct{} // Closed when the process is asked to stop.
 }
@@ -116,6 +118,7 @@
 		stopBegins: make(chan struct{}), meter: meter.NewRegistry(), client: client, config: &config.Holder{}, pool: link.NewPool(),
 		store: site.NewStore(settings.Store.Address, client), duty: site.NewDutyClient(settings.Duties.Address, client),
 	}
+	n.supervisor.Panicked = func(part string) { n.meter.Count("panic", part) }
 	n.fleet = fleet.New(time.Now)
 	n.ledger = engines.New(settings.DataCentre, time.Now)
 	n.fleet.Listen(n.ledger)
@@ -127,6 +130,7 @@
 	n.crashes = crashes.New()
 	self := peers.Member{VM: settings.Node, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
 	n.circle = peers.New(self, settings.Seeds, n.store, n)
+	n.circle.Supervisor = n.supervisor
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyTerm)
 	n.lease.StandBy(func() bool { return n.circle.AmongFirst(dutyCandidates) })
@@ -157,7 +161,7 @@
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	var duties sync.WaitGroup
 	for _, duty := range n.duties(reload) {
-		duties.Go(func() { duty(running) })
+		duties.Go(func() { n.supervisor.Run(running, duty.name, duty.run) })
 	}
 	<-ctx.Done()
 	exitBy := time.Now().Add(n.bounds.Load().StopGrace - exitMargin)
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"flamingospar.org/base/clock"
 	"flamingospar.org/base/logging"
+	"flamingospar.org/base/supervise"
 	"flamingospar.org/platform/site"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
@@ -94,6 +95,9 @@
 
 // Circle is this process's place among the others.
 type Circle struct {
+	// Supervisor keeps a panic in one exchange to that one.
+	Supervisor supervise.Supervisor
+
 	self    Member
 	seeds   []string // Addresses of processes that may know others.
 	store   *site.Store
@@ -297,7 +301,10 @@
 	c.mu.Lock()
 	usage := !time.Now().Before(p.nextUsage)
 	c.mu.Unlock()
-	err := c.tell(ctx, p, usage)
+	var err error
+	if panicked := c.Supervisor.Call("exchange", func() { err = c.tell(ctx, p, usage) }); panicked != nil {
+		err = panicked
+	}
 	c.called(p, usage, err)
 }
 
