Tests of the stall watch read what its timer wrote without a race

The fault is the tests'; the watch itself takes its lock. They use an atomic now and check the same.

--- a/gateway/relay/stall_test.go
+++ b/gateway/relay/stall_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,13 +15,13 @@
 	const limit = time.Second
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		var ended time.Duration
-		w := newStallWatch(limit, func() bool { return time.Since(began) < 3*limit }, func() { ended = time.Since(began) })
+		var ended atomic.Int64
+		w := newStallWatch(limit, func() bool { return time.Since(began) < 3*limit }, func() { ended.Store(int64(time.Since(began))) })
 		time.Sleep(2 * limit)
-		require.Zero(t, ended)
+		require.Zero(t, ended.Load())
 		time.Sleep(2 * limit)
-		require.GreaterOrEqual(t, ended, 3*limit)
-		require.Less(t, ended, 3*limit+limit/2)
+		require.GreaterOrEqual(t, time.Duration(ended.Load()), 3*limit)
+		require.Less(t, time.Duration(ended.Load()), 3*limit+limit/2)
 		w.stop()
 	})
 }
@@ -31,14 +32,14 @@
 	const limit = time.Second
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		var ended time.Duration
-		w := newStallWatch(limit, func() bool { return true }, func() { ended = time.Since(began) })
+		var ended atomic.Int64
+		w := newStallWatch(limit, func() bool { return true }, func() { ended.Store(int64(time.Since(began))) })
 		for range 5 {
 			time.Sleep(limit / 2)
 			w.progress()
 		}
 		time.Sleep(2 * limit)
-		require.Equal(t, 5*limit/2+limit, ended)
+		require.Equal(t, 5*limit/2+limit, time.Duration(ended.Load()))
 		w.stop()
 	})
 }
