Limits that endpoints state: decoded, logged and counted

Change: platform/site decodes the rate limit of an answer; gateway/limits keeps the newest statement of each endpoint and logs a change, with gauge and counters. All requests to endpoints pass through one function of the relay. Nothing acts on it yet. Result: tests of platform/site, gateway/limits and gateway/relay pass; an answer to an earlier request, of another endpoint at the address or of a former incarnation ends no limit.

--- a/gateway/node/gauges.go
+++ b/gateway/node/gauges.go
@@ -26,6 +26,7 @@
 	n.meter.Gauge(int64(fence.Term.Row.Epoch), "lease", "epoch")
 	n.meter.Gauge(boolToInt(n.stopping.Load()), "process", "stopping")
 	n.meter.GaugeGroup("endpoint", n.selector.Gauges())
+	n.meter.GaugeGroup("limit", n.limiter.Gauges())
 }
 
 func boolToInt(b bool) int64 {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -33,6 +33,7 @@
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/fleet"
 	"flamingospar.org/gateway/ingress"
+	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/peers"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/gateway/transport"
@@ -88,6 +89,7 @@
 	config        *config.Holder
 	fleet         *fleet.Fleet
 	selector      *engines.Selector
+	limiter       *limits.Limiter
 	pool          *transport.Pool
 	retryBudgets  *relay.RetryBudgets
 	httpClient    *http.Client
@@ -128,6 +130,8 @@
 	n.supervisor.OnPanic = func(part string) { n.meter.Count("panic", part) }
 	n.fleet = fleet.New(time.Now)
 	n.selector = engines.New(settings.DataCentre, time.Now)
+	n.limiter = limits.New(settings.NodeName, n.meter, time.Now)
+	n.fleet.AddListener(n.limiter)
 	n.fleet.AddListener(n.selector)
 	n.storeWatch = newStoreWatch(n.fleet)
 	started := clock.Now()
@@ -227,7 +231,7 @@
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
 		Log:   &ingress.RequestLog{Endpoints: func() (int64, time.Duration) { return n.fleet.Version(), n.fleet.Age() }},
-		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, OnBrokenRun: n.recordBrokenRun, OnPrefillDone: n.recordPrefillTime},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, OnBrokenRun: n.recordBrokenRun, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext = ingress.ConnContext
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -20,6 +20,7 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
 )
@@ -55,6 +56,7 @@
 type Relay struct {
 	Pool         *transport.Pool
 	Selector     *engines.Selector
+	Limits       *limits.Limiter
 	Meter        *meter.Registry
 	OnRunStart   RunStartFunc
 	RetryBudgets *RetryBudgets
@@ -213,7 +215,7 @@
 		request.MaxIdle = nonRepeatableMaxIdle
 	}
 	start := time.Now()
-	response, err := r.Pool.Send(attemptCtx, endpoint.Address, request)
+	response, err := r.send(attemptCtx, endpoint, request)
 	if err != nil {
 		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 	}
@@ -330,6 +332,18 @@
 	r.Selector.RecordResult(endpoint.ID, engines.Busy)
 }
 
+// send sends a request to an endpoint. All requests to endpoints pass through it.
+func (r *Relay) send(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
+	r.Limits.CountSend(endpoint.ID)
+	sentAt := time.Now()
+	response, err := r.Pool.Send(ctx, endpoint.Address, request)
+	if err != nil {
+		return nil, err
+	}
+	r.Limits.Observe(endpoint, sentAt, response.Meta)
+	return response, nil
+}
+
 // newRequest returns the request for one attempt.
 func (r *Relay) newRequest(job *Job, run site.RunHeaders, body []byte) transport.Request {
 	header := job.Header.Clone()
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
@@ -23,8 +24,9 @@
 	for _, e := range endpoints {
 		selector.EndpointChanged(site.Endpoint{ID: e.ID, Service: "plain", Address: e.Address, DataCentre: "dc-1", Slots: 6, StartedMS: 1})
 	}
+	registry := meter.NewRegistry()
 	return &relay.Relay{
-		Pool: transport.NewPool(), Selector: selector, Meter: meter.NewRegistry(), OnRunStart: func(string) {}, OnBrokenRun: func(*relay.Job, site.Endpoint) {}, OnPrefillDone: func(_, _ time.Duration) {},
+		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", registry, time.Now), Meter: registry, OnRunStart: func(string) {}, OnBrokenRun: func(*relay.Job, site.Endpoint) {}, OnPrefillDone: func(_, _ time.Duration) {},
 		RetryBudgets: relay.NewRetryBudgets(retrybudget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}),
 	}
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -181,7 +181,7 @@
 	start := time.Now()
 	stall := newStallTimer(s.stallTimeout(), func() bool { return s.relay.Selector.Alive(endpoint.ID) }, cancel)
 	defer stall.stop()
-	response, err := s.relay.Pool.Send(ctx, endpoint.Address, s.relay.newRequest(s.job, run, s.job.Body))
+	response, err := s.relay.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 		sent := !errors.Is(err, transport.ErrNotSent)
