--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -51,10 +51,16 @@
 }
 
 func newHarness(t *testing.T) *harness {
+	h := newFakes(t)
+	h.vm = sitetest.NewVM(t, "vm-"+strings.ToLower(t.Name()), "dc", h.store.Address, h.duties.Address)
+	return h
+}
+
+// newFakes returns a harness without a VM to run a process on.
+func newFakes(t *testing.T) *harness {
 	t.Parallel()
 	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
 	h.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(1, "key"))
-	h.vm = sitetest.NewVM(t, "vm-"+strings.ToLower(t.Name()), "dc", h.store.Address, h.duties.Address)
 	return h
 }
 
--- /dev/null
+++ b/gateway/node/ratelimit_test.go
@@ -0,0 +1,276 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/node"
+	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// Bounds of the rate limit of an endpoint: from limitNoticeTime after it first states a
+// limit, it gets at most limitTolerance times as much and limitAllowance requests more
+// within any limitWindow.
+const (
+	limitNoticeTime = 3 * time.Second
+	limitWindow     = 4 * time.Second
+	limitTolerance  = 1.5
+	limitAllowance  = 5
+)
+
+// minLimitUse is the share of the limits that must be used while callers are refused.
+const minLimitUse = 0.7
+
+// maxRefusalTime bounds the time until a caller that no endpoint may serve is refused.
+const maxRefusalTime = 300 * time.Millisecond
+
+func mostAllowed(limit float64) int {
+	return int(limitTolerance*limit*limitWindow.Seconds()) + limitAllowance
+}
+
+// limitedFleet is a fleet of entry processes before endpoints that state limits.
+type limitedFleet struct {
+	*harness
+	processes []*entryProcess
+	limited   []*sitetest.RateLimited
+	served    atomic.Int64
+	refused   atomic.Int64
+	slowest   atomic.Int64 // Time of the slowest refusal, in ms.
+}
+
+type entryProcess struct {
+	vm   sitetest.VM
+	stop context.CancelFunc
+	done chan error
+}
+
+func newLimitedFleet(t *testing.T, processes int) *limitedFleet {
+	f := &limitedFleet{harness: newFakes(t)}
+	for range processes {
+		f.startProcess()
+	}
+	return f
+}
+
+// startProcess starts another entry process and waits until it is ready.
+func (f *limitedFleet) startProcess() *entryProcess {
+	f.t.Helper()
+	name := fmt.Sprintf("vm-%d", len(f.processes))
+	p := &entryProcess{vm: sitetest.NewVM(f.t, name, "dc", f.store.Address, f.duties.Address), done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	go func() { p.done <- node.Run(ctx, node.Options{SettingsPath: p.vm.SettingsPath}) }()
+	f.t.Cleanup(func() {
+		cancel()
+		<-p.done
+	})
+	f.processes = append(f.processes, p)
+	f.eventually(func() bool { return f.status("http://"+p.vm.ReadyAddress+site.ReadyPath) == http.StatusOK })
+	return p
+}
+
+// addLimited adds an endpoint that states a limit.
+func (f *limitedFleet) addLimited(service, stage string, limit float64, next func(http.ResponseWriter, *http.Request)) *sitetest.RateLimited {
+	r := sitetest.NewRateLimited(limit, next)
+	e := sitetest.NewEndpoint(f.t, fmt.Sprintf("%s%s-%d", service, stage, len(f.limited)), r.Serve)
+	f.register(e, service, stage)
+	f.limited = append(f.limited, r)
+	return r
+}
+
+// load sends requests for a path to a process, evenly spaced, until ctx ends.
+func (f *limitedFleet) load(ctx context.Context, senders *sync.WaitGroup, p *entryProcess, path string, perSecond float64) {
+	senders.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				senders.Go(func() { f.call(p, path) })
+			}
+		}
+	})
+}
+
+func (f *limitedFleet) call(p *entryProcess, path string) {
+	one := harness{t: f.t, vm: p.vm}
+	one.ids.Store(f.ids.Add(1) * 1_000_000)
+	start := time.Now()
+	got := one.send(http.MethodPost, path, "key", func(r *http.Request) {
+		if path == modelPath { // Long enough for a prefill on another engine.
+			r.Header.Set(sitetest.HeaderTokenCount, "4000,20")
+			r.Header.Set(sitetest.HeaderPromptPrefix, fmt.Sprintf("aa:10,%d:3990", one.ids.Load()))
+		}
+	})
+	switch {
+	case got.err == nil && got.status == http.StatusOK:
+		f.served.Add(1)
+	case got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "":
+		f.refused.Add(1)
+		for took := time.Since(start).Milliseconds(); ; {
+			slowest := f.slowest.Load()
+			if took <= slowest || f.slowest.CompareAndSwap(slowest, took) {
+				return
+			}
+		}
+	}
+}
+
+// requireKept requires that an endpoint got no more than its limit allows since a
+// moment, and that its limit was used if callers were refused.
+func (f *limitedFleet) requireKept(r *sitetest.RateLimited, limit float64, since time.Time) {
+	f.t.Helper()
+	arrivals := r.Arrivals(since)
+	f.t.Logf("%d requests in %.1f s at a limit of %g a second, %d in the worst %s", len(arrivals), time.Since(since).Seconds(), limit, sitetest.MostWithin(limitWindow, arrivals), limitWindow)
+	require.LessOrEqual(f.t, sitetest.MostWithin(limitWindow, arrivals), mostAllowed(limit), "an endpoint that stated a limit of %g a second got more", limit)
+	if f.refused.Load() > 0 {
+		require.GreaterOrEqual(f.t, float64(len(arrivals)), minLimitUse*limit*time.Since(since).Seconds(), "callers were refused while an endpoint would have taken them")
+	}
+}
+
+// An endpoint in need states how many requests a second it accepts, and all processes
+// together send it far more: each ignores the limit, or keeps to it alone, or only for
+// first attempts.
+func TestRateLimitOfAnEndpointIsKeptByAllProcessesTogether(t *testing.T) {
+	const limit = 4.0
+	events := sitetest.Events(3, 0)
+	cases := map[string]struct {
+		path string
+		add  func(f *limitedFleet)
+		load []float64 // Requests a second, by process.
+	}{
+		"one process": {plainPath, func(f *limitedFleet) { f.addLimited("plain", "", limit, nil) }, []float64{15}},
+		"plain endpoints, all limited": {plainPath, func(f *limitedFleet) {
+			f.addLimited("plain", "", limit, nil)
+			f.addLimited("plain", "", limit, nil)
+		}, []float64{12, 12, 12}},
+		"requests that may not be repeated": {oncePath, func(f *limitedFleet) { f.addLimited("plain", "", limit, nil) }, []float64{8, 8, 8}},
+		"only one of the processes has callers": {plainPath, func(f *limitedFleet) {
+			f.addLimited("plain", "", limit, nil)
+			f.addLimited("plain", "", limit, nil)
+		}, []float64{20, 0, 0}},
+		"failures and their retries": {plainPath, func(f *limitedFleet) {
+			for range 2 {
+				f.addLimited("plain", "", limit, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+			}
+		}, []float64{10, 10, 10}},
+		"refusals and their retries": {oncePath, func(f *limitedFleet) {
+			for range 2 {
+				f.addLimited("plain", "", limit, sitetest.NotRun)
+			}
+		}, []float64{10, 10, 10}},
+		"streams": {streamPath, func(f *limitedFleet) {
+			f.addLimited("model", "decode", limit, events)
+			f.addLimited("model", "decode", limit, events)
+		}, []float64{12, 12, 12}},
+		"broken streams that go on elsewhere": {streamPath, func(f *limitedFleet) {
+			f.addLimited("model", "decode", limit, sitetest.Events(6, 3))
+			f.addLimited("model", "decode", limit, sitetest.Events(6, 5))
+		}, []float64{10, 10, 10}},
+		"prefill": {modelPath, func(f *limitedFleet) {
+			f.addLimited("model", "prefill", limit, sitetest.WithPrefill("h", nil))
+			f.register(sitetest.NewEndpoint(f.t, "d-1", events), "model", "decode")
+		}, []float64{12, 12, 12}},
+		"decode after prefill elsewhere": {modelPath, func(f *limitedFleet) {
+			f.register(sitetest.NewEndpoint(f.t, "p-1", sitetest.WithPrefill("h", events)), "model", "prefill")
+			f.addLimited("model", "decode", limit, events)
+		}, []float64{12, 12, 12}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newLimitedFleet(t, len(c.load))
+			c.add(f)
+			ctx, cancel := context.WithTimeout(t.Context(), limitNoticeTime+2*limitWindow)
+			defer cancel()
+			var senders sync.WaitGroup
+			for i, perSecond := range c.load {
+				if perSecond > 0 {
+					f.load(ctx, &senders, f.processes[i], c.path, perSecond)
+				}
+			}
+			time.Sleep(limitNoticeTime)
+			since := time.Now()
+			f.refused.Store(0)
+			f.slowest.Store(0)
+			<-ctx.Done()
+			for _, r := range f.limited {
+				f.requireKept(r, limit, since)
+			}
+			senders.Wait()
+			t.Logf("%d served, %d refused, the slowest refusal after %d ms", f.served.Load(), f.refused.Load(), f.slowest.Load())
+			require.LessOrEqual(t, f.slowest.Load(), maxRefusalTime.Milliseconds(), "a caller that no endpoint may serve must be refused at once")
+		})
+	}
+}
+
+// A limit that is raised, lowered or ended holds with its new value, processes that end
+// leave their share to the others, and processes that start keep to the limit too.
+func TestRateLimitHoldsThroughChangesAndRestarts(t *testing.T) {
+	const low, high = 3.0, 9.0
+	const perSecond = 15.0
+	f := newLimitedFleet(t, 3)
+	r := f.addLimited("plain", "", low, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var senders sync.WaitGroup
+	for _, p := range f.processes[:2] {
+		f.load(ctx, &senders, p, plainPath, perSecond)
+	}
+	stoppedCtx, stopLoad := context.WithCancel(ctx)
+	f.load(stoppedCtx, &senders, f.processes[2], plainPath, perSecond)
+
+	phase := func(limit float64) {
+		t.Helper()
+		time.Sleep(limitNoticeTime)
+		since := time.Now()
+		time.Sleep(limitWindow + time.Second)
+		f.requireKept(r, limit, since)
+	}
+	phase(low)
+	r.SetLimit(high)
+	phase(high)
+	r.SetLimit(low)
+	phase(low)
+	stopLoad()
+	f.processes[2].stop()
+	phase(low)
+	f.load(ctx, &senders, f.startProcess(), plainPath, perSecond)
+	phase(low)
+	r.SetLimit(0)
+	time.Sleep(limitNoticeTime)
+	f.refused.Store(0)
+	time.Sleep(time.Second)
+	require.Zero(t, f.refused.Load(), "the limit has ended")
+	cancel()
+	senders.Wait()
+}
+
+// While other endpoints have room, a limit costs no caller an answer.
+func TestRateLimitedEndpointIsSparedWhileOthersHaveRoom(t *testing.T) {
+	const limit = 2.0
+	f := newLimitedFleet(t, 3)
+	r := f.addLimited("plain", "", limit, nil)
+	f.register(sitetest.NewEndpoint(t, "unlimited", nil), "plain", "")
+	ctx, cancel := context.WithTimeout(t.Context(), limitNoticeTime+limitWindow+time.Second)
+	defer cancel()
+	var senders sync.WaitGroup
+	for _, p := range f.processes {
+		f.load(ctx, &senders, p, plainPath, 10)
+	}
+	time.Sleep(limitNoticeTime)
+	since := time.Now()
+	<-ctx.Done()
+	senders.Wait()
+	f.requireKept(r, limit, since)
+	require.Zero(t, f.refused.Load(), "another endpoint had room")
+}
