The rate of requests that an endpoint accepts is kept by all processes together

Cause: no process read the limit, and load was bounded by predicted waiting alone; a bound over all processes had no share for one. Change: for each such endpoint the process that ranks first by rendezvous hashing shares out the rate: core/ratelimit decides (token bucket, the processes that ask often in turn; substitutes after 2 s of silence with half the rate, after 15 s with all of it), gateway/limits keeps statements, shares and permits. Other processes ask it for permits only when no other endpoint can serve a request in time, so that a limit costs no message while there is room. All sends pass one gate in the relay: first attempts, retries, prefill, decode (whose permit is taken before a prefill elsewhere). Engines with a limit are left out of changes of stage. Statements spread with the exchange of states; the first two processes for an endpoint always exchange directly. Callers whose request no endpoint may take are refused at once with the reason rate_limited. peers: MemberRemoved is called without the lock, which the new lock order needs. Evidence: go test ./gateway/node -run RateLimit failed in all 12 cases before (61 to 183 requests in 4 s, allowed 17 to 29) and passes: 17 in 4 s at 4 a second, 0.97 to 1.0 of the rate used while callers are refused, slowest refusal 13 ms. Simulations of 1 to 391 processes (gateway/limits): even and concentrated demand, owner frozen, cut, ended, restarted, lists that differ, limits that change and end. Why it works: permits and the owner's own sends come out of one bucket, so that what is sent does not depend on how many processes there are or what they know of each other.

--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -19,6 +19,10 @@
 // Selector selects endpoints by their estimated load and health. It is safe for
 // concurrent use.
 type Selector struct {
+	// Limits knows the rate limits of endpoints. It must be set before the first use, if
+	// at all. Its lock is acquired while that of the selector is held.
+	Limits SendLimits
+
 	dataCentre string
 	now        func() time.Time
 
@@ -40,7 +44,7 @@
 // New returns a selector without endpoints for a process in dataCentre.
 func New(dataCentre string, now func() time.Time) *Selector {
 	return &Selector{
-		dataCentre: dataCentre, now: now,
+		Limits: noLimits{}, dataCentre: dataCentre, now: now,
 		enginesByID: make(map[string]*placement.Engine), enginesByService: make(map[string][]*placement.Engine),
 		plainByService: make(map[string][]*plainEndpoint), endpoints: make(map[string]site.Endpoint), memoryTokens: make(map[string]int),
 		biases: make(map[string]*placement.Bias), sentPrompts: sentPromptList{nextSeq: make(map[string]int)}, peerReportedAt: make(map[string]time.Time),
@@ -154,8 +158,14 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
-	decision := s.fleet(service).Decide(s.now(), request)
-	placed := Placement{Decision: decision}
+	blocked := s.Limits.Blocked()
+	allowed := request
+	allowed.Exclude = s.unavailable(request.Exclude, blocked, false)
+	decision := s.fleet(service).Decide(s.now(), allowed)
+	placed := Placement{Decision: decision, Passed: s.passedEngines(service, request.Exclude, blocked)}
+	if placed.Passed.Endpoints > 0 && decision.Verdict != placement.InTime {
+		placed.Passed.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
+	}
 	if decision.Decode != nil {
 		placed.DecodeEndpoint = s.endpoints[decision.Decode.ID]
 	}
@@ -175,6 +185,7 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
+	request.Exclude = s.unavailable(request.Exclude, s.Limits.Blocked(), false)
 	engine := s.fleet(service).ChooseDecode(s.now(), request)
 	if engine == nil {
 		return site.Endpoint{}, false
@@ -185,6 +196,7 @@
 // Placement is a decision with the endpoints of the chosen engines.
 type Placement struct {
 	placement.Decision
+	Passed          Passed
 	PrefillEndpoint site.Endpoint
 	DecodeEndpoint  site.Endpoint
 	FetchAddress    string // Address of the engine to fetch cached parts of the prompt from, if any.
--- a/gateway/engines/plain.go
+++ b/gateway/engines/plain.go
@@ -25,14 +25,15 @@
 // ChoosePlain chooses the endpoint of a plain service with the lowest cost, which
 // grows with the requests of this process in flight and the failure rate, and is
 // higher in another data centre. An ejected endpoint is chosen only if there is no
-// other. done must be called when the request has ended. ok is false if there is no
+// other, and one whose rate limit is used up never. done must be called when the request has ended. ok is false if there is no
 // endpoint.
 func (s *Selector) ChoosePlain(service string, exclude map[string]bool) (endpoint site.Endpoint, done func(), ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := s.cheapestPlain(service, exclude, true)
+	unavailable := s.unavailable(exclude, s.Limits.Blocked(), false)
+	best := s.cheapestPlain(service, unavailable, true)
 	if best == nil {
-		best = s.cheapestPlain(service, exclude, false)
+		best = s.cheapestPlain(service, unavailable, false)
 	}
 	if best == nil {
 		return site.Endpoint{}, nil, false
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -35,7 +35,7 @@
 	var wait time.Duration
 	list := make([]stages.Engine, 0, len(s.enginesByService[service]))
 	for _, engine := range s.enginesByService[service] {
-		if engine.Draining || engine.Health.Ejected(now) {
+		if engine.Draining || engine.Health.Ejected(now) || s.Limits.Limited(engine.ID) {
 			continue
 		}
 		isPrefill := engine.Stage == placement.Prefill
--- /dev/null
+++ b/gateway/limits/acquire.go
@@ -0,0 +1,204 @@
+package limits
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
+)
+
+const (
+	// permitTTL is how long a permit of another process may be used.
+	permitTTL = 500 * time.Millisecond
+	// maxPermits is the number of permits that a process asks for at once.
+	maxPermits = 16
+	// askTimeout bounds the wait for permits: a caller without one is refused at once.
+	askTimeout = 150 * time.Millisecond
+	// unreachableBackoff and notSharingBackoff are how long a process is not asked again
+	// after it did not answer, and after it answered that it doesn't share out the limit.
+	unreachableBackoff = 2 * time.Second
+	notSharingBackoff  = 500 * time.Millisecond
+	// nobodySharesBackoff is the time between two questions while no process is known
+	// that shares out the limit.
+	nobodySharesBackoff = 250 * time.Millisecond
+)
+
+// Blocked returns the endpoints that may be sent no request now, by ID.
+func (l *Limiter) Blocked() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.limited) == 0 {
+		return nil
+	}
+	now := l.now()
+	blocked := make(map[string]bool)
+	for id, e := range l.limited {
+		if !l.available(e, now) {
+			blocked[id] = true
+		}
+	}
+	return blocked
+}
+
+// available reports whether a request may be sent to an endpoint. l.mu must be held.
+func (l *Limiter) available(e *endpoint, now time.Time) bool {
+	e.permits = slices.DeleteFunc(e.permits, func(expiry time.Time) bool { return now.After(expiry) })
+	return len(e.permits) > 0 || (e.share > 0 && e.ledger.Available(now, l.vm))
+}
+
+// Take reports whether a request may be sent to an endpoint now, and if so counts it.
+func (l *Limiter) Take(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.limited[id]
+	if !ok {
+		return true
+	}
+	now := l.now()
+	if !l.available(e, now) {
+		l.meter.Count("limit", "exceeded")
+		return false
+	}
+	l.meter.Count("limit", "sent")
+	if len(e.permits) > 0 {
+		e.permits = e.permits[1:]
+		return true
+	}
+	return e.ledger.Take(now, l.vm)
+}
+
+// MayAsk reports whether Acquire may lead to a permit for a blocked endpoint.
+func (l *Limiter) MayAsk(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.limited[id]
+	return ok && !l.now().Before(e.askAfter)
+}
+
+// RetryIn returns the time after which a blocked endpoint may be sent a request again,
+// as far as it is known.
+func (l *Limiter) RetryIn(id string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.limited[id]
+	if !ok {
+		return 0
+	}
+	return max(e.askAfter.Sub(l.now()), 0)
+}
+
+// Acquire asks the process that shares out the limit of an endpoint for a permit. It
+// reports whether a request may be sent to the endpoint now.
+func (l *Limiter) Acquire(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counted := false
+	for ctx.Err() == nil {
+		e, ok := l.limited[id]
+		if !ok {
+			return true
+		}
+		now := l.now()
+		if l.available(e, now) {
+			return true
+		}
+		if !counted {
+			counted = true
+			e.unmet++
+			e.wantedAt = now
+		}
+		if now.Before(e.askAfter) {
+			return false
+		}
+		if e.share > 0 {
+			l.wait(e, now)
+			return false
+		}
+		l.ask(ctx, e, now)
+	}
+	return false
+}
+
+// wait notes in the ledger of this process that its own callers want more. l.mu must be
+// held.
+func (l *Limiter) wait(e *endpoint, now time.Time) {
+	e.unmet = 0
+	if !e.ledger.Take(now, l.vm) {
+		e.askAfter = now.Add(e.ledger.RetryIn(now, l.vm))
+	}
+}
+
+// ask asks another process for permits, or waits for the answer to a question that is
+// under way. l.mu must be held; it is released meanwhile.
+func (l *Limiter) ask(ctx context.Context, e *endpoint, now time.Time) {
+	if asking := e.asking; asking != nil {
+		l.mu.Unlock()
+		defer l.mu.Lock()
+		select {
+		case <-asking:
+		case <-ctx.Done():
+		}
+		return
+	}
+	vm := l.toAsk(e, now)
+	if vm == "" {
+		e.unmet = 0
+		e.askAfter = now.Add(nobodySharesBackoff)
+		return
+	}
+	answered := make(chan struct{})
+	e.asking = answered
+	request := &wirev1.AcquireSendsRequest{Vm: l.vm, Limit: encode(e, now), Count: uint32(min(max(e.unmet, 1), maxPermits))}
+	l.mu.Unlock()
+	// The question outlives its first caller, since others wait for the answer.
+	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+	reply, err := l.fleet.AcquireSends(askCtx, vm, request)
+	cancel()
+	l.mu.Lock()
+	e.asking = nil
+	close(answered)
+	l.recordReply(e, vm, request.GetCount(), reply, err)
+}
+
+// toAsk returns the VM to ask for permits: the first that ranks before this one and was
+// not found to be unable to answer. l.mu must be held.
+func (l *Limiter) toAsk(e *endpoint, now time.Time) string {
+	for _, vm := range e.ranking {
+		if vm == l.vm {
+			break
+		}
+		if !now.Before(e.skipUntil[vm]) {
+			return vm
+		}
+	}
+	return ""
+}
+
+// recordReply applies the answer of another process. l.mu must be held.
+func (l *Limiter) recordReply(e *endpoint, vm string, count uint32, reply *wirev1.AcquireSendsReply, err error) {
+	now := l.now()
+	if err != nil {
+		l.meter.Count("limit", "ask", "failed")
+		e.skipUntil[vm] = now.Add(unreachableBackoff)
+		log.Error(err, "The process that shares out the limit of an endpoint does not answer.", "endpoint", e.id, "vm", vm)
+		return
+	}
+	l.merge(reply.GetLimit(), vm)
+	if !reply.GetSharesLimit() {
+		l.meter.Count("limit", "ask", "not_sharing")
+		e.skipUntil[vm] = now.Add(notSharingBackoff)
+		return
+	}
+	e.unmet = 0
+	for range reply.GetGranted() {
+		e.permits = append(e.permits, now.Add(permitTTL))
+	}
+	l.meter.Add(int64(reply.GetGranted()), "limit", "ask", "granted")
+	if reply.GetGranted() < count {
+		l.meter.Count("limit", "ask", "denied")
+		e.askAfter = now.Add(time.Duration(reply.GetRetryInMs()) * time.Millisecond)
+	}
+}
--- a/gateway/limits/limits.go
+++ b/gateway/limits/limits.go
@@ -1,5 +1,12 @@
-// Package limits tracks the rates of requests that endpoints say they accept from all
+// Package limits keeps to the rates of requests that endpoints say they accept from all
 // processes together.
+//
+// For each such endpoint one process, which all processes find by ranking the list of
+// VMs, shares out the rate. It uses it for its own callers and grants permits to others
+// that ask. Others ask only when no other endpoint can serve a request in time, so that
+// a limit costs no messages while there is room elsewhere, and its rate is not left
+// unused while callers are refused. What endpoints state spreads with the exchange of
+// states between processes.
 package limits
 
 import (
@@ -14,27 +21,60 @@
 
 var log = logging.For("gateway/limits")
 
-// Limiter knows the limits of endpoints. It is safe for concurrent use.
+// Times for which statements are kept.
+const (
+	// goneRetention is how long the statement of an endpoint that is no longer listed
+	// is kept: its row may lapse while the endpoint goes on.
+	goneRetention = 60 * time.Second
+	// endedRetention is how long other processes are told that a limit has ended.
+	endedRetention = 15 * time.Second
+	// peerRetention is how long the times of reports to a process are kept.
+	peerRetention = 60 * time.Second
+)
+
+// Limiter knows the limits of endpoints and decides whether a request may be sent. It
+// is safe for concurrent use.
 type Limiter struct {
-	vm    string
+	vm    string // Of this process.
+	fleet Fleet
 	meter *meter.Registry
 	now   func() time.Time
 
 	mu        sync.Mutex
-	endpoints map[string]*endpoint // All listed ones, by ID.
-	limited   map[string]*endpoint // Those that state a limit, by ID.
+	endpoints map[string]*endpoint // Listed ones, and for goneRetention former ones, by ID.
+	limited   map[string]*endpoint // Listed ones that state a limit, by ID.
+	ended     map[string]*endpoint // Those whose limit ended within endedRetention, by ID.
+	reported  map[string]time.Time // Time of the last report of all limits, by peer.
+	sentTo    map[string]time.Time // Time of the last report, by peer.
 }
 
 // endpoint is what this process knows of the limit of one endpoint.
 type endpoint struct {
 	id        string
 	startedMS int64
+	goneAt    time.Time // Zero while it is listed.
 	statement ratelimit.Statement
+	changedAt time.Time // When the limit last changed, or was last found to be unknown to a peer.
+
+	ranking    []string // VMs that share out the limit, the first that is alive.
+	generation uint64   // Of the list of VMs that was ranked.
+	share      float64  // Part of the rate that this process shares out.
+	ledger     ratelimit.Ledger
+
+	permits   []time.Time // Expiry of each permit of another process, in order.
+	wantedAt  time.Time   // When a process last wanted more than it was granted.
+	askAfter  time.Time
+	asking    chan struct{} // Closed when the current question is answered; nil without one.
+	unmet     int           // Requests that wait for the current question or came since the last.
+	skipUntil map[string]time.Time
 }
 
 // New returns a limiter of the process on vm that knows no endpoints.
-func New(vm string, metrics *meter.Registry, now func() time.Time) *Limiter {
-	return &Limiter{vm: vm, meter: metrics, now: now, endpoints: make(map[string]*endpoint), limited: make(map[string]*endpoint)}
+func New(vm string, fleet Fleet, metrics *meter.Registry, now func() time.Time) *Limiter {
+	return &Limiter{
+		vm: vm, fleet: fleet, meter: metrics, now: now, endpoints: make(map[string]*endpoint), limited: make(map[string]*endpoint),
+		ended: make(map[string]*endpoint), reported: make(map[string]time.Time), sentTo: make(map[string]time.Time),
+	}
 }
 
 // EndpointChanged implements fleet.Listener. An endpoint that has restarted has not
@@ -42,19 +82,28 @@
 func (l *Limiter) EndpointChanged(changed site.Endpoint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known, ok := l.endpoints[changed.ID]; ok && known.startedMS == changed.StartedMS {
+	known, ok := l.endpoints[changed.ID]
+	if !ok || known.startedMS != changed.StartedMS {
+		delete(l.limited, changed.ID)
+		delete(l.ended, changed.ID)
+		l.endpoints[changed.ID] = &endpoint{id: changed.ID, startedMS: changed.StartedMS, skipUntil: make(map[string]time.Time)}
 		return
 	}
-	delete(l.limited, changed.ID)
-	l.endpoints[changed.ID] = &endpoint{id: changed.ID, startedMS: changed.StartedMS}
+	known.goneAt = time.Time{}
+	if known.statement.Limited {
+		l.limited[changed.ID] = known
+	}
 }
 
 // EndpointGone implements fleet.Listener.
 func (l *Limiter) EndpointGone(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.endpoints, id)
+	if known, ok := l.endpoints[id]; ok {
+		known.goneAt = l.now()
+	}
 	delete(l.limited, id)
+	delete(l.ended, id)
 }
 
 // Observe records what the response to a request that was sent at sentAt says of the
@@ -72,7 +121,8 @@
 	l.apply(e, ratelimit.Answered(response.RateLimit.Stated, response.RateLimit.PerSecond, sentAt, l.now()), l.vm)
 }
 
-// apply replaces the statement of an endpoint by a newer one. l.mu must be held.
+// apply replaces the statement of an endpoint by a newer one, received by the process on
+// source. l.mu must be held.
 func (l *Limiter) apply(e *endpoint, statement ratelimit.Statement, source string) {
 	if !statement.Newer(e.statement) {
 		return
@@ -82,35 +132,42 @@
 	if statement.SameLimit(previous) {
 		return
 	}
-	fields := []any{"endpoint", e.id, "per_second", statement.PerSecond, "previous", previous.PerSecond, "age_ms", l.now().Sub(statement.At).Milliseconds(), "source", source}
+	now := l.now()
+	e.changedAt = now
+	fields := []any{"endpoint", e.id, "per_second", statement.PerSecond, "previous", previous.PerSecond, "age_ms", now.Sub(statement.At).Milliseconds(), "source", source}
 	if !statement.Limited {
 		delete(l.limited, e.id)
+		l.ended[e.id] = e
+		l.setShare(e, 0)
 		l.meter.Count("limit", "ended")
 		log.Info("An endpoint no longer limits its requests.", fields...)
 		return
 	}
-	l.limited[e.id] = e
+	delete(l.ended, e.id)
+	if e.goneAt.IsZero() {
+		l.limited[e.id] = e
+	}
+	l.updateShare(e)
 	l.meter.Count("limit", "stated")
 	log.Info("An endpoint limits its requests.", fields...)
 }
 
-// CountSend counts a request that is sent to an endpoint while it states a limit.
-func (l *Limiter) CountSend(id string) {
+// Limited reports whether an endpoint states a limit.
+func (l *Limiter) Limited(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.limited[id]; ok {
-		l.meter.Count("limit", "sent")
-	}
+	_, ok := l.limited[id]
+	return ok
 }
 
-// Gauges returns the limits of endpoints in requests a minute, by endpoint and name of
-// the metric.
+// Gauges returns the limits of endpoints in requests a minute and the part of each that
+// this process shares out in percent, by endpoint and name of the metric.
 func (l *Limiter) Gauges() map[string]map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	gauges := make(map[string]map[string]int64, len(l.limited))
 	for id, e := range l.limited {
-		gauges[id] = map[string]int64{"per_minute": int64(e.statement.PerSecond * time.Minute.Seconds())}
+		gauges[id] = map[string]int64{"per_minute": int64(e.statement.PerSecond * time.Minute.Seconds()), "share_percent": int64(100 * e.share)}
 	}
 	return gauges
 }
--- a/gateway/limits/limits_test.go
+++ b/gateway/limits/limits_test.go
@@ -17,7 +17,7 @@
 
 // newLimiter returns a limiter of the only process, which knows one endpoint.
 func newLimiter() (*Limiter, site.Endpoint) {
-	l := New("vm-1", meter.NewRegistry(), time.Now)
+	l := New("vm-1", onlyProcess{}, meter.NewRegistry(), time.Now)
 	endpoint := site.Endpoint{ID: "e-1", StartedMS: 1}
 	l.EndpointChanged(endpoint)
 	return l, endpoint
@@ -62,3 +62,9 @@
 		require.Empty(t, l.Gauges(), "an endpoint that has restarted has stated no limit")
 	})
 }
+
+// onlyProcess is a fleet of one process.
+type onlyProcess struct{ Fleet }
+
+func (onlyProcess) Rank(string, int) []string { return []string{"vm-1"} }
+func (onlyProcess) Generation() uint64        { return 1 }
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -73,6 +73,7 @@
 		{"crash_marks", n.crashTracker.Run},
 		{"register", n.cluster.Register},
 		{"exchange", n.cluster.Run},
+		{"limits", n.limiter.Run},
 		{"keep_up", n.maintain},
 		{"true_time", n.syncClock},
 		{"settings", func(ctx context.Context) {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -130,9 +130,6 @@
 	n.supervisor.OnPanic = func(part string) { n.meter.Count("panic", part) }
 	n.fleet = fleet.New(time.Now)
 	n.selector = engines.New(settings.DataCentre, time.Now)
-	n.limiter = limits.New(settings.NodeName, n.meter, time.Now)
-	n.fleet.AddListener(n.limiter)
-	n.fleet.AddListener(n.selector)
 	n.storeWatch = newStoreWatch(n.fleet)
 	started := clock.Now()
 	n.sharedClock = duties.NewSharedClock(n.store, func() time.Duration { return clock.Now().Sub(started) })
@@ -142,6 +139,10 @@
 	self := peers.Member{VM: settings.NodeName, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
 	n.cluster = peers.New(self, settings.Seeds, n.store, n)
 	n.cluster.Supervisor = n.supervisor
+	n.limiter = limits.New(settings.NodeName, n.cluster, n.meter, time.Now)
+	n.selector.Limits = n.limiter
+	n.fleet.AddListener(n.limiter)
+	n.fleet.AddListener(n.selector)
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyLeaseTerm)
 	n.lease.SetCandidateFunc(func() bool { return n.cluster.AmongFirst(dutyCandidates) })
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -27,6 +27,7 @@
 			Fingerprint: string(mark.Fingerprint), Team: mark.Team, Crashes: mark.Crashes, ClearedUnixMillis: mark.Cleared,
 		})
 	}
+	state.Limits = n.limiter.Report(peer)
 	if usage {
 		state.UsageWhole = true
 		for window, counts := range n.tally.Snapshot() {
@@ -100,6 +101,7 @@
 	n.selector.SetPeerLoads(state.GetVm(), loads)
 	n.selector.MarkCached(decodePrompts(state.GetPrompts()))
 	n.crashTracker.Merge(decodeMarks(state.GetMarks()))
+	n.limiter.Merge(state.GetVm(), state.GetLimits())
 	for _, window := range state.GetUsage() {
 		counts := make(map[string]int64, len(window.GetTeams()))
 		for _, team := range window.GetTeams() {
@@ -170,6 +172,10 @@
 
 func (n *Node) StoreLost() bool { return n.storeWatch.IsLost() }
 
+func (n *Node) GrantSends(request *wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply {
+	return n.limiter.Grant(request)
+}
+
 func (n *Node) MemberRemoved(vm string) {
 	n.selector.DropPeer(vm)
 }
--- a/gateway/node/ratelimit_test.go
+++ b/gateway/node/ratelimit_test.go
@@ -126,6 +126,14 @@
 	}
 }
 
+// waitUntilAllServe waits until each process has read the endpoints.
+func (f *limitedFleet) waitUntilAllServe(path string) {
+	for _, p := range f.processes {
+		one := harness{t: f.t, vm: p.vm}
+		one.waitUntilServing(path)
+	}
+}
+
 // requireKept requires that an endpoint got no more than its limit allows since a
 // moment, and that its limit was used if callers were refused.
 func (f *limitedFleet) requireKept(r *sitetest.RateLimited, limit float64, since time.Time) {
@@ -261,6 +269,7 @@
 	f := newLimitedFleet(t, 3)
 	r := f.addLimited("plain", "", limit, nil)
 	f.register(sitetest.NewEndpoint(t, "unlimited", nil), "plain", "")
+	f.waitUntilAllServe(plainPath)
 	ctx, cancel := context.WithTimeout(t.Context(), limitNoticeTime+limitWindow+time.Second)
 	defer cancel()
 	var senders sync.WaitGroup
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +64,9 @@
 	maxMessageBytes = 8 << 20
 )
 
+// maxIdleConnsPerPeer leaves a connection each for exchanges and for permits.
+const maxIdleConnsPerPeer = 2
+
 // Member is an entry process as the store lists it.
 type Member struct {
 	VM         string `json:"vm"`
@@ -97,6 +99,9 @@
 	StoreLost() bool
 	// MemberRemoved is called when a process is no longer listed.
 	MemberRemoved(vm string)
+	// GrantSends answers a process that asks for permits to send requests to an
+	// endpoint.
+	GrantSends(*wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply
 }
 
 // Cluster tracks the other entry processes of the fleet and exchanges state with
@@ -111,8 +116,11 @@
 	localState LocalState
 	client     *http.Client
 
-	mu      sync.Mutex
-	members map[string]*peer
+	mu         sync.Mutex
+	members    map[string]*peer
+	generation uint64          // Changes with the VMs and instances of members.
+	watched    map[string]bool // VMs that are called in any case.
+	resumedAt  time.Time       // When this process last ran again after a pause.
 	// listLoaded is set once the complete list has been read from the store.
 	listLoaded       bool
 	seedsContactedAt time.Time
@@ -127,6 +135,7 @@
 	failures     int
 	inFlight     bool
 	lastSeen     time.Time // When it was listed or last sent its state.
+	calledSince  time.Time // When this process began to call it regularly; zero if it doesn't.
 	storeLost    bool      // Its last state says that it gets no answer from the store.
 }
 
@@ -142,131 +151,19 @@
 	return &Cluster{
 		self: self, seeds: seeds, store: store, localState: localState, members: make(map[string]*peer), endedInstances: make(map[string]string),
 		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 1, IdleConnTimeout: 20 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: 20 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 }
 
-// Register lists this process in the store until ctx ends, and then removes it.
-func (c *Cluster) Register(ctx context.Context) {
-	value, err := json.Marshal(c.self)
-	if err != nil {
-		log.Error(err, "This process cannot be encoded for the list of entry processes.", "vm", c.self.VM)
-		return
-	}
-	for ctx.Err() == nil {
-		var tx site.Tx
-		tx.Put(TableVMs, c.self.VM, value)
-		if c.commit(ctx, tx) == nil {
-			break
-		}
-		clock.Sleep(ctx, registerRetryDelay)
-	}
-	<-ctx.Done()
-	var tx site.Tx
-	tx.Delete(TableVMs, c.self.VM)
-	if err := c.commit(context.WithoutCancel(ctx), tx); err != nil {
-		log.Error(err, "This process could not be removed from the list of entry processes.", "vm", c.self.VM)
-	}
-}
-
-func (c *Cluster) commit(ctx context.Context, tx site.Tx) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := c.store.Commit(ctx, tx)
-	return err
-}
-
-// ApplyList applies changed rows of the list, or the complete list if complete is
-// set.
-func (c *Cluster) ApplyList(page site.Page, complete bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	listed := make(map[string]bool)
-	for _, row := range page.Rows {
-		if row.Deleted {
-			c.remove(row.Key)
-			continue
-		}
-		listed[row.Key] = true
-		var member Member
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.Address == "" {
-			log.Info("A row of the list does not describe an entry process; ignoring it.", "row", row.Key)
-			continue
-		}
-		c.add(member)
-	}
-	if !complete {
-		return
-	}
-	c.listLoaded = true
-	for vm := range c.members {
-		if !listed[vm] {
-			c.remove(vm)
-		}
-	}
-}
-
-func (c *Cluster) add(member Member) {
-	if member.VM == c.self.VM {
-		return
-	}
-	current, ok := c.members[member.VM]
-	if ok && current.Member == member {
-		return
-	}
-	if ok {
-		c.endedInstances[member.VM] = current.Instance
-	}
-	log.Info("An entry process was added.", "vm", member.VM, "address", member.Address, "instance", member.Instance)
-	c.members[member.VM] = &peer{Member: member, lastSeen: time.Now(), client: c.newPeerClient(member)}
-}
-
-// newPeerClient returns a client for a process. Messages to another data centre
-// are compressed; within a data centre CPU time costs more than traffic.
-func (c *Cluster) newPeerClient(member Member) wirev1connect.PeerServiceClient {
-	compression := connect.WithSendGzip()
-	if member.DataCentre == c.self.DataCentre {
-		compression = connect.WithAcceptCompression("gzip", nil, nil) // None.
-	}
-	return wirev1connect.NewPeerServiceClient(c.client, "http://"+member.Address, compression, connect.WithReadMaxBytes(maxMessageBytes))
-}
-
-func (c *Cluster) remove(vm string) {
-	current, ok := c.members[vm]
-	if !ok {
-		return
-	}
-	delete(c.members, vm)
-	c.endedInstances[vm] = current.Instance
-	log.Info("An entry process was removed from the list.", "vm", vm, "instance", current.Instance)
-	c.localState.MemberRemoved(vm)
-}
-
-// Size returns the number of listed processes, this one included.
-func (c *Cluster) Size() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.members) + 1
-}
-
-// PeerInstances returns the instances of the other processes, and whether the
-// complete list has been read.
-func (c *Cluster) PeerInstances() ([]string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	instances := make([]string, 0, len(c.members))
-	for _, p := range c.members {
-		instances = append(instances, p.Instance)
-	}
-	return instances, c.listLoaded
-}
-
 // Run exchanges state with other processes until ctx ends.
 func (c *Cluster) Run(ctx context.Context) {
+	lastTick := time.Now()
 	for clock.Sleep(ctx, tickInterval) {
 		c.contactSeeds(ctx)
 		now := time.Now()
+		c.notePause(lastTick, now)
+		lastTick = now
 		for _, p := range c.due(now) {
 			go c.exchange(ctx, p)
 		}
@@ -280,6 +177,7 @@
 	defer c.mu.Unlock()
 	var due []*peer
 	local, remote := c.exchangeTargets()
+	c.markCalled(now, local, remote)
 	remoteInterval := max(minRemoteInterval, time.Duration(len(remote))*remoteIntervalPerTarget)
 	for _, p := range append(local, remote...) {
 		if p.inFlight || now.Before(p.nextExchange) {
@@ -407,5 +305,5 @@
 
 // Handler returns the path and handler of the peer service.
 func (c *Cluster) Handler() (string, http.Handler) {
-	return wirev1connect.NewPeerServiceHandler(c, connect.WithReadMaxBytes(maxMessageBytes))
+	return wirev1connect.NewPeerServiceHandler(sendsHandler{c}, connect.WithReadMaxBytes(maxMessageBytes))
 }
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -78,6 +78,9 @@
 
 func (f *fakeState) StoreLost() bool      { return false }
 func (f *fakeState) MemberRemoved(string) {}
+func (f *fakeState) GrantSends(request *wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply {
+	return &wirev1.AcquireSendsReply{SharesLimit: true, Granted: request.GetCount()}
+}
 
 // newProcess returns a cluster whose handler is served, and its state.
 func newProcess(t *testing.T, vm string, version int64) (*Cluster, *fakeState) {
--- a/gateway/peers/targets.go
+++ b/gateway/peers/targets.go
@@ -8,7 +8,7 @@
 )
 
 // exchangeTargets returns the processes that this one calls, in its own data
-// centre and in others. An exchange updates both sides, so it is enough that each
+// centre and in others, the watched ones included. An exchange updates both sides, so it is enough that each
 // process calls the half of the others that follows it on a hash ring: all pairs
 // then exchange. In a larger fleet the number of targets is bounded, and each
 // process is still called by some others.
@@ -20,7 +20,18 @@
 			remote = append(remote, p)
 		}
 	}
-	return c.successors(local, maxLocalTargets), c.successors(remote, maxRemoteTargets)
+	return c.withWatched(c.successors(local, maxLocalTargets), local), c.withWatched(c.successors(remote, maxRemoteTargets), remote)
+}
+
+// withWatched adds the watched peers that are missing from targets, which are the first
+// of peers.
+func (c *Cluster) withWatched(targets, peers []*peer) []*peer {
+	for _, p := range peers[len(targets):] {
+		if c.watched[p.VM] {
+			targets = append(targets[:len(targets):len(targets)], p)
+		}
+	}
+	return targets
 }
 
 // successors returns the half of peers that follows this process on the hash
--- /dev/null
+++ b/gateway/relay/limits.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"flamingospar.org/core/placement"
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/transport"
+	"flamingospar.org/platform/site"
+)
+
+// errRateLimited means that the rate limit of an endpoint was used up between its
+// selection and the call.
+var errRateLimited = fmt.Errorf("%w: the rate limit that it states is used up", transport.ErrNotSent)
+
+// choosePlain selects an endpoint of a plain service. If only endpoints whose rate limit
+// is used up are left, it asks for a permit.
+func (r *Relay) choosePlain(ctx context.Context, job *Job, p *progress) (endpoint site.Endpoint, done func(), ok bool) {
+	if endpoint, done, ok = r.Selector.ChoosePlain(job.Service, p.excluded); ok {
+		return endpoint, done, true
+	}
+	p.Passed = r.Selector.PassedPlain(job.Service, p.excluded)
+	if p.Passed.Ask == "" || !r.Limits.Acquire(ctx, p.Passed.Ask) {
+		return site.Endpoint{}, nil, false
+	}
+	return r.Selector.ChoosePlain(job.Service, p.excluded)
+}
+
+// maxAsks is the number of permits that a stream may need: to prefill and to decode.
+const maxAsks = 2
+
+// place decides which engines serve a stream. If the limits of other engines are what
+// keeps it from being in time, it asks for permits and decides again.
+func (s *stream) place(ctx context.Context) engines.Placement {
+	placed := s.relay.Selector.Place(s.job.Service, s.placementRequest())
+	for range maxAsks {
+		if placed.Passed.Ask == "" || !s.relay.Limits.Acquire(ctx, placed.Passed.Ask) {
+			break
+		}
+		placed = s.relay.Selector.Place(s.job.Service, s.placementRequest())
+	}
+	s.progress.Passed = placed.Passed
+	return placed
+}
+
+// reserveDecode takes the permit for the decode engine before a prefill elsewhere, so
+// that no prefill is wasted on a stream that may not go on. It reports false if the
+// engine's rate limit is used up.
+func (s *stream) reserveDecode(id string) bool {
+	s.reserved = ""
+	if !s.relay.Selector.Limits.Limited(id) {
+		return true
+	}
+	if !s.relay.Limits.Take(id) {
+		return false
+	}
+	s.reserved = id
+	return true
+}
+
+// send sends the request to an endpoint, with the permit that was taken in advance if
+// there is one.
+func (s *stream) send(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
+	if s.reserved != endpoint.ID {
+		return s.relay.send(ctx, endpoint, request)
+	}
+	s.reserved = ""
+	return s.relay.sendPermitted(ctx, endpoint, request)
+}
+
+// reasonUnplaced returns why no endpoint was selected.
+func (p *progress) reasonUnplaced() Reason {
+	switch {
+	case p.Passed.Endpoints > 0:
+		return ReasonRateLimited
+	case p.sends > 0:
+		return ReasonEndpointsFull
+	default:
+		return ReasonNoEndpoint
+	}
+}
+
+// limitRetryAfter returns the time after which an endpoint that was passed over because
+// of its rate limit may be sent a request again, and 0 if there was none.
+func (r *Relay) limitRetryAfter(p *progress) time.Duration {
+	if p.Passed.Any == "" {
+		return 0
+	}
+	return r.Limits.RetryIn(p.Passed.Any)
+}
+
+// endUnplaced ends a stream that no engine can start or continue.
+func (s *stream) endUnplaced(ctx context.Context, placed engines.Placement) Outcome {
+	if placed.Verdict == placement.Refused {
+		return s.giveUp(ctx, ReasonTooLate, placed.RetryAfter)
+	}
+	return s.giveUp(ctx, s.progress.reasonUnplaced(), max(placed.RetryAfter, s.relay.limitRetryAfter(s.progress)))
+}
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
 )
@@ -18,6 +19,7 @@
 	ReasonNone          Reason = ""
 	ReasonNoEndpoint    Reason = "no_endpoint"    // None is listed, or none accepts requests.
 	ReasonTooLate       Reason = "too_late"       // No engine can serve it before its caller stops waiting.
+	ReasonRateLimited   Reason = "rate_limited"   // The rate limits of all endpoints left are used up.
 	ReasonEndpointsFull Reason = "endpoints_full" // All endpoints tried refused it without running it.
 	ReasonMayHaveRun    Reason = "may_have_run"   // It was sent and is not retried.
 	ReasonAttempts      Reason = "attempts"       // The attempts are used up.
@@ -35,6 +37,7 @@
 	ResultAnswered   Result = "answered" // The response was received completely.
 	ResultFailed     Result = "failed"   // The endpoint responded with an error.
 	ResultRefused    Result = "refused"  // The endpoint responded that it did not run the request.
+	ResultLimited    Result = "limited"  // Not sent: the endpoint's rate limit was used up.
 	ResultNotSent    Result = "not_sent" // The request can't have reached the endpoint.
 	ResultBroken     Result = "broken"   // The connection was lost or timed out.
 	ResultCallerLeft Result = "left"     // The caller disconnected during the call.
@@ -60,6 +63,8 @@
 // resultOfError returns the result of a call that failed with err.
 func resultOfError(ctx context.Context, err error) Result {
 	switch {
+	case errors.Is(err, errRateLimited):
+		return ResultLimited
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -74,15 +79,16 @@
 	Reason          Reason
 	Status          int // Sent to the caller; 0 if none was.
 	Attempts        int
-	Calls           []Call        // In order; at most maxCalls.
-	MayHaveRun      bool          // An endpoint began to run the request, or may have.
-	TimeToFirstByte time.Duration // Until the response to the caller began.
-	Endpoint        string        // The last endpoint selected.
-	PrefillEndpoint string        // The endpoint that ran the prefill, if another.
-	Err             error         // Error of the last failed attempt.
-	RetryAfter      time.Duration // As sent to the caller; 0 if none was.
-	Level           int           // Priority level sent to the endpoint.
-	FetchedTokens   int           // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
+	Calls           []Call         // In order; at most maxCalls.
+	MayHaveRun      bool           // An endpoint began to run the request, or may have.
+	TimeToFirstByte time.Duration  // Until the response to the caller began.
+	Endpoint        string         // The last endpoint selected.
+	PrefillEndpoint string         // The endpoint that ran the prefill, if another.
+	Err             error          // Error of the last failed attempt.
+	RetryAfter      time.Duration  // As sent to the caller; 0 if none was.
+	Level           int            // Priority level sent to the endpoint.
+	FetchedTokens   int            // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
+	Passed          engines.Passed // By the last selection.
 	Timing
 }
 
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -170,7 +170,7 @@
 		outcome = respondMayHaveRun(w, job, ReasonMayHaveRun)
 	}
 	outcome.Attempts, outcome.Endpoint, outcome.PrefillEndpoint, outcome.Err = p.sends, p.Endpoint, p.PrefillEndpoint, p.Err
-	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing = p.Calls, p.Level, p.FetchedTokens, p.Timing
+	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing, outcome.Passed = p.Calls, p.Level, p.FetchedTokens, p.Timing, p.Passed
 	return outcome
 }
 
@@ -178,13 +178,9 @@
 func (r *Relay) servePlain(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	p := &progress{excluded: make(map[string]bool)}
 	for {
-		endpoint, done, ok := r.Selector.ChoosePlain(job.Service, p.excluded)
+		endpoint, done, ok := r.choosePlain(ctx, job, p)
 		if !ok {
-			reason := ReasonNoEndpoint
-			if p.sends > 0 {
-				reason = ReasonEndpointsFull
-			}
-			return p.endUnanswered(ctx, w, job, reason, 0)
+			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), r.limitRetryAfter(p))
 		}
 		p.Endpoint = endpoint.ID
 		result := r.attemptPlain(ctx, w, job, endpoint, p)
@@ -221,7 +217,7 @@
 	}
 	if errors.Is(err, transport.ErrNotSent) {
 		p.Err = err
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errRateLimited) {
 			r.Selector.RecordResult(endpoint.ID, engines.Unreachable)
 		}
 		return attemptResult{}
@@ -265,7 +261,7 @@
 // retryPlain retries a request after an endpoint responded with a server error, and
 // forwards that response if no other endpoint responds.
 func (r *Relay) retryPlain(ctx context.Context, w http.ResponseWriter, job *Job, p *progress, failed *transport.Response, body []byte) attemptResult {
-	endpoint, done, ok := r.Selector.ChoosePlain(job.Service, p.excluded)
+	endpoint, done, ok := r.choosePlain(ctx, job, p)
 	if ok {
 		defer done()
 		p.Endpoint = endpoint.ID
@@ -332,9 +328,17 @@
 	r.Selector.RecordResult(endpoint.ID, engines.Busy)
 }
 
-// send sends a request to an endpoint. All requests to endpoints pass through it.
+// send sends a request to an endpoint, unless its rate limit is used up. All requests
+// to endpoints pass through it or have a permit.
 func (r *Relay) send(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
-	r.Limits.CountSend(endpoint.ID)
+	if !r.Limits.Take(endpoint.ID) {
+		return nil, errRateLimited
+	}
+	return r.sendPermitted(ctx, endpoint, request)
+}
+
+// sendPermitted sends a request for which a permit was taken.
+func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
 	sentAt := time.Now()
 	response, err := r.Pool.Send(ctx, endpoint.Address, request)
 	if err != nil {
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -18,6 +18,12 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
+// onlyProcess is a fleet of one process.
+type onlyProcess struct{ limits.Fleet }
+
+func (onlyProcess) Rank(string, int) []string { return []string{"vm-1"} }
+func (onlyProcess) Generation() uint64        { return 1 }
+
 // newRelay returns a relay with endpoints of the service "plain".
 func newRelay(endpoints ...*sitetest.Endpoint) *relay.Relay {
 	selector := engines.New("dc-1", time.Now)
@@ -26,7 +32,7 @@
 	}
 	registry := meter.NewRegistry()
 	return &relay.Relay{
-		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", registry, time.Now), Meter: registry, OnRunStart: func(string) {}, OnBrokenRun: func(*relay.Job, site.Endpoint) {}, OnPrefillDone: func(_, _ time.Duration) {},
+		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, OnBrokenRun: func(*relay.Job, site.Endpoint) {}, OnPrefillDone: func(_, _ time.Duration) {},
 		RetryBudgets: relay.NewRetryBudgets(retrybudget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}),
 	}
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -41,6 +41,9 @@
 	prefillCalls int
 	// prefillFailed reports whether the last attempt ended with a failed prefill call.
 	prefillFailed bool
+	// reserved is the limited decode engine for which a permit was taken before the
+	// prefill, if any.
+	reserved string
 }
 
 // serveStream runs a request whose response is a stream of events.
@@ -50,7 +53,7 @@
 		progress: &progress{excluded: make(map[string]bool)},
 	}
 	for {
-		placed := r.Selector.Place(job.Service, s.placementRequest())
+		placed := s.place(ctx)
 		if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
 			return s.endUnplaced(ctx, placed)
 		}
@@ -90,13 +93,6 @@
 	}
 }
 
-func (s *stream) endUnplaced(ctx context.Context, placed engines.Placement) Outcome {
-	if placed.Verdict == placement.Refused {
-		return s.giveUp(ctx, ReasonTooLate, placed.RetryAfter)
-	}
-	return s.giveUp(ctx, ReasonNoEndpoint, placed.RetryAfter)
-}
-
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
@@ -130,6 +126,9 @@
 	if !s.mayPrefill() {
 		return s.decode(ctx, placed, run)
 	}
+	if !s.reserveDecode(placed.DecodeEndpoint.ID) {
+		return attemptResult{}
+	}
 	s.progress.PrefillEndpoint = placed.PrefillEndpoint.ID
 	handle, result, ok := s.prefill(ctx, placed, run)
 	if !ok {
@@ -137,13 +136,15 @@
 		s.progress.excluded[placed.PrefillEndpoint.ID] = true
 		return result
 	}
-	next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
-	if !ok {
-		return attemptResult{sent: true}
+	if s.reserved == "" {
+		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
+		if !ok {
+			return attemptResult{sent: true}
+		}
+		placed.DecodeEndpoint = next
 	}
-	placed.DecodeEndpoint = next
-	s.progress.Endpoint = next.ID
-	run.EndpointID = next.ID
+	s.progress.Endpoint = placed.DecodeEndpoint.ID
+	run.EndpointID = placed.DecodeEndpoint.ID
 	run.KVSource = handle
 	run.KVFetch = ""
 	run.Remaining = s.job.remaining(time.Now())
@@ -152,6 +153,9 @@
 
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, err error) {
 	s.progress.Err = err
+	if errors.Is(err, errRateLimited) {
+		return
+	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return // The caller disconnected; the endpoint did not fail.
 	}
@@ -181,7 +185,7 @@
 	start := time.Now()
 	stall := newStallTimer(s.stallTimeout(), func() bool { return s.relay.Selector.Alive(endpoint.ID) }, cancel)
 	defer stall.stop()
-	response, err := s.relay.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
+	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 		sent := !errors.Is(err, transport.ErrNotSent)
--- a/wire/gen/flamingospar/wire/v1/wirev1connect/peer.connect.go
+++ b/wire/gen/flamingospar/wire/v1/wirev1connect/peer.connect.go
@@ -36,11 +36,17 @@
 	// PeerServiceExchangeStateProcedure is the fully-qualified name of the PeerService's ExchangeState
 	// RPC.
 	PeerServiceExchangeStateProcedure = "/flamingospar.wire.v1.PeerService/ExchangeState"
+	// PeerServiceAcquireSendsProcedure is the fully-qualified name of the PeerService's AcquireSends
+	// RPC.
+	PeerServiceAcquireSendsProcedure = "/flamingospar.wire.v1.PeerService/AcquireSends"
 )
 
 // PeerServiceClient is a client for the flamingospar.wire.v1.PeerService service.
 type PeerServiceClient interface {
 	ExchangeState(context.Context, *connect.Request[v1.ExchangeStateRequest]) (*connect.Response[v1.ExchangeStateReply], error)
+	// Asks the process that shares out the rate limit of an endpoint for permits to
+	// send requests there.
+	AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error)
 }
 
 // NewPeerServiceClient constructs a client for the flamingospar.wire.v1.PeerService service. By
@@ -60,12 +66,19 @@
 			connect.WithSchema(peerServiceMethods.ByName("ExchangeState")),
 			connect.WithClientOptions(opts...),
 		),
+		acquireSends: connect.NewClient[v1.AcquireSendsRequest, v1.AcquireSendsReply](
+			httpClient,
+			baseURL+PeerServiceAcquireSendsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("AcquireSends")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	exchangeState *connect.Client[v1.ExchangeStateRequest, v1.ExchangeStateReply]
+	acquireSends  *connect.Client[v1.AcquireSendsRequest, v1.AcquireSendsReply]
 }
 
 // ExchangeState calls flamingospar.wire.v1.PeerService.ExchangeState.
@@ -73,9 +86,17 @@
 	return c.exchangeState.CallUnary(ctx, req)
 }
 
+// AcquireSends calls flamingospar.wire.v1.PeerService.AcquireSends.
+func (c *peerServiceClient) AcquireSends(ctx context.Context, req *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error) {
+	return c.acquireSends.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the flamingospar.wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	ExchangeState(context.Context, *connect.Request[v1.ExchangeStateRequest]) (*connect.Response[v1.ExchangeStateReply], error)
+	// Asks the process that shares out the rate limit of an endpoint for permits to
+	// send requests there.
+	AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -91,10 +112,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("ExchangeState")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceAcquireSendsHandler := connect.NewUnaryHandler(
+		PeerServiceAcquireSendsProcedure,
+		svc.AcquireSends,
+		connect.WithSchema(peerServiceMethods.ByName("AcquireSends")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/flamingospar.wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeStateProcedure:
 			peerServiceExchangeStateHandler.ServeHTTP(w, r)
+		case PeerServiceAcquireSendsProcedure:
+			peerServiceAcquireSendsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -107,3 +136,7 @@
 func (UnimplementedPeerServiceHandler) ExchangeState(context.Context, *connect.Request[v1.ExchangeStateRequest]) (*connect.Response[v1.ExchangeStateReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingospar.wire.v1.PeerService.ExchangeState is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingospar.wire.v1.PeerService.AcquireSends is not implemented"))
+}
