A configuration is known soon after the store lost all held calls

Change: one process, the first that is alive and has the store, holds its call for 500 ms in place of 10 s, and a held call times out 1 s after its wait in place of 1.5 s; the others receive the configuration in the exchange. Two calls a second more for the whole fleet. Ruled out: shorter calls by all (0.1 to 2 calls a second each); the store's version in other answers, which rises with every row of every table.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -16,7 +16,7 @@
 const (
 	// callTimeoutMargin is how much longer than LongPollWait a call may take,
 	// and immediateCallTimeout bounds a call without long polling.
-	callTimeoutMargin    = 1500 * time.Millisecond
+	callTimeoutMargin    = 1 * time.Second
 	immediateCallTimeout = 1 * time.Second
 	// minBackoff and maxBackoff are the longest waits after the first and after
 	// later failed calls. The actual wait is at least half as long.
@@ -38,9 +38,9 @@
 type Follower struct {
 	Store Store
 	Table string
-	// LongPollWait is how long the store may hold a call until there is a
-	// change.
-	LongPollWait time.Duration
+	// LongPollWait returns how long the store may hold a call until there is a
+	// change; nil means not at all.
+	LongPollWait func() time.Duration
 	// MinInterval returns the minimum time between two calls; nil means none.
 	MinInterval func() time.Duration
 	// IsFresh reports whether no call is needed because the data is recent
@@ -122,6 +122,13 @@
 	return f.MinInterval()
 }
 
+func (f *Follower) longPollWait() time.Duration {
+	if f.LongPollWait == nil {
+		return 0
+	}
+	return f.LongPollWait()
+}
+
 func (f *Follower) skipCall() bool {
 	if f.IsFresh == nil || f.version == 0 || f.lost || !f.IsFresh() {
 		return false
@@ -132,7 +139,8 @@
 
 func (f *Follower) fetch(ctx context.Context) error {
 	snapshot := f.version == 0
-	wait, timeout := f.LongPollWait, f.LongPollWait+callTimeoutMargin
+	wait := f.longPollWait()
+	timeout := wait + callTimeoutMargin
 	if snapshot || f.lost || f.immediate {
 		wait, timeout = 0, immediateCallTimeout // Find out whether the store answers, without waiting for a change.
 	}
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -16,9 +16,14 @@
 
 // Intervals and timeouts of the background tasks.
 const (
-	// configPollWait is the long-poll wait for configuration changes. A process
-	// that lost the response receives the configuration from its peers.
-	configPollWait = 10 * time.Second
+	// configPollWait is the long-poll wait for configuration changes, and
+	// pollerConfigPollWait that of the config poller. A call that the store has lost
+	// ends at a timeout only: the poller then knows a change soon, and the others
+	// receive it from it.
+	configPollWait       = 10 * time.Second
+	pollerConfigPollWait = 500 * time.Millisecond
+	// configPollers is the number of processes that poll for configurations often.
+	configPollers = 1
 	// The fleet poller calls the store for changes of the fleet once its data is
 	// older than pollerAgeShare of the drain timeout, and passes them on. The
 	// other processes call only if they have not been sent newer data within a
@@ -122,7 +127,7 @@
 
 func (n *Node) configFollower() *follow.Follower {
 	return &follow.Follower{
-		Store: n.store, Table: site.TableOperator, LongPollWait: configPollWait, OnLost: n.storeWatch.MarkLost, OnRecovered: n.storeWatch.MarkRecovered, StateChanged: n.storeWatch.StateChanged,
+		Store: n.store, Table: site.TableOperator, LongPollWait: n.configPollWait, OnLost: n.storeWatch.MarkLost, OnRecovered: n.storeWatch.MarkRecovered, StateChanged: n.storeWatch.StateChanged,
 		Apply: func(page site.Page, _ bool) {
 			for _, row := range page.Rows {
 				if row.Key == site.KeyConfiguration && !row.Deleted {
@@ -133,6 +138,13 @@
 	}
 }
 
+func (n *Node) configPollWait() time.Duration {
+	if n.cluster.AmongFirst(configPollers) {
+		return pollerConfigPollWait
+	}
+	return configPollWait
+}
+
 func (n *Node) applyConfig(raw []byte, source string) {
 	n.config.UpdateIfNewer(raw, source)
 	current := n.config.Current()
@@ -170,7 +182,7 @@
 
 func (n *Node) membersFollower() *follow.Follower {
 	return &follow.Follower{
-		Store: n.store, Table: peers.TableVMs, LongPollWait: membersPollWait, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList, StateChanged: n.storeWatch.StateChanged,
+		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList, StateChanged: n.storeWatch.StateChanged,
 	}
 }
 
