--- a/flamingospar/authority/fleet.go
+++ b/flamingospar/authority/fleet.go
@@ -103,6 +103,7 @@
 	settings := entrysettings.Defaults()
 	settings.DataCentre = "a"
 	settings.Listen, settings.OperatorListen, settings.Authority.PeerListen = loopbackAddress, loopbackAddress, loopbackAddress
+	settings.Operators.Open = true
 	settings.PlatformURL = "http://" + f.platformAddress
 	checked, err := settings.Checked()
 	if err != nil {
