--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"flamingospar.org/base/logging"
@@ -27,33 +26,16 @@
 	// Endpoints returns the version and age of the list of endpoints.
 	Endpoints func() (version int64, age time.Duration)
 
-	mu            sync.Mutex
-	unixSecond    int64
-	ordinaryLines int
-	unusualLines  int
-	omittedLines  int
+	budget logging.LineBudget
 }
 
 // allowLine reports whether a line may be written, and how many were omitted before
 // it.
 func (l *RequestLog) allowLine(unusual bool) (bool, int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now().Unix(); now != l.unixSecond {
-		l.unixSecond, l.ordinaryLines, l.unusualLines = now, 0, 0
-	}
-	count, limit := &l.ordinaryLines, maxOrdinaryPerSec
 	if unusual {
-		count, limit = &l.unusualLines, maxUnusualPerSec
-	}
-	if *count >= limit {
-		l.omittedLines++
-		return false, 0
+		return l.budget.Allow("unusual", maxUnusualPerSec)
 	}
-	*count++
-	omitted := l.omittedLines
-	l.omittedLines = 0
-	return true, omitted
+	return l.budget.Allow("ordinary", maxOrdinaryPerSec)
 }
 
 // Refused logs a request that was not run.
--- a/gateway/limits/acquire.go
+++ b/gateway/limits/acquire.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		l.meter.Count("limit", "ask", "failed")
 		e.skipUntil[vm] = now.Add(unreachableBackoff)
-		log.Error(err, "The process that shares out the limit of an endpoint does not answer.", "endpoint", e.id, "vm", vm)
+		l.log(e, "The process that shares out the limit of an endpoint does not answer.", "vm", vm, "err", err.Error())
 		return
 	}
 	l.merge(reply.GetLimit(), vm)
--- a/gateway/limits/limits.go
+++ b/gateway/limits/limits.go
@@ -21,6 +21,10 @@
 
 var log = logging.For("gateway/limits")
 
+// maxLinesPerSec bounds the lines about limits: an endpoint may state another one in
+// each answer.
+const maxLinesPerSec = 20
+
 // Times for which statements are kept.
 const (
 	// goneRetention is how long the statement of an endpoint that is no longer listed
@@ -39,6 +43,7 @@
 	fleet Fleet
 	meter *meter.Registry
 	now   func() time.Time
+	lines logging.LineBudget
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint // Listed ones, and for goneRetention former ones, by ID.
@@ -134,13 +139,13 @@
 	}
 	now := l.now()
 	e.changedAt = now
-	fields := []any{"endpoint", e.id, "per_second", statement.PerSecond, "previous", previous.PerSecond, "age_ms", now.Sub(statement.At).Milliseconds(), "source", source}
+	fields := []any{"per_second", statement.PerSecond, "previous", previous.PerSecond, "age_ms", now.Sub(statement.At).Milliseconds(), "source", source}
 	if !statement.Limited {
 		delete(l.limited, e.id)
 		l.ended[e.id] = e
 		l.setShare(e, 0)
 		l.meter.Count("limit", "ended")
-		log.Info("An endpoint no longer limits its requests.", fields...)
+		l.log(e, "An endpoint no longer limits its requests.", fields...)
 		return
 	}
 	delete(l.ended, e.id)
@@ -149,7 +154,14 @@
 	}
 	l.updateShare(e)
 	l.meter.Count("limit", "stated")
-	log.Info("An endpoint limits its requests.", fields...)
+	l.log(e, "An endpoint limits its requests.", fields...)
+}
+
+// log writes a line about an endpoint unless there were too many in this second.
+func (l *Limiter) log(e *endpoint, message string, fields ...any) {
+	if ok, omitted := l.lines.Allow("", maxLinesPerSec); ok {
+		log.Info(message, append([]any{"endpoint", e.id, "lines_omitted", omitted}, fields...)...)
+	}
 }
 
 // Limited reports whether an endpoint states a limit.
--- a/gateway/limits/share.go
+++ b/gateway/limits/share.go
@@ -103,7 +103,7 @@
 		return
 	}
 	e.share = share
-	log.Info("The part of an endpoint's limit that this process shares out has changed.", "endpoint", e.id, "share", share, "per_second", e.statement.PerSecond, "ranking", e.ranking)
+	l.log(e, "The part of an endpoint's limit that this process shares out has changed.", "share", share, "per_second", e.statement.PerSecond, "ranking", e.ranking)
 }
 
 // toWatch returns the VMs whose silence decides whether this process shares out the
--- a/gateway/node/join_test.go
+++ b/gateway/node/join_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/gateway/node"
-	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
 
@@ -28,7 +27,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx, node.Options{SettingsPath: second.SettingsPath}) }()
-	h.eventually(func() bool { return h.status("http://"+second.ReadyAddress+site.ReadyPath) == http.StatusOK })
+	h.awaitReady(second, done)
 	h.vm.CallerAddress = second.CallerAddress
 	require.Equal(t, http.StatusOK, h.send(http.MethodPost, plainPath, "key", nil).status)
 	require.Equal(t, http.StatusUnauthorized, h.send(http.MethodPost, plainPath, "no key", nil).status)
--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -73,7 +73,24 @@
 		cancel()
 		<-h.done
 	})
-	h.eventually(func() bool { return h.status("http://"+h.vm.ReadyAddress+site.ReadyPath) == http.StatusOK })
+	h.awaitReady(h.vm, h.done)
+}
+
+// awaitReady waits until the process on vm is ready. done receives the error of a process
+// that ends.
+func (h *harness) awaitReady(vm sitetest.VM, done chan error) {
+	h.t.Helper()
+	var ended error
+	h.eventually(func() bool {
+		select {
+		case ended = <-done:
+			done <- ended // The cleanup receives it too.
+			return true
+		default:
+			return h.status("http://"+vm.ReadyAddress+site.ReadyPath) == http.StatusOK
+		}
+	})
+	require.NoError(h.t, ended, "the process ended at its start")
 }
 
 func (h *harness) eventually(ok func() bool) {
@@ -81,8 +98,12 @@
 	require.Eventually(h.t, ok, 20*time.Second, 10*time.Millisecond)
 }
 
+// statusTimeout keeps a call that hangs from ending the wait for a condition.
+const statusTimeout = 2 * time.Second
+
 func (h *harness) status(url string) int {
-	response, err := http.Get(url)
+	client := http.Client{Timeout: statusTimeout}
+	response, err := client.Get(url)
 	if err != nil {
 		return 0
 	}
--- a/gateway/node/ratelimit_test.go
+++ b/gateway/node/ratelimit_test.go
@@ -12,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/gateway/node"
-	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
 
@@ -73,7 +72,7 @@
 		<-p.done
 	})
 	f.processes = append(f.processes, p)
-	f.eventually(func() bool { return f.status("http://"+p.vm.ReadyAddress+site.ReadyPath) == http.StatusOK })
+	f.awaitReady(p.vm, p.done)
 	return p
 }
 
--- /dev/null
+++ b/gateway/relay/forward.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/transport"
+	"flamingospar.org/platform/site"
+)
+
+// forward sends the events of a response to the caller as they arrive.
+func (s *stream) forward(ctx context.Context, endpoint site.Endpoint, response *transport.Response, assignment *engines.PromptAssignment, stall *stallTimer, start time.Time) attemptResult {
+	s.progress.runs++
+	s.progress.MayHaveRun = true
+	streamEnded := func() {}
+	defer func() { streamEnded() }()
+	buffer := make([]byte, streamBufferBytes)
+	first := true
+	gaps := gapMeter{selector: s.relay.Selector, endpoint: endpoint.ID}
+	var counter eventCounter
+	for {
+		n, err := response.Read(buffer)
+		events, sizeErr := counter.add(buffer[:n])
+		if sizeErr != nil {
+			n, err = 0, sizeErr
+		}
+		if n > 0 {
+			if events > 0 {
+				stall.progress()
+			}
+			gaps.observe(buffer[:n])
+			if first {
+				first = false
+				s.recordFirstEvent(assignment, start)
+				streamEnded = s.relay.Selector.StreamStarted(endpoint.ID)
+				s.countRunStart()
+			}
+			if s.writeEvents(response, buffer[:n]) != nil {
+				s.progress.recordCall(endpoint.ID, start, ResultCallerLeft)
+				return s.endCallerLeft()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			s.progress.recordCall(endpoint.ID, start, ResultAnswered)
+			if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
+				s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, gaps.events)
+			}
+			return s.finish(endpoint, response)
+		}
+		if err != nil {
+			s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
+			s.recordFailure(ctx, endpoint, err)
+			s.events.discardPartial()
+			if !s.headerSent && !s.job.Repeatable() {
+				return attemptResult{sent: true}
+			}
+			return s.afterBrokenResponse()
+		}
+	}
+}
+
+// recordFirstEvent records the time to the first event from an endpoint.
+func (s *stream) recordFirstEvent(assignment *engines.PromptAssignment, start time.Time) {
+	took := time.Since(start)
+	if s.progress.PrefillEndpoint == "" {
+		s.recordPrefill(assignment, took)
+	}
+	s.progress.Timing.TimeToFirstEvent = took
+	assignment.PrefillDone()
+}
+
+func (s *stream) recordPrefill(assignment *engines.PromptAssignment, took time.Duration) {
+	s.progress.Timing.setPrefill(assignment.Predicted(), took)
+	s.relay.OnPrefillDone(assignment.Predicted(), took)
+}
+
+func (s *stream) countRunStart() {
+	if !s.runCounted {
+		s.runCounted = true
+		s.relay.OnRunStart(s.job.Team)
+	}
+}
+
+// afterBrokenResponse decides whether a stream may continue on another endpoint after an
+// incomplete response: the route must be resumable, and the ID of the last event must be
+// known if the caller has received any.
+func (s *stream) afterBrokenResponse() attemptResult {
+	if s.job.Route.Resumable && (s.events.lastID != "" || !s.headerSent) {
+		return attemptResult{sent: true}
+	}
+	s.progress.Reason = ReasonBroken
+	return attemptResult{finished: s.headerSent, sent: true}
+}
+
+func (s *stream) endCallerLeft() attemptResult {
+	s.progress.Reason = ReasonCallerLeft
+	return attemptResult{finished: true, sent: true}
+}
+
+// writeEvents sends data to the caller. For a resumable stream it sends whole events
+// only, since the stream may continue on another endpoint.
+func (s *stream) writeEvents(response *transport.Response, data []byte) error {
+	if s.job.Route.Resumable {
+		data = s.events.add(data)
+		if len(data) == 0 {
+			return nil
+		}
+	}
+	s.writeHeader(response)
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+// writeHeader sends the header of the first endpoint that responded.
+func (s *stream) writeHeader(response *transport.Response) {
+	if s.headerSent {
+		return
+	}
+	s.headerSent = true
+	s.progress.TimeToFirstByte = time.Since(s.job.Arrived)
+	s.progress.Status = response.Status
+	site.CopyResponseHeaders(s.w.Header(), response.Header)
+	suppressDefaultHeaders(s.w.Header())
+	s.w.WriteHeader(response.Status)
+}
+
+// finish ends a stream after the endpoint has ended its response.
+func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
+	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
+	s.writeHeader(response)
+	if remainder := s.events.remainder(); len(remainder) > 0 {
+		if _, err := s.w.Write(remainder); err != nil {
+			return s.endCallerLeft()
+		}
+	}
+	return attemptResult{finished: true, sent: true}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -10,15 +10,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"sync"
 	"time"
 
 	"flamingospar.org/base/meter"
-	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/transport"
@@ -68,49 +64,6 @@
 	OnPrefillDone func(predicted, took time.Duration)
 }
 
-// RetryBudgets holds the retry budget of each service.
-type RetryBudgets struct {
-	mu        sync.Mutex
-	settings  retrybudget.Settings
-	byService map[string]*retrybudget.Budget
-}
-
-// NewRetryBudgets returns budgets with the same settings for all services.
-func NewRetryBudgets(settings retrybudget.Settings) *RetryBudgets {
-	return &RetryBudgets{settings: settings, byService: make(map[string]*retrybudget.Budget)}
-}
-
-// Set changes the settings of all budgets.
-func (b *RetryBudgets) Set(settings retrybudget.Settings) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.settings = settings
-	for _, budget := range b.byService {
-		budget.Set(settings)
-	}
-}
-
-func (b *RetryBudgets) get(service string) *retrybudget.Budget {
-	budget, ok := b.byService[service]
-	if !ok {
-		budget = retrybudget.New(b.settings)
-		b.byService[service] = budget
-	}
-	return budget
-}
-
-func (b *RetryBudgets) addRequest(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.get(service).AddRequest(time.Now())
-}
-
-func (b *RetryBudgets) take(service string, calls int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.get(service).Take(time.Now(), calls)
-}
-
 // Serve runs a job on endpoints and responds to its caller.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	r.RetryBudgets.addRequest(job.Service)
@@ -174,138 +127,12 @@
 	return outcome
 }
 
-// servePlain runs a request whose response is not a stream.
-func (r *Relay) servePlain(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
-	p := &progress{excluded: make(map[string]bool)}
-	for {
-		endpoint, done, ok := r.choosePlain(ctx, job, p)
-		if !ok {
-			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), r.limitRetryAfter(p))
-		}
-		p.Endpoint = endpoint.ID
-		result := r.attemptPlain(ctx, w, job, endpoint, p)
-		done()
-		if result.finished {
-			outcome := p.Outcome
-			outcome.Attempts = p.sends
-			return outcome
-		}
-		p.excluded[endpoint.ID] = true
-		if ctx.Err() != nil || !r.mayRetry(job, p, result.sent) {
-			return p.endUnanswered(ctx, w, job, ReasonEndpointsFull, 0)
-		}
-	}
-}
-
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	finished bool // The job has ended; no attempt may follow.
 	sent     bool // The request may have reached the endpoint.
 }
 
-func (r *Relay) attemptPlain(ctx context.Context, w http.ResponseWriter, job *Job, endpoint site.Endpoint, p *progress) attemptResult {
-	attemptCtx, cancel := r.withAttemptTimeout(ctx, job, p)
-	defer cancel()
-	request := r.newRequest(job, site.RunHeaders{EndpointID: endpoint.ID, Team: job.Team, Remaining: job.remaining(time.Now()), Priority: -1}, job.Body)
-	if !job.Repeatable() {
-		request.MaxIdle = nonRepeatableMaxIdle
-	}
-	start := time.Now()
-	response, err := r.send(attemptCtx, endpoint, request)
-	if err != nil {
-		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
-	}
-	if errors.Is(err, transport.ErrNotSent) {
-		p.Err = err
-		if ctx.Err() == nil && !errors.Is(err, errRateLimited) {
-			r.Selector.RecordResult(endpoint.ID, engines.Unreachable)
-		}
-		return attemptResult{}
-	}
-	p.sends++
-	if err != nil {
-		p.runs++
-		return r.recordBrokenPlain(ctx, job, endpoint, p, err)
-	}
-	defer response.Close()
-	if response.Meta.NotRun {
-		p.recordCall(endpoint.ID, start, ResultRefused)
-		r.recordRefusal(endpoint, response)
-		_, _ = io.CopyN(io.Discard, response, maxBufferedResponseBytes)
-		return attemptResult{sent: true}
-	}
-	r.OnRunStart(job.Team)
-	p.MayHaveRun = true
-	p.runs++
-	body, complete, err := readBuffered(response)
-	if err != nil {
-		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
-		return r.recordBrokenPlain(ctx, job, endpoint, p, err)
-	}
-	p.recordCall(endpoint.ID, start, resultOfStatus(response.Status))
-	if response.Status >= http.StatusInternalServerError {
-		r.Selector.RecordResult(endpoint.ID, engines.RequestFailed)
-		if job.Repeatable() && p.runs < job.Route.MaxAttempts && ctx.Err() == nil && r.mayRetry(job, p, true) {
-			p.excluded[endpoint.ID] = true
-			return r.retryPlain(ctx, w, job, p, response, body)
-		}
-	} else {
-		r.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
-	}
-	p.TimeToFirstByte = time.Since(job.Arrived)
-	p.Status = response.Status
-	writeResponse(w, response, body, complete)
-	return attemptResult{finished: true, sent: true}
-}
-
-// retryPlain retries a request after an endpoint responded with a server error, and
-// forwards that response if no other endpoint responds.
-func (r *Relay) retryPlain(ctx context.Context, w http.ResponseWriter, job *Job, p *progress, failed *transport.Response, body []byte) attemptResult {
-	endpoint, done, ok := r.choosePlain(ctx, job, p)
-	if ok {
-		defer done()
-		p.Endpoint = endpoint.ID
-		if result := r.attemptPlain(ctx, w, job, endpoint, p); result.finished {
-			return result
-		}
-	}
-	if ctx.Err() != nil {
-		return attemptResult{sent: true}
-	}
-	p.TimeToFirstByte = time.Since(job.Arrived)
-	p.Status = failed.Status
-	writeResponse(w, failed, body, true)
-	return attemptResult{finished: true, sent: true}
-}
-
-// resultOfStatus returns the result of a call with a complete response.
-func resultOfStatus(status int) Result {
-	if status >= http.StatusInternalServerError {
-		return ResultFailed
-	}
-	return ResultAnswered
-}
-
-// withAttemptTimeout limits the time of an attempt that may be retried, so that
-// another endpoint still has time to respond if this one does not.
-func (r *Relay) withAttemptTimeout(ctx context.Context, job *Job, p *progress) (context.Context, context.CancelFunc) {
-	if !job.Repeatable() || p.runs+1 >= job.Route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	timeout := time.Duration(attemptTimeoutShare * float64(job.Route.LatencyObjective))
-	return context.WithTimeout(ctx, timeout)
-}
-
-func (r *Relay) recordBrokenPlain(ctx context.Context, job *Job, endpoint site.Endpoint, p *progress, err error) attemptResult {
-	p.Err = err
-	p.MayHaveRun = true
-	if ctx.Err() == nil {
-		r.Selector.RecordResult(endpoint.ID, healthResult(err))
-		r.OnBrokenRun(job, endpoint)
-	}
-	return attemptResult{sent: true}
-}
-
 // healthResult returns the result to record for an endpoint whose response failed
 // with err.
 func healthResult(err error) engines.Result {
@@ -354,44 +181,3 @@
 	run.Apply(header)
 	return transport.Request{ID: job.Caller.ID, Method: job.Method, Target: job.Target, Host: job.Host, Header: header, Body: body}
 }
-
-// readBuffered reads up to maxBufferedResponseBytes of a body. complete is false if
-// there may be more.
-func readBuffered(response *transport.Response) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
-	if err != nil {
-		return nil, false, err
-	}
-	return body, len(body) < maxBufferedResponseBytes, nil
-}
-
-// writeResponse writes an endpoint's response to the caller: body, and the rest of the
-// response if body is not complete.
-func writeResponse(w http.ResponseWriter, response *transport.Response, body []byte, complete bool) {
-	header := w.Header()
-	site.CopyResponseHeaders(header, response.Header)
-	suppressDefaultHeaders(header)
-	if complete && response.Status >= http.StatusOK && response.Status != http.StatusNoContent {
-		header.Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	w.WriteHeader(response.Status)
-	if _, err := w.Write(body); err != nil {
-		return // The caller has disconnected.
-	}
-	if complete {
-		return
-	}
-	if _, err := io.Copy(w, response); err != nil {
-		panic(http.ErrAbortHandler) // Keeps a truncated response from looking complete.
-	}
-}
-
-// suppressDefaultHeaders keeps net/http from adding headers that the endpoint did not
-// send.
-func suppressDefaultHeaders(header http.Header) {
-	for _, name := range []string{"Date", "Content-Type"} {
-		if _, ok := header[name]; !ok {
-			header[name] = nil
-		}
-	}
-}
