--- a/gateway/limits/acquire.go
+++ b/gateway/limits/acquire.go
@@ -17,8 +17,11 @@
 	askTimeout = 150 * time.Millisecond
 	// unreachableBackoff and notSharingBackoff are how long a process is not asked again
 	// after it did not answer, and after it answered that it doesn't share out the limit.
-	unreachableBackoff = 2 * time.Second
+	unreachableBackoff = 1 * time.Second
 	notSharingBackoff  = 500 * time.Millisecond
+	// maxAsked is the number of processes that are asked in turn while none is found that
+	// shares out the limit.
+	maxAsked = 4
 	// nobodySharesBackoff is the time between two questions while no process is known
 	// that shares out the limit.
 	nobodySharesBackoff = 250 * time.Millisecond
@@ -163,10 +166,10 @@
 	l.recordReply(e, vm, request.GetCount(), reply, err)
 }
 
-// toAsk returns the VM to ask for permits: the first that ranks before this one and was
-// not found to be unable to answer. l.mu must be held.
+// toAsk returns the VM to ask for permits: the first that ranks before this one and did
+// not fail to answer a short time ago, or "". l.mu must be held.
 func (l *Limiter) toAsk(e *endpoint, now time.Time) string {
-	for _, vm := range e.ranking {
+	for _, vm := range e.ranking[:min(maxAsked, len(e.ranking))] {
 		if vm == l.vm {
 			break
 		}
--- a/gateway/limits/exchange.go
+++ b/gateway/limits/exchange.go
@@ -7,9 +7,15 @@
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
-// reportInterval is the time between two reports of all limits to a peer. Changes are
-// reported at once.
-const reportInterval = 1 * time.Second
+const (
+	// reportInterval is the time between two reports of all limits to a peer. Changes
+	// are reported at once.
+	reportInterval = 1 * time.Second
+	// maxAge is the largest age of a statement that is told apart.
+	maxAge = 1 * time.Hour
+	// maxRate is far above the rate of any endpoint. It keeps infinite rates out.
+	maxRate = 1e9
+)
 
 // Report returns the limits to report to the process on VM peer.
 func (l *Limiter) Report(peer string) []*wirev1.EndpointLimit {
@@ -34,9 +40,10 @@
 }
 
 func encode(e *endpoint, now time.Time) *wirev1.EndpointLimit {
+	age := min(max(now.Sub(e.statement.At), 0), maxAge)
 	return &wirev1.EndpointLimit{
 		Endpoint: e.id, StartedUnixMillis: e.startedMS, Limited: e.statement.Limited, PerSecond: e.statement.PerSecond,
-		AgeMs: uint64(max(now.Sub(e.statement.At).Milliseconds(), 0)),
+		AgeMs: uint64(age.Milliseconds()),
 	}
 }
 
@@ -57,9 +64,8 @@
 		return nil
 	}
 	now := l.now()
-	statement := ratelimit.Statement{
-		Limited: limit.GetLimited(), PerSecond: limit.GetPerSecond(), At: now.Add(-time.Duration(limit.GetAgeMs()) * time.Millisecond),
-	}
+	age := time.Duration(min(limit.GetAgeMs(), uint64(maxAge.Milliseconds()))) * time.Millisecond
+	statement := ratelimit.Statement{Limited: limit.GetLimited(), PerSecond: limit.GetPerSecond(), At: now.Add(-age)}
 	if e.statement.Newer(statement) && e.statement.Limited != statement.Limited {
 		l.correct(e, now)
 	}
@@ -79,9 +85,6 @@
 // validRate reports whether a rate is a number of requests a second.
 func validRate(perSecond float64) bool { return perSecond >= 0 && perSecond <= maxRate }
 
-// maxRate is far above the rate of any endpoint. It keeps infinite rates out.
-const maxRate = 1e9
-
 // Grant answers a process that asks for permits.
 func (l *Limiter) Grant(request *wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply {
 	l.mu.Lock()
--- a/gateway/limits/limits.go
+++ b/gateway/limits/limits.go
@@ -143,7 +143,7 @@
 	if !statement.Limited {
 		delete(l.limited, e.id)
 		l.ended[e.id] = e
-		l.setShare(e, 0)
+		e.share, e.ledger, e.permits, e.askAfter = 0, ratelimit.Ledger{}, nil, time.Time{}
 		l.meter.Count("limit", "ended")
 		l.log(e, "An endpoint no longer limits its requests.", fields...)
 		return
--- a/gateway/limits/limits_test.go
+++ b/gateway/limits/limits_test.go
@@ -1,14 +1,18 @@
 package limits
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"google.golang.org/protobuf/proto"
+
 	"flamingospar.org/base/meter"
 	"flamingospar.org/platform/site"
+	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
 func stated(perSecond float64) site.EndpointResponse {
@@ -68,3 +72,35 @@
 
 func (onlyProcess) Rank(string, int) []string { return []string{"vm-1"} }
 func (onlyProcess) Generation() uint64        { return 1 }
+
+// A process that never had an answer of an endpoint knows nothing of its limit: what it
+// reports must not end the limit that another knows.
+func TestProcessThatKnowsNothingEndsNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, endpoint := newLimiter()
+		l.Observe(endpoint, time.Now(), stated(4))
+		ignorant, _ := newLimiter()
+		for _, e := range ignorant.endpoints {
+			l.Merge("vm-2", []*wirev1.EndpointLimit{encode(e, time.Now())})
+		}
+		require.True(t, l.Limited("e-1"))
+		l.Merge("vm-2", []*wirev1.EndpointLimit{nil, {}, {Endpoint: "e-1", StartedUnixMillis: 1, Limited: true, PerSecond: math.Inf(1)}, {Endpoint: "e-1", StartedUnixMillis: 1, PerSecond: math.NaN()}})
+		require.EqualValues(t, 240, l.perMinute("e-1"))
+		require.Zero(t, l.Grant(&wirev1.AcquireSendsRequest{}).GetGranted())
+	})
+}
+
+// A limit is reported to each peer once a second; it must cost next to nothing beside
+// the 2 KB a second that a process may spend on control.
+func TestReportOfALimitIsSmall(t *testing.T) {
+	l := New("vm-1", onlyProcess{}, meter.NewRegistry(), time.Now)
+	endpoint := site.Endpoint{ID: "i-1778bde901", StartedMS: time.Now().UnixMilli()}
+	l.EndpointChanged(endpoint)
+	require.Empty(t, l.Report("vm-2"), "nothing is reported without a limit")
+	l.Observe(endpoint, time.Now(), stated(3.9))
+	report := l.Report("vm-2")
+	require.Len(t, report, 1)
+	require.LessOrEqual(t, proto.Size(report[0]), 48)
+	t.Logf("%d bytes", proto.Size(report[0]))
+	require.Empty(t, l.Report("vm-2"), "it was reported a moment ago")
+}
--- a/gateway/soak/harness_test.go
+++ b/gateway/soak/harness_test.go
@@ -75,6 +75,7 @@
 	service     string
 	stage       string
 	proxy       *proxy
+	limits      *sitetest.RateLimited
 	seq         int
 	faultsEnded *atomic.Bool // Shared with the harness.
 
@@ -193,7 +194,8 @@
 
 func (h *harness) addEndpoint(id, service, stage string, serve func(*endpoint, http.ResponseWriter, *http.Request)) {
 	e := &endpoint{service: service, stage: stage, seq: 1, faultsEnded: &h.faultsEnded, runs: make(map[string]int)}
-	e.Endpoint = sitetest.NewEndpoint(h.t, id, func(rw http.ResponseWriter, r *http.Request) { serve(e, rw, r) })
+	e.limits = sitetest.NewRateLimited(0, func(rw http.ResponseWriter, r *http.Request) { serve(e, rw, r) })
+	e.Endpoint = sitetest.NewEndpoint(h.t, id, e.limits.Serve)
 	e.proxy = newProxy(h.t, e.Address)
 	h.endpoints = append(h.endpoints, e)
 	h.endpointProxies = append(h.endpointProxies, e.proxy)
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -70,12 +70,14 @@
 	for i := range callerCount {
 		callers.Go(func() { c.sendRequests(ctx, rand.New(rand.NewPCG(uint64(seed), uint64(i)))) })
 	}
+	callers.Go(func() { h.stateLimits(ctx, rand.New(rand.NewPCG(uint64(seed), 2000))) })
 	h.injectFaults(ctx, rand.New(rand.NewPCG(uint64(seed), 1000)))
 	callers.Wait()
 	h.faultsEnded.Store(true)
 	h.waitUntilServing("the last fault")
 	time.Sleep(recoveryWait)
 	h.checkKeyRotation()
+	h.checkRateLimits(float64(2 + seed%8))
 	h.checkEndpointDrain()
 	time.Sleep(500 * time.Millisecond) // Lets the runs of disconnected callers end.
 	c.checkResults(t)
