--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -162,9 +162,9 @@
 	allowed := request
 	allowed.Exclude = s.unavailable(request.Exclude, blocked, false)
 	decision := s.fleet(service).Decide(s.now(), allowed)
-	placed := Placement{Decision: decision, Passed: s.passedEngines(service, request.Exclude, blocked)}
-	if placed.Passed.Endpoints > 0 && decision.Verdict != placement.InTime {
-		placed.Passed.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
+	placed := Placement{Decision: decision, PassedOver: s.passedEngines(service, request.Exclude, blocked)}
+	if placed.PassedOver.Count > 0 && decision.Verdict != placement.InTime {
+		placed.PassedOver.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
 	}
 	if decision.Decode != nil {
 		placed.DecodeEndpoint = s.endpoints[decision.Decode.ID]
@@ -196,7 +196,7 @@
 // Placement is a decision with the endpoints of the chosen engines.
 type Placement struct {
 	placement.Decision
-	Passed          Passed
+	PassedOver      PassedOver
 	PrefillEndpoint site.Endpoint
 	DecodeEndpoint  site.Endpoint
 	FetchAddress    string // Address of the engine to fetch cached parts of the prompt from, if any.
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -24,24 +24,24 @@
 func (noLimits) MayAsk(string) bool       { return false }
 func (noLimits) Limited(string) bool      { return false }
 
-// Passed describes the endpoints of a service that a decision passed over because of
+// PassedOver describes the endpoints of a service that a decision passed over because of
 // their rate limits.
-type Passed struct {
-	Endpoints int    // Their number.
-	Ask       string // The one to ask for a permit, if the request would be served better there; "" for none.
-	Any       string // Any of them; "" for none.
+type PassedOver struct {
+	Count int    // Their number.
+	Ask   string // The one to ask for a permit, if the request would be served better there; "" for none.
+	Any   string // Any of them; "" for none.
 }
 
 // passedEngines describes the blocked engines of a service that are not excluded anyway.
 // s.mu must be held.
-func (s *Selector) passedEngines(service string, exclude, blocked map[string]bool) Passed {
-	var passed Passed
+func (s *Selector) passedEngines(service string, exclude, blocked map[string]bool) PassedOver {
+	var passed PassedOver
 	if len(blocked) == 0 {
 		return passed
 	}
 	for _, engine := range s.enginesByService[service] {
 		if blocked[engine.ID] && !exclude[engine.ID] && !engine.Draining {
-			passed.Endpoints++
+			passed.Count++
 			passed.Any = engine.ID
 		}
 	}
@@ -81,21 +81,21 @@
 	return ""
 }
 
-// PassedPlain describes the endpoints of a plain service that have no room for another
+// PassedOverPlain describes the endpoints of a plain service that have no room for another
 // request because of their rate limits.
-func (s *Selector) PassedPlain(service string, exclude map[string]bool) Passed {
+func (s *Selector) PassedOverPlain(service string, exclude map[string]bool) PassedOver {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var passed Passed
+	var passed PassedOver
 	blocked := s.Limits.Blocked()
 	for _, candidate := range s.plainByService[service] {
 		id := candidate.endpoint.ID
 		if blocked[id] && !exclude[id] && !candidate.endpoint.Draining {
-			passed.Endpoints++
+			passed.Count++
 			passed.Any = id
 		}
 	}
-	if passed.Endpoints == 0 {
+	if passed.Count == 0 {
 		return passed
 	}
 	unavailable := s.unavailable(exclude, blocked, true)
--- a/gateway/engines/limits_test.go
+++ b/gateway/engines/limits_test.go
@@ -66,8 +66,8 @@
 			request.Exclude = c.exclude
 			placed := s.Place("s", request)
 			require.Equal(t, c.verdict, placed.Verdict)
-			require.Equal(t, c.passed, placed.Passed.Endpoints)
-			require.Equal(t, c.wantAsk, placed.Passed.Ask != "")
+			require.Equal(t, c.passed, placed.PassedOver.Count)
+			require.Equal(t, c.wantAsk, placed.PassedOver.Ask != "")
 			if placed.Decode != nil {
 				require.NotContains(t, c.limits, placed.Decode.ID)
 			}
@@ -87,8 +87,8 @@
 	}
 	_, _, ok := s.ChoosePlain("s", map[string]bool{"e-2": true})
 	require.False(t, ok)
-	require.Equal(t, Passed{Endpoints: 1, Ask: "e-1", Any: "e-1"}, s.PassedPlain("s", map[string]bool{"e-2": true}))
-	require.Equal(t, Passed{}, s.PassedPlain("s", map[string]bool{"e-1": true}))
+	require.Equal(t, PassedOver{Count: 1, Ask: "e-1", Any: "e-1"}, s.PassedOverPlain("s", map[string]bool{"e-2": true}))
+	require.Equal(t, PassedOver{}, s.PassedOverPlain("s", map[string]bool{"e-1": true}))
 }
 
 // A change of stage costs an engine in need two requests and its time.
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -81,8 +81,8 @@
 	if unusual {
 		fields = append(fields, "calls", outcome.Calls)
 	}
-	if outcome.Passed.Endpoints > 0 {
-		fields = append(fields, "limited_endpoints", outcome.Passed.Endpoints, "limited_endpoint", outcome.Passed.Any)
+	if outcome.PassedOver.Count > 0 {
+		fields = append(fields, "limited_endpoints", outcome.PassedOver.Count, "limited_endpoint", outcome.PassedOver.Any)
 	}
 	if outcome.RetryAfter > 0 {
 		fields = append(fields, "retry_in_ms", outcome.RetryAfter.Milliseconds())
--- a/gateway/limits/acquire.go
+++ b/gateway/limits/acquire.go
@@ -137,13 +137,8 @@
 // ask asks another process for permits, or waits for the answer to a question that is
 // under way. l.mu must be held; it is released meanwhile.
 func (l *Limiter) ask(ctx context.Context, e *endpoint, now time.Time) {
-	if asking := e.asking; asking != nil {
-		l.mu.Unlock()
-		defer l.mu.Lock()
-		select {
-		case <-asking:
-		case <-ctx.Done():
-		}
+	if e.asking != nil {
+		l.awaitAnswer(ctx, e.asking)
 		return
 	}
 	vm := l.toAsk(e, now)
@@ -156,16 +151,32 @@
 	e.asking = answered
 	request := &wirev1.AcquireSendsRequest{Vm: l.vm, Limit: encode(e, now), Count: uint32(min(max(e.unmet, 1), maxPermits))}
 	l.mu.Unlock()
-	// The question outlives its first caller, since others wait for the answer.
-	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
-	reply, err := l.fleet.AcquireSends(askCtx, vm, request)
-	cancel()
+	reply, err := l.call(ctx, vm, request)
 	l.mu.Lock()
 	e.asking = nil
 	close(answered)
 	l.recordReply(e, vm, request.GetCount(), reply, err)
 }
 
+// awaitAnswer waits until a question is answered. l.mu must be held; it is released
+// meanwhile.
+func (l *Limiter) awaitAnswer(ctx context.Context, answered <-chan struct{}) {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
+}
+
+// call asks the process on vm. The question outlives the request for which it is asked,
+// since others wait for the answer.
+func (l *Limiter) call(ctx context.Context, vm string, request *wirev1.AcquireSendsRequest) (*wirev1.AcquireSendsReply, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+	defer cancel()
+	return l.fleet.AcquireSends(ctx, vm, request)
+}
+
 // toAsk returns the VM to ask for permits: the first that ranks before this one and did
 // not fail to answer a short time ago, or "". l.mu must be held.
 func (l *Limiter) toAsk(e *endpoint, now time.Time) string {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -305,5 +305,5 @@
 
 // Handler returns the path and handler of the peer service.
 func (c *Cluster) Handler() (string, http.Handler) {
-	return wirev1connect.NewPeerServiceHandler(sendsHandler{c}, connect.WithReadMaxBytes(maxMessageBytes))
+	return wirev1connect.NewPeerServiceHandler(serviceHandler{c}, connect.WithReadMaxBytes(maxMessageBytes))
 }
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -21,8 +21,8 @@
 	if endpoint, done, ok = r.Selector.ChoosePlain(job.Service, p.excluded); ok {
 		return endpoint, done, true
 	}
-	p.Passed = r.Selector.PassedPlain(job.Service, p.excluded)
-	if p.Passed.Ask == "" || !r.Limits.Acquire(ctx, p.Passed.Ask) {
+	p.PassedOver = r.Selector.PassedOverPlain(job.Service, p.excluded)
+	if p.PassedOver.Ask == "" || !r.Limits.Acquire(ctx, p.PassedOver.Ask) {
 		return site.Endpoint{}, nil, false
 	}
 	return r.Selector.ChoosePlain(job.Service, p.excluded)
@@ -36,12 +36,12 @@
 func (s *stream) place(ctx context.Context) engines.Placement {
 	placed := s.relay.Selector.Place(s.job.Service, s.placementRequest())
 	for range maxAsks {
-		if placed.Passed.Ask == "" || !s.relay.Limits.Acquire(ctx, placed.Passed.Ask) {
+		if placed.PassedOver.Ask == "" || !s.relay.Limits.Acquire(ctx, placed.PassedOver.Ask) {
 			break
 		}
 		placed = s.relay.Selector.Place(s.job.Service, s.placementRequest())
 	}
-	s.progress.Passed = placed.Passed
+	s.progress.PassedOver = placed.PassedOver
 	return placed
 }
 
@@ -73,7 +73,7 @@
 // reasonUnplaced returns why no endpoint was selected.
 func (p *progress) reasonUnplaced() Reason {
 	switch {
-	case p.Passed.Endpoints > 0:
+	case p.PassedOver.Count > 0:
 		return ReasonRateLimited
 	case p.sends > 0:
 		return ReasonEndpointsFull
@@ -85,10 +85,10 @@
 // limitRetryAfter returns the time after which an endpoint that was passed over because
 // of its rate limit may be sent a request again, and 0 if there was none.
 func (r *Relay) limitRetryAfter(p *progress) time.Duration {
-	if p.Passed.Any == "" {
+	if p.PassedOver.Any == "" {
 		return 0
 	}
-	return r.Limits.RetryIn(p.Passed.Any)
+	return r.Limits.RetryIn(p.PassedOver.Any)
 }
 
 // endUnplaced ends a stream that no engine can start or continue.
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -79,16 +79,16 @@
 	Reason          Reason
 	Status          int // Sent to the caller; 0 if none was.
 	Attempts        int
-	Calls           []Call         // In order; at most maxCalls.
-	MayHaveRun      bool           // An endpoint began to run the request, or may have.
-	TimeToFirstByte time.Duration  // Until the response to the caller began.
-	Endpoint        string         // The last endpoint selected.
-	PrefillEndpoint string         // The endpoint that ran the prefill, if another.
-	Err             error          // Error of the last failed attempt.
-	RetryAfter      time.Duration  // As sent to the caller; 0 if none was.
-	Level           int            // Priority level sent to the endpoint.
-	FetchedTokens   int            // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
-	Passed          engines.Passed // By the last selection.
+	Calls           []Call             // In order; at most maxCalls.
+	MayHaveRun      bool               // An endpoint began to run the request, or may have.
+	TimeToFirstByte time.Duration      // Until the response to the caller began.
+	Endpoint        string             // The last endpoint selected.
+	PrefillEndpoint string             // The endpoint that ran the prefill, if another.
+	Err             error              // Error of the last failed attempt.
+	RetryAfter      time.Duration      // As sent to the caller; 0 if none was.
+	Level           int                // Priority level sent to the endpoint.
+	FetchedTokens   int                // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
+	PassedOver      engines.PassedOver // By the last selection.
 	Timing
 }
 
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -123,7 +123,7 @@
 		outcome = respondMayHaveRun(w, job, ReasonMayHaveRun)
 	}
 	outcome.Attempts, outcome.Endpoint, outcome.PrefillEndpoint, outcome.Err = p.sends, p.Endpoint, p.PrefillEndpoint, p.Err
-	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing, outcome.Passed = p.Calls, p.Level, p.FetchedTokens, p.Timing, p.Passed
+	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing, outcome.PassedOver = p.Calls, p.Level, p.FetchedTokens, p.Timing, p.PassedOver
 	return outcome
 }
 
