--- a/gateway/limits/fleet_test.go
+++ b/gateway/limits/fleet_test.go
@@ -14,6 +14,7 @@
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/rendezvous"
 	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
@@ -271,22 +272,11 @@
 	return times
 }
 
-func mostWithin(times []time.Time) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // requireKept requires that no endpoint got more than its limit allows since a moment.
 func (s *simulation) requireKept(from time.Time, limit float64, excused ...string) {
 	s.t.Helper()
 	for _, e := range s.endpoints {
-		most := mostWithin(e.since(from, excused...))
+		most := sitetest.MostWithin(window, e.since(from, excused...))
 		s.t.Logf("%s: %d requests in the worst %s at a limit of %g a second", e.ID, most, window, limit)
 		require.LessOrEqual(s.t, float64(most), tolerance*limit*window.Seconds()+allowance)
 	}
