--- a/core/ratelimit/ledger.go
+++ b/core/ratelimit/ledger.go
@@ -24,8 +24,8 @@
 
 // Ledger shares out the rate of one endpoint among processes. It is a token bucket
 // whose tokens go first to the processes that have waited longest. A process waits only
-// if it asks often: another may not come back for a token that is kept for it. The zero Ledger
-// grants nothing until SetRate is called. It is not safe for concurrent use.
+// if it asks often: another may not come back for a token that is kept for it. The zero
+// Ledger grants nothing until SetRate is called. It is not safe for concurrent use.
 type Ledger struct {
 	perSecond  float64
 	tokens     float64
--- a/gateway/peers/targets.go
+++ b/gateway/peers/targets.go
@@ -8,10 +8,10 @@
 )
 
 // exchangeTargets returns the processes that this one calls, in its own data
-// centre and in others, the watched ones included. An exchange updates both sides, so it is enough that each
-// process calls the half of the others that follows it on a hash ring: all pairs
-// then exchange. In a larger fleet the number of targets is bounded, and each
-// process is still called by some others.
+// centre and in others, the watched ones included. An exchange updates both
+// sides, so it is enough that each process calls the half of the others that
+// follows it on a hash ring: all pairs then exchange. In a larger fleet the
+// number of targets is bounded, and each process is still called by some others.
 func (c *Cluster) exchangeTargets() (local, remote []*peer) {
 	for _, p := range c.members {
 		if p.DataCentre == c.self.DataCentre {
