Test: a fleet that is split keeps to a limit

Cause: the simulations cut off one process, not half of the fleet. Change: a split of 12 s, all processes counted.

--- a/gateway/limits/fleet_test.go
+++ b/gateway/limits/fleet_test.go
@@ -375,6 +375,30 @@
 	}
 }
 
+// Half of the processes can't hear the other half, and both reach the endpoint. The side
+// without the owner must not share out the limit a second time.
+func TestLimitIsKeptWhenTheFleetIsSplit(t *testing.T) {
+	const limit = 6
+	for _, processes := range faultSizes {
+		t.Run(fmt.Sprintf("%d processes", processes), func(t *testing.T) {
+			s := newSimulation(t, processes, 1, limit)
+			s.run(noticeTime)
+			from := s.now
+			s.run(window)
+			for i, vm := range s.order() {
+				s.processes[vm].group = i % 2
+			}
+			s.run(12 * time.Second)
+			for _, p := range s.processes {
+				p.group = 0
+			}
+			s.run(2 * window)
+			s.requireKept(from, limit)
+			s.requireUsed(from, limit, minUse)
+		})
+	}
+}
+
 // A new process ranks first for an endpoint before the others have read that it is
 // listed, and one that was stopped is still listed for them.
 func TestLimitIsKeptWhileListsOfProcessesDiffer(t *testing.T) {
