A rate limit changes no stage of other engines

Seen: soak seeds 7101, 7103 and 7104 (ten fresh seeds, 7100 to 7109): a request without a team reached an endpoint. Cause: the view of the stage planner left out engines with a rate limit. While all decode engines stated one it saw none and was about to order the prefill engine to decode; its call for a report is the request that the soak saw. Change: engines with a limit count in the view and are not ordered.

--- a/gateway/engines/limits_test.go
+++ b/gateway/engines/limits_test.go
@@ -91,10 +91,14 @@
 	require.Equal(t, PassedOver{}, s.PassedOverPlain("s", map[string]bool{"e-1": true}))
 }
 
-// A change of stage costs an engine in need two requests and its time.
-func TestLimitedEnginesKeepTheirStage(t *testing.T) {
-	s := newLimitedSelector(fakeLimits{"e-1": true}, site.Decode, "e-1", "e-2")
+// A change of stage costs an engine in need two requests and its time. A limit must not
+// make other engines change their stage either: while all decode engines had one, the
+// planner saw none and ordered the prefill engine to take their place.
+func TestLimitedEnginesKeepTheirStageAndCountInIt(t *testing.T) {
+	s := newLimitedSelector(fakeLimits{"e-1": true}, site.Decode, "e-1")
+	s.EndpointChanged(site.Endpoint{ID: "e-2", Service: "s", DataCentre: "dc-1", Slots: 8, Stage: site.Prefill, StartedMS: 1})
 	view, list := s.StageView("s")
+	require.Equal(t, 1, view.PrefillEngines)
 	require.Equal(t, 1, view.DecodeEngines)
 	require.Len(t, list, 1)
 	require.Equal(t, "e-2", list[0].ID)
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -35,11 +35,13 @@
 	var wait time.Duration
 	list := make([]stages.Engine, 0, len(s.enginesByService[service]))
 	for _, engine := range s.enginesByService[service] {
-		if engine.Draining || engine.Health.Ejected(now) || s.Limits.Limited(engine.ID) {
+		if engine.Draining || engine.Health.Ejected(now) {
 			continue
 		}
 		isPrefill := engine.Stage == placement.Prefill
-		list = append(list, stages.Engine{ID: engine.ID, DataCentre: engine.DataCentre, Prefill: isPrefill, Load: engine.Running() + engine.PendingCount()})
+		if !s.Limits.Limited(engine.ID) {
+			list = append(list, stages.Engine{ID: engine.ID, DataCentre: engine.DataCentre, Prefill: isPrefill, Load: engine.Running() + engine.PendingCount()})
+		}
 		if isPrefill {
 			view.PrefillEngines++
 			wait += engine.QueueTime(now)
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -44,6 +44,8 @@
 // regressionSeeds are seeds that found a defect. They run every time.
 var regressionSeeds = []int64{
 	214, // The response to a configuration long poll was lost and the next poll came 11 s later.
+	// All decode engines stated a rate limit, and the prefill engine was to take their place.
+	7101, 7103, 7104,
 }
 
 func TestSoak(t *testing.T) {
