--- a/gateway/node/ratelimit_test.go
+++ b/gateway/node/ratelimit_test.go
@@ -28,11 +28,6 @@
 // minLimitUse is the share of the limits that must be used while callers are refused.
 const minLimitUse = 0.7
 
-// callerDeadline is the deadline of the callers, which a refusal must not wait for. The
-// time that a request waits for a permit is tested in gateway/limits, where the load of
-// the machine does not matter.
-const callerDeadline = 1500 * time.Millisecond
-
 func mostAllowed(limit float64) int {
 	return int(limitTolerance*limit*limitWindow.Seconds()) + limitAllowance
 }
@@ -44,7 +39,10 @@
 	limited   []*sitetest.RateLimited
 	served    atomic.Int64
 	refused   atomic.Int64
-	slowest   atomic.Int64 // Time of the slowest refusal, in ms.
+	// slowest is the time of the slowest refusal in ms. It is only logged: on a busy
+	// machine callers wait for a processor. gateway/relay and gateway/limits test in
+	// simulated time that a refusal waits for nothing.
+	slowest atomic.Int64
 }
 
 type entryProcess struct {
@@ -217,7 +215,6 @@
 			}
 			senders.Wait()
 			t.Logf("%d served, %d refused, the slowest refusal after %d ms", f.served.Load(), f.refused.Load(), f.slowest.Load())
-			require.Less(t, f.slowest.Load(), callerDeadline.Milliseconds(), "a caller that no endpoint may serve was refused at its deadline")
 		})
 	}
 }
