--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -7,6 +7,7 @@
 
 	"flamingospar.org/base/logging"
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/platform/site"
 )
 
 // Rate limits of the lines about requests, so that a flood of requests costs little.
@@ -61,6 +62,19 @@
 		"request", id, "stack", string(stack[:min(len(stack), maxStackBytes)]), "lines_omitted", omitted)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedParts returns the IDs of the parts that other prompts may share. The last part
+// belongs to the request or to its session.
+func sharedParts(parts []site.PromptPart) []string {
+	var ids []string
+	for i := range min(len(parts)-1, maxLoggedParts) {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
 // Ended logs the outcome of a request.
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, duration time.Duration) {
 	late := outcome.TimeToFirstByte > job.Route.LatencyObjective && job.Route.LatencyObjective > 0
@@ -79,7 +93,7 @@
 		"endpoints_version", endpointsVersion, "endpoints_age_ms", endpointsAge.Milliseconds(),
 	}
 	if unusual {
-		fields = append(fields, "calls", outcome.Calls)
+		fields = append(fields, "calls", outcome.Calls, "shared_parts", sharedParts(job.Caller.Prompt.Parts))
 	}
 	if outcome.PassedOver.Count > 0 {
 		fields = append(fields, "limited_endpoints", outcome.PassedOver.Count, "limited_endpoint", outcome.PassedOver.Any)
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -21,12 +21,14 @@
 	first := true
 	gaps := gapMeter{selector: s.relay.Selector, endpoint: endpoint.ID}
 	var counter eventCounter
+	received := 0
 	for {
 		n, err := response.Read(buffer)
 		events, sizeErr := counter.add(buffer[:n])
 		if sizeErr != nil {
 			n, err = 0, sizeErr
 		}
+		received += events
 		if n > 0 {
 			if events > 0 {
 				stall.progress()
@@ -39,19 +41,19 @@
 				s.countRunStart()
 			}
 			if s.writeEvents(response, buffer[:n]) != nil {
-				s.progress.recordCall(endpoint.ID, start, ResultCallerLeft)
+				s.progress.recordStreamCall(endpoint.ID, start, ResultCallerLeft, received)
 				return s.endCallerLeft()
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			s.progress.recordCall(endpoint.ID, start, ResultAnswered)
+			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
 			if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
 				s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, gaps.events)
 			}
 			return s.finish(endpoint, response)
 		}
 		if err != nil {
-			s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
+			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(ctx, err), received)
 			s.recordFailure(ctx, endpoint, err)
 			s.events.discardPartial()
 			if !s.headerSent && !s.job.Repeatable() {
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -48,6 +48,7 @@
 	Endpoint string `json:"endpoint"`
 	Result   Result `json:"result"`
 	MS       int64  `json:"ms"`
+	Events   int    `json:"events,omitempty"` // Received from the endpoint.
 }
 
 // maxCalls is the number of calls that are recorded per job.
@@ -55,8 +56,13 @@
 
 // recordCall records a call that has just ended.
 func (o *Outcome) recordCall(endpoint string, start time.Time, result Result) {
+	o.recordStreamCall(endpoint, start, result, 0)
+}
+
+// recordStreamCall records a call that has just ended after a number of events.
+func (o *Outcome) recordStreamCall(endpoint string, start time.Time, result Result, events int) {
 	if len(o.Calls) < maxCalls {
-		o.Calls = append(o.Calls, Call{Endpoint: endpoint, Result: result, MS: time.Since(start).Milliseconds()})
+		o.Calls = append(o.Calls, Call{Endpoint: endpoint, Result: result, MS: time.Since(start).Milliseconds(), Events: events})
 	}
 }
 
