Prompts with a part that crashes endpoints are refused

What callers saw: one endpoint after the other crashed, each taking down the answers of up to 48 callers, for as long as requests with the part came.

Cause: a request was recognised as crashing by its team, path and body alone.

Change: core/blame finds the part. At a crash the parts of all prompts are marked that the endpoint had not begun to answer; prefill alone and answers under way don't count. An answer that begins clears the parts of its prompt, at all processes. What is left is explained by as few parts as possible, three crashes at least, six for a part that was answered lately; parts that nothing tells apart are refused together only, until a request with one of them tells. A part that only one team's requests crash endpoints with is refused to that team alone. A refusal ends after a minute, longer each time, with a trial by one process. All endpoints are checked at the same moment, once a start; the requests are looked at again before each further attempt and before decode. Requests whose crash a part explains, and those that are answered, are no longer refused as identical ones either.

Why it works: a part that crashes every endpoint that begins to answer never sees an answer, and everything beside it does sooner or later.

Before: TestPromptsWithAPartThatCrashesEnginesAreRefused fails, 30, 46, 61 and 30 late requests with the part where 3 are allowed.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"time"
 )
 
@@ -108,6 +109,14 @@
 // Refused reports whether the request must be refused at now.
 func (m Mark) Refused(now time.Time) bool { return m.Count(now) >= RefuseThreshold }
 
+// Without returns the mark without the crashes with the given ids.
+func (m Mark) Without(ids map[string]bool) Mark {
+	crashes := maps.Clone(m.Crashes)
+	maps.DeleteFunc(crashes, func(id string, _ int64) bool { return ids[id] })
+	m.Crashes = crashes
+	return m
+}
+
 // Suspect reports whether the request may have caused a crash, so that it must not
 // run together with other suspects.
 func (m Mark) Suspect(now time.Time) bool { return m.Count(now) > 0 }
--- /dev/null
+++ b/gateway/crashes/check.go
@@ -0,0 +1,165 @@
+package crashes
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/core/blame"
+	"flamingospar.org/platform/site"
+)
+
+// Times and limits of the check whether an endpoint has crashed.
+const (
+	// checkDelay is how long after the first connection broke the endpoint is checked.
+	// The connections of its other runs break within that time. checkTimeout bounds the
+	// connection attempt of the check.
+	checkDelay   = 120 * time.Millisecond
+	checkTimeout = 500 * time.Millisecond
+	// maxChecks bounds the endpoints that are checked at the same time, and
+	// maxRunsPerCheck the runs of one of them that are kept.
+	maxChecks       = 256
+	maxRunsPerCheck = 96
+)
+
+// BrokenRun is a run whose connection broke.
+type BrokenRun struct {
+	RequestID string
+	Request   Request
+	Endpoint  site.Endpoint
+	Prefill   bool // Only the prompt was read.
+	Answered  bool // An answer had begun, by this endpoint or an earlier one.
+}
+
+// Unanswered reports whether the endpoint may have been about to begin an answer.
+func (r BrokenRun) Unanswered() bool { return !r.Prefill && !r.Answered }
+
+// checks are the checks that are under way.
+type checks struct {
+	mu   sync.Mutex
+	runs map[blame.Crash][]BrokenRun
+}
+
+func newChecks() checks { return checks{runs: make(map[blame.Crash][]BrokenRun)} }
+
+// add adds a run to the check of its endpoint. first is set if the check has to be
+// started, and ok is false if nothing more can be kept.
+func (c *checks) add(crashed blame.Crash, run BrokenRun) (first, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs, started := c.runs[crashed]
+	switch {
+	case !started && len(c.runs) >= maxChecks:
+		return false, false
+	case len(runs) < maxRunsPerCheck:
+		runs = append(runs, run)
+	case run.Unanswered():
+		ok = replaceAnswered(runs, run)
+		return false, ok
+	default:
+		return false, false
+	}
+	c.runs[crashed] = runs
+	return !started, true
+}
+
+// replaceAnswered replaces a run that had begun its answer, which tells less.
+func replaceAnswered(runs []BrokenRun, run BrokenRun) bool {
+	for i := range runs {
+		if !runs[i].Unanswered() {
+			runs[i] = run
+			return true
+		}
+	}
+	return false
+}
+
+// end ends a check and returns its runs.
+func (c *checks) end(crashed blame.Crash) []BrokenRun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := c.runs[crashed]
+	delete(c.runs, crashed)
+	return runs
+}
+
+// RecordBrokenRun queues a run whose connection broke for a check of its endpoint. It
+// never blocks.
+func (t *Tracker) RecordBrokenRun(run BrokenRun) {
+	if !t.brokenRuns.Offer(run) {
+		t.logUnchecked(run)
+	}
+}
+
+func (t *Tracker) logUnchecked(run BrokenRun) {
+	if ok, omitted := t.lineBudget.Allow("unchecked", maxCrashLinesPerSec); ok {
+		log.Info("The endpoint of a broken run is not checked: there are too many.", "request", run.RequestID, "endpoint", run.Endpoint.ID, "lines_omitted", omitted)
+	}
+}
+
+// Run checks the endpoints of broken runs and marks the requests whose endpoint has
+// crashed, until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	expiry := time.NewTicker(expiryInterval)
+	defer expiry.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expiry.C:
+			t.expire()
+		case run := <-t.brokenRuns.Items():
+			crashed := blame.Crash{Endpoint: run.Endpoint.ID, StartedMS: run.Endpoint.StartedMS}
+			first, ok := t.checks.add(crashed, run)
+			if !ok {
+				t.logUnchecked(run)
+			}
+			if first {
+				go t.check(ctx, crashed, run.Endpoint.Address)
+			}
+		}
+	}
+}
+
+// check records a crash if the endpoint refuses connections although it is listed and
+// was not about to leave. A broken connection alone proves no crash, and neither does an
+// endpoint that can't be reached: this process may be disconnected from the network.
+func (t *Tracker) check(ctx context.Context, crashed blame.Crash, address string) {
+	if !clock.Sleep(ctx, checkDelay) {
+		return
+	}
+	refused := refusesConnections(ctx, address)
+	runs := t.checks.end(crashed)
+	if !refused || !t.expected(crashed) {
+		return
+	}
+	t.recordCrash(ctx, crashed, runs)
+}
+
+func refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent on it.
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// expected reports whether an endpoint should have been running. One that has left the
+// list or is draining ended as planned.
+func (t *Tracker) expected(crashed blame.Crash) bool {
+	endpoint, ok := t.fleet.Endpoint(crashed.Endpoint)
+	return ok && !endpoint.Draining
+}
+
+// crashID returns the name of a crash, which is the same at all processes.
+func crashID(crashed blame.Crash) string {
+	return crashed.Endpoint + "/" + strconv.FormatInt(crashed.StartedMS, 10)
+}
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -1,146 +1,241 @@
-// Package crashes keeps marks of requests that were running when endpoints crashed,
-// and refuses these requests before they crash more endpoints. The entry processes
-// exchange their marks along with the rest of their state.
+// Package crashes recognises requests that crash endpoints, and refuses them before
+// they crash more. It knows them by what they are (team, path and body) and by the parts
+// of their prompts, since requests with one part may crash endpoints whatever else they
+// hold. The entry processes exchange what they know along with the rest of their state.
 package crashes
 
 import (
 	"context"
-	"errors"
-	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/google/uuid"
-
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/ring"
+	"flamingospar.org/core/blame"
 	"flamingospar.org/core/crash"
+	"flamingospar.org/platform/site"
 )
 
-// Times and limits of the marks.
+// Limits of what is known.
 const (
-	// confirmDelay is how long after a connection broke the endpoint is checked, and
-	// confirmTimeout bounds the connection attempt of that check.
-	confirmDelay   = 120 * time.Millisecond
-	confirmTimeout = 500 * time.Millisecond
-	// maxQueuedRuns bounds the broken runs that wait for their check.
-	maxQueuedRuns = 64
-	// maxMarksPerExchange bounds the marks sent in one exchange with another process.
-	maxMarksPerExchange = 32
+	// maxQueuedRuns bounds the broken runs that wait until their check begins.
+	maxQueuedRuns = 256
+	// expiryInterval is the time between two removals of what has expired.
+	expiryInterval = 1 * time.Minute
+	// trialStep is the time that a process leaves the one before it in the ranking to try
+	// whether a part still crashes endpoints. The result reaches other processes within it.
+	trialStep = 3 * time.Second
 )
 
 var log = logging.For("gateway/crashes")
 
-// BrokenRun is a run whose connection broke.
-type BrokenRun struct {
-	RequestID string
-	Team      string
-	Path      string
-	Body      []byte
-	Endpoint  string
-	Address   string
+// Request is what a request is recognised by.
+type Request struct {
+	Team  string
+	Path  string
+	Body  []byte
+	Parts []string // Of its prompt that other requests may share.
+}
+
+// requestPart is the prefix of the name under which a request as a whole stands among
+// the parts of its prompt. If only copies of one request crash endpoints, its parts are
+// not blamed for them.
+const requestPart = "request:"
+
+// parts returns the parts of a request, itself included.
+func (r Request) parts(fingerprint crash.Fingerprint) []string {
+	return append(r.Parts[:len(r.Parts):len(r.Parts)], requestPart+string(fingerprint))
+}
+
+func (r Request) fingerprint() crash.Fingerprint { return crash.FingerprintOf(r.Team, r.Path, r.Body) }
+
+// Fleet is what the tracker needs to know of endpoints and processes.
+type Fleet interface {
+	// Endpoint returns an endpoint that is listed.
+	Endpoint(id string) (site.Endpoint, bool)
+	// Position returns the position of this process in the ranking of all for a key.
+	Position(key string) int
 }
 
-// Tracker holds the crash marks known to this process. It is safe for concurrent use.
+// Tracker holds what this process knows of crashes. It is safe for concurrent use.
 type Tracker struct {
+	fleet      Fleet
 	brokenRuns *ring.Ring[BrokenRun]
 	hasMarks   atomic.Bool // Avoids fingerprinting requests while there are no marks.
+	checks     checks
 
-	mu    sync.Mutex
-	marks *crash.MarkSet
+	mu         sync.Mutex
+	marks      *crash.MarkSet
+	parts      *blame.Set
+	reports    map[string]reportTimes // By VM.
+	blamed     map[string]bool        // What was blamed at the last change: parts, separated by spaces.
+	explained  map[string]bool        // Crashes that parts were blamed for at the last change.
+	lineBudget logging.LineBudget
 }
 
-// New returns a tracker without marks.
-func New() *Tracker {
-	return &Tracker{brokenRuns: ring.New[BrokenRun](maxQueuedRuns), marks: crash.NewMarkSet()}
+// New returns a tracker that knows of no crash.
+func New(fleet Fleet) *Tracker {
+	t := &Tracker{
+		fleet: fleet, brokenRuns: ring.New[BrokenRun](maxQueuedRuns), checks: newChecks(), marks: crash.NewMarkSet(), parts: blame.New(),
+		reports: make(map[string]reportTimes), blamed: make(map[string]bool),
+	}
+	t.parts.TrialDelay = func(part string) time.Duration { return time.Duration(fleet.Position(part)) * trialStep }
+	return t
+}
+
+// Decision says whether a request may run.
+type Decision struct {
+	Refused bool
+	// Trial is set for a request that shows whether its part still crashes endpoints. It
+	// must be sent to one endpoint only.
+	Trial bool
+	// RetryIn is the time after which a refused request may be tried again.
+	RetryIn time.Duration
+	// Part is the part of the prompt that is blamed, if there is one, and Crashes the
+	// number of crashes that count against it.
+	Part    string
+	Crashes int
 }
 
-// Refused reports whether a request was running at so many crashes that it must not
-// run again.
-func (t *Tracker) Refused(team, path string, body []byte) bool {
+// identicalRetryIn is the time after which a request that crashes endpoints by itself may
+// be tried again. It is long because an operator has to intervene first.
+const identicalRetryIn = 60 * time.Second
+
+// Decide decides about a request that has arrived.
+func (t *Tracker) Decide(request Request) Decision {
 	if !t.hasMarks.Load() {
-		return false
+		return Decision{}
 	}
-	fingerprint := crash.FingerprintOf(team, path, body)
+	fingerprint := request.fingerprint()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.marks.Mark(fingerprint).Refused(time.Now())
-}
-
-// RecordBrokenRun queues a run whose connection broke for a check of its endpoint. It
-// never blocks.
-func (t *Tracker) RecordBrokenRun(run BrokenRun) {
-	if !t.brokenRuns.Offer(run) {
-		log.Info("The endpoint of a broken run is not checked: the queue is full.", "request", run.RequestID, "endpoint", run.Endpoint)
+	now := time.Now()
+	if t.marks.Mark(fingerprint).Without(t.explained).Refused(now) {
+		return Decision{Refused: true, RetryIn: identicalRetryIn}
+	}
+	verdict := t.parts.Verdict(request.Team, request.parts(fingerprint), now)
+	if len(verdict.Parts) == 0 {
+		return Decision{}
+	}
+	if verdict.Trial {
+		log.Info("A request is let through to find out whether a part of its prompt still crashes endpoints.", "part", verdict.Parts[0], "crashes", verdict.Crashes)
 	}
+	return Decision{Refused: verdict.Refused, Trial: verdict.Trial, RetryIn: max(verdict.Until.Sub(now), 0), Part: verdict.Parts[0], Crashes: verdict.Crashes}
 }
 
-// Run checks the endpoints of broken runs and marks the requests whose endpoint is
-// down, until ctx ends.
-func (t *Tracker) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case run := <-t.brokenRuns.Items():
-			t.confirm(ctx, run)
-		}
+// RecordComplete records that an endpoint has answered a request completely, so that the
+// request as a whole crashes no endpoints.
+func (t *Tracker) RecordComplete(request Request) {
+	if !t.hasMarks.Load() {
+		return
+	}
+	fingerprint := request.fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if mark := t.marks.Mark(fingerprint); mark.Suspect(now) {
+		t.marks.Merge(mark.Clear(now), now)
 	}
 }
 
-// confirm marks the request of a run if its endpoint refuses connections. A broken
-// connection alone does not prove a crash, and neither does an endpoint that can't be
-// reached.
-func (t *Tracker) confirm(ctx context.Context, run BrokenRun) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(confirmDelay):
+// RecordAnswer records that an endpoint has begun to answer a request, so that no part of
+// its prompt crashes endpoints.
+func (t *Tracker) RecordAnswer(request Request) {
+	parts := request.Parts
+	if t.hasMarks.Load() {
+		parts = request.parts(request.fingerprint())
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", run.Address)
-	if err == nil {
-		_ = conn.Close() // Nothing was sent on it.
+	if len(parts) == 0 {
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return // This process may be disconnected from the network.
-	}
-	mark := crash.New(crash.FingerprintOf(run.Team, run.Path, run.Body), run.Team, uuid.NewString()[:8], time.Now())
-	t.Merge([]crash.Mark{mark})
-	log.Info("A request was running when its endpoint crashed.", "request", run.RequestID, "endpoint", run.Endpoint, "fingerprint", string(mark.Fingerprint))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.parts.RecordAnswer(parts, time.Now())
+	t.updateBlamed("an answer")
 }
 
-// Merge adds marks of this or another process.
-func (t *Tracker) Merge(marks []crash.Mark) {
+// recordCrash marks the requests that were running at a crash, and the parts of those
+// that were not answered yet.
+func (t *Tracker) recordCrash(ctx context.Context, crashed blame.Crash, runs []BrokenRun) {
+	if ctx.Err() != nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, mark := range marks {
-		if t.marks.Merge(mark, time.Now()) {
-			t.hasMarks.Store(true)
+	now := time.Now()
+	unanswered := make([]blame.Run, 0, len(runs))
+	for _, run := range runs {
+		fingerprint := run.Request.fingerprint()
+		if !run.Prefill {
+			t.marks.Merge(crash.New(fingerprint, run.Request.Team, crashID(crashed), now), now)
+		}
+		if run.Unanswered() {
+			unanswered = append(unanswered, blame.Run{Team: run.Request.Team, Parts: run.Request.parts(fingerprint)})
 		}
 	}
+	t.parts.RecordCrash(crashed, unanswered, now)
+	t.hasMarks.Store(true)
+	if ok, omitted := t.lineBudget.Allow("crash", maxCrashLinesPerSec); ok {
+		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "unanswered", len(unanswered), "requests", requestIDs(runs), "lines_omitted", omitted)
+	}
+	t.updateBlamed("a crash")
 }
 
-// MarksForPeer returns the marks to send to another process. Marks of refused requests
-// come first.
-func (t *Tracker) MarksForPeer() []crash.Mark {
-	if !t.hasMarks.Load() {
-		return nil
-	}
+// expire removes what has expired.
+func (t *Tracker) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var forPeer []crash.Mark
 	now := time.Now()
-	for _, mark := range t.marks.All() {
-		if mark.Refused(now) {
-			forPeer = append([]crash.Mark{mark}, forPeer...)
-			continue
+	t.marks.RemoveExpired(now)
+	t.parts.RemoveExpired(now)
+	t.updateBlamed("their age")
+}
+
+// Limits of log lines.
+const (
+	maxCrashLinesPerSec  = 10
+	maxBlamedLinesPerSec = 10
+	maxLoggedRequests    = 8
+)
+
+// updateBlamed updates what follows from the blamed parts, after a change of their marks,
+// and logs the parts that have become blamed or no longer are. t.mu must be held.
+func (t *Tracker) updateBlamed(cause string) {
+	if !t.parts.Changed() {
+		return
+	}
+	t.explained = make(map[string]bool)
+	for crashed := range t.parts.Explained() {
+		t.explained[crashID(crashed)] = true
+	}
+	blamed := make(map[string]bool)
+	for _, parts := range t.parts.Blamed() {
+		name := strings.Join(parts, " ")
+		blamed[name] = true
+		if !t.blamed[name] {
+			t.logChange("Requests with all of these parts are refused: endpoints crash when they begin to answer them.", name, cause, "evidence", t.parts.Mark(parts[0]).Evidence)
+		}
+	}
+	for name := range t.blamed {
+		if !blamed[name] {
+			t.logChange("Requests with these parts are no longer refused for them.", name, cause)
 		}
-		forPeer = append(forPeer, mark)
 	}
-	return forPeer[:min(len(forPeer), maxMarksPerExchange)]
+	t.blamed = blamed
+}
+
+func (t *Tracker) logChange(message, parts, cause string, keysAndValues ...any) {
+	if ok, omitted := t.lineBudget.Allow("blamed", maxBlamedLinesPerSec); ok {
+		log.Info(message, append([]any{"parts", parts, "cause", cause, "lines_omitted", omitted}, keysAndValues...)...)
+	}
+}
+
+func requestIDs(runs []BrokenRun) []string {
+	var ids []string
+	for _, run := range runs[:min(len(runs), maxLoggedRequests)] {
+		ids = append(ids, run.RequestID)
+	}
+	return ids
 }
--- a/gateway/ingress/conn_test.go
+++ b/gateway/ingress/conn_test.go
@@ -26,7 +26,7 @@
 	holder.UpdateIfNewer(sitetest.Manifest(3, nil, sitetest.Route{Name: "p", Kind: "idempotent", Service: "plain", Public: true}), "test")
 	metrics := meter.NewRegistry()
 	// The nil relay panics if the request reaches it.
-	handler := &ingress.Handler{Config: holder, Meter: metrics, Log: &ingress.RequestLog{}, Crashes: crashes.New()}
+	handler := &ingress.Handler{Config: holder, Meter: metrics, Log: &ingress.RequestLog{}, Crashes: crashes.New(nil)}
 	accepted := make(chan net.Conn, 1)
 	handled := make(chan struct{})
 	closeThenServe := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -30,9 +30,6 @@
 	// notReadyRetryAfter is the Retry-After time of a process without a
 	// configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// crashRetryAfter is the Retry-After time of a request that crashes endpoints.
-	// It is long because an operator has to intervene first.
-	crashRetryAfter = 60 * time.Second
 	// writeMargin is how long after its deadline a response may still be written, so
 	// that a slow client cannot occupy the request for longer.
 	writeMargin = 3 * time.Second
@@ -70,7 +67,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // Clears the deadline of the connection's previous request.
 	current := h.Config.Current()
 	if current == nil {
-		h.refuse(w, r, arrived, refusal{http.StatusServiceUnavailable, "no_configuration"})
+		h.refuse(w, r, arrived, refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryIn: notReadyRetryAfter})
 		return
 	}
 	job, refused := h.admit(w, r, current, arrived)
@@ -80,7 +77,7 @@
 	}
 	if connClosed(r.Context()) {
 		h.Meter.Count("request", "refused", "connection_closed")
-		h.Log.Refused(job.Caller.ID, 0, "connection_closed", current.Version, time.Since(arrived))
+		h.Log.Refused(job.Caller.ID, refusal{reason: "connection_closed"}, current.Version, time.Since(arrived))
 		panic(http.ErrAbortHandler)
 	}
 	h.serve(r.Context(), w, job)
@@ -88,8 +85,10 @@
 
 // refusal is the response to a request that is not passed to the relay.
 type refusal struct {
-	status int
-	reason string
+	status  int
+	reason  string
+	retryIn time.Duration // Of a status that promises that the request has not run.
+	part    string        // The part of the prompt that endpoints crash on.
 }
 
 // admit checks a request against the configuration and reads it.
@@ -101,7 +100,7 @@
 	path, _, _ := strings.Cut(target, "?")
 	route, ok := current.Match(r.Host, path)
 	if !ok {
-		return nil, refusal{http.StatusNotFound, "no_route"}
+		return nil, refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
 	caller := site.ParseCallerRequest(r.Header)
 	team, refused := authenticate(current, route, caller)
@@ -109,18 +108,20 @@
 		return nil, refused
 	}
 	if caller.ID == "" {
-		return nil, refusal{http.StatusBadRequest, "no_request_id"}
+		return nil, refusal{status: http.StatusBadRequest, reason: "no_request_id"}
 	}
 	body, refused := readBody(w, r, current.CallerLimits)
 	if refused.status != 0 {
 		return nil, refused
 	}
-	if h.Crashes.Refused(team.Name, path, body) {
-		return nil, refusal{http.StatusServiceUnavailable, "crashes_endpoints"}
+	identity := crashes.Request{Team: team.Name, Path: path, Body: body, Parts: caller.Prompt.SharedParts()}
+	decision := h.Crashes.Decide(identity)
+	if decision.Refused {
+		return nil, refusal{status: http.StatusServiceUnavailable, reason: "crashes_endpoints", retryIn: decision.RetryIn, part: decision.Part}
 	}
 	job := &relay.Job{
 		Caller: caller, Method: r.Method, Target: target, Host: r.Host, Header: site.ForwardHeaders(r.Header), Body: body,
-		Route: route, Service: pickService(route), Team: team.Name, Priority: route.Priority, Arrived: arrived,
+		Route: route, Service: pickService(route), Team: team.Name, Identity: identity, Trial: decision.Trial, Priority: route.Priority, Arrived: arrived,
 		Deadline: deadline(caller, route, arrived), ConfigVersion: current.Version,
 	}
 	if team.Priority != nil {
@@ -136,7 +137,7 @@
 	}
 	team, ok := current.TeamByKey(caller.Key)
 	if !ok || caller.Key == "" {
-		return site.Team{}, refusal{http.StatusUnauthorized, "unknown_key"}
+		return site.Team{}, refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 	}
 	return team, refusal{}
 }
@@ -177,7 +178,7 @@
 		maxBytes = defaultMaxBodyBytes
 	}
 	if r.ContentLength > maxBytes {
-		return nil, refusal{http.StatusRequestEntityTooLarge, "body_too_large"}
+		return nil, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + bodyReadMargin)) // Server connections support deadlines.
@@ -186,9 +187,9 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, refusal{http.StatusRequestEntityTooLarge, "body_too_large"}
+		return nil, refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	case err != nil:
-		return nil, refusal{http.StatusRequestTimeout, "body_not_read"}
+		return nil, refusal{status: http.StatusRequestTimeout, reason: "body_not_read"}
 	default:
 		return body, refusal{}
 	}
@@ -198,18 +199,11 @@
 	caller := site.ParseCallerRequest(r.Header)
 	site.SetRequestID(w.Header(), caller.ID)
 	if refused.status == http.StatusServiceUnavailable {
-		site.SetRetryAfter(w.Header(), retryAfter(refused.reason))
+		site.SetRetryAfter(w.Header(), refused.retryIn)
 	}
 	http.Error(w, refused.reason, refused.status)
 	h.Meter.Count("request", "refused", refused.reason)
-	h.Log.Refused(caller.ID, refused.status, refused.reason, h.Config.Version(), time.Since(arrived))
-}
-
-func retryAfter(reason string) time.Duration {
-	if reason == "crashes_endpoints" {
-		return crashRetryAfter
-	}
-	return notReadyRetryAfter
+	h.Log.Refused(caller.ID, refused, h.Config.Version(), time.Since(arrived))
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -7,7 +7,6 @@
 
 	"flamingospar.org/base/logging"
 	"flamingospar.org/gateway/relay"
-	"flamingospar.org/platform/site"
 )
 
 // Rate limits of the lines about requests, so that a flood of requests costs little.
@@ -40,12 +39,12 @@
 }
 
 // Refused logs a request that was not run.
-func (l *RequestLog) Refused(id string, status int, reason string, version int64, duration time.Duration) {
+func (l *RequestLog) Refused(id string, refused refusal, version int64, duration time.Duration) {
 	ok, omitted := l.allowLine(true)
 	if !ok {
 		return
 	}
-	log.Info("A request was refused.", "request", id, "status", status, "reason", reason, "configuration", version, "ms", duration.Milliseconds(), "lines_omitted", omitted)
+	log.Info("A request was refused.", "request", id, "status", refused.status, "reason", refused.reason, "part", refused.part, "retry_in_ms", refused.retryIn.Milliseconds(), "configuration", version, "ms", duration.Milliseconds(), "lines_omitted", omitted)
 }
 
 // maxStackBytes bounds the stack trace in a log line.
@@ -65,16 +64,6 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
-// sharedParts returns the IDs of the parts that other prompts may share. The last part
-// belongs to the request or to its session.
-func sharedParts(parts []site.PromptPart) []string {
-	var ids []string
-	for i := range min(len(parts)-1, maxLoggedParts) {
-		ids = append(ids, parts[i].ID)
-	}
-	return ids
-}
-
 // Ended logs the outcome of a request.
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, duration time.Duration) {
 	late := outcome.TimeToFirstByte > job.Route.LatencyObjective && job.Route.LatencyObjective > 0
@@ -93,7 +82,8 @@
 		"endpoints_version", endpointsVersion, "endpoints_age_ms", endpointsAge.Milliseconds(),
 	}
 	if unusual {
-		fields = append(fields, "calls", outcome.Calls, "shared_parts", sharedParts(job.Caller.Prompt.Parts))
+		sharedParts := job.Identity.Parts
+		fields = append(fields, "calls", outcome.Calls, "shared_parts", sharedParts[:min(len(sharedParts), maxLoggedParts)])
 	}
 	if outcome.PassedOver.Count > 0 {
 		fields = append(fields, "limited_endpoints", outcome.PassedOver.Count, "limited_endpoint", outcome.PassedOver.Any)
--- a/gateway/ingress/panic_test.go
+++ b/gateway/ingress/panic_test.go
@@ -22,7 +22,7 @@
 	holder.UpdateIfNewer(sitetest.Manifest(1, nil, sitetest.Route{Name: "plain", Kind: "idempotent", Service: "plain", Public: true}), "test")
 	registry := meter.NewRegistry()
 	handler := &Handler{ // Each admitted request panics, since the relay is nil.
-		Config: holder, Meter: registry, Crashes: crashes.New(),
+		Config: holder, Meter: registry, Crashes: crashes.New(nil),
 		Log: &RequestLog{Endpoints: func() (int64, time.Duration) { return 0, 0 }},
 	}
 	server := httptest.NewServer(handler)
--- a/gateway/node/crashpart_test.go
+++ b/gateway/node/crashpart_test.go
@@ -19,7 +19,8 @@
 )
 
 // Bounds of what requests with a part that crashes engines may do. The part counts as
-// known crashNoticeTime after the crash with number knownCrashes. From then on
+// known crashNoticeTime after the crash with number knownCrashes, or after the last if
+// there are fewer. From then on
 // maxLateRequests with it may reach engines, and after twice that time sound requests
 // that share something with it are served as before.
 const (
@@ -98,6 +99,18 @@
 	return all
 }
 
+// awaitKnownCrash waits until engines have crashed knownCrashes times, or no more for
+// crashNoticeTime, and returns the time of the last of these crashes.
+func (f *crashFleet) awaitKnownCrash() time.Time {
+	f.t.Helper()
+	f.eventually(func() bool {
+		crashes := f.crashes()
+		return len(crashes) >= knownCrashes || len(crashes) > 0 && time.Since(crashes[len(crashes)-1]) > crashNoticeTime
+	})
+	crashes := f.crashes()
+	return crashes[min(len(crashes), knownCrashes)-1]
+}
+
 // arrivalsAfter returns the number of requests with a deadly part that reached engines
 // after a moment.
 func (f *crashFleet) arrivalsAfter(moment time.Time) int {
@@ -143,8 +156,7 @@
 			time.Sleep(time.Second)
 			var crashing servedCount
 			f.loadPrompts(ctx, &senders, c.path, 6, &crashing, func(int) string { return "first:2000,beside:900,dead:100" })
-			f.eventually(func() bool { return len(f.crashes()) >= knownCrashes })
-			known := f.crashes()[knownCrashes-1].Add(crashNoticeTime)
+			known := f.awaitKnownCrash().Add(crashNoticeTime)
 			time.Sleep(time.Until(known.Add(crashNoticeTime)))
 			sent, served := f.sound.sent.Load(), f.sound.served.Load()
 			time.Sleep(2 * time.Second)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -12,8 +12,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -135,7 +135,7 @@
 	n.sharedClock = duties.NewSharedClock(n.store, func() time.Duration { return clock.Now().Sub(started) })
 	n.tally = duties.NewTally(n.sharedClock.Now, settings.Bounds.UsageWindow)
 	n.replicas = duties.NewReplicas()
-	n.crashTracker = crashes.New()
+	n.crashTracker = crashes.New(crashFleet{n})
 	self := peers.Member{VM: settings.NodeName, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
 	n.cluster = peers.New(self, settings.Seeds, n.store, n)
 	n.cluster.Supervisor = n.supervisor
@@ -207,12 +207,16 @@
 	internal *http.Server
 }
 
-// recordBrokenRun reports a run whose connection broke to the crash tracker.
-func (n *Node) recordBrokenRun(job *relay.Job, endpoint site.Endpoint) {
-	path, _, _ := strings.Cut(job.Target, "?")
-	n.crashTracker.RecordBrokenRun(crashes.BrokenRun{
-		RequestID: job.Caller.ID, Team: job.Team, Path: path, Body: job.Body, Endpoint: endpoint.ID, Address: endpoint.Address,
-	})
+// crashFleet tells the crash tracker about endpoints and processes.
+type crashFleet struct{ node *Node }
+
+// Endpoint returns an endpoint that is listed.
+func (f crashFleet) Endpoint(id string) (site.Endpoint, bool) { return f.node.fleet.Get(id) }
+
+// Position returns the position of this process in the ranking of all for a key.
+func (f crashFleet) Position(key string) int {
+	ranking := f.node.cluster.Rank(key, f.node.cluster.Size())
+	return max(slices.Index(ranking, f.node.settings.NodeName), 0)
 }
 
 // openServers listens on all addresses of the process and serves them.
@@ -232,7 +236,7 @@
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
 		Log:   &ingress.RequestLog{Endpoints: func() (int64, time.Duration) { return n.fleet.Version(), n.fleet.Age() }},
-		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, OnBrokenRun: n.recordBrokenRun, OnPrefillDone: n.recordPrefillTime},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext = ingress.ConnContext
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -27,6 +27,7 @@
 			Fingerprint: string(mark.Fingerprint), Team: mark.Team, Crashes: mark.Crashes, ClearedUnixMillis: mark.Cleared,
 		})
 	}
+	state.Parts = n.crashTracker.PartsForPeer(peer)
 	state.Limits = n.limiter.Report(peer)
 	if usage {
 		state.UsageWhole = true
@@ -100,7 +101,7 @@
 	}
 	n.selector.SetPeerLoads(state.GetVm(), loads)
 	n.selector.MarkCached(decodePrompts(state.GetPrompts()))
-	n.crashTracker.Merge(decodeMarks(state.GetMarks()))
+	n.crashTracker.Merge(decodeMarks(state.GetMarks()), state.GetParts())
 	n.limiter.Merge(state.GetVm(), state.GetLimits())
 	for _, window := range state.GetUsage() {
 		counts := make(map[string]int64, len(window.GetTeams()))
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -32,6 +32,7 @@
 		if n > 0 {
 			if events > 0 {
 				stall.progress()
+				s.recordAnswer()
 			}
 			gaps.observe(buffer[:n])
 			if first {
@@ -54,7 +55,7 @@
 		}
 		if err != nil {
 			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(ctx, err), received)
-			s.recordFailure(ctx, endpoint, err)
+			s.recordFailure(ctx, endpoint, false, err)
 			s.events.discardPartial()
 			if !s.headerSent && !s.job.Repeatable() {
 				return attemptResult{sent: true}
@@ -74,6 +75,14 @@
 	assignment.PrefillDone()
 }
 
+// recordAnswer records that an endpoint has begun the answer.
+func (s *stream) recordAnswer() {
+	if !s.answered {
+		s.answered = true
+		s.relay.Crashes.RecordAnswer(s.job.Identity)
+	}
+}
+
 func (s *stream) recordPrefill(assignment *engines.PromptAssignment, took time.Duration) {
 	s.progress.Timing.setPrefill(assignment.Predicted(), took)
 	s.relay.OnPrefillDone(assignment.Predicted(), took)
@@ -134,6 +143,7 @@
 // finish ends a stream after the endpoint has ended its response.
 func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
 	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
+	s.relay.Crashes.RecordComplete(s.job.Identity)
 	s.writeHeader(response)
 	if remainder := s.events.remainder(); len(remainder) > 0 {
 		if _, err := s.w.Write(remainder); err != nil {
--- a/gateway/relay/job.go
+++ b/gateway/relay/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flamingospar.org/core/placement"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/platform/site"
 )
 
@@ -19,7 +20,9 @@
 	Route         site.Route
 	Service       string
 	Team          string
-	Priority      int // Of the team if it has one, otherwise of the route; 0 first.
+	Identity      crashes.Request // What it is recognised by if it crashes endpoints.
+	Trial         bool            // It shows whether a part of its prompt still crashes endpoints.
+	Priority      int             // Of the team if it has one, otherwise of the route; 0 first.
 	Arrived       time.Time
 	Deadline      time.Time // The earlier one of the caller's and the route's.
 	ConfigVersion int64     // Of the configuration that admitted it.
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -17,12 +17,13 @@
 // The reasons, which are also names of counters.
 const (
 	ReasonNone          Reason = ""
-	ReasonNoEndpoint    Reason = "no_endpoint"    // None is listed, or none accepts requests.
-	ReasonTooLate       Reason = "too_late"       // No engine can serve it before its caller stops waiting.
-	ReasonRateLimited   Reason = "rate_limited"   // The rate limits of all endpoints left are used up.
-	ReasonEndpointsFull Reason = "endpoints_full" // All endpoints tried refused it without running it.
-	ReasonMayHaveRun    Reason = "may_have_run"   // It was sent and is not retried.
-	ReasonAttempts      Reason = "attempts"       // The attempts are used up.
+	ReasonNoEndpoint    Reason = "no_endpoint"       // None is listed, or none accepts requests.
+	ReasonTooLate       Reason = "too_late"          // No engine can serve it before its caller stops waiting.
+	ReasonRateLimited   Reason = "rate_limited"      // The rate limits of all endpoints left are used up.
+	ReasonEndpointsFull Reason = "endpoints_full"    // All endpoints tried refused it without running it.
+	ReasonCrashes       Reason = "crashes_endpoints" // It, or a part of its prompt, crashes endpoints.
+	ReasonMayHaveRun    Reason = "may_have_run"      // It was sent and is not retried.
+	ReasonAttempts      Reason = "attempts"          // The attempts are used up.
 	ReasonDeadline      Reason = "deadline"
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonBroken        Reason = "broken_midway" // The response had begun.
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -15,7 +15,12 @@
 // servePlain runs a request whose response is not a stream.
 func (r *Relay) servePlain(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	p := &progress{excluded: make(map[string]bool)}
-	for {
+	for first := true; ; first = false {
+		if !first {
+			if decision := r.decide(job); decision.Refused {
+				return p.endUnanswered(ctx, w, job, ReasonCrashes, decision.RetryIn)
+			}
+		}
 		endpoint, done, ok := r.choosePlain(ctx, job, p)
 		if !ok {
 			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), r.limitRetryAfter(p))
@@ -74,6 +79,8 @@
 		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 		return r.recordBrokenPlain(ctx, job, endpoint, p, err)
 	}
+	r.Crashes.RecordAnswer(job.Identity)
+	r.Crashes.RecordComplete(job.Identity)
 	p.recordCall(endpoint.ID, start, resultOfStatus(response.Status))
 	if response.Status >= http.StatusInternalServerError {
 		r.Selector.RecordResult(endpoint.ID, engines.RequestFailed)
@@ -93,6 +100,9 @@
 // retryPlain retries a request after an endpoint responded with a server error, and
 // forwards that response if no other endpoint responds.
 func (r *Relay) retryPlain(ctx context.Context, w http.ResponseWriter, job *Job, p *progress, failed *transport.Response, body []byte) attemptResult {
+	if r.decide(job).Refused {
+		return forwardFailed(w, job, p, failed, body)
+	}
 	endpoint, done, ok := r.choosePlain(ctx, job, p)
 	if ok {
 		defer done()
@@ -104,6 +114,11 @@
 	if ctx.Err() != nil {
 		return attemptResult{sent: true}
 	}
+	return forwardFailed(w, job, p, failed, body)
+}
+
+// forwardFailed forwards the failure of an endpoint.
+func forwardFailed(w http.ResponseWriter, job *Job, p *progress, failed *transport.Response, body []byte) attemptResult {
 	p.TimeToFirstByte = time.Since(job.Arrived)
 	p.Status = failed.Status
 	writeResponse(w, failed, body, true)
@@ -133,7 +148,7 @@
 	p.MayHaveRun = true
 	if ctx.Err() == nil {
 		r.Selector.RecordResult(endpoint.ID, healthResult(err))
-		r.OnBrokenRun(job, endpoint)
+		r.recordBrokenRun(job, endpoint, runProgress{})
 	}
 	return attemptResult{sent: true}
 }
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"flamingospar.org/base/meter"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/transport"
@@ -56,9 +57,7 @@
 	Meter        *meter.Registry
 	OnRunStart   RunStartFunc
 	RetryBudgets *RetryBudgets
-	// OnBrokenRun is called for each run whose connection was lost before the response
-	// was complete.
-	OnBrokenRun func(*Job, site.Endpoint)
+	Crashes      *crashes.Tracker
 	// OnPrefillDone is called after each prefill with the predicted and the measured
 	// time.
 	OnPrefillDone func(predicted, took time.Duration)
@@ -95,7 +94,7 @@
 	if p.MayHaveRun && !job.Repeatable() {
 		return false
 	}
-	if p.sends >= maxSends || p.runs >= job.Route.MaxAttempts || job.remaining(time.Now()) < minAttemptTime {
+	if job.Trial || p.sends >= maxSends || p.runs >= job.Route.MaxAttempts || job.remaining(time.Now()) < minAttemptTime {
 		return false
 	}
 	if !sent {
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -10,6 +10,7 @@
 
 	"flamingospar.org/base/meter"
 	"flamingospar.org/core/retrybudget"
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/relay"
@@ -24,6 +25,12 @@
 func (onlyProcess) Rank(string, int) []string { return []string{"vm-1"} }
 func (onlyProcess) Generation() uint64        { return 1 }
 
+// noFleet lists no endpoints.
+type noFleet struct{}
+
+func (noFleet) Endpoint(string) (site.Endpoint, bool) { return site.Endpoint{}, false }
+func (noFleet) Position(string) int                   { return 0 }
+
 // newRelay returns a relay with endpoints of the service "plain".
 func newRelay(endpoints ...*sitetest.Endpoint) *relay.Relay {
 	selector := engines.New("dc-1", time.Now)
@@ -32,7 +39,7 @@
 	}
 	registry := meter.NewRegistry()
 	return &relay.Relay{
-		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, OnBrokenRun: func(*relay.Job, site.Endpoint) {}, OnPrefillDone: func(_, _ time.Duration) {},
+		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, Crashes: crashes.New(noFleet{}), OnPrefillDone: func(_, _ time.Duration) {},
 		RetryBudgets: relay.NewRetryBudgets(retrybudget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}),
 	}
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -36,6 +36,9 @@
 	events     eventBuffer
 	headerSent bool // The header, and possibly events, were sent to the caller.
 	runCounted bool // OnRunStart was called.
+	// answered is set once an endpoint has sent an event, here or to a caller that
+	// resumes the stream.
+	answered bool
 	// prefillCalls is the number of prefill calls to separate engines.
 	prefillCalls int
 	// prefillFailed reports whether the last attempt ended with a failed prefill call.
@@ -49,9 +52,14 @@
 func (r *Relay) serveStream(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	s := &stream{
 		relay: r, job: job, w: w, flush: http.NewResponseController(w).Flush, prompt: job.prompt(),
-		progress: &progress{excluded: make(map[string]bool)},
+		progress: &progress{excluded: make(map[string]bool)}, answered: job.Caller.LastEventID != "",
 	}
-	for {
+	for first := true; ; first = false {
+		if !first {
+			if decision := r.decide(job); decision.Refused {
+				return s.giveUp(ctx, ReasonCrashes, decision.RetryIn)
+			}
+		}
 		placed := s.place(ctx)
 		if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
 			return s.endUnplaced(ctx, placed)
@@ -122,7 +130,7 @@
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
-	if !s.mayPrefill() {
+	if s.job.Trial || !s.mayPrefill() {
 		return s.decode(ctx, placed, run)
 	}
 	if !s.reserveDecode(placed.DecodeEndpoint.ID) {
@@ -135,6 +143,9 @@
 		s.progress.excluded[placed.PrefillEndpoint.ID] = true
 		return result
 	}
+	if s.relay.decide(s.job).Refused {
+		return attemptResult{sent: true}
+	}
 	if s.reserved == "" {
 		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
 		if !ok {
@@ -150,7 +161,7 @@
 	return s.decode(ctx, placed, run)
 }
 
-func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, err error) {
+func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
 	if errors.Is(err, errRateLimited) {
 		return
@@ -164,7 +175,7 @@
 	}
 	s.relay.Selector.RecordResult(endpoint.ID, healthResult(err))
 	if ctx.Err() == nil {
-		s.relay.OnBrokenRun(s.job, endpoint)
+		s.relay.recordBrokenRun(s.job, endpoint, runProgress{prefill: prefill, answered: s.answered})
 	}
 }
 
@@ -191,7 +202,7 @@
 		if sent {
 			s.countPossibleRun()
 		}
-		s.recordFailure(ctx, endpoint, err)
+		s.recordFailure(ctx, endpoint, false, err)
 		return attemptResult{sent: sent}
 	}
 	s.progress.sends++
