A stream that ends inside an event has been broken off

What callers saw: a stream of an engine that crashed, sent without a length or chunks, ended like a complete one, in the middle of an event or without any.

Cause: the end of the connection ends such a response, so the transport reports it as complete; the relay passed on what was left of an event and recorded a success. Looked for elsewhere: plain responses without a length were right already (reset: not complete; ended: complete), also above the size that is buffered.

Change: a stream that ends inside an event, framed or not, or unframed before its first event, is treated like one whose connection broke: it goes on elsewhere if it may, and otherwise does not look complete to its caller.

Tests failed before for: inside an event, after a field, before the first event, and a chunked stream cut inside an event. They pass now, with whole, reset and plain responses beside them.

--- a/gateway/relay/eventcounter.go
+++ b/gateway/relay/eventcounter.go
@@ -33,6 +33,9 @@
 	return ended, nil
 }
 
+// insideEvent reports whether an event has begun and not ended.
+func (c *eventCounter) insideEvent() bool { return c.hasField || c.midLine }
+
 // addLine processes a line, or part of one if complete is false, and reports whether it
 // ends an event with at least one field.
 func (c *eventCounter) addLine(line []byte, complete bool) bool {
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -46,7 +47,11 @@
 				return s.endCallerLeft()
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		if ended {
+			err = brokenOff(response, &counter, received)
+		}
+		if ended && err == nil {
 			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
 			if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
 				s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, gaps.events)
@@ -65,6 +70,19 @@
 	}
 }
 
+// brokenOff returns an error if a response that has ended was broken off: inside an
+// event, or before the first one if nothing but the end of its connection says that it
+// is complete.
+func brokenOff(response *transport.Response, counter *eventCounter, received int) error {
+	if counter.insideEvent() {
+		return fmt.Errorf("%w: the stream ended inside an event", transport.ErrIncomplete)
+	}
+	if received == 0 && !response.Framed {
+		return fmt.Errorf("%w: the connection ended before the first event", transport.ErrIncomplete)
+	}
+	return nil
+}
+
 // recordFirstEvent records the time to the first event from an endpoint.
 func (s *stream) recordFirstEvent(assignment *engines.PromptAssignment, start time.Time) {
 	took := time.Since(start)
--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -84,6 +84,8 @@
 	Meta   site.EndpointResponse
 	// ContentLength is -1 if the endpoint did not state the length of the body.
 	ContentLength int64
+	// Framed is false if only the end of the connection ends the body.
+	Framed bool
 
 	pool         *Pool
 	conn         *conn
@@ -115,10 +117,15 @@
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Meta: site.ParseEndpointResponse(httpResponse.StatusCode, httpResponse.Header),
-		ContentLength: httpResponse.ContentLength, pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel,
+		ContentLength: httpResponse.ContentLength, Framed: isFramed(httpResponse), pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel,
 	}, nil
 }
 
+// isFramed reports whether a response states where its body ends.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // encodeRequest returns a request in HTTP/1.1 format.
 func encodeRequest(request Request) []byte {
 	var out bytes.Buffer
