Blamed parts outlive the end of all processes

After all processes had ended at once, a part that crashes endpoints had to crash three more before it was refused again.

Cause: marks travel between processes, and live only as long as one of them.

Change: the first two processes that are alive write what is blamed to the table crash_parts, only when it changes; each process reads the table once at its start. Nothing waits for it, and with the store down marks travel as before.

--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -133,12 +133,12 @@
 	if !clock.Sleep(ctx, checkDelay) {
 		return
 	}
-	refused := refusesConnections(ctx, address)
+	refused := t.refuses(ctx, address)
 	runs := t.checks.end(crashed)
 	if !refused || !t.expected(crashed) {
 		return
 	}
-	t.recordCrash(ctx, crashed, runs)
+	t.recordCrash(crashed, runs)
 }
 
 func refusesConnections(ctx context.Context, address string) bool {
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -65,6 +65,8 @@
 	brokenRuns *ring.Ring[BrokenRun]
 	hasMarks   atomic.Bool // Avoids fingerprinting requests while there are no marks.
 	checks     checks
+	// refuses reports whether an address refuses connections.
+	refuses func(ctx context.Context, address string) bool
 
 	mu         sync.Mutex
 	marks      *crash.MarkSet
@@ -78,7 +80,7 @@
 // New returns a tracker that knows of no crash.
 func New(fleet Fleet) *Tracker {
 	t := &Tracker{
-		fleet: fleet, brokenRuns: ring.New[BrokenRun](maxQueuedRuns), checks: newChecks(), marks: crash.NewMarkSet(), parts: blame.New(),
+		fleet: fleet, brokenRuns: ring.New[BrokenRun](maxQueuedRuns), checks: newChecks(), refuses: refusesConnections, marks: crash.NewMarkSet(), parts: blame.New(),
 		reports: make(map[string]reportTimes), blamed: make(map[string]bool),
 	}
 	t.parts.TrialDelay = func(part string) time.Duration { return time.Duration(fleet.Position(part)) * trialStep }
@@ -158,10 +160,7 @@
 
 // recordCrash marks the requests that were running at a crash, and the parts of those
 // that were not answered yet.
-func (t *Tracker) recordCrash(ctx context.Context, crashed blame.Crash, runs []BrokenRun) {
-	if ctx.Err() != nil {
-		return
-	}
+func (t *Tracker) recordCrash(crashed blame.Crash, runs []BrokenRun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
--- a/gateway/crashes/exchange.go
+++ b/gateway/crashes/exchange.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"slices"
 	"time"
 
 	"flamingospar.org/core/blame"
@@ -87,10 +88,39 @@
 	for _, part := range parts[:min(len(parts), maxMarksPerExchange)] {
 		t.parts.Merge(decode(part, now), now)
 	}
+	t.partsMerged("another process")
+}
+
+// mergeParts adds marks of parts from a source.
+func (t *Tracker) mergeParts(marks []blame.Mark, source string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, mark := range marks {
+		t.parts.Merge(mark, time.Now())
+	}
+	t.partsMerged(source)
+}
+
+// partsMerged updates what depends on marks of parts. t.mu must be held.
+func (t *Tracker) partsMerged(source string) {
 	if !t.parts.Empty() {
 		t.hasMarks.Store(true)
 	}
-	t.updateBlamed("another process")
+	t.updateBlamed(source)
+}
+
+// blamedMarks returns the marks of all blamed parts.
+func (t *Tracker) blamedMarks() []blame.Mark {
+	if !t.hasMarks.Load() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var marks []blame.Mark
+	for _, part := range slices.Concat(t.parts.Blamed()...) {
+		marks = append(marks, t.parts.Mark(part))
+	}
+	return marks
 }
 
 func encode(mark blame.Mark, now time.Time) *wirev1.PartMark {
--- a/gateway/node/crashpart_test.go
+++ b/gateway/node/crashpart_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -170,3 +171,34 @@
 		})
 	}
 }
+
+// After all processes had ended, the new ones knew nothing of the part and learned it from
+// as many crashes again.
+func TestPartThatCrashesEnginesIsKnownAfterAllProcessesEnded(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	for range 4 {
+		f.addEngine("decode", sitetest.Events(3, 0), "dead")
+	}
+	f.waitUntilAllServe(streamPath)
+	var crashing servedCount
+	send := func(p *entryProcess) { f.callPrompt(p, modelPath, "first:2000,dead:100", &crashing) }
+	f.eventually(func() bool {
+		send(f.processes[0])
+		return len(f.crashes()) >= 3
+	})
+	f.eventually(func() bool { return len(f.store.Keys(crashes.TableParts)) > 0 })
+	for _, p := range f.processes {
+		p.stop()
+	}
+	for _, p := range f.processes {
+		p.done <- <-p.done // The cleanup receives it too.
+	}
+	started := f.startProcess()
+	time.Sleep(2 * time.Second) // Its first read of the store.
+	before := time.Now()
+	for range 5 {
+		send(started)
+	}
+	require.Zero(t, f.arrivalsAfter(before))
+	require.Zero(t, crashing.served.Load())
+}
