Versions of the store are compared within one era only

Cause: versions were taken for an order of all time.

Change: what was read belongs to the era that the store states. Followers read whole tables when it changes, and held calls are repeated at once; an answer of another era than the call fails; the endpoints' versions start anew, and only a whole table of a later era replaces them; processes tell the era with the version.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -43,7 +43,11 @@
 	rows            map[string]Row
 	pendingRemovals map[string]bool // Endpoints whose rows were removed during an outage.
 	deferUntil      time.Time       // Until then, removals are deferred.
-	version         int64           // Highest version of a row or snapshot applied.
+	era             int64           // Of the store that gave out the versions.
+	eraBegan        time.Time       // When this process learned of it; zero for the first.
+	removed         map[string]removal
+	pendingReturns  map[string]pendingReturn
+	version         int64 // Highest version of a row or snapshot applied.
 	// completeSince is the version after which every change is known here. A
 	// snapshot doesn't contain the rows that were removed before it.
 	completeSince int64
@@ -52,7 +56,10 @@
 
 // New returns an empty fleet.
 func New(now func() time.Time) *Fleet {
-	return &Fleet{now: now, endpoints: make(map[string]site.Endpoint), rows: make(map[string]Row), pendingRemovals: make(map[string]bool)}
+	return &Fleet{
+		now: now, endpoints: make(map[string]site.Endpoint), rows: make(map[string]Row), pendingRemovals: make(map[string]bool),
+		removed: make(map[string]removal), pendingReturns: make(map[string]pendingReturn),
+	}
 }
 
 // AddListener adds a listener. It must be called before the first change.
@@ -65,6 +72,20 @@
 	return f.version
 }
 
+// Position is a point in the history of the rows. Versions of different eras can't be
+// compared.
+type Position struct {
+	Era     int64
+	Version int64
+}
+
+// Position returns the era of the store and the highest row version known here.
+func (f *Fleet) Position() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Position{Era: f.era, Version: f.version}
+}
+
 // Age returns the time since the store last confirmed the rows to this process
 // or to the process that sent them.
 func (f *Fleet) Age() time.Duration {
@@ -89,31 +110,39 @@
 	f.deferUntil = until
 }
 
-// Apply applies rows that the store confirmed the given age ago. A snapshot is
-// the whole table: endpoints that it doesn't contain are removed.
-func (f *Fleet) Apply(rows []Row, version int64, snapshot bool, age time.Duration) {
+// Apply applies changes that the store confirmed the given age ago. A snapshot is the
+// whole table: endpoints that it doesn't contain are removed. Changes of an earlier era
+// are ignored, and those of a later era as well unless they are a snapshot.
+func (f *Fleet) Apply(changes Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if confirmedAt := f.now().Add(-age); confirmedAt.After(f.confirmedAt) {
+	if changes.Era < f.era || changes.Era > f.era && !changes.Snapshot {
+		return
+	}
+	if changes.Era > f.era {
+		f.beginEra(changes.Era)
+	}
+	if confirmedAt := f.now().Add(-changes.Age); confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = confirmedAt
 	}
-	if snapshot {
-		f.removeUnlisted(rows, version)
-		f.completeSince = version
+	if changes.Snapshot {
+		f.removeUnlisted(changes.Rows, changes.Version)
+		f.completeSince = changes.Version
 	}
-	for _, row := range rows {
+	for _, row := range changes.Rows {
 		if row.Version < f.rows[row.Key].Version {
 			continue
 		}
 		f.rows[row.Key] = row
 		if row.Deleted {
+			delete(f.pendingReturns, row.Key)
 			f.removeOrDefer(row.Key)
 			continue
 		}
 		f.update(row)
 	}
-	f.version = max(f.version, version)
-	f.flushRemovals()
+	f.version = max(f.version, changes.Version)
+	f.flush()
 }
 
 func (f *Fleet) removeUnlisted(rows []Row, version int64) {
@@ -136,12 +165,21 @@
 		f.removeOrDefer(row.Key)
 		return
 	}
+	if f.deferReturn(endpoint, row) {
+		return
+	}
 	current, ok := f.endpoints[row.Key]
 	if ok && isOlder(endpoint, current) {
 		log.Info("An outdated endpoint row was ignored.", "endpoint", row.Key, "started", endpoint.StartedMS, "heartbeat", endpoint.HeartbeatSeq)
 		return
 	}
+	f.set(endpoint, row, current, ok)
+}
+
+// set makes an endpoint known that was known as current, if ok is set.
+func (f *Fleet) set(endpoint site.Endpoint, row Row, current site.Endpoint, ok bool) {
 	delete(f.pendingRemovals, row.Key)
+	delete(f.removed, row.Key)
 	f.endpoints[row.Key] = endpoint
 	if !ok || endpoint.Draining != current.Draining || endpoint.StartedMS != current.StartedMS || endpoint.Stage != current.Stage || endpoint.Address != current.Address {
 		log.Info("An endpoint was added or changed.", "endpoint", endpoint.ID, "service", endpoint.Service, "data_centre", endpoint.DataCentre, "draining", endpoint.Draining, "stage", endpoint.Stage, "version", row.Version)
@@ -164,23 +202,28 @@
 	if _, ok := f.endpoints[id]; !ok {
 		return
 	}
-	if f.now().Before(f.deferUntil) {
+	if f.deferring() {
 		f.pendingRemovals[id] = true
 		return
 	}
 	f.remove(id)
 }
 
-// FlushRemovals removes the endpoints whose removal was deferred and that have
-// not registered again, once the deferral has ended.
-func (f *Fleet) FlushRemovals() {
+// Flush removes the endpoints whose removal was deferred and that have not registered
+// again, once the deferral has ended, and adds those whose return was deferred.
+func (f *Fleet) Flush() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.flush()
+}
+
+func (f *Fleet) flush() {
 	f.flushRemovals()
+	f.flushReturns()
 }
 
 func (f *Fleet) flushRemovals() {
-	if len(f.pendingRemovals) == 0 || f.now().Before(f.deferUntil) {
+	if len(f.pendingRemovals) == 0 || f.deferring() {
 		return
 	}
 	for id := range f.pendingRemovals {
@@ -190,6 +233,7 @@
 }
 
 func (f *Fleet) remove(id string) {
+	f.recordRemoval(id)
 	delete(f.endpoints, id)
 	log.Info("An endpoint was removed.", "endpoint", id, "version", f.rows[id].Version)
 	for _, listener := range f.listeners {
@@ -197,24 +241,29 @@
 	}
 }
 
-// Changes are the rows that another process may lack.
+// Changes are rows that a process may lack.
 type Changes struct {
 	Rows     []Row
+	Era      int64         // Of the store that gave out the versions.
 	Version  int64         // Version up to which Rows is complete.
 	Snapshot bool          // Rows is the whole table.
 	Age      time.Duration // Time since the store confirmed the rows.
 }
 
-// ChangesSince returns the rows newer than a version, or all rows for version 0.
-// It returns no rows and version 0 if the caller's version is older than this
-// process's latest snapshot: rows removed in between are unknown here.
-func (f *Fleet) ChangesSince(after int64) Changes {
+// ChangesSince returns the rows newer than a position, or all rows for version 0 or an
+// earlier era. It returns no rows and version 0 if the position is of a later era, or
+// older than this process's latest snapshot: rows removed in between are unknown here.
+func (f *Fleet) ChangesSince(position Position) Changes {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after > 0 && after < f.completeSince {
+	after := position.Version
+	if position.Era < f.era {
+		after = 0
+	}
+	if position.Era > f.era || after > 0 && after < f.completeSince {
 		return Changes{}
 	}
-	changes := Changes{Version: f.version, Snapshot: after == 0, Age: f.now().Sub(f.confirmedAt)}
+	changes := Changes{Era: f.era, Version: f.version, Snapshot: after == 0, Age: f.now().Sub(f.confirmedAt)}
 	for _, row := range f.rows {
 		if row.Version > after && !(changes.Snapshot && row.Deleted) {
 			changes.Rows = append(changes.Rows, row)
--- a/gateway/fleet/fleet_test.go
+++ b/gateway/fleet/fleet_test.go
@@ -26,12 +26,12 @@
 // its last restart, must not replace newer state.
 func TestOutdatedHeartbeatsAreIgnored(t *testing.T) {
 	f := fleet.New(time.Now)
-	f.Apply([]fleet.Row{row("e", 7, 2, "draining", 1)}, 1, true, 0)
-	f.Apply([]fleet.Row{row("e", 6, 2, "ready", 2)}, 2, false, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 7, 2, "draining", 1)}, Version: 1, Snapshot: true})
+	f.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 6, 2, "ready", 2)}, Version: 2})
 	require.True(t, draining(t, f))
-	f.Apply([]fleet.Row{row("e", 90, 1, "ready", 3)}, 3, false, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 90, 1, "ready", 3)}, Version: 3})
 	require.True(t, draining(t, f))
-	f.Apply([]fleet.Row{row("e", 1, 3, "ready", 4)}, 4, false, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 1, 3, "ready", 4)}, Version: 4})
 	require.False(t, draining(t, f), "the endpoint has started again")
 }
 
@@ -41,9 +41,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		first, second, third := fleet.New(time.Now), fleet.New(time.Now), fleet.New(time.Now)
 		for _, f := range []*fleet.Fleet{first, second, third} {
-			f.Apply([]fleet.Row{row("e", 1, 1, "ready", 1), row("gone", 1, 1, "ready", 2)}, 2, true, 0)
+			f.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 1, 1, "ready", 1), row("gone", 1, 1, "ready", 2)}, Version: 2, Snapshot: true})
 		}
-		first.Apply([]fleet.Row{row("e", 2, 1, "draining", 3), {Key: "gone", Version: 5, Deleted: true}}, 5, false, 0)
+		first.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 2, 1, "draining", 3), {Key: "gone", Version: 5, Deleted: true}}, Version: 5})
 		time.Sleep(300 * time.Millisecond)
 		sendChanges(first, second)
 		time.Sleep(200 * time.Millisecond)
@@ -57,9 +57,8 @@
 }
 
 func sendChanges(from, to *fleet.Fleet) {
-	changes := from.ChangesSince(to.Version())
-	if changes.Version >= to.Version() {
-		to.Apply(changes.Rows, changes.Version, false, changes.Age)
+	if changes := from.ChangesSince(to.Position()); changes.Version > 0 {
+		to.Apply(changes)
 	}
 }
 
@@ -69,11 +68,11 @@
 // was sent to an endpoint 2.1 s after it had left.
 func TestProcessWithASnapshotSendsNoChangesToAnOlderOne(t *testing.T) {
 	older, restarted := fleet.New(time.Now), fleet.New(time.Now)
-	older.Apply([]fleet.Row{row("e", 1, 1, "ready", 1), row("left", 1, 1, "ready", 2)}, 2, true, 0)
-	restarted.Apply([]fleet.Row{row("e", 1, 1, "ready", 1)}, 3, true, 0)
+	older.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 1, 1, "ready", 1), row("left", 1, 1, "ready", 2)}, Version: 2, Snapshot: true})
+	restarted.Apply(fleet.Changes{Rows: []fleet.Row{row("e", 1, 1, "ready", 1)}, Version: 3, Snapshot: true})
 	sendChanges(restarted, older)
 	require.EqualValues(t, 2, older.Version(), "the older process must ask the store itself")
-	older.Apply([]fleet.Row{{Key: "left", Version: 3, Deleted: true}}, 3, false, 0)
+	older.Apply(fleet.Changes{Rows: []fleet.Row{{Key: "left", Version: 3, Deleted: true}}, Version: 3})
 	sendChanges(restarted, older)
 	_, listed := older.Get("left")
 	require.False(t, listed)
@@ -81,7 +80,7 @@
 
 func TestInvalidRowDoesNotAffectOtherRows(t *testing.T) {
 	f := fleet.New(time.Now)
-	f.Apply([]fleet.Row{{Key: "x", Value: []byte("nonsense"), Version: 1}, row("e", 1, 1, "ready", 2)}, 2, true, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{{Key: "x", Value: []byte("nonsense"), Version: 1}, row("e", 1, 1, "ready", 2)}, Version: 2, Snapshot: true})
 	require.False(t, draining(t, f))
 	_, listed := f.Get("x")
 	require.False(t, listed)
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -47,11 +47,11 @@
 	// MinInterval returns the minimum time between two calls; nil means none.
 	MinInterval func() time.Duration
 	// IsFresh reports whether no call is needed because the data is recent
-	// enough; nil means never. KnownVersion returns the version of the data,
-	// which may also come from other processes; it is required if IsFresh is
+	// enough; nil means never. KnownVersion returns the era and the version of the
+	// data, which may also come from other processes; it is required if IsFresh is
 	// set.
 	IsFresh      func() bool
-	KnownVersion func() int64
+	KnownVersion func() (era, version int64)
 	// Apply applies changed rows, or the whole table if snapshot is set.
 	Apply func(page site.Page, snapshot bool)
 	// OnLost is called when the store stops answering, OnRecovered when it
@@ -64,6 +64,7 @@
 	// before or during an outage may never be answered. nil means never.
 	StateChanged func() <-chan struct{}
 
+	era       int64 // Of the store when it gave out version.
 	version   int64
 	lost      bool
 	immediate bool // The next call uses no long polling.
@@ -136,11 +137,21 @@
 	if f.IsFresh == nil || f.version == 0 || f.lost || !f.IsFresh() {
 		return false
 	}
-	f.version = max(f.version, f.KnownVersion())
+	era, version := f.KnownVersion()
+	if era != f.Store.Era() || version == 0 {
+		return false
+	}
+	if era > f.era || version > f.version {
+		f.era, f.version = era, version
+	}
 	return true
 }
 
 func (f *Follower) fetch(ctx context.Context) error {
+	if f.version != 0 && f.era != f.Store.Era() {
+		log.Info("The store came back from an older copy; the whole table is read again.", "table", f.Table, "after", f.version, "era", f.Store.Era(), "era_before", f.era)
+		f.version = 0
+	}
 	snapshot := f.version == 0
 	wait := f.longPollWait()
 	timeout := wait + callTimeoutMargin
@@ -161,12 +172,16 @@
 		f.version = 0
 		return nil
 	}
+	if errors.Is(err, site.ErrRestored) {
+		f.version = 0
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
 	f.Apply(page, snapshot)
-	f.version = page.Version
+	f.era, f.version = page.Era, page.Version
 	return nil
 }
 
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -179,13 +179,16 @@
 			age := n.fleet.Age()
 			return age < pollerMaxAge || (age < otherMaxAge && !n.cluster.AmongFirst(fleetPollers))
 		},
-		KnownVersion: n.fleet.Version,
+		KnownVersion: func() (era, version int64) {
+			position := n.fleet.Position()
+			return position.Era, position.Version
+		},
 		Apply: func(page site.Page, snapshot bool) {
 			rows := make([]fleet.Row, 0, len(page.Rows))
 			for _, row := range page.Rows {
 				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 			}
-			n.fleet.Apply(rows, page.Version, snapshot, time.Since(page.RequestedAt))
+			n.fleet.Apply(fleet.Changes{Rows: rows, Era: page.Era, Version: page.Version, Snapshot: snapshot, Age: time.Since(page.RequestedAt)})
 		},
 		OnLost: n.storeWatch.MarkLost, OnRecovered: n.storeWatch.MarkRecovered, StateChanged: n.storeWatch.StateChanged,
 	}
@@ -213,7 +216,7 @@
 	clock.Every(ctx, maintenanceInterval, func() {
 		n.updateProcessCount()
 		n.pool.CloseExpired()
-		n.fleet.FlushRemovals()
+		n.fleet.Flush()
 	})
 }
 
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -14,8 +14,10 @@
 // State returns this process's state for a peer, with the usage counts on request.
 func (n *Node) State(peer string, usage bool) *wirev1.PeerState {
 	state := &wirev1.PeerState{
-		Vm: n.settings.NodeName, Instance: n.instance, ConfigurationVersion: n.config.Version(), EndpointsVersion: n.fleet.Version(), StoreLost: n.storeWatch.IsLost(),
+		Vm: n.settings.NodeName, Instance: n.instance, ConfigurationVersion: n.config.Version(), StoreLost: n.storeWatch.IsLost(),
 	}
+	endpoints := n.fleet.Position()
+	state.EndpointsEra, state.EndpointsVersion = endpoints.Era, endpoints.Version
 	for _, load := range n.selector.Loads() {
 		state.Loads = append(state.Loads, encodeLoad(load))
 	}
@@ -133,11 +135,11 @@
 	if n.storeWatch.IsLost() && !hasNoEndpoints {
 		return
 	}
-	changes := n.fleet.ChangesSince(state.GetEndpointsVersion())
+	changes := n.fleet.ChangesSince(fleet.Position{Era: state.GetEndpointsEra(), Version: state.GetEndpointsVersion()})
 	for _, row := range changes.Rows {
 		reply.Rows = append(reply.Rows, &wirev1.EndpointRow{Key: row.Key, Value: row.Value, Version: row.Version, Removed: row.Deleted})
 	}
-	reply.RowsVersion = changes.Version
+	reply.RowsEra, reply.RowsVersion = changes.Era, changes.Version
 	reply.RowsAgeMs = changes.Age.Milliseconds()
 	reply.RowsWhole = changes.Snapshot
 }
@@ -146,7 +148,9 @@
 	if len(reply.GetConfiguration()) > 0 {
 		n.ApplyConfiguration(reply.GetState().GetVm(), reply.GetConfiguration())
 	}
-	if reply.GetRowsVersion() < n.fleet.Version() || reply.GetRowsVersion() == 0 {
+	known := n.fleet.Position()
+	sameEra := reply.GetRowsEra() == known.Era
+	if reply.GetRowsVersion() == 0 || sameEra && reply.GetRowsVersion() < known.Version {
 		return
 	}
 	rows := make([]fleet.Row, 0, len(reply.GetRows()))
@@ -155,10 +159,10 @@
 	}
 	age := time.Since(requestedAt) + time.Duration(reply.GetRowsAgeMs()+1)*time.Millisecond // The reply truncates to milliseconds.
 	snapshot := reply.GetRowsWhole()
-	if snapshot && n.fleet.Version() > 0 {
+	if snapshot && sameEra && known.Version > 0 {
 		return // The fleet has been read in the meantime.
 	}
-	n.fleet.Apply(rows, reply.GetRowsVersion(), snapshot, age)
+	n.fleet.Apply(fleet.Changes{Rows: rows, Era: reply.GetRowsEra(), Version: reply.GetRowsVersion(), Snapshot: snapshot, Age: age})
 }
 
 func (n *Node) NewerConfiguration(state *wirev1.PeerState) []byte {
--- a/gateway/node/peers_test.go
+++ b/gateway/node/peers_test.go
@@ -22,12 +22,12 @@
 		for i := range nodes {
 			nodes[i] = &Node{fleet: fleet.New(time.Now)}
 		}
-		nodes[0].fleet.Apply([]fleet.Row{{Key: "e1", Value: sitetest.EndpointRow(1, 1, false), Version: 1}}, 1, true, 0)
+		nodes[0].fleet.Apply(fleet.Changes{Rows: []fleet.Row{{Key: "e1", Value: sitetest.EndpointRow(1, 1, false), Version: 1}}, Version: 1, Snapshot: true})
 		readAt := time.Now()
 		for i := range 300 {
 			source, target := nodes[i%3], nodes[(i+1)%3]
 			requestedAt := time.Now()
-			changes := source.fleet.ChangesSince(1)
+			changes := source.fleet.ChangesSince(fleet.Position{Version: 1})
 			time.Sleep(transit)
 			target.ApplyNewer(&wirev1.ExchangeStateReply{RowsVersion: changes.Version, RowsAgeMs: changes.Age.Milliseconds()}, requestedAt)
 		}
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -28,6 +28,16 @@
 	log.Info("The store came back from an older copy. What was written since is gone, and versions are given out again.",
 		"era", era, "era_before", known, "configuration", n.config.Version(), "endpoints_version", n.fleet.Version())
 	n.meter.Count("store", "restored")
+	n.storeWatch.MarkRestored()
+}
+
+// MarkRestored records that the store came back from an older copy. Calls that are held
+// may wait for versions that it has given out again, so they are repeated.
+func (w *storeWatch) MarkRestored() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.availableSince = time.Now()
+	w.signalChange()
 }
 
 // MarkLost records that a call was not answered.
--- a/gateway/node/storewatch_test.go
+++ b/gateway/node/storewatch_test.go
@@ -19,12 +19,12 @@
 
 func newWatchedFleet() (*fleet.Fleet, *storeWatch) {
 	f := fleet.New(time.Now)
-	f.Apply([]fleet.Row{{Key: "e1", Value: sitetest.EndpointRow(1, 1, false), Version: 1}}, 1, true, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{{Key: "e1", Value: sitetest.EndpointRow(1, 1, false), Version: 1}}, Version: 1, Snapshot: true})
 	return f, newStoreWatch(f)
 }
 
 func removeRow(f *fleet.Fleet) {
-	f.Apply([]fleet.Row{{Key: "e1", Version: 2, Deleted: true}}, 2, false, 0)
+	f.Apply(fleet.Changes{Rows: []fleet.Row{{Key: "e1", Version: 2, Deleted: true}}, Version: 2})
 }
 
 // Rows expire while the store is unavailable. An endpoint that is still running
@@ -38,7 +38,7 @@
 		removeRow(f)
 		require.True(t, listed(t, f), "the row expired during the outage")
 		time.Sleep(fleet.ReregistrationTimeout + time.Millisecond)
-		f.FlushRemovals()
+		f.Flush()
 		require.False(t, listed(t, f))
 	})
 }
