A lease gives out no epoch twice after the store went back

Cause: the lease row and its epoch go back with the copy. Whoever reads them next counts on from an epoch that was given out before, or finds a row that nobody renews and takes it for an ended term; the holder acts on until its term ends, and its guard may hold again, since versions are given out again.

Change: epochs of an era of the store are higher than all of earlier ones. The holder's term ends when it learns of the new era. Since no other process can have begun a term while it was valid, it may acquire the lease again at once; others wait for a whole term. Each era has its own epoch row, the first acquisition deletes the one before, so no guard of an earlier era holds.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -8,6 +8,17 @@
 // Epoch is the fencing number of a lease. It never decreases.
 type Epoch int64
 
+// epochsPerEra is the number of epochs of one era of the store.
+const epochsPerEra = 1_000_000
+
+// FirstEpoch returns the first epoch of an era of the store. A store that comes back from
+// an older copy has forgotten epochs that were given out; those of the next era are higher
+// than all of them.
+func FirstEpoch(era int64) Epoch { return Epoch(era) * epochsPerEra }
+
+// Era returns the era of the store in which an epoch was given out.
+func (e Epoch) Era() int64 { return int64(e / epochsPerEra) }
+
 // Row is the stored lease. No two attempts of a process write equal rows, so that
 // a row identifies the attempt that wrote it.
 type Row struct {
@@ -31,30 +42,31 @@
 // Observe returns the observation after row was read at now. A row that has not
 // changed keeps its FirstSeen.
 func (o Observed) Observe(row Row, now time.Time) Observed {
-	if row == o.Row {
+	if row == o.Row && !o.FirstSeen.IsZero() {
 		return o
 	}
 	return Observed{Row: row, FirstSeen: now}
 }
 
-// CanAcquire reports whether a process other than the holder may acquire the
-// lease: it was released, or the row was unchanged for a term and SafetyMargin.
-func (o Observed) CanAcquire(now time.Time) bool {
-	return !now.Before(o.AcquirableAt())
-}
-
-// AcquirableAt returns the earliest time at which another process may acquire the
-// lease.
-func (o Observed) AcquirableAt() time.Time {
-	if o.Row.Holder == "" {
+// AcquirableAt returns the earliest time at which a process other than the holder may
+// acquire the lease for a term: at once if it was released, otherwise when the row was
+// unchanged for its term and SafetyMargin. A row of an era before first, the first epoch
+// of the current one, says nothing about the holder: it may have been another process.
+func (o Observed) AcquirableAt(first Epoch, term time.Duration) time.Time {
+	switch {
+	case o.Row.Epoch < first:
+		return o.FirstSeen.Add(max(o.Row.Term, term) + SafetyMargin)
+	case o.Row.Holder == "":
 		return o.FirstSeen
+	default:
+		return o.FirstSeen.Add(o.Row.Term + SafetyMargin)
 	}
-	return o.FirstSeen.Add(o.Row.Term + SafetyMargin)
 }
 
-// Acquire returns the row that instance writes to become the holder.
-func (o Observed) Acquire(instance string, attempt int64, term time.Duration) Row {
-	return Row{Holder: instance, Epoch: o.Row.Epoch + 1, Attempt: attempt, Term: term}
+// Acquire returns the row that instance writes to become the holder in the era that
+// begins with epoch first.
+func (o Observed) Acquire(instance string, attempt int64, term time.Duration, first Epoch) Row {
+	return Row{Holder: instance, Epoch: max(o.Row.Epoch, first) + 1, Attempt: attempt, Term: term}
 }
 
 // Term is the holder's view of its lease. SentAt is taken before the renewal is
--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -45,13 +46,14 @@
 type Keeper struct {
 	tables   tables.Service
 	key      tables.Key
-	epochKey tables.Key
 	instance string
 	clock    clock.Clock
 	// isCandidate reports whether this process is among the few that read the
 	// lease often.
 	isCandidate func() bool
-	term        time.Duration
+	// firstEpoch returns the first epoch of the current era of the store.
+	firstEpoch func() lease.Epoch
+	term       time.Duration
 
 	mu         sync.Mutex
 	observed   lease.Observed
@@ -62,6 +64,10 @@
 	// pendingWrites maps each row whose write has an unknown result to the time
 	// at which the write was sent.
 	pendingWrites map[lease.Row]time.Time
+	// interrupted is the term that was valid when the store came back from an older
+	// copy. Until it ends no other process can be the holder.
+	interrupted lease.Term
+	continues   lease.Epoch // Of the interrupted term that the current one follows; 0 if none.
 }
 
 // New returns a keeper of the named lease for the process instance.
@@ -74,10 +80,10 @@
 	return &Keeper{
 		tables:        service,
 		key:           tables.Key{Table: tableName, Row: name},
-		epochKey:      tables.Key{Table: tableName, Row: name + epochSuffix},
 		instance:      instance,
 		clock:         c,
 		isCandidate:   func() bool { return true },
+		firstEpoch:    func() lease.Epoch { return 0 },
 		term:          defaultTerm,
 		pendingWrites: make(map[lease.Row]time.Time),
 	}
@@ -94,6 +100,33 @@
 // with the number of processes. It must be called before Run.
 func (k *Keeper) SetCandidateFunc(isCandidate func() bool) { k.isCandidate = isCandidate }
 
+// SetFirstEpochFunc sets the function that returns the first epoch of the current era of
+// the store, for a store that may come back from an older copy. It must be called before
+// Run.
+func (k *Keeper) SetFirstEpochFunc(firstEpoch func() lease.Epoch) { k.firstEpoch = firstEpoch }
+
+// StoreRestored records that the store came back from an older copy. The term that is held
+// ends, since its row may be gone and its guard may mean another row now. No other process
+// can have begun a term as long as it would have been valid, so this process may acquire
+// the lease again at once until then; it is the holder in the new era only after that.
+func (k *Keeper) StoreRestored() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock()
+	switch {
+	case k.held.Valid(now):
+		k.interrupted = k.held
+		log.Info("The term of the lease ends, since the store came back from an older copy.", "lease", k.key.Row, "epoch", k.held.Row.Epoch)
+	case !k.interrupted.Valid(now):
+		k.interrupted = lease.Term{}
+	}
+	k.held = lease.Term{}
+	k.guard = tables.Condition{}
+	k.observed = lease.Observed{}
+	k.continues = 0
+	clear(k.pendingWrites)
+}
+
 // Run acquires and renews the lease until ctx ends, and then releases it.
 func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -131,10 +164,20 @@
 	if k.held.Valid(now) {
 		return k.renewInterval()
 	}
-	if !k.isCandidate() {
+	if !k.isCandidate() && !k.interrupted.Valid(now) {
 		return standbyInterval
 	}
-	return min(max(k.observed.AcquirableAt().Sub(now), minStepDelay), k.renewInterval())
+	return min(max(k.acquirableAtLocked().Sub(now), minStepDelay), k.renewInterval())
+}
+
+// acquirableAtLocked returns the earliest time at which this process may acquire the lease.
+// The caller holds k.mu.
+func (k *Keeper) acquirableAtLocked() time.Time {
+	first := k.firstEpoch()
+	if k.observed.Row.Epoch < first && k.interrupted.Valid(k.clock()) {
+		return k.observed.FirstSeen
+	}
+	return k.observed.AcquirableAt(first, k.term)
 }
 
 // Held returns the current term and whether this process may act under it now.
@@ -162,6 +205,10 @@
 type Fence struct {
 	Term  lease.Term
 	Guard tables.Condition
+	// Continues is the epoch of the term of this process that ended when the store came
+	// back from an older copy, if no other process was the holder in between, and 0
+	// otherwise.
+	Continues lease.Epoch
 }
 
 // Fence returns the current term with its guard, and whether this process may act
@@ -171,7 +218,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	held := k.hasGuardLocked() && k.held.Valid(k.clock())
-	return Fence{Term: k.held, Guard: k.guard}, held
+	return Fence{Term: k.held, Guard: k.guard, Continues: k.continues}, held
 }
 
 func (k *Keeper) hasGuardLocked() bool { return k.guard != tables.Condition{} }
@@ -222,14 +269,22 @@
 	if sentAt, pending := k.pendingWrites[row]; pending {
 		k.startTermLocked(row, sentAt)
 	}
+	if row.Epoch > k.firstEpoch() && !k.isOwn(row) {
+		k.interrupted = lease.Term{} // Another process was the holder since.
+	}
 	return row.Epoch == k.held.Row.Epoch
 }
 
 // startTermLocked starts or extends the term of row. The caller holds k.mu.
 func (k *Keeper) startTermLocked(row lease.Row, sentAt time.Time) {
 	if row.Epoch != k.held.Row.Epoch {
-		log.Info("The lease was acquired.", "lease", k.key.Row, "epoch", row.Epoch)
+		log.Info("The lease was acquired.", "lease", k.key.Row, "epoch", row.Epoch, "continues", k.interrupted.Row.Epoch)
 		k.guard = tables.Condition{}
+		k.continues = 0
+		if row.Epoch == k.firstEpoch()+1 { // Nobody held the lease in this era before.
+			k.continues = k.interrupted.Row.Epoch
+		}
+		k.interrupted = lease.Term{}
 	}
 	k.held = lease.Term{Row: row, SentAt: sentAt}
 	clear(k.pendingWrites)
@@ -240,7 +295,7 @@
 func (k *Keeper) canAcquire() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.observed.CanAcquire(k.clock())
+	return !k.clock().Before(k.acquirableAtLocked())
 }
 
 func (k *Keeper) renew(ctx context.Context, row lease.Row, version int64) {
@@ -260,23 +315,43 @@
 func (k *Keeper) acquire(ctx context.Context, version int64) {
 	attempt := k.nextAttempt()
 	k.mu.Lock()
-	row := k.observed.Acquire(k.instance, attempt, k.term)
+	before := k.observed.Row
+	row := k.observed.Acquire(k.instance, attempt, k.term, k.firstEpoch())
 	k.mu.Unlock()
 	value, err := json.Marshal(row)
 	if err != nil {
 		return
 	}
-	k.write(ctx, row, tables.Txn{
-		Conditions: []tables.Condition{{Key: k.key, Version: version}},
-		Writes:     []tables.Write{{Key: k.epochKey, Value: value}},
-	})
+	writes := []tables.Write{{Key: k.epochKey(row.Epoch), Value: value}}
+	if before.Epoch.Era() != row.Epoch.Era() {
+		writes = append(writes, tables.Write{Key: k.epochKey(before.Epoch), Delete: true})
+	}
+	k.write(ctx, row, tables.Txn{Conditions: []tables.Condition{{Key: k.key, Version: version}}, Writes: writes})
 	k.readGuard(ctx)
 }
 
+// epochKey returns the key of the epoch row of an epoch. Each era has its own, and the
+// first acquisition in an era deletes the one before: a version that is given out again
+// can't make the guard of an earlier era hold.
+func (k *Keeper) epochKey(epoch lease.Epoch) tables.Key {
+	name := k.key.Row + epochSuffix
+	if era := epoch.Era(); era > 0 {
+		name += "/" + strconv.FormatInt(era, 10)
+	}
+	return tables.Key{Table: tableName, Row: name}
+}
+
+func (k *Keeper) heldEpochKey() tables.Key {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.epochKey(k.held.Row.Epoch)
+}
+
 // readGuard reads the version of the epoch row. Until it is known, the term has no
 // guard and the process may not act.
 func (k *Keeper) readGuard(ctx context.Context) {
-	stored, err := k.tables.Get(ctx, k.epochKey)
+	key := k.heldEpochKey()
+	stored, err := k.tables.Get(ctx, key)
 	if err != nil {
 		return
 	}
@@ -287,7 +362,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if row.Epoch == k.held.Row.Epoch && row.Holder == k.instance {
-		k.guard = tables.Condition{Key: k.epochKey, Version: stored.Version}
+		k.guard = tables.Condition{Key: key, Version: stored.Version}
 	}
 }
 
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -42,13 +42,68 @@
 	outage, loseResponses, delayWrites, delayCalls bool
 	inTransit                                      []tables.Txn // Sent but not yet received by the store.
 	preparedFences                                 []Fence
+	era                                            int64            // Rises when the store comes back from a copy.
+	copied                                         *platform.Tables // What it comes back from.
+	holders                                        map[lease.Epoch]string
 	lastEffect                                     lease.Row // Lease row of the last guarded effect.
 }
 
 func (s *simulation) start(i int) {
 	s.starts++
 	s.paused[i] = false
-	s.keepers[i] = NewWithClock(s, "duty", fmt.Sprintf("process-%d", s.starts), func() time.Time { return s.now })
+	client := &simulatedClient{simulation: s, era: unknownEra}
+	keeper := NewWithClock(client, "duty", fmt.Sprintf("process-%d", s.starts), func() time.Time { return s.now })
+	keeper.SetFirstEpochFunc(func() lease.Epoch { return lease.FirstEpoch(max(client.era, 0)) })
+	client.onEra = keeper.StoreRestored
+	s.keepers[i] = keeper
+}
+
+// unknownEra is the era of a process that has had no answer yet.
+const unknownEra = -1
+
+// simulatedClient is the store as one process sees it. A call that was sent to the store
+// before it came back from an older copy fails, as does the first one after that.
+type simulatedClient struct {
+	*simulation
+	era   int64
+	onEra func()
+}
+
+// observeEra reports whether an answer may be used.
+func (c *simulatedClient) observeEra(sentIn int64) bool {
+	known := c.era
+	if c.simulation.era > known {
+		c.era = c.simulation.era
+		if known != unknownEra {
+			c.onEra()
+		}
+	}
+	return known == unknownEra || sentIn == c.era && known == c.era
+}
+
+func (c *simulatedClient) Get(ctx context.Context, key tables.Key) (tables.Row, error) {
+	sentIn := c.simulation.era
+	row, err := c.simulation.Get(ctx, key)
+	if !c.outage && !c.observeEra(sentIn) {
+		return tables.Row{}, tables.ErrUnavailable
+	}
+	return row, err
+}
+
+func (c *simulatedClient) Commit(ctx context.Context, txn tables.Txn) error {
+	sentIn := c.simulation.era
+	err := c.simulation.Commit(ctx, txn)
+	if !c.outage && !c.observeEra(sentIn) {
+		return tables.ErrUnavailable
+	}
+	return err
+}
+
+// restore brings the store back from the copy. Calls that were under way are lost.
+func (s *simulation) restore() {
+	s.store.Restore(s.copied)
+	s.era++
+	s.inTransit, s.preparedFences = nil, nil
 }
 
 // delayCall advances the clock during a call, while other processes run.
@@ -144,9 +199,15 @@
 func (s *simulation) checkSingleHolder() {
 	holders := 0
 	for _, keeper := range s.keepers {
-		if _, held := keeper.Held(); held {
-			holders++
+		term, held := keeper.Held()
+		if !held {
+			continue
+		}
+		holders++
+		if holder, ok := s.holders[term.Row.Epoch]; ok && holder != term.Row.Holder {
+			s.t.Fatalf("%s and %s held the lease under epoch %d", holder, term.Row.Holder, term.Row.Epoch)
 		}
+		s.holders[term.Row.Epoch] = term.Row.Holder
 	}
 	if holders > 1 {
 		s.t.Fatalf("%d processes hold the lease at the same time", holders)
@@ -171,12 +232,13 @@
 }
 
 // TestOneHolder checks that at most one process holds the lease while processes
-// are killed and paused, the store is out, responses are lost and writes arrive
-// late.
+// are killed and paused, the store is out, responses are lost, writes arrive late and
+// the store comes back from older copies; and that no epoch is given out twice.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 4).Draw(t, "processes")
-		s := &simulation{t: t, now: time.Unix(1_000_000, 0), store: platform.NewTables(), keepers: make([]*Keeper, count), paused: make([]bool, count)}
+		s := &simulation{t: t, now: time.Unix(1_000_000, 0), store: platform.NewTables(), keepers: make([]*Keeper, count), paused: make([]bool, count), holders: make(map[lease.Epoch]string)}
+		s.copied = s.store.Copy()
 		s.delayCalls = rapid.Bool().Draw(t, "slow")
 		for i := range s.keepers {
 			s.start(i)
@@ -211,8 +273,10 @@
 					s.step()
 				}
 			},
-			"kill":  func(t *rapid.T) { s.start(rapid.IntRange(0, count-1).Draw(t, "process")) },
-			"pause": func(t *rapid.T) { i := rapid.IntRange(0, count-1).Draw(t, "process"); s.paused[i] = !s.paused[i] },
+			"copy":    func(*rapid.T) { s.copied = s.store.Copy() },
+			"restore": func(*rapid.T) { s.restore() },
+			"kill":    func(t *rapid.T) { s.start(rapid.IntRange(0, count-1).Draw(t, "process")) },
+			"pause":   func(t *rapid.T) { i := rapid.IntRange(0, count-1).Draw(t, "process"); s.paused[i] = !s.paused[i] },
 			"release": func(t *rapid.T) {
 				s.t = t
 				i := rapid.IntRange(0, count-1).Draw(t, "process")
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -25,6 +25,7 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/meter"
 	"flamingospar.org/base/supervise"
+	"flamingospar.org/core/lease"
 	"flamingospar.org/core/retrybudget"
 	"flamingospar.org/entry/leasekeeper"
 	"flamingospar.org/gateway/config"
@@ -145,6 +146,7 @@
 	n.fleet.AddListener(n.selector)
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyLeaseTerm)
+	n.lease.SetFirstEpochFunc(func() lease.Epoch { return lease.FirstEpoch(n.store.Era()) })
 	n.lease.SetCandidateFunc(func() bool { return n.cluster.AmongFirst(dutyCandidates) })
 	n.retryBudgets = relay.NewRetryBudgets(budgetSettings(settings.Bounds, assumedVMs))
 	n.bounds.Store(&settings.Bounds)
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -28,6 +28,7 @@
 	log.Info("The store came back from an older copy. What was written since is gone, and versions are given out again.",
 		"era", era, "era_before", known, "configuration", n.config.Version(), "endpoints_version", n.fleet.Version())
 	n.meter.Count("store", "restored")
+	n.lease.StoreRestored()
 	n.storeWatch.MarkRestored()
 }
 
--- a/standin/platform/tables.go
+++ b/standin/platform/tables.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -84,6 +85,20 @@
 	t.rows[write.Key] = tables.Row{Key: write.Key, Version: version + 1, Value: write.Value}
 }
 
+// Copy returns a copy of all rows.
+func (t *Tables) Copy() *Tables {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &Tables{rows: maps.Clone(t.rows), tombstones: maps.Clone(t.tombstones)}
+}
+
+// Restore replaces all rows by those of a copy. Versions go on from those of the copy.
+func (t *Tables) Restore(c *Tables) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.tombstones = maps.Clone(c.rows), maps.Clone(c.tombstones)
+}
+
 // Operations returns the numbers of reads and writes requested, failed ones
 // included.
 func (t *Tables) Operations() (reads, writes int64) {
