Usage windows are reported once although the store went back

Cause: that a window is sealed is known to the store alone. The copy lacks the windows that were sealed since, so that the holder of the lease went back to the newest one in the copy, sealed those after it again, from the counts that were left, and reported them.

Change: the first term of an era seals the newest window that may have been reported: the holder that goes on, with the counts that it has reported; another process, which can't know them, without any. Holders never go back behind the newest sealed window.

--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -53,6 +53,7 @@
 	tracker *crashes.Tracker
 	gone    string // Address that refuses connections.
 	healthy string // Address that accepts them.
+	settled int    // Number of calls of settle.
 }
 
 func newHarness(t *testing.T) *harness {
@@ -90,9 +91,10 @@
 // settle waits until all checks have ended: one that is reported last is checked last.
 func (h *harness) settle() {
 	h.t.Helper()
-	last := crashes.Request{Team: "t", Path: "/last"}
-	h.crash("last-1", nil, last)
-	h.crash("last-2", nil, last)
+	h.settled++
+	last := crashes.Request{Team: "t", Path: fmt.Sprint("/last", h.settled)}
+	h.crash(fmt.Sprint("last-1-", h.settled), nil, last)
+	h.crash(fmt.Sprint("last-2-", h.settled), nil, last)
 	h.awaitRefused(last)
 }
 
@@ -184,6 +186,7 @@
 	for i := range 4 {
 		h.crash(fmt.Sprint("c", i), nil, lookup)
 		h.settle()
+		h.tracker.RecordAnswer(lookup)
 		h.tracker.RecordComplete(lookup)
 		require.False(t, h.refused(lookup))
 	}
--- a/gateway/duties/reporter.go
+++ b/gateway/duties/reporter.go
@@ -57,6 +57,10 @@
 	lastReported   Window // Newest window reported by this process.
 	term           int64  // Term to which lastReported belongs.
 	lastLoggedWait Window // Last window for which waiting was logged.
+	// newestSealed is the newest window that this process has sealed or found sealed, and
+	// newestCounts are its counts, if they are known.
+	newestSealed Window
+	newestCounts *usageRow
 }
 
 // Run reports windows until ctx ends.
@@ -79,7 +83,7 @@
 		return retryDelay
 	}
 	due := windowAt(now.Add(-sealDelay), r.WindowLength) - 1
-	if err := r.startTerm(ctx, int64(fence.Term.Row.Epoch), due); err != nil {
+	if err := r.startTerm(ctx, fence, due); err != nil {
 		log.Error(err, "Could not determine the newest sealed window.", "epoch", fence.Term.Row.Epoch)
 		return retryDelay
 	}
@@ -91,6 +95,9 @@
 	}
 	window := r.lastReported + 1
 	sealed, err := r.sealedCounts(ctx, window, fence)
+	if err == nil {
+		r.recordSealed(window, &sealed)
+	}
 	if errors.Is(err, errCountsMissing) {
 		return retryDelay
 	}
@@ -105,18 +112,25 @@
 	}
 	r.lastReported = window
 	if window%pruneEveryWindows == 0 {
-		r.pruneSealed(ctx, window, fence)
+		r.prune(ctx, window-lookbackWindows, fence)
 	}
 	return 0
 }
 
-// pruneSealed removes sealed windows that are too old for a new holder to look for.
-func (r *Reporter) pruneSealed(ctx context.Context, window Window, fence leasekeeper.Fence) {
+// prune removes rows of both tables that are too old for a new holder to look for. Counts
+// are left over where they were written again after their window had been sealed.
+func (r *Reporter) prune(ctx context.Context, before Window, fence leasekeeper.Fence) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := r.Store.Range(ctx, tableSealed, "", windowKey(window-lookbackWindows))
+	for _, table := range []string{tableSealed, tableCounts} {
+		r.pruneTable(ctx, table, before, fence)
+	}
+}
+
+func (r *Reporter) pruneTable(ctx context.Context, table string, before Window, fence leasekeeper.Fence) {
+	page, err := r.Store.Range(ctx, table, "", windowKey(before))
 	if err != nil {
-		log.Error(err, "Could not read old sealed windows; they are kept for now.", "before", window-lookbackWindows)
+		log.Error(err, "Could not read old usage rows; they are kept for now.", "table", table, "before", before)
 		return
 	}
 	if len(page.Rows) == 0 {
@@ -126,19 +140,20 @@
 	tx.Require(fence.Guard.Key.Table, fence.Guard.Key.Row, fence.Guard.Version)
 	pruned := page.Rows[:min(len(page.Rows), maxPrunedRows)]
 	for _, row := range pruned {
-		tx.Delete(tableSealed, row.Key)
+		tx.Delete(table, row.Key)
 	}
 	if _, err := r.Store.Commit(ctx, tx); err != nil {
-		log.Error(err, "Could not confirm the removal of old sealed windows.", "before", window-lookbackWindows, "rows", len(pruned))
+		log.Error(err, "Could not confirm the removal of old usage rows.", "table", table, "before", before, "rows", len(pruned))
 		return
 	}
-	log.Info("Old sealed windows were removed.", "before", window-lookbackWindows, "rows", len(pruned), "epoch", fence.Term.Row.Epoch)
+	log.Info("Old usage rows were removed.", "table", table, "before", before, "rows", len(pruned), "epoch", fence.Term.Row.Epoch)
 }
 
 // startTerm finds where a new term continues: at the newest sealed window, which the
 // previous holder may not have reported. Each holder reports a window before it
 // seals the next one.
-func (r *Reporter) startTerm(ctx context.Context, epoch int64, due Window) error {
+func (r *Reporter) startTerm(ctx context.Context, fence leasekeeper.Fence, due Window) error {
+	epoch := int64(fence.Term.Row.Epoch)
 	if epoch == r.term {
 		return nil
 	}
@@ -148,18 +163,34 @@
 	if err != nil {
 		return err
 	}
-	r.lastReported = due - 1
+	newest := Window(0)
 	if len(page.Rows) > 0 {
-		newest, err := strconv.ParseInt(page.Rows[len(page.Rows)-1].Key, 10, 64)
+		key := page.Rows[len(page.Rows)-1].Key
+		number, err := strconv.ParseInt(key, 10, 64)
 		if err != nil {
-			return fmt.Errorf("sealed window %q: %w", page.Rows[len(page.Rows)-1].Key, err)
+			return fmt.Errorf("sealed window %q: %w", key, err)
 		}
-		r.lastReported = min(r.lastReported, Window(newest)-1)
+		newest = Window(number)
+	}
+	if newest, err = r.startEra(ctx, fence, newest, due); err != nil {
+		return err
+	}
+	r.lastReported = due - 1
+	if newest > 0 {
+		r.lastReported = min(r.lastReported, newest-1)
+		r.recordSealed(newest, nil)
 	}
 	r.term = epoch
 	return nil
 }
 
+// recordSealed records that a window is sealed, with its counts if they are known.
+func (r *Reporter) recordSealed(window Window, counts *usageRow) {
+	if window > r.newestSealed || window == r.newestSealed && counts != nil {
+		r.newestSealed, r.newestCounts = window, counts
+	}
+}
+
 // sealedCounts returns the sealed counts of a window, and seals it if needed. Sealed
 // counts never change.
 func (r *Reporter) sealedCounts(ctx context.Context, window Window, fence leasekeeper.Fence) (usageRow, error) {
--- a/gateway/duties/tally.go
+++ b/gateway/duties/tally.go
@@ -36,12 +36,14 @@
 
 	mu     sync.Mutex
 	open   map[Window]map[string]int64
-	closed map[Window]map[string]int64 // Closed windows that may not be written yet, and the newest closed one.
+	closed map[Window]map[string]int64 // Closed windows of the last maxPendingWindows.
+	// written are the closed windows that are written, except the newest.
+	written map[Window]bool
 }
 
 // NewTally returns a tally with the given window length.
 func NewTally(clock func() (time.Time, bool), windowLength time.Duration) *Tally {
-	return &Tally{clock: clock, windowLength: windowLength, open: make(map[Window]map[string]int64), closed: make(map[Window]map[string]int64)}
+	return &Tally{clock: clock, windowLength: windowLength, open: make(map[Window]map[string]int64), closed: make(map[Window]map[string]int64), written: make(map[Window]bool)}
 }
 
 // CountStart counts a request of a team that starts now.
@@ -69,7 +71,9 @@
 		snapshot[window] = maps.Clone(counts)
 	}
 	for window, counts := range t.closed {
-		snapshot[window] = maps.Clone(counts)
+		if !t.written[window] {
+			snapshot[window] = maps.Clone(counts)
+		}
 	}
 	return snapshot
 }
@@ -87,6 +91,7 @@
 	}
 	maps.Copy(t.closed, newlyClosed)
 	maps.DeleteFunc(t.closed, func(window Window, _ map[string]int64) bool { return window < before-maxPendingWindows })
+	maps.DeleteFunc(t.written, func(window Window, _ bool) bool { return window < before-maxPendingWindows })
 	return newlyClosed
 }
 
@@ -99,5 +104,16 @@
 		return
 	}
 	newest := slices.Max(slices.Collect(maps.Keys(t.closed)))
-	maps.DeleteFunc(t.closed, func(window Window, _ map[string]int64) bool { return window < newest })
+	for window := range t.closed {
+		t.written[window] = window < newest
+	}
+}
+
+// Reopen returns the counts of all closed windows that are kept, written ones included,
+// for a store that has lost them.
+func (t *Tally) Reopen() map[Window]map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.written)
+	return maps.Clone(t.closed)
 }
--- a/gateway/duties/usage.go
+++ b/gateway/duties/usage.go
@@ -12,6 +12,7 @@
 const (
 	tableCounts     = "usage_counts" // One row per process and window.
 	tableSealed     = "usage_sealed" // One row per window.
+	tableEras       = "usage_eras"   // One row per era of the store in which windows are sealed.
 	windowKeyDigits = 14
 )
 
--- a/gateway/duties/usage_test.go
+++ b/gateway/duties/usage_test.go
@@ -48,7 +48,7 @@
 
 func (f *fixture) writeCounts(t *testing.T, instance string, window Window, count int64) {
 	t.Helper()
-	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, windowLength), Instance: instance}
+	writer := NewWriter(f.store, NewTally(f.clock, windowLength), instance)
 	writer.Tally.open[window] = map[string]int64{"team": count}
 	writer.collect(window + 1)
 	for range 2 { // The response to the first attempt may be lost.
@@ -208,7 +208,7 @@
 // can then seal a window once all processes have sent their counts.
 func TestSnapshotHoldsUnwrittenWindows(t *testing.T) {
 	f := newFixture(t)
-	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, windowLength), Instance: "b/1"}
+	writer := NewWriter(f.store, NewTally(f.clock, windowLength), "b/1")
 	first := windowAt(f.now, windowLength)
 	f.fakeStore.SetDown(true)
 	for i := range Window(3) {
@@ -241,7 +241,7 @@
 func TestFailedWritesAreRetriedSoon(t *testing.T) {
 	f := newFixture(t)
 	const longWindow = time.Minute
-	writer := &Writer{Store: f.store, Tally: NewTally(f.clock, longWindow), Instance: "a/1"}
+	writer := NewWriter(f.store, NewTally(f.clock, longWindow), "a/1")
 	window := windowAt(f.now, longWindow)
 	writer.Tally.open[window] = map[string]int64{"team": 3}
 	f.fakeStore.SetDown(true)
@@ -302,9 +302,9 @@
 	f.fakeStore.PutRaw(tableSealed, kept, []byte("{}"))
 	endedTerm := fence
 	endedTerm.Guard.Version += 1000
-	r.pruneSealed(t.Context(), window, endedTerm)
+	r.prune(t.Context(), window-lookbackWindows, endedTerm)
 	require.NotNil(t, f.fakeStore.Value(tableSealed, old), "removed without the lease")
-	r.pruneSealed(t.Context(), window, fence)
+	r.prune(t.Context(), window-lookbackWindows, fence)
 	require.Nil(t, f.fakeStore.Value(tableSealed, old))
 	require.NotNil(t, f.fakeStore.Value(tableSealed, kept))
 }
--- a/gateway/duties/writer.go
+++ b/gateway/duties/writer.go
@@ -33,7 +33,22 @@
 	Tally    *Tally
 	Instance string // Name of this process; a restarted process has a new one.
 
-	pending []pendingRow
+	pending  []pendingRow
+	restored chan struct{} // Receives a value after the store came back from an older copy.
+}
+
+// NewWriter returns the writer of a process instance.
+func NewWriter(store *site.Store, tally *Tally, instance string) *Writer {
+	return &Writer{Store: store, Tally: tally, Instance: instance, restored: make(chan struct{}, 1)}
+}
+
+// StoreRestored makes the writer write the counts of recent windows again, since the store
+// came back from an older copy and may lack them. It does not block.
+func (w *Writer) StoreRestored() {
+	select {
+	case w.restored <- struct{}{}:
+	default:
+	}
 }
 
 // pendingRow is a row that may not be written yet. Its key does not change, so that
@@ -46,7 +61,7 @@
 
 // Run writes the counts of each window until ctx ends, and then the remaining ones.
 func (w *Writer) Run(ctx context.Context) {
-	for clock.Sleep(ctx, w.nextDelay()) {
+	for w.awaitNextWrite(ctx) {
 		w.collect(w.currentWindow())
 		w.flush(ctx)
 	}
@@ -59,6 +74,21 @@
 	}
 }
 
+// awaitNextWrite waits until the next write is due, and reports false if ctx has ended.
+func (w *Writer) awaitNextWrite(ctx context.Context) bool {
+	timer := time.NewTimer(w.nextDelay())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-w.restored:
+		w.pending = nil
+		w.addPending(w.Tally.Reopen())
+	case <-timer.C:
+	}
+	return true
+}
+
 func (w *Writer) currentWindow() Window {
 	now, _ := w.Tally.clock()
 	return windowAt(now, w.Tally.windowLength)
@@ -78,14 +108,7 @@
 // collect encodes the counts of the windows before one as pending rows, and drops
 // rows that are too old.
 func (w *Writer) collect(before Window) {
-	for window, counts := range w.Tally.CloseBefore(before) {
-		value, err := json.Marshal(usageRow{Counts: counts})
-		if err != nil {
-			log.Error(err, "Could not encode counts; they are lost.", "window", window)
-			continue
-		}
-		w.pending = append(w.pending, pendingRow{window: window, key: countsKey(window, w.Instance), value: value})
-	}
+	w.addPending(w.Tally.CloseBefore(before))
 	oldest := before - maxPendingWindows
 	w.pending = slices.DeleteFunc(w.pending, func(row pendingRow) bool {
 		if row.window < oldest {
@@ -95,6 +118,18 @@
 	})
 }
 
+// addPending encodes counts as pending rows.
+func (w *Writer) addPending(closed map[Window]map[string]int64) {
+	for window, counts := range closed {
+		value, err := json.Marshal(usageRow{Counts: counts})
+		if err != nil {
+			log.Error(err, "Could not encode counts; they are lost.", "window", window)
+			continue
+		}
+		w.pending = append(w.pending, pendingRow{window: window, key: countsKey(window, w.Instance), value: value})
+	}
+}
+
 // flush writes all pending rows in one transaction.
 func (w *Writer) flush(ctx context.Context) {
 	if len(w.pending) == 0 {
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -70,7 +70,6 @@
 		ReportTimeout: n.settings.Bounds.MaxUsageReportDelay, Replicas: n.replicas, StoreAvailableFor: n.storeWatch.AvailableFor, PeerInstances: n.cluster.PeerInstances,
 		Handover: guard,
 	}
-	writer := &duties.Writer{Store: n.store, Tally: n.tally, Instance: n.instance}
 	planner := &duties.StagePlanner{
 		Balancer: n.selector, Endpoints: site.NewEndpointClient(n.httpClient), Lease: n.lease, Holder: n.settings.NodeName, FleetAge: n.fleet.Age, StageChangeTime: n.stageChangeTime,
 		Handover: guard,
@@ -93,7 +92,7 @@
 		{"stages", planner.Run},
 	}
 	if n.settings.Duties.ReportUsage && n.settings.Bounds.UsageWindow > 0 {
-		tasks = append(tasks, task{"usage_reports", reporter.Run}, task{"usage_counts", writer.Run})
+		tasks = append(tasks, task{"usage_reports", reporter.Run}, task{"usage_counts", n.usageWriter.Run})
 	}
 	return tasks
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -98,6 +98,7 @@
 	dutyClient    *site.DutyClient
 	sharedClock   *duties.SharedClock
 	tally         *duties.Tally
+	usageWriter   *duties.Writer
 	replicas      *duties.Replicas
 	crashTracker  *crashes.Tracker
 	cluster       *peers.Cluster
@@ -135,6 +136,7 @@
 	started := clock.Now()
 	n.sharedClock = duties.NewSharedClock(n.store, func() time.Duration { return clock.Now().Sub(started) })
 	n.tally = duties.NewTally(n.sharedClock.Now, settings.Bounds.UsageWindow)
+	n.usageWriter = duties.NewWriter(n.store, n.tally, n.instance)
 	n.replicas = duties.NewReplicas()
 	n.crashTracker = crashes.New(crashFleet{n})
 	self := peers.Member{VM: settings.NodeName, Address: settings.ControlAddress, DataCentre: settings.DataCentre, Instance: n.instance}
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -29,6 +29,7 @@
 		"era", era, "era_before", known, "configuration", n.config.Version(), "endpoints_version", n.fleet.Version())
 	n.meter.Count("store", "restored")
 	n.lease.StoreRestored()
+	n.usageWriter.StoreRestored()
 	n.storeWatch.MarkRestored()
 }
 
