Processes are not taken for ended because an older copy lacks them

What callers saw: not seen yet; found by listing what trusts the store's memory. Cause: the list of entry processes goes back with the copy. A process that had registered since was removed by all others as ended, its calls were ignored then, and it did not register again; one that had restarted was replaced by the instance before, and marked as ended.

Change: processes register again when the store comes back. Members that such a list lacks have ten seconds to do so, and longer while they report; it replaces no instance that reports, and shows of none that it has ended. Ended instances are remembered one by one.

Before: TestListOfAnOlderCopyEndsNoProcess and the two beside it can't pass (no such state; on that code the list removes all that it lacks at once). After: they pass, with -race.

--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -30,6 +30,7 @@
 	n.meter.Count("store", "restored")
 	n.lease.StoreRestored()
 	n.usageWriter.StoreRestored()
+	n.cluster.StoreRestored()
 	n.storeWatch.MarkRestored()
 }
 
--- a/gateway/peers/members.go
+++ b/gateway/peers/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,7 +13,8 @@
 	"flamingospar.org/wire/gen/flamingospar/wire/v1/wirev1connect"
 )
 
-// Register lists this process in the store until ctx ends, and then removes it.
+// Register lists this process in the store until ctx ends, and then removes it. It lists
+// it again when the store has come back from an older copy.
 func (c *Cluster) Register(ctx context.Context) {
 	value, err := json.Marshal(c.self)
 	if err != nil {
@@ -20,14 +22,12 @@
 		return
 	}
 	for ctx.Err() == nil {
-		var tx site.Tx
-		tx.Put(TableVMs, c.self.VM, value)
-		if c.commit(ctx, tx) == nil {
-			break
+		c.list(ctx, value)
+		select {
+		case <-ctx.Done():
+		case <-c.restored:
 		}
-		clock.Sleep(ctx, registerRetryDelay)
 	}
-	<-ctx.Done()
 	var tx site.Tx
 	tx.Delete(TableVMs, c.self.VM)
 	if err := c.commit(context.WithoutCancel(ctx), tx); err != nil {
@@ -35,6 +35,27 @@
 	}
 }
 
+// list writes the row of this process until that succeeds or ctx ends.
+func (c *Cluster) list(ctx context.Context, value []byte) {
+	for ctx.Err() == nil {
+		var tx site.Tx
+		tx.Put(TableVMs, c.self.VM, value)
+		if c.commit(ctx, tx) == nil {
+			return
+		}
+		clock.Sleep(ctx, registerRetryDelay)
+	}
+}
+
+// StoreRestored makes this process register again, since the store came back from an older
+// copy and may not list it. It does not block.
+func (c *Cluster) StoreRestored() {
+	select {
+	case c.restored <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Cluster) commit(ctx context.Context, tx site.Tx) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -55,6 +76,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	listed := make(map[string]bool)
+	older := complete && c.listLoaded && page.Era > c.listEra
+	c.listEra = max(c.listEra, page.Era)
 	for _, row := range page.Rows {
 		if row.Deleted {
 			removed = c.remove(removed, row.Key)
@@ -66,20 +89,87 @@
 			log.Info("A row of the list does not describe an entry process; ignoring it.", "row", row.Key)
 			continue
 		}
-		c.add(member)
+		delete(c.unlisted, member.VM)
+		c.addListed(member, older)
 	}
 	if !complete {
 		return removed
 	}
 	c.listLoaded = true
 	for vm := range c.members {
-		if !listed[vm] {
+		switch {
+		case listed[vm]:
+		case older:
+			c.unlisted[vm] = time.Now().Add(reregistrationTimeout)
+		default:
 			removed = c.remove(removed, vm)
 		}
 	}
 	return removed
 }
 
+// reregistrationTimeout is how long a process may take to register again after the store
+// came back from an older copy.
+const reregistrationTimeout = 10 * time.Second
+
+// removeUnlisted removes the members that have not registered again in time and don't
+// report either. They may be away, so they are not known to have ended.
+func (c *Cluster) removeUnlisted(now time.Time) {
+	for _, vm := range c.takeUnlisted(now) {
+		c.localState.MemberRemoved(vm)
+	}
+}
+
+// takeUnlisted removes those members and returns their VMs.
+func (c *Cluster) takeUnlisted(now time.Time) (removed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for vm, until := range c.unlisted {
+		p, ok := c.members[vm]
+		if now.Before(until) || ok && now.Sub(p.lastSeen) < livenessTimeout {
+			continue
+		}
+		delete(c.unlisted, vm)
+		if ok {
+			delete(c.members, vm)
+			c.generation++
+			log.Info("An entry process did not register again after the store came back from an older copy.", "vm", vm)
+			removed = append(removed, vm)
+		}
+	}
+	return removed
+}
+
+// endedRetention is how long an instance is known to have ended.
+const endedRetention = 10 * time.Minute
+
+// recordEnded records that an instance has ended.
+func (c *Cluster) recordEnded(instance string) {
+	now := time.Now()
+	maps.DeleteFunc(c.endedInstances, func(_ string, at time.Time) bool { return now.Sub(at) > endedRetention })
+	c.endedInstances[instance] = now
+}
+
+func (c *Cluster) hasEnded(instance string) bool {
+	_, ended := c.endedInstances[instance]
+	return ended
+}
+
+// addListed adds a member of the list. A list that may be older than what is known here,
+// since the store came back from a copy, replaces no instance that has reported a short
+// time ago, and does not show that another one has ended.
+func (c *Cluster) addListed(member Member, older bool) {
+	current, ok := c.members[member.VM]
+	if c.hasEnded(member.Instance) || older && ok && time.Since(current.lastSeen) < livenessTimeout {
+		return
+	}
+	if older && ok && current.Instance != member.Instance {
+		delete(c.members, member.VM)
+	}
+	c.add(member)
+}
+
+// add adds a member, in place of an earlier instance on its VM if there is one.
 func (c *Cluster) add(member Member) {
 	if member.VM == c.self.VM {
 		return
@@ -89,7 +179,7 @@
 		return
 	}
 	if ok {
-		c.endedInstances[member.VM] = current.Instance
+		c.recordEnded(current.Instance)
 	}
 	log.Info("An entry process was added.", "vm", member.VM, "address", member.Address, "instance", member.Instance)
 	c.members[member.VM] = &peer{Member: member, lastSeen: time.Now(), client: c.newPeerClient(member)}
@@ -114,7 +204,7 @@
 	}
 	delete(c.members, vm)
 	c.generation++
-	c.endedInstances[vm] = current.Instance
+	c.recordEnded(current.Instance)
 	log.Info("An entry process was removed from the list.", "vm", vm, "instance", current.Instance)
 	return append(removed, vm)
 }
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -124,7 +124,12 @@
 	// listLoaded is set once the complete list has been read from the store.
 	listLoaded       bool
 	seedsContactedAt time.Time
-	endedInstances   map[string]string // Last instance known to have ended, by VM.
+	endedInstances   map[string]time.Time // When instances were found to have ended.
+	listEra          int64                // Of the store that the list was read from.
+	// unlisted are the members that a list lacked after the store came back from an older
+	// copy, with the time until which they may register again.
+	unlisted map[string]time.Time
+	restored chan struct{} // Receives a value when this process must register again.
 }
 
 type peer struct {
@@ -149,7 +154,7 @@
 // it asks the processes at the seed addresses for them.
 func New(self Member, seeds []string, store *site.Store, localState LocalState) *Cluster {
 	return &Cluster{
-		self: self, seeds: seeds, store: store, localState: localState, members: make(map[string]*peer), endedInstances: make(map[string]string),
+		self: self, seeds: seeds, store: store, localState: localState, members: make(map[string]*peer), endedInstances: make(map[string]time.Time), unlisted: make(map[string]time.Time), restored: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: 20 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
@@ -163,6 +168,7 @@
 		c.contactSeeds(ctx)
 		now := time.Now()
 		c.notePause(lastTick, now)
+		c.removeUnlisted(now)
 		lastTick = now
 		for _, p := range c.due(now) {
 			go c.exchange(ctx, p)
@@ -293,7 +299,7 @@
 	state := request.GetState()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if request.GetAddress() == "" || c.endedInstances[state.GetVm()] == state.GetInstance() {
+	if request.GetAddress() == "" || c.hasEnded(state.GetInstance()) {
 		return
 	}
 	if p, ok := c.members[state.GetVm()]; ok && p.Instance == state.GetInstance() {
--- a/gateway/peers/seeds.go
+++ b/gateway/peers/seeds.go
@@ -50,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, member := range reply.Msg.GetMembers() {
-		if c.endedInstances[member.GetVm()] != member.GetInstance() {
+		if !c.hasEnded(member.GetInstance()) {
 			c.add(Member{VM: member.GetVm(), Address: member.GetAddress(), DataCentre: member.GetDataCentre(), Instance: member.GetInstance()})
 		}
 	}
