Blamed parts are written again after the store went back

Found by listing what trusts the store's memory; not seen. Cause: the table of parts that crash endpoints goes back with the copy, and processes wrote only what had changed since they wrote last. Change: the table is read again, what is missing is written, and rows of parts that were cleared since are removed. TestBackupIsWrittenAgainAfterTheStoreWentBack can't pass before; it passes now. The simulated fleets no longer change engines from timers, which -race reported in the test itself.

--- a/gateway/crashes/backup.go
+++ b/gateway/crashes/backup.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"flamingospar.org/base/clock"
@@ -36,15 +37,25 @@
 
 // Backup keeps the marks of blamed parts in the store.
 type Backup struct {
-	Store   Store
-	Tracker *Tracker
-	// MayWrite reports whether this process is among the few that write.
-	MayWrite func() bool
+	store    Store
+	tracker  *Tracker
+	mayWrite func() bool
 
-	loaded bool
-	stored map[string]string // Content of each row that this process knows, by key.
+	restored atomic.Bool // The store may have lost rows since the last step.
+	loaded   bool
+	stored   map[string]string // Content of each row that this process knows, by key.
 }
 
+// NewBackup returns the backup of a tracker. mayWrite reports whether this process is among
+// the few that write.
+func NewBackup(store Store, tracker *Tracker, mayWrite func() bool) *Backup {
+	return &Backup{store: store, tracker: tracker, mayWrite: mayWrite}
+}
+
+// StoreRestored makes the backup read the rows and write what is missing again, since the
+// store came back from an older copy.
+func (b *Backup) StoreRestored() { b.restored.Store(true) }
+
 // partRow is the value of a row. Evidence that is cleared is left out.
 type partRow struct {
 	Part     string        `json:"part"`
@@ -71,19 +82,20 @@
 func (b *Backup) step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, backupTimeout)
 	defer cancel()
-	if !b.loaded {
-		if !b.load(ctx) {
-			return
-		}
+	if b.restored.Swap(false) {
+		b.loaded = false
+	}
+	if !b.loaded && !b.load(ctx) {
+		return
 	}
-	if b.MayWrite() {
+	if b.mayWrite() {
 		b.write(ctx)
 	}
 }
 
 // load reads the rows and reports whether that succeeded.
 func (b *Backup) load(ctx context.Context) bool {
-	page, err := b.Store.Table(ctx, TableParts)
+	page, err := b.store.Table(ctx, TableParts)
 	if err != nil {
 		log.Info("Parts that crash endpoints can't be read from the store yet.", "reason", err.Error())
 		return false
@@ -102,14 +114,14 @@
 		b.stored[row.Key] = signature(mark)
 		marks = append(marks, mark)
 	}
-	b.Tracker.mergeParts(marks, "the store")
+	b.tracker.mergeParts(marks, "the store")
 	return true
 }
 
 // write writes the rows that differ from what is blamed now.
 func (b *Backup) write(ctx context.Context) {
 	wanted := make(map[string]blame.Mark)
-	for _, mark := range b.Tracker.blamedMarks() {
+	for _, mark := range b.tracker.blamedMarks() {
 		wanted[rowKey(mark.Part)] = mark
 	}
 	var tx site.Tx
@@ -137,7 +149,7 @@
 	if len(written)+len(removed) == 0 {
 		return
 	}
-	if _, err := b.Store.Commit(ctx, tx); err != nil {
+	if _, err := b.store.Commit(ctx, tx); err != nil {
 		log.Info("Parts that crash endpoints can't be written to the store yet.", "written", len(written), "removed", len(removed), "reason", err.Error())
 		return
 	}
--- a/gateway/crashes/backup_test.go
+++ b/gateway/crashes/backup_test.go
@@ -15,7 +15,7 @@
 var deadRequest = Request{Team: "a", Path: "/p", Body: []byte("body"), Parts: []string{"dead"}}
 
 func newBackup(store *sitetest.Store) *Backup {
-	return &Backup{Store: site.NewStore(store.Address, http.DefaultClient), Tracker: New(nil), MayWrite: func() bool { return true }}
+	return NewBackup(site.NewStore(store.Address, http.DefaultClient), New(nil), func() bool { return true })
 }
 
 // blameDead lets a tracker learn of crashes by a part.
@@ -31,19 +31,19 @@
 	store := sitetest.NewStore(t)
 	first := newBackup(store)
 	first.step(t.Context())
-	blameDead(first.Tracker)
-	require.True(t, first.Tracker.Decide(deadRequest).Refused)
+	blameDead(first.tracker)
+	require.True(t, first.tracker.Decide(deadRequest).Refused)
 	first.step(t.Context())
 
 	second := newBackup(store)
 	second.step(t.Context())
-	require.True(t, second.Tracker.Decide(deadRequest).Refused)
+	require.True(t, second.tracker.Decide(deadRequest).Refused)
 
-	second.Tracker.RecordAnswer(deadRequest)
+	second.tracker.RecordAnswer(deadRequest)
 	second.step(t.Context())
 	third := newBackup(store)
 	third.step(t.Context())
-	require.False(t, third.Tracker.Decide(deadRequest).Refused, "an answer clears the row too")
+	require.False(t, third.tracker.Decide(deadRequest).Refused, "an answer clears the row too")
 }
 
 // The backup waits for a store that is down, ignores rows that can't be read, and writes
@@ -54,13 +54,13 @@
 	store.SetDown(true)
 	b := newBackup(store)
 	writes := 0
-	b.Store.(*site.Store).OnCall = func(call site.StoreCall) {
+	b.store.(*site.Store).OnCall = func(call site.StoreCall) {
 		if call.Kind == "commit" && call.Result == "done" {
 			writes++
 		}
 	}
 	b.step(t.Context())
-	blameDead(b.Tracker)
+	blameDead(b.tracker)
 	b.step(t.Context())
 	require.Zero(t, writes)
 	store.SetDown(false)
@@ -72,9 +72,9 @@
 	require.Nil(t, store.Value(TableParts, "malformed"))
 
 	other := newBackup(store)
-	other.MayWrite = func() bool { return false }
+	other.mayWrite = func() bool { return false }
 	other.step(t.Context())
-	other.Tracker.RecordAnswer(deadRequest)
+	other.tracker.RecordAnswer(deadRequest)
 	other.step(t.Context())
 	require.NotNil(t, store.Value(TableParts, rowKey("dead")), "only a few processes write")
 }
@@ -85,3 +85,28 @@
 	row := encodeRow(blame.Mark{Part: "dead", Evidence: []blame.Evidence{{Crash: blame.Crash{Endpoint: "e", StartedMS: 1}, Team: "a", At: now.Add(time.Hour)}}})
 	require.Equal(t, now, row.decode(now).Evidence[0].At)
 }
+
+// The rows were gone with an older copy, and those of parts that had been cleared came back.
+func TestBackupIsWrittenAgainAfterTheStoreWentBack(t *testing.T) {
+	store := sitetest.NewStore(t)
+	empty := store.Copy()
+	b := newBackup(store)
+	b.store.(*site.Store).OnEra = func(int64, int64) { b.StoreRestored() }
+	blameDead(b.tracker)
+	b.step(t.Context())
+	written := store.Copy()
+	for _, copied := range []sitetest.Copy{empty, empty} {
+		store.Restore(copied)
+		store.Put("other", "key", 1)
+		_, _ = b.store.Table(t.Context(), "other") // Any call learns of it, and fails.
+		b.step(t.Context())
+		require.NotNil(t, store.Value(TableParts, rowKey("dead")))
+	}
+	b.tracker.RecordAnswer(deadRequest)
+	b.step(t.Context())
+	store.Restore(written)
+	_, _ = b.store.Table(t.Context(), "other") // Likewise.
+	b.step(t.Context())
+	require.False(t, b.tracker.Decide(deadRequest).Refused)
+	require.Nil(t, store.Value(TableParts, rowKey("dead")))
+}
--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -178,6 +178,12 @@
 	time.Sleep(simStep)
 	synctest.Wait()
 	now := time.Now()
+	for _, e := range s.engines {
+		if !e.downUntil.IsZero() && !now.Before(e.downUntil) {
+			e.downUntil = time.Time{}
+			e.StartedMS++
+		}
+	}
 	for _, p := range s.processes {
 		if p.frozen {
 			continue
@@ -192,7 +198,7 @@
 
 // advance advances one run and reports whether it has ended.
 func (s *simulation) advance(p *simProcess, run *simRun, now time.Time) bool {
-	if run.engine.StartedMS != run.started || now.Before(run.engine.downUntil) {
+	if run.engine.StartedMS != run.started || !run.engine.downUntil.IsZero() {
 		endpoint := run.engine.Endpoint
 		endpoint.StartedMS = run.started
 		p.tracker.RecordBrokenRun(BrokenRun{Request: run.request, Endpoint: endpoint, Answered: run.answered})
@@ -212,7 +218,6 @@
 
 func (s *simulation) crash(e *simEngine) {
 	e.downUntil = time.Now().Add(simDowntime)
-	time.AfterFunc(simDowntime, func() { e.StartedMS++ })
 }
 
 // exchange lets a process exchange marks with others, like with its successors on a ring.
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"flamingospar.org/base/clock"
-	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/fleet"
 	"flamingospar.org/gateway/follow"
@@ -79,7 +78,7 @@
 		{"fleet", n.fleetFollower().Run},
 		{"members", n.membersFollower().Run},
 		{"crash_marks", n.crashTracker.Run},
-		{"crash_parts", n.crashBackup().Run},
+		{"crash_parts", n.crashBackup.Run},
 		{"register", n.cluster.Register},
 		{"exchange", n.cluster.Run},
 		{"limits", n.limiter.Run},
@@ -97,12 +96,6 @@
 	return tasks
 }
 
-// crashBackup keeps the parts of prompts that crash endpoints for the case that all
-// processes end.
-func (n *Node) crashBackup() *crashes.Backup {
-	return &crashes.Backup{Store: n.store, Tracker: n.crashTracker, MayWrite: func() bool { return n.cluster.AmongFirst(crashPartWriters) }}
-}
-
 // holdLease holds or waits for the duty lease until the process is asked to
 // stop, and then releases it, so that another process can take it at once even
 // if the store is unavailable when this process ends. If no other process takes
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -101,6 +101,7 @@
 	usageWriter   *duties.Writer
 	replicas      *duties.Replicas
 	crashTracker  *crashes.Tracker
+	crashBackup   *crashes.Backup
 	cluster       *peers.Cluster
 	lease         *leasekeeper.Keeper         // The duty lease.
 	bounds        atomic.Pointer[site.Bounds] // From the latest settings.
@@ -146,6 +147,7 @@
 	n.selector.Limits = n.limiter
 	n.fleet.AddListener(n.limiter)
 	n.fleet.AddListener(n.selector)
+	n.crashBackup = crashes.NewBackup(n.store, n.crashTracker, func() bool { return n.cluster.AmongFirst(crashPartWriters) })
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyLeaseTerm)
 	n.lease.SetFirstEpochFunc(func() lease.Epoch { return lease.FirstEpoch(n.store.Era()) })
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -31,6 +31,7 @@
 	n.lease.StoreRestored()
 	n.usageWriter.StoreRestored()
 	n.cluster.StoreRestored()
+	n.crashBackup.StoreRestored()
 	n.storeWatch.MarkRestored()
 }
 
