The offset of the shared clock is stored again after the store went back

Found by listing what trusts the store's memory; not seen. Cause: the first process stores the offset between the store's clock and the time of day once. A copy from before that lacks it, and a process that started then took its own time of day, counting requests in other windows than the rest. Change: processes that know the offset store it if it is missing or differs by more than 0.5 s. TestSharedClockOutlivesAnOlderCopy can't pass before; it passes now.

--- a/gateway/duties/clock.go
+++ b/gateway/duties/clock.go
@@ -59,6 +59,47 @@
 	return nil
 }
 
+// maxOffsetError is by how much the stored offset may differ from this clock.
+const maxOffsetError = 500 * time.Millisecond
+
+// Restore stores the offset that this clock goes by, if the store, having come back from an
+// older copy, has none or another. A process that starts would go by its own wall clock
+// otherwise. It does nothing before the first Sync.
+func (c *SharedClock) Restore(ctx context.Context) error {
+	page, err := c.store.Range(ctx, tableClock, keyOffset, keyOffset+"\x00")
+	if err != nil {
+		return err
+	}
+	now, synced := c.Now()
+	if !synced {
+		return nil
+	}
+	offset := offsetRow{MS: now.UnixMilli() - page.StoreClockMS}
+	version := int64(0)
+	if len(page.Rows) > 0 {
+		var stored offsetRow
+		if err := json.Unmarshal(page.Rows[0].Value, &stored); err != nil {
+			return err
+		}
+		if difference := time.Duration(stored.MS-offset.MS) * time.Millisecond; difference.Abs() <= maxOffsetError {
+			return nil
+		}
+		version = page.Rows[0].Version
+	}
+	value, err := json.Marshal(offset)
+	if err != nil {
+		return err
+	}
+	var tx site.Tx
+	tx.Require(tableClock, keyOffset, version)
+	tx.Put(tableClock, keyOffset, value)
+	if _, err = c.store.Commit(ctx, tx); err != nil && !errors.Is(err, site.ErrConflict) {
+		return err
+	}
+	log.Info("The offset of the shared clock was stored again.", "offset_ms", offset.MS)
+	return nil
+}
+
 // storeOffset stores the offset given by this VM's wall clock, unless another
 // process has stored one in the meantime.
 func (c *SharedClock) storeOffset(ctx context.Context, storeMS int64) error {
--- a/gateway/duties/era_test.go
+++ b/gateway/duties/era_test.go
@@ -156,3 +156,27 @@
 	cancel()
 	<-done
 }
+
+// The offset of the shared clock was gone with an older copy, so that a process that started
+// counted requests by its own wall clock.
+func TestSharedClockOutlivesAnOlderCopy(t *testing.T) {
+	f := newFixture(t)
+	copied := f.fakeStore.Copy()
+	elapsed := time.Duration(0)
+	newClock := func() *SharedClock { return NewSharedClock(f.store, func() time.Duration { return elapsed }) }
+	first := newClock()
+	require.NoError(t, first.Restore(t.Context()))
+	require.Empty(t, f.fakeStore.Keys(tableClock), "a process that goes by its own clock stores nothing")
+	require.NoError(t, first.Sync(t.Context()))
+	first.set(time.Now().Add(-time.Hour)) // The clocks of VMs differ.
+	for range 2 {
+		f.fakeStore.Restore(copied)
+		require.Error(t, first.Restore(t.Context()), "the first call learns that the store went back")
+		require.NoError(t, first.Restore(t.Context()))
+		second := newClock()
+		require.NoError(t, second.Sync(t.Context()))
+		firstNow, _ := first.Now()
+		secondNow, _ := second.Now()
+		require.WithinDuration(t, firstNow, secondNow, maxOffsetError)
+	}
+}
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -220,18 +220,31 @@
 	n.retryBudgets.Set(budgetSettings(*n.bounds.Load(), max(processes, assumedVMs)))
 }
 
-// syncClock synchronizes the shared clock once the store answers.
+// syncClock synchronizes the shared clock once the store answers, and stores its offset
+// again when the store has come back from an older copy.
 func (n *Node) syncClock(ctx context.Context) {
+	n.untilDone(ctx, "The shared clock is not synchronized yet; no usage window is reported until it is.", n.sharedClock.Sync)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-n.clockLost:
+			n.untilDone(ctx, "The offset of the shared clock can't be checked yet.", n.sharedClock.Restore)
+		}
+	}
+}
+
+// untilDone repeats a call to the store until it succeeds or ctx ends. It logs the first
+// failure with a message.
+func (n *Node) untilDone(ctx context.Context, message string, call func(context.Context) error) {
 	for attempt := 0; ; attempt++ {
 		callCtx, cancel := context.WithTimeout(ctx, clockSyncTimeout)
-		err := n.sharedClock.Sync(callCtx)
+		err := call(callCtx)
 		cancel()
 		if err == nil {
-			log.Info("The shared clock is synchronized.", "attempts", attempt+1)
 			return
 		}
 		if attempt == 0 {
-			log.Error(err, "The shared clock is not synchronized yet; no usage window is reported until it is.")
+			log.Error(err, message)
 		}
 		if !clock.Sleep(ctx, maintenanceInterval) {
 			return
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -100,6 +100,7 @@
 	tally         *duties.Tally
 	usageWriter   *duties.Writer
 	replicas      *duties.Replicas
+	clockLost     chan struct{} // Receives a value when the store may have lost the offset of the shared clock.
 	crashTracker  *crashes.Tracker
 	crashBackup   *crashes.Backup
 	cluster       *peers.Cluster
@@ -127,7 +128,7 @@
 	client := platformClient()
 	n := &Node{
 		settings: settings, options: options, instance: settings.NodeName + "/" + uuid.NewString()[:8],
-		stopRequested: make(chan struct{}), meter: meter.NewRegistry(), httpClient: client, config: &config.Holder{}, pool: transport.NewPool(),
+		stopRequested: make(chan struct{}), clockLost: make(chan struct{}, 1), meter: meter.NewRegistry(), httpClient: client, config: &config.Holder{}, pool: transport.NewPool(),
 		store: site.NewStore(settings.Store.Address, client), dutyClient: site.NewDutyClient(settings.Duties.Address, client),
 	}
 	n.supervisor.OnPanic = func(part string) { n.meter.Count("panic", part) }
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -32,6 +32,10 @@
 	n.usageWriter.StoreRestored()
 	n.cluster.StoreRestored()
 	n.crashBackup.StoreRestored()
+	select {
+	case n.clockLost <- struct{}{}:
+	default:
+	}
 	n.storeWatch.MarkRestored()
 }
 
