Test: no request is sent without a permit

No test turned red when relay.send ignored the answer of Limits.Take: in all of them the selector already left out endpoints whose rate was used up. In this one the limit is known to the limiter alone. It fails for plain endpoints and engines with the answer ignored.

--- a/gateway/relay/limits_test.go
+++ b/gateway/relay/limits_test.go
@@ -11,6 +11,7 @@
 
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
 )
 
 // A request that only endpoints with used up rate limits could serve must be refused
@@ -42,3 +43,28 @@
 		})
 	}
 }
+
+// A limit that became known after an endpoint had been selected was exceeded: the answer
+// of the limiter to the call itself was ignored.
+func TestRequestIsNotSentWithoutAPermit(t *testing.T) {
+	for service, stage := range map[string]site.Stage{"plain": "", "model": site.Decode} {
+		t.Run(service, func(t *testing.T) {
+			endpoint := sitetest.NewEndpoint(t, "e", sitetest.Events(3, 0))
+			r := newRelay() // Its selector knows no limits.
+			listed := site.Endpoint{ID: "e", Service: service, Address: endpoint.Address, DataCentre: "dc-1", Slots: 8, Stage: stage, StartedMS: 1}
+			r.Selector.EndpointChanged(listed)
+			r.Limits.EndpointChanged(listed)
+			r.Limits.Observe(listed, time.Now(), site.EndpointResponse{RateLimit: site.RateLimit{Stated: true, PerSecond: 0.01}})
+			job := newJob(site.NonIdempotent)
+			if service == "model" {
+				job = newStreamJob()
+			}
+			recorder := httptest.NewRecorder()
+			outcome := r.Serve(t.Context(), recorder, job)
+			require.Empty(t, endpoint.Requests())
+			require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+			require.False(t, outcome.MayHaveRun)
+			require.Equal(t, relay.ResultLimited, outcome.Calls[0].Result)
+		})
+	}
+}
