Crash marks are bounded whatever they count

Cause: evict stopped at marks with two counted crashes, so marks with more, which another process may send, were kept beyond MaxMarks until they expired. Change: it goes on to those with more. TestMarksAreBounded fails before and passes after.

--- a/core/crash/markset.go
+++ b/core/crash/markset.go
@@ -37,20 +37,14 @@
 	return true
 }
 
-// evict removes marks while the set exceeds MaxMarks: first those without counted
-// crashes, then those with one, then those with RefuseThreshold.
+// evict removes marks while the set exceeds MaxMarks, those with the fewest counted
+// crashes first.
 func (s *MarkSet) evict(now time.Time) {
-	if len(s.marks) <= MaxMarks {
-		return
-	}
-	for limit := range RefuseThreshold + 1 {
+	for limit := 0; len(s.marks) > MaxMarks; limit++ {
 		for fingerprint, mark := range s.marks {
-			if mark.Count(now) <= limit {
+			if len(s.marks) > MaxMarks && mark.Count(now) <= limit {
 				delete(s.marks, fingerprint)
 			}
-			if len(s.marks) <= MaxMarks {
-				return
-			}
 		}
 	}
 }
