Reports and orders to engines keep to rate limits

Cause: engines with a limit were left out when they were chosen, but neither the report nor the order asked for a permit, and the limit that a report states was not read. Change: both take a permit, and the answer to a report is observed.

--- a/gateway/duties/stages.go
+++ b/gateway/duties/stages.go
@@ -32,11 +32,21 @@
 
 var stageLog = logging.For("gateway/stages")
 
+// RateLimits knows how many requests endpoints accept. Reports and orders count among
+// them.
+type RateLimits interface {
+	// Take reports whether a request may be sent to an endpoint now, and counts it.
+	Take(id string) bool
+	// Observe records what the response to a request that was sent at sentAt says.
+	Observe(to site.Endpoint, sentAt time.Time, response site.EndpointResponse)
+}
+
 // StagePlanner orders engines to change their stage while this process holds
 // the lease.
 type StagePlanner struct {
 	Balancer  *engines.Selector
 	Endpoints *site.EndpointClient
+	Limits    RateLimits
 	Lease     *leasekeeper.Keeper
 	Holder    string // Name of this VM.
 	// FleetAge returns the age of the list of endpoints.
@@ -132,7 +142,7 @@
 		stage = site.Prefill
 	}
 	p.engineNotBefore[id] = time.Now().Add(downtime)
-	report, err := p.Endpoints.Report(ctx, endpoint)
+	report, err := p.report(ctx, endpoint)
 	if err != nil {
 		stageLog.Error(err, "Could not read the report of an engine; no order is sent.", "endpoint", id)
 		return
@@ -145,6 +155,10 @@
 	if !held || current.Term.Row.Epoch != fence.Term.Row.Epoch {
 		return
 	}
+	if !p.Limits.Take(id) {
+		stageLog.Info("No order is sent: the rate limit of the engine is used up.", "endpoint", id)
+		return
+	}
 	epoch := int64(fence.Term.Row.Epoch)
 	p.Handover.RecordAction(epoch)
 	err = p.Endpoints.SetStage(ctx, endpoint, stage, site.DutyHolder{VM: p.Holder, FencingToken: epoch}, report.AcceptedOrders)
@@ -161,6 +175,22 @@
 	stageLog.Info("An engine changes its stage.", fields...)
 }
 
+// errRateLimited means that the rate limit of an engine is used up.
+var errRateLimited = errors.New("the rate limit of the engine is used up; remedy: choose another engine or wait")
+
+// report reads the report of an engine, unless its rate limit is used up.
+func (p *StagePlanner) report(ctx context.Context, endpoint site.Endpoint) (site.EndpointReport, error) {
+	if !p.Limits.Take(endpoint.ID) {
+		return site.EndpointReport{}, errRateLimited
+	}
+	sentAt := time.Now()
+	report, err := p.Endpoints.Report(ctx, endpoint)
+	if err == nil {
+		p.Limits.Observe(endpoint, sentAt, report.Response)
+	}
+	return report, err
+}
+
 // recordOrderResult applies the result of an order to the orders that may follow it.
 func (p *StagePlanner) recordOrderResult(id string, epoch int64, err error) {
 	switch {
--- a/gateway/duties/stages_test.go
+++ b/gateway/duties/stages_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -30,13 +31,15 @@
 type prefillEngine struct {
 	endpoint *sitetest.Endpoint
 
-	orderStatus int // HTTP status of the response to an order.
+	orderStatus int         // HTTP status of the response to an order.
+	header      http.Header // Of reports, beside the usual ones.
 }
 
 func newPrefillEngine(t *testing.T, id string) *prefillEngine {
 	e := &prefillEngine{orderStatus: http.StatusAccepted}
 	e.endpoint = sitetest.NewEndpoint(t, id, func(w http.ResponseWriter, request *http.Request) {
 		if strings.HasSuffix(request.URL.Path, "/report") {
+			maps.Copy(w.Header(), e.header)
 			fmt.Fprint(w, `{"stage":"prefill","busy":false,"seq":2,"waiting":0,"running":0}`)
 			return
 		}
@@ -59,6 +62,21 @@
 	return orders
 }
 
+// fakeLimits gives a number of permits for each endpoint.
+type fakeLimits struct {
+	permits  int
+	observed []site.RateLimit
+}
+
+func (l *fakeLimits) Take(string) bool {
+	l.permits--
+	return l.permits >= 0
+}
+
+func (l *fakeLimits) Observe(_ site.Endpoint, _ time.Time, response site.EndpointResponse) {
+	l.observed = append(l.observed, response.RateLimit)
+}
+
 // planner returns the planner of a fleet that has only these prefill engines and no
 // decode engine.
 func (f *fixture) planner(holder string, prefillEngines ...*prefillEngine) *StagePlanner {
@@ -69,7 +87,7 @@
 	keeper := leasekeeper.NewWithClock(f.store.Tables(), "duties", holder, func() time.Time { return f.now })
 	keeper.Step(context.Background())
 	return &StagePlanner{
-		Balancer: balancer, Endpoints: site.NewEndpointClient(http.DefaultClient), Lease: keeper, Holder: holder,
+		Balancer: balancer, Endpoints: site.NewEndpointClient(http.DefaultClient), Limits: &fakeLimits{permits: 100}, Lease: keeper, Holder: holder,
 		FleetAge: func() time.Duration { return 0 }, StageChangeTime: func(string) time.Duration { return 0 },
 	}
 }
@@ -134,3 +152,22 @@
 	p.recordOrderResult("e1", 1, err)
 	require.Greater(t, time.Until(p.engineNotBefore["e1"]), lostResponseBackoff-time.Second)
 }
+
+// Reports and orders were sent to engines whose rate limit was used up, and a limit that a
+// report states was not read.
+func TestReportsAndOrdersKeepToRateLimits(t *testing.T) {
+	for permits, want := range []struct{ reports, orders int }{{0, 0}, {1, 0}, {1, 1}} {
+		f := newFixture(t)
+		limited := &fakeLimits{permits: permits}
+		e := newPrefillEngine(t, "e-1")
+		e.header = http.Header{"Server-Limit": []string{"2.5"}}
+		p := f.planner("a", e)
+		p.Limits = limited
+		p.step(t.Context(), "model")
+		require.Len(t, e.receivedOrders(t), want.orders, "%d permits", permits)
+		require.Equal(t, want.reports, len(e.endpoint.Requests())-want.orders, "%d permits", permits)
+		if want.reports > 0 {
+			require.Equal(t, []site.RateLimit{{Stated: true, PerSecond: 2.5}}, limited.observed)
+		}
+	}
+}
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -70,7 +70,7 @@
 		Handover: guard,
 	}
 	planner := &duties.StagePlanner{
-		Balancer: n.selector, Endpoints: site.NewEndpointClient(n.httpClient), Lease: n.lease, Holder: n.settings.NodeName, FleetAge: n.fleet.Age, StageChangeTime: n.stageChangeTime,
+		Balancer: n.selector, Endpoints: site.NewEndpointClient(n.httpClient), Limits: n.limiter, Lease: n.lease, Holder: n.settings.NodeName, FleetAge: n.fleet.Age, StageChangeTime: n.stageChangeTime,
 		Handover: guard,
 	}
 	tasks := []task{
