Processes share the idle connections that an endpoint accepts

Cause: the number of connections that an endpoint accepts from all processes was decoded and used by nothing; each kept up to 48 idle ones, 68 processes 3,264 where 520 are accepted. Change: each keeps its share at most.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -212,6 +212,25 @@
 	})
 }
 
+// maxIdleConns returns the part of this process in the connections that each endpoint of a
+// service accepts from all processes, 0 if the configuration states none.
+func (n *Node) maxIdleConns(service string) int {
+	current := n.config.Current()
+	if current == nil {
+		return 0
+	}
+	return idleConnsShare(current.Services[service].MaxConnsPerEndpoint, n.cluster.Size())
+}
+
+// idleConnsShare returns the share of one of several processes in maxConns connections, at
+// least one, or 0 if maxConns is 0.
+func idleConnsShare(maxConns, processes int) int {
+	if maxConns <= 0 {
+		return 0
+	}
+	return max(maxConns/max(processes, assumedVMs), 1)
+}
+
 // updateProcessCount sets this process's share of the retry budget, and the
 // number of processes whose load is taken into account.
 func (n *Node) updateProcessCount() {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -244,7 +244,7 @@
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
 		Log:   &ingress.RequestLog{Endpoints: func() (int64, time.Duration) { return n.fleet.Version(), n.fleet.Age() }},
-		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, OnPrefillDone: n.recordPrefillTime},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext = ingress.ConnContext
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -58,6 +58,9 @@
 	OnRunStart   RunStartFunc
 	RetryBudgets *RetryBudgets
 	Crashes      *crashes.Tracker
+	// MaxIdleConns returns the number of idle connections to keep to each endpoint of a
+	// service, 0 for no limit of its own.
+	MaxIdleConns func(service string) int
 	// OnPrefillDone is called after each prefill with the predicted and the measured
 	// time.
 	OnPrefillDone func(predicted, took time.Duration)
@@ -178,5 +181,5 @@
 func (r *Relay) newRequest(job *Job, run site.RunHeaders, body []byte) transport.Request {
 	header := job.Header.Clone()
 	run.Apply(header)
-	return transport.Request{ID: job.Caller.ID, Method: job.Method, Target: job.Target, Host: job.Host, Header: header, Body: body}
+	return transport.Request{ID: job.Caller.ID, Method: job.Method, Target: job.Target, Host: job.Host, Header: header, Body: body, MaxIdleConns: r.MaxIdleConns(job.Service)}
 }
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -39,7 +39,7 @@
 	}
 	registry := meter.NewRegistry()
 	return &relay.Relay{
-		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, Crashes: crashes.New(noFleet{}), OnPrefillDone: func(_, _ time.Duration) {},
+		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, Crashes: crashes.New(noFleet{}), MaxIdleConns: func(string) int { return 0 }, OnPrefillDone: func(_, _ time.Duration) {},
 		RetryBudgets: relay.NewRetryBudgets(retrybudget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}),
 	}
 }
--- a/gateway/transport/pool.go
+++ b/gateway/transport/pool.go
@@ -77,12 +77,17 @@
 	return c
 }
 
-func (p *Pool) putIdle(c *conn) {
+// putIdle keeps an idle connection, unless there are enough to its address: limit, if it
+// is not 0, or maxIdlePerEndpoint.
+func (p *Pool) putIdle(c *conn, limit int) {
+	if limit <= 0 || limit > maxIdlePerEndpoint {
+		limit = maxIdlePerEndpoint
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[c.address]
-	if len(idle) >= maxIdlePerEndpoint {
+	if len(idle) >= limit {
 		c.Close()
 		return
 	}
--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -65,6 +65,9 @@
 	// MaxIdle bounds the idle time of a reused connection, in addition to the
 	// connection's own limit. 0 means no such bound.
 	MaxIdle time.Duration
+	// MaxIdleConns bounds the idle connections that are kept to the endpoint, in addition
+	// to the limit of the pool. 0 means no such bound.
+	MaxIdleConns int
 }
 
 type conn struct {
@@ -92,6 +95,7 @@
 	httpResponse *http.Response
 	writeResult  chan error
 	stopCancel   func() bool
+	maxIdleConns int
 	complete     bool
 }
 
@@ -117,7 +121,7 @@
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Meta: site.ParseEndpointResponse(httpResponse.StatusCode, httpResponse.Header),
-		ContentLength: httpResponse.ContentLength, Framed: isFramed(httpResponse), pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel,
+		ContentLength: httpResponse.ContentLength, Framed: isFramed(httpResponse), pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel, maxIdleConns: request.MaxIdleConns,
 	}, nil
 }
 
@@ -232,7 +236,7 @@
 	if keepAlive, ok := site.KeepAlive(r.Header); ok {
 		r.conn.maxIdle = max(keepAlive-idleMargin, 0)
 	}
-	r.pool.putIdle(r.conn)
+	r.pool.putIdle(r.conn, r.maxIdleConns)
 }
 
 func (r *Response) reusable() bool {
--- a/gateway/transport/transport_test.go
+++ b/gateway/transport/transport_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +211,47 @@
 		require.ErrorIs(t, err, transport.ErrIncomplete, strings.TrimSpace(truncated))
 	}
 }
+
+// All processes together kept more idle connections to an endpoint than it accepts, since
+// each kept as many as it liked.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	const conns, limit = 8, 3
+	arrived := make(chan struct{}, conns)
+	release := make(chan struct{})
+	endpoint := sitetest.NewEndpoint(t, "e", func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		_, _ = w.Write([]byte("ok")) // The client sees a truncated response.
+	})
+	for name, c := range map[string]struct{ limit, dials int }{"limited": {limit, conns + conns - limit}, "not limited": {0, conns}} {
+		t.Run(name, func(t *testing.T) {
+			pool := transport.NewPool()
+			var dials atomic.Int64
+			pool.OnDial = func() { dials.Add(1) }
+			for range 2 {
+				var sent sync.WaitGroup
+				for i := range conns {
+					sent.Go(func() {
+						request := newRequest(fmt.Sprint(i))
+						request.Header.Set("X-Expect-Instance", "e")
+						request.MaxIdleConns = c.limit
+						response, err := pool.Send(t.Context(), endpoint.Address, request)
+						if err == nil {
+							_, err = io.ReadAll(response)
+							response.Close()
+						}
+						require.NoError(t, err)
+					})
+				}
+				for range conns { // All connections are in use at the same time.
+					<-arrived
+				}
+				for range conns {
+					release <- struct{}{}
+				}
+				sent.Wait()
+			}
+			require.EqualValues(t, c.dials, dials.Load())
+		})
+	}
+}
