The duties begin at once when the whole system starts for the first time

Cause: a lease without a row in an era may have been held before the store came back from a copy without it, so that a process waits for a term and a second; the users' store begins with era 1, so each first start waited 6 s for the duties. Change: the settings say when the system starts for the first time; the lease is then acquired at once, unless the process has seen the store go back.

TestLeaseWithoutARowIsAcquiredAtOnceOnlyAtTheFirstStart can't pass before; it passes now.

--- a/entry/leasekeeper/leasekeeper.go
+++ b/entry/leasekeeper/leasekeeper.go
@@ -53,7 +53,9 @@
 	isCandidate func() bool
 	// firstEpoch returns the first epoch of the current era of the store.
 	firstEpoch func() lease.Epoch
-	term       time.Duration
+	// neverHeld is set while nothing shows that the lease has ever been held.
+	neverHeld bool
+	term      time.Duration
 
 	mu         sync.Mutex
 	observed   lease.Observed
@@ -105,6 +107,11 @@
 // Run.
 func (k *Keeper) SetFirstEpochFunc(firstEpoch func() lease.Epoch) { k.firstEpoch = firstEpoch }
 
+// AssumeNeverHeld lets this process acquire a lease that has no row without a wait: the
+// whole system starts for the first time, so that no process can have held it before the
+// store came back from an older copy. It must be called before Run.
+func (k *Keeper) AssumeNeverHeld() { k.neverHeld = true }
+
 // StoreRestored records that the store came back from an older copy. The term that is held
 // ends, since its row may be gone and its guard may mean another row now. No other process
 // can have begun a term as long as it would have been valid, so this process may acquire
@@ -124,6 +131,7 @@
 	k.guard = tables.Condition{}
 	k.observed = lease.Observed{}
 	k.continues = 0
+	k.neverHeld = false
 	clear(k.pendingWrites)
 }
 
@@ -174,7 +182,8 @@
 // The caller holds k.mu.
 func (k *Keeper) acquirableAtLocked() time.Time {
 	first := k.firstEpoch()
-	if k.observed.Row.Epoch < first && k.interrupted.Valid(k.clock()) {
+	unused := k.neverHeld && k.observed.Row == lease.Row{}
+	if unused || k.observed.Row.Epoch < first && k.interrupted.Valid(k.clock()) {
 		return k.observed.FirstSeen
 	}
 	return k.observed.AcquirableAt(first, k.term)
@@ -266,6 +275,7 @@
 	defer k.mu.Unlock()
 	invariant.Check(row.Epoch >= k.observed.Row.Epoch, invariant.EpochNeverFalls, "epoch %d after %d", row.Epoch, k.observed.Row.Epoch)
 	k.observed = k.observed.Observe(row, k.clock())
+	k.neverHeld = k.neverHeld && row == lease.Row{}
 	if sentAt, pending := k.pendingWrites[row]; pending {
 		k.startTermLocked(row, sentAt)
 	}
--- a/entry/leasekeeper/leasekeeper_test.go
+++ b/entry/leasekeeper/leasekeeper_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"flamingospar.org/base/invariant"
@@ -316,3 +317,33 @@
 		t.Fatal("the term was counted from the response")
 	}
 }
+
+// A lease without a row in a later era may have been held before the store came back from a
+// copy without it, so that a process that starts waits for a term. When the whole system
+// starts for the first time nobody can have held it.
+func TestLeaseWithoutARowIsAcquiredAtOnceOnlyAtTheFirstStart(t *testing.T) {
+	for name, c := range map[string]struct{ first, restored, held bool }{
+		"first start":                       {true, false, true},
+		"later start":                       {false, false, false},
+		"store went back since first start": {true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			keeper := NewWithClock(platform.NewTables(), "duty", "process", func() time.Time { return now })
+			keeper.SetFirstEpochFunc(func() lease.Epoch { return lease.FirstEpoch(1) })
+			if c.first {
+				keeper.AssumeNeverHeld()
+			}
+			if c.restored {
+				keeper.StoreRestored()
+			}
+			keeper.Step(t.Context())
+			_, held := keeper.Held()
+			require.Equal(t, c.held, held)
+			now = now.Add(defaultTerm + lease.SafetyMargin)
+			keeper.Step(t.Context())
+			_, held = keeper.Held()
+			require.True(t, held)
+		})
+	}
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -153,6 +153,9 @@
 	n.lease.SetTerm(dutyLeaseTerm)
 	n.lease.SetFirstEpochFunc(func() lease.Epoch { return lease.FirstEpoch(n.store.Era()) })
 	n.lease.SetCandidateFunc(func() bool { return n.cluster.AmongFirst(dutyCandidates) })
+	if settings.Bootstrap {
+		n.lease.AssumeNeverHeld()
+	}
 	n.retryBudgets = relay.NewRetryBudgets(budgetSettings(settings.Bounds, assumedVMs))
 	n.bounds.Store(&settings.Bounds)
 	n.store.OnCall = n.recordStoreCall
