--- a/core/crash/markset.go
+++ b/core/crash/markset.go
@@ -17,6 +17,9 @@
 // NewMarkSet returns an empty MarkSet.
 func NewMarkSet() *MarkSet { return &MarkSet{marks: make(map[Fingerprint]Mark)} }
 
+// Empty reports whether there are no marks.
+func (s *MarkSet) Empty() bool { return len(s.marks) == 0 }
+
 // Mark returns the mark of a request, the zero Mark if there is none.
 func (s *MarkSet) Mark(fingerprint Fingerprint) Mark { return s.marks[fingerprint] }
 
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -190,6 +190,7 @@
 	t.marks.RemoveExpired(now)
 	t.parts.RemoveExpired(now)
 	t.updateBlamed("their age")
+	t.hasMarks.Store(!t.marks.Empty() || !t.parts.Empty())
 }
 
 // Limits of log lines.
