Soak: the store comes back from older copies

Beside the other faults, under kills, pauses, cuts and lost responses: usage windows with one count, one holder for each fencing token, keys, draining endpoints.

--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -73,6 +73,7 @@
 		callers.Go(func() { c.sendRequests(ctx, rand.New(rand.NewPCG(uint64(seed), uint64(i)))) })
 	}
 	callers.Go(func() { h.stateLimits(ctx, rand.New(rand.NewPCG(uint64(seed), 2000))) })
+	callers.Go(func() { h.restoreStore(ctx, rand.New(rand.NewPCG(uint64(seed), 3000))) })
 	h.injectFaults(ctx, rand.New(rand.NewPCG(uint64(seed), 1000)))
 	callers.Wait()
 	h.faultsEnded.Store(true)
