Marks of parts: bounded work, and no retry at once while others try

Found in reading the diff. Each answered request was remembered as a part answered lately while there were marks, and pushed the real ones out of the 8,192 that are kept; the marks for other processes were sorted anew for each message, which grows with the runs of each crash, all of which are marked now; and a request that came after the end of a refusal while another process tried the part was told to come back after 0 s. Now requests are only cleared, the selection is made each 100 ms, and the wait is 3 s at least.

--- a/core/blame/set.go
+++ b/core/blame/set.go
@@ -67,14 +67,20 @@
 	return suspects[:min(len(suspects), maxPartsPerRun)]
 }
 
-// RecordAnswer clears the parts of a prompt to which an endpoint has begun an answer.
+// RecordAnswer clears the parts of a prompt to which an endpoint has begun an answer, and
+// remembers them as answered lately.
 func (s *Set) RecordAnswer(parts []string, now time.Time) {
 	for _, part := range parts {
-		part = Key(part)
-		s.answered.add(part)
-		if mark, ok := s.marks[part]; ok && mark.clear() {
-			s.touch(part, now)
-		}
+		s.answered.add(Key(part))
+		s.Clear(part, now)
+	}
+}
+
+// Clear clears the mark of a part.
+func (s *Set) Clear(part string, now time.Time) {
+	part = Key(part)
+	if mark, ok := s.marks[part]; ok && mark.clear() {
+		s.touch(part, now)
 	}
 }
 
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -72,8 +72,10 @@
 	marks      *crash.MarkSet
 	parts      *blame.Set
 	reports    map[string]reportTimes // By VM.
-	blamed     map[string]bool        // What was blamed at the last change: parts, separated by spaces.
-	explained  map[string]bool        // Crashes that parts were blamed for at the last change.
+	forPeers   []crash.Mark           // Marks of requests for other processes, as of forPeersAt.
+	forPeersAt time.Time
+	blamed     map[string]bool // What was blamed at the last change: parts, separated by spaces.
+	explained  map[string]bool // Crashes that parts were blamed for at the last change.
 	lineBudget logging.LineBudget
 }
 
@@ -124,7 +126,7 @@
 	if verdict.Trial {
 		log.Info("A request is let through to find out whether a part of its prompt still crashes endpoints.", "part", verdict.Parts[0], "crashes", verdict.Crashes)
 	}
-	return Decision{Refused: verdict.Refused, Trial: verdict.Trial, RetryIn: max(verdict.Until.Sub(now), 0), Part: verdict.Parts[0], Crashes: verdict.Crashes}
+	return Decision{Refused: verdict.Refused, Trial: verdict.Trial, RetryIn: max(verdict.Until.Sub(now), trialStep), Part: verdict.Parts[0], Crashes: verdict.Crashes}
 }
 
 // RecordComplete records that an endpoint has answered a request completely, so that the
@@ -145,16 +147,19 @@
 // RecordAnswer records that an endpoint has begun to answer a request, so that no part of
 // its prompt crashes endpoints.
 func (t *Tracker) RecordAnswer(request Request) {
-	parts := request.Parts
-	if t.hasMarks.Load() {
-		parts = request.parts(request.fingerprint())
-	}
-	if len(parts) == 0 {
+	hasMarks := t.hasMarks.Load()
+	if len(request.Parts) == 0 && !hasMarks {
 		return
 	}
+	itself := ""
+	if hasMarks {
+		itself = requestPart + string(request.fingerprint())
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.parts.RecordAnswer(parts, time.Now())
+	now := time.Now()
+	t.parts.RecordAnswer(request.Parts, now)
+	t.parts.Clear(itself, now)
 	t.updateBlamed("an answer")
 }
 
--- a/gateway/crashes/exchange.go
+++ b/gateway/crashes/exchange.go
@@ -16,6 +16,9 @@
 	// reportInterval is the time between two reports of all marks of parts to a process.
 	// Changes are reported with the next message.
 	reportInterval = 1 * time.Second
+	// marksInterval is the least time between two selections of the marks of requests to
+	// send, which go to all processes.
+	marksInterval = 100 * time.Millisecond
 	// maxReports bounds the processes whose last reports are remembered.
 	maxReports = 1024
 )
@@ -34,8 +37,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var refused, others []crash.Mark
 	now := time.Now()
+	if now.Sub(t.forPeersAt) < marksInterval {
+		return t.forPeers
+	}
+	var refused, others []crash.Mark
 	for _, mark := range t.marks.All() {
 		if mark.Refused(now) {
 			refused = append(refused, mark)
@@ -43,8 +49,9 @@
 		}
 		others = append(others, mark)
 	}
-	forPeer := append(refused, others...)
-	return forPeer[:min(len(forPeer), maxMarksPerExchange)]
+	forPeers := append(refused, others...)
+	t.forPeers, t.forPeersAt = forPeers[:min(len(forPeers), maxMarksPerExchange)], now
+	return t.forPeers
 }
 
 // PartsForPeer returns the marks of parts to report to the process on a VM.
--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -43,11 +43,11 @@
 	rows            map[string]Row
 	pendingRemovals map[string]bool // Endpoints whose rows were removed during an outage.
 	deferUntil      time.Time       // Until then, removals are deferred.
-	era             int64           // Of the store that gave out the versions.
-	eraBegan        time.Time       // When this process learned of it; zero for the first.
 	removed         map[string]removal
 	pendingReturns  map[string]pendingReturn
-	version         int64 // Highest version of a row or snapshot applied.
+	era             int64     // Of the store that gave out the versions.
+	eraBegan        time.Time // When this process learned of it; zero for the first.
+	version         int64     // Highest version of a row or snapshot applied.
 	// completeSince is the version after which every change is known here. A
 	// snapshot doesn't contain the rows that were removed before it.
 	completeSince int64
