--- a/gateway/duties/stages_test.go
+++ b/gateway/duties/stages_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,20 +30,22 @@
 type prefillEngine struct {
 	endpoint *sitetest.Endpoint
 
-	orderStatus int         // HTTP status of the response to an order.
-	header      http.Header // Of reports, beside the usual ones.
+	orderStatus int // HTTP status of the response to an order.
 }
 
-func newPrefillEngine(t *testing.T, id string) *prefillEngine {
+func newPrefillEngine(t *testing.T, id string) *prefillEngine { return newLimitedEngine(t, id, 0) }
+
+// newLimitedEngine returns a prefill engine that states a rate limit, or none if it is 0.
+func newLimitedEngine(t *testing.T, id string, limit float64) *prefillEngine {
 	e := &prefillEngine{orderStatus: http.StatusAccepted}
-	e.endpoint = sitetest.NewEndpoint(t, id, func(w http.ResponseWriter, request *http.Request) {
+	serve := func(w http.ResponseWriter, request *http.Request) {
 		if strings.HasSuffix(request.URL.Path, "/report") {
-			maps.Copy(w.Header(), e.header)
 			fmt.Fprint(w, `{"stage":"prefill","busy":false,"seq":2,"waiting":0,"running":0}`)
 			return
 		}
 		w.WriteHeader(e.orderStatus)
-	})
+	}
+	e.endpoint = sitetest.NewEndpoint(t, id, sitetest.NewRateLimited(limit, serve).Serve)
 	return e
 }
 
@@ -159,8 +160,7 @@
 	for permits, want := range []struct{ reports, orders int }{{0, 0}, {1, 0}, {1, 1}} {
 		f := newFixture(t)
 		limited := &fakeLimits{permits: permits}
-		e := newPrefillEngine(t, "e-1")
-		e.header = http.Header{"Server-Limit": []string{"2.5"}}
+		e := newLimitedEngine(t, "e-1", 2.5)
 		p := f.planner("a", e)
 		p.Limits = limited
 		p.step(t.Context(), "model")
--- a/gateway/transport/transport_test.go
+++ b/gateway/transport/transport_test.go
@@ -233,7 +233,7 @@
 				for i := range conns {
 					sent.Go(func() {
 						request := newRequest(fmt.Sprint(i))
-						request.Header.Set("X-Expect-Instance", "e")
+						site.RunHeaders{EndpointID: "e", Priority: -1}.Apply(request.Header)
 						request.MaxIdleConns = c.limit
 						response, err := pool.Send(t.Context(), endpoint.Address, request)
 						if err == nil {
