A process that is listed has not ended

Change: only a list that came back from a copy leaves out instances that have ended; what is listed otherwise has not, and its calls count again.

TestProcessThatRegistersLateIsAMember fails before and passes after. The last step of TestSilentProcessIsKnownAgainAfterAnOlderList gave a change within an era the row of an ended instance, which no process writes; it now gives it in a later list, which is as strict.

--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -77,8 +77,9 @@
 		require.Equal(t, "b/1", c.members["b"].Instance)
 		c.observeCaller(&wirev1.ExchangeStateRequest{State: &wirev1.PeerState{Vm: "b", Instance: "b/2"}, Address: "127.0.0.1:1", DataCentre: "dc-1"})
 		require.Equal(t, "b/2", c.members["b"].Instance)
-		applyChange(t, c, member("b", "1"))
-		require.Equal(t, "b/2", c.members["b"].Instance, "it has ended since")
+		time.Sleep(30 * time.Second)
+		applyListOf(t, c, 3, member("b", "1"))
+		require.Equal(t, "b/2", c.members["b"].Instance, "the first one has ended since")
 	})
 }
 
@@ -111,3 +112,21 @@
 	<-done
 	require.False(t, listed())
 }
+
+// The row of a process that had stopped was deleted, and that became known only after the
+// next process of its VM had reported. That one was taken for ended, and not added when it
+// registered: two processes shared out one rate limit.
+func TestProcessThatRegistersLateIsAMember(t *testing.T) {
+	c := New(member("self", "1"), nil, nil, &fakeState{})
+	applyListOf(t, c, 2, member("b", "1"))
+	call := func() {
+		c.observeCaller(&wirev1.ExchangeStateRequest{State: &wirev1.PeerState{Vm: "b", Instance: "b/2"}, Address: "127.0.0.1:1", DataCentre: "dc-1"})
+	}
+	call()
+	c.ApplyList(site.Page{Era: 2, Rows: []site.Row{{Key: "b", Deleted: true}}}, false)
+	applyChange(t, c, member("b", "2"))
+	require.Equal(t, "b/2", c.members["b"].Instance)
+	c.members["b"].lastSeen = time.Time{}
+	call()
+	require.False(t, c.members["b"].lastSeen.IsZero(), "its calls count again")
+}
--- a/gateway/peers/members.go
+++ b/gateway/peers/members.go
@@ -155,15 +155,26 @@
 	return ended
 }
 
-// addListed adds a member of the list. A list that may be older than what is known here,
-// since the store came back from a copy, replaces no instance that has reported a short
-// time ago, and does not show that another one has ended.
+// addListed adds a member of the list. What is listed has not ended, unless the list may be
+// older than what is known here, since the store came back from a copy.
 func (c *Cluster) addListed(member Member, older bool) {
+	if older {
+		c.addFromCopy(member)
+		return
+	}
+	delete(c.endedInstances, member.Instance)
+	c.add(member)
+}
+
+// addFromCopy adds a member of a list that may be older than what is known here. It
+// replaces no instance that has reported a short time ago, and does not show that another
+// one has ended.
+func (c *Cluster) addFromCopy(member Member) {
 	current, ok := c.members[member.VM]
-	if c.hasEnded(member.Instance) || older && ok && time.Since(current.lastSeen) < livenessTimeout {
+	if c.hasEnded(member.Instance) || ok && time.Since(current.lastSeen) < livenessTimeout {
 		return
 	}
-	if older && ok && current.Instance != member.Instance {
+	if ok && current.Instance != member.Instance {
 		delete(c.members, member.VM)
 	}
 	c.add(member)
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -46,6 +46,8 @@
 	214, // The response to a configuration long poll was lost and the next poll came 11 s later.
 	// All decode engines stated a rate limit, and the prefill engine was to take their place.
 	7101, 7103, 7104,
+	// A process that registered late was not added to the list of processes again.
+	8149,
 }
 
 func TestSoak(t *testing.T) {
