The line of a request names the era of its list of endpoints

Cause: after a store went back, endpoints_version in a request's line could not be told from one of before, so on-call could not get from a wrong answer to the era. Tests of gateway/ingress and the vet of all packages pass.

--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -23,12 +23,19 @@
 // RequestLog writes a log line for each request, up to the rate limits. Omitted lines
 // are counted in the next one.
 type RequestLog struct {
-	// Endpoints returns the version and age of the list of endpoints.
-	Endpoints func() (version int64, age time.Duration)
+	// Endpoints returns the state of the list of endpoints.
+	Endpoints func() EndpointsState
 
 	budget logging.LineBudget
 }
 
+// EndpointsState is the state of the list of endpoints of this process.
+type EndpointsState struct {
+	Era     int64 // Of the store that gave out the version.
+	Version int64
+	Age     time.Duration
+}
+
 // allowLine reports whether a line may be written, and how many were omitted before
 // it.
 func (l *RequestLog) allowLine(unusual bool) (bool, int) {
@@ -68,7 +75,7 @@
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, duration time.Duration) {
 	late := outcome.TimeToFirstByte > job.Route.LatencyObjective && job.Route.LatencyObjective > 0
 	unusual := outcome.Reason != relay.ReasonNone || outcome.Attempts > 1 || late
-	endpointsVersion, endpointsAge := l.Endpoints()
+	endpoints := l.Endpoints()
 	ok, omitted := l.allowLine(unusual)
 	if !ok {
 		return
@@ -79,7 +86,7 @@
 		"attempts", outcome.Attempts, "may_have_run", outcome.MayHaveRun, "first_ms", outcome.TimeToFirstByte.Milliseconds(), "ms", duration.Milliseconds(),
 		"late", late, "level", outcome.Level, "fetched_tokens", outcome.FetchedTokens, "predicted_ms", outcome.PredictedPrefill.Milliseconds(), "reading_ms", outcome.MeasuredPrefill.Milliseconds(),
 		"decode_first_ms", outcome.TimeToFirstEvent.Milliseconds(), "prompt_tokens", job.Caller.Prompt.InputTokens, "lines_omitted", omitted,
-		"endpoints_version", endpointsVersion, "endpoints_age_ms", endpointsAge.Milliseconds(),
+		"endpoints_era", endpoints.Era, "endpoints_version", endpoints.Version, "endpoints_age_ms", endpoints.Age.Milliseconds(),
 	}
 	if unusual {
 		sharedParts := job.Identity.Parts
--- a/gateway/ingress/panic_test.go
+++ b/gateway/ingress/panic_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,7 +22,7 @@
 	registry := meter.NewRegistry()
 	handler := &Handler{ // Each admitted request panics, since the relay is nil.
 		Config: holder, Meter: registry, Crashes: crashes.New(nil),
-		Log: &RequestLog{Endpoints: func() (int64, time.Duration) { return 0, 0 }},
+		Log: &RequestLog{Endpoints: func() EndpointsState { return EndpointsState{} }},
 	}
 	server := httptest.NewServer(handler)
 	defer server.Close()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -218,6 +218,12 @@
 	internal *http.Server
 }
 
+// endpointsState returns the state of the list of endpoints for the request log.
+func (n *Node) endpointsState() ingress.EndpointsState {
+	position := n.fleet.Position()
+	return ingress.EndpointsState{Era: position.Era, Version: position.Version, Age: n.fleet.Age()}
+}
+
 // crashFleet tells the crash tracker about endpoints and processes.
 type crashFleet struct{ node *Node }
 
@@ -246,7 +252,7 @@
 	}
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
-		Log:   &ingress.RequestLog{Endpoints: func() (int64, time.Duration) { return n.fleet.Version(), n.fleet.Age() }},
+		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
 		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
