A process that calls or answers has not ended

Cause, from its logs: vm1 knew the new process of vm0 by its call and then read the row of the one before, which replaced it; the new one counted as ended for ten minutes, its calls were ignored, and its row in the next copy was passed over because the wrong instance had just been added. So vm0 seemed silent, and vm1 took over its share.

Change: calls of an instance that is taken for ended are ignored for 2 s, longer than a call may take; after that it has not. Another instance that answers at a member's address takes its place at once.

TestLateRowDoesNotShutOutALiveProcess fails without either and passes with both.

--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -32,7 +32,7 @@
 }
 
 func hear(c *Cluster, vm, instance string) {
-	c.observePeer(&wirev1.PeerState{Vm: vm, Instance: vm + "/" + instance})
+	c.observePeer(c.members[vm], &wirev1.PeerState{Vm: vm, Instance: vm + "/" + instance})
 }
 
 // Processes that had registered after a copy was made were taken for ended, and those that
@@ -130,3 +130,31 @@
 	call()
 	require.False(t, c.members["b"].lastSeen.IsZero(), "its calls count again")
 }
+
+// A row of the process before, read late, replaced a live one, which then counted as ended
+// for good: two processes shared out one rate limit.
+func TestLateRowDoesNotShutOutALiveProcess(t *testing.T) {
+	for name, hears := range map[string]func(c *Cluster){
+		"it calls": func(c *Cluster) {
+			c.observeCaller(&wirev1.ExchangeStateRequest{State: &wirev1.PeerState{Vm: "b", Instance: "b/2"}, Address: "127.0.0.1:1", DataCentre: "dc-1"})
+		},
+		"it answers": func(c *Cluster) { hear(c, "b", "2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := New(member("self", "1"), nil, nil, &fakeState{})
+				applyListOf(t, c, 2, member("b", "2"))
+				applyChange(t, c, member("b", "1"))
+				require.Equal(t, "b/1", c.members["b"].Instance)
+				applyListOf(t, c, 3, member("b", "2")) // From a copy, and the row is ignored as well.
+				time.Sleep(lateCallTime)
+				hears(c)
+				require.Equal(t, "b/2", c.members["b"].Instance)
+				seen := c.members["b"].lastSeen
+				time.Sleep(time.Second)
+				hears(c)
+				require.True(t, c.members["b"].lastSeen.After(seen))
+			})
+		})
+	}
+}
--- a/gateway/peers/members.go
+++ b/gateway/peers/members.go
@@ -140,8 +140,14 @@
 	return removed
 }
 
-// endedRetention is how long an instance is known to have ended.
-const endedRetention = 10 * time.Minute
+// Times for which an instance is taken to have ended.
+const (
+	// endedRetention is how long a list that came back from an older copy does not add it.
+	endedRetention = 10 * time.Minute
+	// lateCallTime is how long its calls are ignored. One that goes on calling has not ended:
+	// a row that was read late may have replaced it.
+	lateCallTime = 2 * time.Second
+)
 
 // recordEnded records that an instance has ended.
 func (c *Cluster) recordEnded(instance string) {
@@ -155,6 +161,12 @@
 	return ended
 }
 
+// mayBeLate reports whether a call of an instance may have been sent before it ended.
+func (c *Cluster) mayBeLate(instance string) bool {
+	at, ended := c.endedInstances[instance]
+	return ended && time.Since(at) < lateCallTime
+}
+
 // addListed adds a member of the list. What is listed has not ended, unless the list may be
 // older than what is known here, since the store came back from a copy.
 func (c *Cluster) addListed(member Member, older bool) {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -220,11 +220,20 @@
 	c.finishExchange(p, usage, err)
 }
 
-// observePeer records the state of a member, unless it is of another instance.
-func (c *Cluster) observePeer(state *wirev1.PeerState) {
+// observePeer records the state with which a member has answered a call. Another instance
+// that answers at its address has taken its place.
+func (c *Cluster) observePeer(called *peer, state *wirev1.PeerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p, ok := c.members[state.GetVm()]; ok && p.Instance == state.GetInstance() {
+	p, ok := c.members[state.GetVm()]
+	if ok && p == called && p.Instance != state.GetInstance() {
+		delete(c.endedInstances, state.GetInstance())
+		answered := p.Member
+		answered.Instance = state.GetInstance()
+		c.add(answered)
+		p = c.members[state.GetVm()]
+	}
+	if ok && p.Instance == state.GetInstance() {
 		p.observe(state)
 	}
 }
@@ -241,7 +250,7 @@
 	if err != nil {
 		return err
 	}
-	c.observePeer(reply.Msg.GetState())
+	c.observePeer(p, reply.Msg.GetState())
 	c.localState.MergeState(reply.Msg.GetState())
 	c.localState.ApplyNewer(reply.Msg, requestedAt)
 	newer := c.localState.NewerConfiguration(reply.Msg.GetState())
@@ -299,9 +308,10 @@
 	state := request.GetState()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if request.GetAddress() == "" || c.hasEnded(state.GetInstance()) {
+	if request.GetAddress() == "" || c.mayBeLate(state.GetInstance()) {
 		return
 	}
+	delete(c.endedInstances, state.GetInstance())
 	if p, ok := c.members[state.GetVm()]; ok && p.Instance == state.GetInstance() {
 		p.observe(state)
 		return
--- a/gateway/peers/silence_test.go
+++ b/gateway/peers/silence_test.go
@@ -41,7 +41,7 @@
 		c.due(time.Now())
 		time.Sleep(3 * time.Second)
 		require.Equal(t, 3*time.Second, c.SilentFor(other))
-		c.observePeer(&wirev1.PeerState{Vm: other, Instance: "1"})
+		c.observePeer(c.members[other], &wirev1.PeerState{Vm: other, Instance: "1"})
 		require.Zero(t, c.SilentFor(other))
 
 		time.Sleep(3 * time.Second)
