Calls that this process ends after a silence have a result of their own

Callers saw requests end without an answer, and the log could not tell why: a stream's call that the stall timer had ended was logged as "left", as if its caller had closed the connection, and the call of a plain request or a prefill that had its time-out as "broken", like one that its endpoint broke off. They are "silent" now, and the counter silent_unreplaced counts the requests that failed since no call followed such a call.

--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -41,9 +41,13 @@
 	ResultLimited    Result = "limited"  // Not sent: the endpoint's rate limit was used up.
 	ResultNotSent    Result = "not_sent" // The request can't have reached the endpoint.
 	ResultBroken     Result = "broken"   // The connection was lost or timed out.
+	ResultSilent     Result = "silent"   // This process ended the call after a silence of the endpoint.
 	ResultCallerLeft Result = "left"     // The caller disconnected during the call.
 )
 
+// errSilent is the cause with which this process ends the call of a silent endpoint.
+var errSilent = errors.New("the endpoint was silent for too long, so its call was ended; remedy: look at the endpoint, and at retry_denied_budget")
+
 // Call is one call to an endpoint for a job.
 type Call struct {
 	Endpoint string `json:"endpoint"`
@@ -67,6 +71,11 @@
 	}
 }
 
+// endedSilent reports whether the last call was ended after a silence of its endpoint.
+func (o *Outcome) endedSilent() bool {
+	return len(o.Calls) > 0 && o.Calls[len(o.Calls)-1].Result == ResultSilent
+}
+
 // resultOfError returns the result of a call that failed with err.
 func resultOfError(ctx context.Context, err error) Result {
 	switch {
@@ -74,6 +83,8 @@
 		return ResultLimited
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
+	case errors.Is(context.Cause(ctx), errSilent):
+		return ResultSilent
 	case errors.Is(ctx.Err(), context.Canceled):
 		return ResultCallerLeft
 	default:
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -18,12 +18,12 @@
 	for first := true; ; first = false {
 		if !first {
 			if decision := r.decide(job); decision.Refused {
-				return p.endUnanswered(ctx, w, job, ReasonCrashes, decision.RetryIn)
+				return r.endUnanswered(ctx, w, p, job, ReasonCrashes, decision.RetryIn)
 			}
 		}
 		endpoint, done, ok := r.choosePlain(ctx, job, p)
 		if !ok {
-			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), r.limitRetryAfter(p))
+			return r.endUnanswered(ctx, w, p, job, p.reasonUnplaced(), r.limitRetryAfter(p))
 		}
 		p.Endpoint = endpoint.ID
 		result := r.attemptPlain(ctx, w, job, endpoint, p)
@@ -35,7 +35,7 @@
 		}
 		p.excluded[endpoint.ID] = true
 		if ctx.Err() != nil || !r.mayRetry(job, p, result.sent) {
-			return p.endUnanswered(ctx, w, job, ReasonEndpointsFull, 0)
+			return r.endUnanswered(ctx, w, p, job, ReasonEndpointsFull, 0)
 		}
 	}
 }
@@ -50,7 +50,7 @@
 	start := time.Now()
 	response, err := r.send(attemptCtx, endpoint, request)
 	if err != nil {
-		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
+		p.recordCall(endpoint.ID, start, resultOfError(attemptCtx, err))
 	}
 	if errors.Is(err, transport.ErrNotSent) {
 		p.Err = err
@@ -76,7 +76,7 @@
 	p.runs++
 	body, complete, err := readBuffered(response)
 	if err != nil {
-		p.recordCall(endpoint.ID, start, resultOfError(ctx, err))
+		p.recordCall(endpoint.ID, start, resultOfError(attemptCtx, err))
 		return r.recordBrokenPlain(ctx, job, endpoint, p, err)
 	}
 	r.Crashes.RecordAnswer(job.Identity)
@@ -140,7 +140,7 @@
 		return context.WithCancel(ctx)
 	}
 	timeout := time.Duration(attemptTimeoutShare * float64(job.Route.LatencyObjective))
-	return context.WithTimeout(ctx, timeout)
+	return context.WithTimeoutCause(ctx, timeout, errSilent)
 }
 
 func (r *Relay) recordBrokenPlain(ctx context.Context, job *Job, endpoint site.Endpoint, p *progress, err error) attemptResult {
--- a/gateway/relay/prefill.go
+++ b/gateway/relay/prefill.go
@@ -46,7 +46,7 @@
 	assignment := s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
 	defer assignment.Cancel()
 	s.progress.PredictedPrefill = assignment.Predicted()
-	ctx, cancel := context.WithTimeout(ctx, s.prefillTimeout(assignment.Predicted()))
+	ctx, cancel := context.WithTimeoutCause(ctx, s.prefillTimeout(assignment.Predicted()), errSilent)
 	defer cancel()
 	start := time.Now()
 	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -111,9 +111,18 @@
 	return true
 }
 
+// countUnreplaced counts a request that ends because no call followed one that this
+// process had ended.
+func (r *Relay) countUnreplaced(p *progress) {
+	if p.endedSilent() {
+		r.Meter.Count("silent", "unreplaced")
+	}
+}
+
 // endUnanswered responds to a caller whose request got no response from an endpoint.
-func (p *progress) endUnanswered(ctx context.Context, w http.ResponseWriter, job *Job, reason Reason, atLeast time.Duration) Outcome {
+func (r *Relay) endUnanswered(ctx context.Context, w http.ResponseWriter, p *progress, job *Job, reason Reason, atLeast time.Duration) Outcome {
 	var outcome Outcome
+	r.countUnreplaced(p)
 	switch {
 	case ctx.Err() != nil && time.Now().Before(job.Deadline):
 		outcome = Outcome{Reason: ReasonCallerLeft, MayHaveRun: p.MayHaveRun}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -103,9 +103,10 @@
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
-		return s.progress.endUnanswered(ctx, s.w, s.job, reason, atLeast)
+		return s.relay.endUnanswered(ctx, s.w, s.progress, s.job, reason, atLeast)
 	}
 	s.progress.Reason = ReasonBroken
+	s.relay.countUnreplaced(s.progress)
 	if ctx.Err() != nil && time.Now().Before(s.job.Deadline) {
 		s.progress.Reason = ReasonCallerLeft
 	}
@@ -181,8 +182,8 @@
 
 // decode sends the request to the decode engine and forwards the response.
 func (s *stream) decode(ctx context.Context, placed engines.Placement, run site.RunHeaders) attemptResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	endpoint := placed.DecodeEndpoint
 	var assignment *engines.PromptAssignment
 	if run.KVSource == "" {
@@ -193,7 +194,7 @@
 	}
 	defer assignment.Cancel()
 	start := time.Now()
-	stall := newStallTimer(s.stallTimeout(), func() bool { return s.relay.Selector.Alive(endpoint.ID) }, cancel)
+	stall := newStallTimer(s.stallTimeout(), func() bool { return s.relay.Selector.Alive(endpoint.ID) }, func() { cancel(errSilent) })
 	defer stall.stop()
 	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
