A silent call is ended only when another one has begun to answer

Callers got a part of a stream, or 502, although the endpoint of their request was only silent for a second or so and would have gone on.

Cause: the timers that replace a silent endpoint (stall timeout of streams, attempt timeout of plain requests) ended its call first and looked for another one afterwards. The retry allowance could be used up, no endpoint free, or the next one refuse or fail; nothing was left that could answer.

Change: after the timeout a second call, the standby, is made beside the silent one, if the route's attempts, the retry allowance, the placement and the rate limits allow it; otherwise the silent one goes on, and it is looked at again later. - Streams: the standby goes on after the last whole event that the caller has. It takes over when its endpoint has begun to answer, and the silent call is cancelled at that moment; an event of the silent one cancels the standby. Both are decided under one mutex that the goroutine of the stream holds unless it waits for its endpoint.

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,8 @@
 )
 
 // forward sends the events of a response to the caller as they arrive.
-func (s *stream) forward(ctx context.Context, endpoint site.Endpoint, response *transport.Response, assignment *engines.PromptAssignment, stall *stallTimer, start time.Time) attemptResult {
+func (s *stream) forward(c *streamCall, w *watch) attemptResult {
+	endpoint, response, start := c.endpoint, c.response, c.start
 	s.progress.runs++
 	s.progress.MayHaveRun = true
 	streamEnded := func() {}
@@ -24,7 +24,12 @@
 	var counter eventCounter
 	received := 0
 	for {
-		n, err := response.Read(buffer)
+		var n int
+		var err error
+		s.wait(func() { n, err = response.Read(buffer) })
+		if w.replaced() {
+			return s.endReplaced(c, w, received)
+		}
 		events, sizeErr := counter.add(buffer[:n])
 		if sizeErr != nil {
 			n, err = 0, sizeErr
@@ -32,13 +37,13 @@
 		received += events
 		if n > 0 {
 			if events > 0 {
-				stall.progress()
+				w.progress()
 				s.recordAnswer()
 			}
 			gaps.observe(buffer[:n])
 			if first {
 				first = false
-				s.recordFirstEvent(assignment, start)
+				s.recordFirstEvent(c.assignment, start)
 				streamEnded = s.relay.Selector.StreamStarted(endpoint.ID)
 				s.countRunStart()
 			}
@@ -59,8 +64,8 @@
 			return s.finish(endpoint, response)
 		}
 		if err != nil {
-			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(ctx, err), received)
-			s.recordFailure(ctx, endpoint, false, err)
+			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(c.ctx, err), received)
+			s.recordFailure(c.ctx, endpoint, false, err)
 			s.events.discardPartial()
 			if !s.headerSent && !s.job.Repeatable() {
 				return attemptResult{sent: true}
@@ -117,13 +122,19 @@
 // incomplete response: the route must be resumable, and the ID of the last event must be
 // known if the caller has received any.
 func (s *stream) afterBrokenResponse() attemptResult {
-	if s.job.Route.Resumable && (s.events.lastID != "" || !s.headerSent) {
+	if s.continuable() {
 		return attemptResult{sent: true}
 	}
 	s.progress.Reason = ReasonBroken
 	return attemptResult{finished: s.headerSent, sent: true}
 }
 
+// continuable reports whether another endpoint can go on after what the caller has
+// received.
+func (s *stream) continuable() bool {
+	return s.job.Route.Resumable && (s.events.lastID != "" || !s.headerSent)
+}
+
 func (s *stream) endCallerLeft() attemptResult {
 	s.progress.Reason = ReasonCallerLeft
 	return attemptResult{finished: true, sent: true}
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -60,14 +60,14 @@
 	return true
 }
 
-// send sends the request to an endpoint, with the permit that was taken in advance if
-// there is one.
-func (s *stream) send(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
-	if s.reserved != endpoint.ID {
-		return s.relay.send(ctx, endpoint, request)
+// takeReserved reports whether the permit for an endpoint was taken in advance, and uses
+// it up.
+func (s *stream) takeReserved(id string) bool {
+	if s.reserved != id {
+		return false
 	}
 	s.reserved = ""
-	return s.relay.sendPermitted(ctx, endpoint, request)
+	return true
 }
 
 // reasonUnplaced returns why no endpoint was selected.
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -42,6 +42,7 @@
 	ResultNotSent    Result = "not_sent" // The request can't have reached the endpoint.
 	ResultBroken     Result = "broken"   // The connection was lost or timed out.
 	ResultSilent     Result = "silent"   // This process ended the call after a silence of the endpoint.
+	ResultOutrun     Result = "outrun"   // Another call of the same request went on.
 	ResultCallerLeft Result = "left"     // The caller disconnected during the call.
 )
 
@@ -83,6 +84,8 @@
 		return ResultLimited
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
+	case errors.Is(context.Cause(ctx), errOutrun):
+		return ResultOutrun
 	case errors.Is(context.Cause(ctx), errSilent):
 		return ResultSilent
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/gateway/relay/prefill.go
+++ b/gateway/relay/prefill.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, s.prefillTimeout(assignment.Predicted()), errSilent)
 	defer cancel()
 	start := time.Now()
-	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
+	response, err := s.relay.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 		s.recordFailure(ctx, endpoint, true, err)
--- a/gateway/relay/stalltimer.go
+++ b/gateway/relay/stalltimer.go
@@ -9,9 +9,9 @@
 // which an endpoint without progress is replaced by another.
 const stallTimeoutShare = 0.45
 
-// aliveRecheckShare is the share of the stall timeout after which an endpoint that was
-// alive when it expired is checked again.
-const aliveRecheckShare = 0.25
+// recheckShare is the share of the stall timeout after which an attempt is looked at
+// again whose endpoint was alive when it expired, or beside which no other could begin.
+const recheckShare = 0.25
 
 // stallTimeout returns how long an endpoint may make no progress; 0 for no limit if
 // the request may not be retried.
@@ -50,16 +50,35 @@
 }
 
 func (t *stallTimer) expire() {
+	if t.stalled() {
+		t.onStall()
+	}
+}
+
+func (t *stallTimer) stalled() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
-		return
+		return false
 	}
 	if !t.progressed && t.alive() {
-		t.timer.Reset(time.Duration(aliveRecheckShare * float64(t.timeout)))
-		return
+		t.timer.Reset(t.recheckTime())
+		return false
+	}
+	return true
+}
+
+func (t *stallTimer) recheckTime() time.Duration {
+	return time.Duration(recheckShare * float64(t.timeout))
+}
+
+// again has onStall called once more if the endpoint stays without progress.
+func (t *stallTimer) again() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer.Reset(t.recheckTime())
 	}
-	t.onStall()
 }
 
 func (t *stallTimer) progress() {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"flamingospar.org/core/placement"
@@ -27,6 +28,8 @@
 
 // stream is the state of one streamed response over its attempts.
 type stream struct {
+	// mu guards all other fields while a standby may act; see wait.
+	mu         sync.Mutex
 	relay      *Relay
 	job        *Job
 	w          http.ResponseWriter
@@ -46,6 +49,10 @@
 	// reserved is the limited decode engine for which a permit was taken before the
 	// prefill, if any.
 	reserved string
+	// next is a standby that has become the next attempt, if any.
+	next *streamCall
+	// retryAfter is the time after which the last placement expected room.
+	retryAfter time.Duration
 }
 
 // serveStream runs a request whose response is a stream of events.
@@ -54,29 +61,66 @@
 		relay: r, job: job, w: w, flush: http.NewResponseController(w).Flush, prompt: job.prompt(),
 		progress: &progress{excluded: make(map[string]bool)}, answered: job.Caller.LastEventID != "",
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for first := true; ; first = false {
-		if !first {
-			if decision := r.decide(job); decision.Refused {
-				return s.giveUp(ctx, ReasonCrashes, decision.RetryIn)
-			}
-		}
-		placed := s.place(ctx)
-		if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
-			return s.endUnplaced(ctx, placed)
+		result, ended := s.nextAttempt(ctx, first)
+		if ended {
+			return s.progress.Outcome
 		}
-		r.Meter.Count("placement", verdictName(placed.Verdict))
-		result := s.attempt(ctx, placed)
 		if result.finished {
 			s.progress.Attempts = s.progress.sends
 			return s.progress.Outcome
 		}
 		s.progress.excluded[s.progress.Endpoint] = true
+		if s.next != nil && ctx.Err() == nil {
+			continue
+		}
 		if ctx.Err() != nil || !r.mayRetry(job, s.progress, result.sent) {
-			return s.giveUp(ctx, ReasonEndpointsFull, placed.RetryAfter)
+			s.dropNext()
+			return s.giveUp(ctx, ReasonEndpointsFull, s.retryAfter)
 		}
 	}
 }
 
+// nextAttempt makes the next attempt. ended reports that there is none and the stream has
+// ended.
+func (s *stream) nextAttempt(ctx context.Context, first bool) (result attemptResult, ended bool) {
+	if c := s.next; c != nil {
+		s.next = nil
+		return s.goOn(ctx, c), false
+	}
+	if !first {
+		if decision := s.relay.decide(s.job); decision.Refused {
+			s.progress.Outcome = s.giveUp(ctx, ReasonCrashes, decision.RetryIn)
+			return attemptResult{}, true
+		}
+	}
+	placed := s.place(ctx)
+	s.retryAfter = placed.RetryAfter
+	if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
+		s.progress.Outcome = s.endUnplaced(ctx, placed)
+		return attemptResult{}, true
+	}
+	s.relay.Meter.Count("placement", verdictName(placed.Verdict))
+	return s.attempt(ctx, placed), false
+}
+
+// dropNext cancels a standby that was to be the next attempt.
+func (s *stream) dropNext() {
+	c := s.next
+	if c == nil {
+		return
+	}
+	s.next = nil
+	c.cancel(nil)
+	s.wait(func() { <-c.done })
+	c.end()
+	if c.sent() {
+		s.countPossibleRun()
+	}
+}
+
 func verdictName(v placement.Verdict) string {
 	if v == placement.Late {
 		return "late"
@@ -117,17 +161,11 @@
 // attempt makes one attempt: prefill on one engine and decode on another, or both on
 // the decode engine.
 func (s *stream) attempt(ctx context.Context, placed engines.Placement) attemptResult {
-	run := site.RunHeaders{
-		EndpointID: placed.DecodeEndpoint.ID, Team: s.job.Team, Remaining: s.job.remaining(time.Now()), Priority: placed.Level,
-		LastEventID: s.events.lastID, KVFetch: placed.FetchAddress,
-	}
+	run := s.runHeaders(placed)
 	s.progress.Endpoint = placed.DecodeEndpoint.ID
 	s.progress.PrefillEndpoint = ""
 	s.progress.Level = placed.Level
-	s.progress.FetchedTokens = placed.Fetched
-	if placed.FetchAddress != "" && placed.Fetched == 0 {
-		s.progress.FetchedTokens = -1
-	}
+	s.progress.FetchedTokens = fetchedTokens(placed)
 	if placed.Prefill == nil {
 		return s.decode(ctx, placed, run)
 	}
@@ -162,6 +200,15 @@
 	return s.decode(ctx, placed, run)
 }
 
+// fetchedTokens returns the tokens known to be cached at the engine to fetch from; -1 if
+// their number is unknown.
+func fetchedTokens(placed engines.Placement) int {
+	if placed.FetchAddress != "" && placed.Fetched == 0 {
+		return -1
+	}
+	return placed.Fetched
+}
+
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
 	if errors.Is(err, errRateLimited) {
@@ -180,46 +227,6 @@
 	}
 }
 
-// decode sends the request to the decode engine and forwards the response.
-func (s *stream) decode(ctx context.Context, placed engines.Placement, run site.RunHeaders) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	endpoint := placed.DecodeEndpoint
-	var assignment *engines.PromptAssignment
-	if run.KVSource == "" {
-		assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
-		s.progress.PredictedPrefill = assignment.Predicted()
-	} else {
-		assignment = s.relay.Selector.SendPrefilled(endpoint.ID, s.prompt, placed.Level)
-	}
-	defer assignment.Cancel()
-	start := time.Now()
-	stall := newStallTimer(s.stallTimeout(), func() bool { return s.relay.Selector.Alive(endpoint.ID) }, func() { cancel(errSilent) })
-	defer stall.stop()
-	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
-	if err != nil {
-		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
-		sent := !errors.Is(err, transport.ErrNotSent)
-		if sent {
-			s.countPossibleRun()
-		}
-		s.recordFailure(ctx, endpoint, false, err)
-		return attemptResult{sent: sent}
-	}
-	s.progress.sends++
-	defer response.Close()
-	if response.Meta.NotRun {
-		s.progress.recordCall(endpoint.ID, start, ResultRefused)
-		s.recordDecodeRefusal(endpoint, response, run)
-		return attemptResult{sent: true}
-	}
-	if response.Status != http.StatusOK {
-		s.progress.recordCall(endpoint.ID, start, ResultFailed)
-		return s.handleDecodeFailure(endpoint, response)
-	}
-	return s.forward(ctx, endpoint, response, assignment, stall, start)
-}
-
 func (s *stream) countPossibleRun() {
 	s.progress.sends++
 	s.progress.runs++
@@ -238,16 +245,20 @@
 
 // handleDecodeFailure forwards an error response of an endpoint, unless another attempt
 // may follow.
-func (s *stream) handleDecodeFailure(endpoint site.Endpoint, response *transport.Response) attemptResult {
+func (s *stream) handleDecodeFailure(c *streamCall, w *watch) attemptResult {
 	s.progress.MayHaveRun = true
 	s.progress.runs++
-	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestFailed)
-	body, complete, err := readBuffered(response)
+	s.relay.Selector.RecordResult(c.endpoint.ID, engines.RequestFailed)
+	var body []byte
+	var complete bool
+	var err error
+	s.wait(func() { body, complete, err = readBuffered(c.response) })
 	s.progress.Err = err
-	if s.headerSent || err != nil || (s.job.Repeatable() && s.progress.runs < s.job.Route.MaxAttempts && response.Status >= http.StatusInternalServerError) {
+	another := w.call != nil || (s.job.Repeatable() && s.progress.runs < s.job.Route.MaxAttempts)
+	if s.headerSent || w.replaced() || err != nil || (another && c.response.Status >= http.StatusInternalServerError) {
 		return attemptResult{sent: true}
 	}
-	s.progress.Status = response.Status
-	writeResponse(s.w, response, body, complete)
+	s.progress.Status = c.response.Status
+	writeResponse(s.w, c.response, body, complete)
 	return attemptResult{finished: true, sent: true}
 }
--- /dev/null
+++ b/gateway/relay/streamcall.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/gateway/transport"
+	"flamingospar.org/platform/site"
+)
+
+// streamCall is one call to a decode engine.
+type streamCall struct {
+	endpoint   site.Endpoint
+	run        site.RunHeaders
+	placed     engines.Placement
+	request    transport.Request
+	permitted  bool // The permit of the endpoint's rate limit was taken in advance.
+	assignment *engines.PromptAssignment
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	start      time.Time
+	// done is closed when response or err is set, and a standby has been decided about.
+	done     chan struct{}
+	response *transport.Response
+	err      error
+}
+
+// newCall prepares a call to the decode engine of a placement.
+func (s *stream) newCall(ctx context.Context, placed engines.Placement, run site.RunHeaders) *streamCall {
+	endpoint := placed.DecodeEndpoint
+	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
+	c.ctx, c.cancel = context.WithCancelCause(ctx)
+	if run.KVSource == "" {
+		c.assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
+	} else {
+		c.assignment = s.relay.Selector.SendPrefilled(endpoint.ID, s.prompt, placed.Level)
+	}
+	return c
+}
+
+// send sends the call and waits for the header of its response.
+func (c *streamCall) send(r *Relay) {
+	if c.permitted {
+		c.response, c.err = r.sendPermitted(c.ctx, c.endpoint, c.request)
+		return
+	}
+	c.response, c.err = r.send(c.ctx, c.endpoint, c.request)
+}
+
+// sent reports whether the call may have reached its endpoint.
+func (c *streamCall) sent() bool { return !errors.Is(c.err, transport.ErrNotSent) }
+
+// begun reports whether the endpoint has begun to answer with a stream.
+func (c *streamCall) begun() bool {
+	return c.err == nil && !c.response.Meta.NotRun && c.response.Status == http.StatusOK
+}
+
+// end releases what the call holds, and aborts it if it has not ended.
+func (c *streamCall) end() {
+	if c.response != nil {
+		c.response.Close()
+	}
+	c.cancel(nil)
+	c.assignment.Cancel()
+}
+
+// wait runs call, which waits for an endpoint. The goroutine of the stream holds mu at all
+// other times, so that a standby acts only while the first attempt waits.
+func (s *stream) wait(call func()) {
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	call()
+}
+
+// decode sends the request to the decode engine and forwards the response.
+func (s *stream) decode(ctx context.Context, placed engines.Placement, run site.RunHeaders) attemptResult {
+	c := s.newCall(ctx, placed, run)
+	if run.KVSource == "" {
+		s.progress.PredictedPrefill = c.assignment.Predicted()
+	}
+	return s.serveCall(ctx, c, func() { c.send(s.relay) })
+}
+
+// goOn serves the stream from a standby that has become the next attempt.
+func (s *stream) goOn(ctx context.Context, c *streamCall) attemptResult {
+	s.progress.Endpoint = c.endpoint.ID
+	s.progress.PrefillEndpoint = ""
+	s.progress.Level = c.placed.Level
+	s.progress.FetchedTokens = fetchedTokens(c.placed)
+	s.progress.PredictedPrefill = c.assignment.Predicted()
+	return s.serveCall(ctx, c, func() { <-c.done })
+}
+
+// serveCall waits for the header of a call with await and forwards the response. A standby
+// may replace it meanwhile.
+func (s *stream) serveCall(ctx context.Context, c *streamCall, await func()) (result attemptResult) {
+	defer c.end()
+	w := s.watch(ctx, c)
+	result.finished = true // Unless answer returns: it panics if the caller must not take its answer for complete.
+	defer func() { w.end(result) }()
+	s.wait(await)
+	return s.answer(c, w)
+}
+
+// answer processes the response to a call.
+func (s *stream) answer(c *streamCall, w *watch) attemptResult {
+	if w.replaced() {
+		return s.endReplaced(c, w, 0)
+	}
+	w.counted = true
+	if c.err != nil {
+		s.progress.recordCall(c.endpoint.ID, c.start, resultOfError(c.ctx, c.err))
+		if c.sent() {
+			s.countPossibleRun()
+		}
+		s.recordFailure(c.ctx, c.endpoint, false, c.err)
+		return attemptResult{sent: c.sent()}
+	}
+	s.progress.sends++
+	if c.response.Meta.NotRun {
+		s.progress.recordCall(c.endpoint.ID, c.start, ResultRefused)
+		s.recordDecodeRefusal(c.endpoint, c.response, c.run)
+		return attemptResult{sent: true}
+	}
+	if c.response.Status != http.StatusOK {
+		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
+		return s.handleDecodeFailure(c, w)
+	}
+	return s.forward(c, w)
+}
+
+// endReplaced ends a call that a standby has replaced after a number of events.
+func (s *stream) endReplaced(c *streamCall, w *watch, received int) attemptResult {
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultSilent, received)
+	if !w.counted {
+		w.counted = true
+		s.countPossibleRun()
+	}
+	s.events.discardPartial()
+	return attemptResult{sent: true}
+}
