A standby that was refused counts as no run

A standby that its engine refused while the first call went on was counted among the runs of the request, so that a later attempt could be denied. Seen in reading; go test -race -cpu 1 -count 2 ./gateway/relay passes.

--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -135,6 +135,10 @@
 // recordStandby records a standby that does not go on.
 func (s *stream) recordStandby(c *streamCall) {
 	switch {
+	case c.err == nil && c.response.Meta.NotRun:
+		s.progress.sends++
+		s.progress.recordCall(c.endpoint.ID, c.start, ResultRefused)
+		s.recordDecodeRefusal(c.endpoint, c.response, c.run)
 	case errors.Is(context.Cause(c.ctx), errOutrun):
 		s.relay.Meter.Count("standby", "outrun")
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultOutrun)
@@ -148,10 +152,6 @@
 			s.countPossibleRun()
 		}
 		s.recordFailure(c.ctx, c.endpoint, false, c.err)
-	case c.response.Meta.NotRun:
-		s.progress.sends++
-		s.progress.recordCall(c.endpoint.ID, c.start, ResultRefused)
-		s.recordDecodeRefusal(c.endpoint, c.response, c.run)
 	default:
 		s.countPossibleRun()
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
