A panic of a call ends its request only

Standbys and the calls of plain requests run in goroutines of their own, in which a panic would have ended the process with all its requests. It is handed to the goroutine of the request and raised there, where the ingress ends that request.

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -27,6 +27,7 @@
 		var n int
 		var err error
 		s.wait(func() { n, err = response.Read(buffer) })
+		s.raise()
 		if w.replaced() {
 			return s.endReplaced(c, w, received)
 		}
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -76,8 +76,11 @@
 	p.underWay = append(p.underWay, c)
 	p.silent.Reset(attemptTimeout(p.job))
 	go func() {
+		defer func() {
+			c.panicked = newCaughtPanic(recover())
+			p.ended <- c
+		}()
 		c.run(p.relay, request)
-		p.ended <- c
 	}()
 }
 
@@ -130,6 +133,10 @@
 func (p *plainRun) callEnded(c *plainCall) (outcome Outcome, finished bool) {
 	p.remove(c)
 	c.done()
+	if c.panicked != nil {
+		c.close()
+		panic(c.panicked)
+	}
 	sent := p.record(c)
 	if c.answered() && c.response.Status < http.StatusInternalServerError {
 		return p.forward(c), true
--- a/gateway/relay/plaincall.go
+++ b/gateway/relay/plaincall.go
@@ -23,6 +23,7 @@
 	body     []byte
 	complete bool // body is the whole body.
 	err      error
+	panicked *caughtPanic
 }
 
 func newPlainCall(ctx context.Context, job *Job, endpoint site.Endpoint, done func()) *plainCall {
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -56,6 +56,7 @@
 	s := w.stream
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer w.catch()
 	if w.ended || time.Since(w.progressAt) < w.stall.timeout {
 		return
 	}
@@ -65,10 +66,20 @@
 		return
 	}
 	w.call = c
+	defer close(c.done)
 	s.wait(func() { c.send(s.relay) })
 	w.standbyReturned(c)
 }
 
+// catch hands a panic over to the goroutine of the stream.
+func (w *watch) catch() {
+	if panicked := newCaughtPanic(recover()); panicked != nil {
+		w.stream.relay.Meter.Count("panic", "standby")
+		w.stream.panicked = panicked
+		w.first.cancel(errOutrun)
+	}
+}
+
 // newStandby returns a call for a standby, or nil if none may begin now.
 func (w *watch) newStandby() *streamCall {
 	s := w.stream
@@ -116,7 +127,6 @@
 
 // standbyReturned decides what becomes of a standby whose call has returned.
 func (w *watch) standbyReturned(c *streamCall) {
-	defer close(c.done)
 	if w.replaced() {
 		return // The first call failed meanwhile: the stream waits for this one.
 	}
--- a/gateway/relay/standby_test.go
+++ b/gateway/relay/standby_test.go
@@ -215,3 +215,42 @@
 		})
 	}
 }
+
+// Guards against events that are missing or come twice when a silent engine goes on at
+// the moment at which its standby begins.
+func TestNoEventIsLostOrRepeatedWhenBothCallsMoveAtOnce(t *testing.T) {
+	const step, steps = 3 * time.Millisecond, 24
+	stallTimeout := 900 * time.Millisecond // Of newStreamJob.
+	for i := range steps {
+		t.Run(fmt.Sprintf("step %d", i), func(t *testing.T) {
+			t.Parallel()
+			goOn := func(w http.ResponseWriter, _ *http.Request) {
+				for id := 2; id <= 4; id++ {
+					fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+					_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
+				}
+			}
+			first := &hold{start: time.Now(), first: "id: 1\ndata: piece 1\n\n", next: goOn, silence: stallTimeout + time.Duration(i-steps/4)*step}
+			r, _, _ := newPair(t, first.serve, sitetest.Events(4, 0))
+			recorder := httptest.NewRecorder()
+			outcome := r.Serve(t.Context(), recorder, newStreamJob())
+			require.Equal(t, relay.ReasonNone, outcome.Reason, "calls: %+v", outcome.Calls)
+			require.Equal(t, events(4), recorder.Body.String(), "calls: %+v", outcome.Calls)
+		})
+	}
+}
+
+// Guards against a process that ends with all its requests: a panic in the goroutine of a
+// call, or while a standby is made, is raised in that of its request.
+func TestPanicOfACallEndsItsRequestOnly(t *testing.T) {
+	t.Parallel()
+	plain := newRelay(sitetest.NewEndpoint(t, "e-1", nil))
+	plain.OnRunStart = func(string) { panic("a fault") }
+	require.Panics(t, func() { plain.Serve(t.Context(), httptest.NewRecorder(), newJob(site.Idempotent)) })
+
+	silent := &hold{start: time.Now()}
+	streams, _, _ := newPair(t, silent.serve, sitetest.Events(4, 0))
+	streams.Crashes = nil // It is first used when a standby is made.
+	require.Panics(t, func() { streams.Serve(t.Context(), httptest.NewRecorder(), newStreamJob()) })
+	silent.requireCancelled(t, 900*time.Millisecond)
+}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -51,6 +51,8 @@
 	reserved string
 	// next is a standby that has become the next attempt, if any.
 	next *streamCall
+	// panicked is a panic while a standby was made, if any.
+	panicked *caughtPanic
 	// retryAfter is the time after which the last placement expected room.
 	retryAfter time.Duration
 }
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -75,6 +75,14 @@
 	call()
 }
 
+// raise raises a panic again that occurred while a standby was made.
+func (s *stream) raise() {
+	if panicked := s.panicked; panicked != nil {
+		s.panicked = nil
+		panic(panicked)
+	}
+}
+
 // decode sends the request to the decode engine and forwards the response.
 func (s *stream) decode(ctx context.Context, placed engines.Placement, run site.RunHeaders) attemptResult {
 	c := s.newCall(ctx, placed, run)
@@ -102,6 +110,7 @@
 	result.finished = true // Unless answer returns: it panics if the caller must not take its answer for complete.
 	defer func() { w.end(result) }()
 	s.wait(await)
+	s.raise()
 	return s.answer(c, w)
 }
 
