The decode engine reads the prompt itself when no retry follows a silent prefill

Callers got 503 (or, on a stream that goes on after a broken call, a cut answer) when the engine for a separate prefill was silent and the retry allowance used up, although the decode engine that had been chosen was free.

Cause: the same class as the calls of silent endpoints: the prefill was given up before it was certain that anything could follow. A call to the decode engine is no retry, since it is the first call that runs the request; it only has to read the prompt itself.

Evidence: TestDecodeEngineReadsThePromptWhenThePrefillEngineIsSilent; before:

expected: 200, actual: 503 calls: [{Endpoint:prefill Result:silent MS:889 Events:0}]

--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -51,6 +51,9 @@
 	reserved string
 	// next is a standby that has become the next attempt, if any.
 	next *streamCall
+	// unread is the placement of the last attempt if its prefill engine was silent: the
+	// decode engine can still read the prompt itself.
+	unread *engines.Placement
 	// panicked is a panic while a standby was made, if any.
 	panicked *caughtPanic
 	// retryAfter is the time after which the last placement expected room.
@@ -75,16 +78,28 @@
 			return s.progress.Outcome
 		}
 		s.progress.excluded[s.progress.Endpoint] = true
-		if s.next != nil && ctx.Err() == nil {
-			continue
-		}
-		if ctx.Err() != nil || !r.mayRetry(job, s.progress, result.sent) {
+		if !s.anotherAttempt(ctx, result) {
 			s.dropNext()
 			return s.giveUp(ctx, ReasonEndpointsFull, s.retryAfter)
 		}
 	}
 }
 
+// anotherAttempt reports whether another attempt follows one that did not finish.
+func (s *stream) anotherAttempt(ctx context.Context, result attemptResult) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case s.next != nil:
+		return true
+	case s.relay.mayRetry(s.job, s.progress, result.sent):
+		s.unread = nil
+		return true
+	default: // A call to the decode engine after a prefill is no retry.
+		return s.unread != nil && s.job.remaining(time.Now()) >= minAttemptTime
+	}
+}
+
 // nextAttempt makes the next attempt. ended reports that there is none and the stream has
 // ended.
 func (s *stream) nextAttempt(ctx context.Context, first bool) (result attemptResult, ended bool) {
@@ -98,6 +113,10 @@
 			return attemptResult{}, true
 		}
 	}
+	if unread := s.unread; unread != nil {
+		s.unread = nil
+		return s.attempt(ctx, *unread), false
+	}
 	placed := s.place(ctx)
 	s.retryAfter = placed.RetryAfter
 	if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
@@ -182,6 +201,10 @@
 	if !ok {
 		s.prefillFailed = true
 		s.progress.excluded[placed.PrefillEndpoint.ID] = true
+		if s.progress.endedSilent() {
+			placed.Prefill = nil
+			s.unread = &placed
+		}
 		return result
 	}
 	if s.relay.decide(s.job).Refused {
