--- a/gateway/relay/standby_test.go
+++ b/gateway/relay/standby_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
@@ -87,13 +88,20 @@
 	}
 }
 
-// Guards against events that come twice: an engine that goes on while the standby still
-// prepares keeps the stream, and the standby is cancelled at once.
+// Guards against two engines at work on one stream: one that goes on while the standby
+// still prepares keeps the stream, and the standby is cancelled at once.
 func TestStandbyEndsWhenTheSilentEngineGoesOn(t *testing.T) {
 	t.Parallel()
-	other := &hold{start: time.Now()}
-	first := silentEvents(4, 2)
-	r, _, _ := newPair(t, first, other.serve)
+	goOn := func(w http.ResponseWriter, _ *http.Request) {
+		for id := 2; id <= 4; id++ {
+			fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+			_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
+			time.Sleep(maxBothRun)                    // The stream must outlast the cancelled standby.
+		}
+	}
+	first := &hold{start: time.Now(), first: "id: 1\ndata: piece 1\n\n", next: goOn, silence: silence}
+	other := &hold{start: first.start}
+	r, _, _ := newPair(t, first.serve, other.serve)
 	recorder := httptest.NewRecorder()
 	outcome := r.Serve(t.Context(), recorder, newStreamJob())
 	require.Equal(t, relay.ReasonNone, outcome.Reason)
@@ -134,6 +142,23 @@
 	require.EqualValues(t, 2, min(silent.began.Load(), 1)+min(other.began.Load(), 1)+min(third.began.Load(), 1))
 }
 
+// Guards against more runs than the route allows: no further call follows a standby that
+// failed.
+func TestFailedStandbyCountsAmongTheAttempts(t *testing.T) {
+	t.Parallel()
+	silent, third := &hold{start: time.Now()}, &hold{start: time.Now()}
+	r, _, other := newPair(t, silent.serve, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	addModel(r, "third", sitetest.NewEndpoint(t, "third", third.serve).Address, 1)
+	defer r.Selector.StreamStarted("third")()
+	r.Selector.RecordResult("third", engines.RequestFailed) // So that it is tried last.
+	job := newStreamJob()
+	job.Route.MaxAttempts = 2
+	job.Deadline = time.Now().Add(2500 * time.Millisecond)
+	require.Equal(t, relay.ReasonDeadline, r.Serve(t.Context(), httptest.NewRecorder(), job).Reason)
+	require.Len(t, other.Requests(), 1)
+	require.Zero(t, third.began.Load())
+}
+
 // Guards against a request that may run once and runs twice: a silence alone never has a
 // second call made.
 func TestOnlyRepeatableRequestsHaveAStandby(t *testing.T) {
