--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -41,8 +41,8 @@
 	// retry, and retryAfterJitter the limit of the random time added to it.
 	minRetryAfter    = 200 * time.Millisecond
 	retryAfterJitter = 300 * time.Millisecond
-	// attemptTimeoutShare is the share of the route's latency objective after which an
-	// attempt of a repeatable request is cancelled and another endpoint is tried.
+	// attemptTimeoutShare is the share of the route's latency objective after which
+	// another endpoint is tried beside an attempt of a repeatable request.
 	attemptTimeoutShare = 0.9
 )
 
--- a/gateway/relay/stalltimer.go
+++ b/gateway/relay/stalltimer.go
@@ -6,7 +6,7 @@
 )
 
 // stallTimeoutShare is the share of the time that a caller waits for an event after
-// which an endpoint without progress is replaced by another.
+// which another endpoint is tried beside one without progress.
 const stallTimeoutShare = 0.45
 
 // recheckShare is the share of the stall timeout after which an attempt is looked at
@@ -22,9 +22,9 @@
 	return time.Duration(stallTimeoutShare * float64(s.job.maxEventWait()))
 }
 
-// stallTimer cancels an attempt that makes no progress. Before the first progress it
-// does not cancel while the endpoint responds to other requests: the request is queued
-// there, and would wait longer on another endpoint.
+// stallTimer notices an attempt that makes no progress. Before the first progress it
+// waits while the endpoint responds to other requests: the request is queued there, and
+// would wait longer on another endpoint.
 type stallTimer struct {
 	timeout time.Duration
 	alive   func() bool
