--- a/gateway/relay/prefill.go
+++ b/gateway/relay/prefill.go
@@ -46,10 +46,10 @@
 	assignment := s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
 	defer assignment.Cancel()
 	s.progress.PredictedPrefill = assignment.Predicted()
-	ctx, cancel := context.WithTimeout(ctx, s.prefillTimeout(assignment.Predicted()))
+	ctx, cancel := context.WithTimeoutCause(ctx, s.prefillTimeout(assignment.Predicted()), errSilent)
 	defer cancel()
 	start := time.Now()
-	response, err := s.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
+	response, err := s.relay.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
 		s.recordFailure(ctx, endpoint, true, err)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -41,8 +41,8 @@
 	// retry, and retryAfterJitter the limit of the random time added to it.
 	minRetryAfter    = 200 * time.Millisecond
 	retryAfterJitter = 300 * time.Millisecond
-	// attemptTimeoutShare is the share of the route's latency objective after which an
-	// attempt of a repeatable request is cancelled and another endpoint is tried.
+	// attemptTimeoutShare is the share of the route's latency objective after which
+	// another endpoint is tried beside an attempt of a repeatable request.
 	attemptTimeoutShare = 0.9
 )
 
@@ -111,9 +111,18 @@
 	return true
 }
 
+// countUnreplaced counts a request that ends because no call followed one that this
+// process had ended.
+func (r *Relay) countUnreplaced(p *progress) {
+	if p.endedSilent() {
+		r.Meter.Count("silent", "unreplaced")
+	}
+}
+
 // endUnanswered responds to a caller whose request got no response from an endpoint.
-func (p *progress) endUnanswered(ctx context.Context, w http.ResponseWriter, job *Job, reason Reason, atLeast time.Duration) Outcome {
+func (r *Relay) endUnanswered(ctx context.Context, w http.ResponseWriter, p *progress, job *Job, reason Reason, atLeast time.Duration) Outcome {
 	var outcome Outcome
+	r.countUnreplaced(p)
 	switch {
 	case ctx.Err() != nil && time.Now().Before(job.Deadline):
 		outcome = Outcome{Reason: ReasonCallerLeft, MayHaveRun: p.MayHaveRun}
--- a/gateway/relay/stalltimer.go
+++ b/gateway/relay/stalltimer.go
@@ -6,12 +6,12 @@
 )
 
 // stallTimeoutShare is the share of the time that a caller waits for an event after
-// which an endpoint without progress is replaced by another.
+// which another endpoint is tried beside one without progress.
 const stallTimeoutShare = 0.45
 
-// aliveRecheckShare is the share of the stall timeout after which an endpoint that was
-// alive when it expired is checked again.
-const aliveRecheckShare = 0.25
+// recheckShare is the share of the stall timeout after which an attempt is looked at
+// again whose endpoint was alive when it expired, or beside which no other could begin.
+const recheckShare = 0.25
 
 // stallTimeout returns how long an endpoint may make no progress; 0 for no limit if
 // the request may not be retried.
@@ -22,9 +22,9 @@
 	return time.Duration(stallTimeoutShare * float64(s.job.maxEventWait()))
 }
 
-// stallTimer cancels an attempt that makes no progress. Before the first progress it
-// does not cancel while the endpoint responds to other requests: the request is queued
-// there, and would wait longer on another endpoint.
+// stallTimer notices an attempt that makes no progress. Before the first progress it
+// waits while the endpoint responds to other requests: the request is queued there, and
+// would wait longer on another endpoint.
 type stallTimer struct {
 	timeout time.Duration
 	alive   func() bool
@@ -50,16 +50,35 @@
 }
 
 func (t *stallTimer) expire() {
+	if t.stalled() {
+		t.onStall()
+	}
+}
+
+func (t *stallTimer) stalled() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
-		return
+		return false
 	}
 	if !t.progressed && t.alive() {
-		t.timer.Reset(time.Duration(aliveRecheckShare * float64(t.timeout)))
-		return
+		t.timer.Reset(t.recheckTime())
+		return false
+	}
+	return true
+}
+
+func (t *stallTimer) recheckTime() time.Duration {
+	return time.Duration(recheckShare * float64(t.timeout))
+}
+
+// again has onStall called once more if the endpoint stays without progress.
+func (t *stallTimer) again() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer.Reset(t.recheckTime())
 	}
-	t.onStall()
 }
 
 func (t *stallTimer) progress() {
