--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -181,8 +181,8 @@
 	delete(f.pendingRemovals, row.Key)
 	delete(f.removed, row.Key)
 	f.endpoints[row.Key] = endpoint
-	if !ok || endpoint.Draining != current.Draining || endpoint.StartedMS != current.StartedMS || endpoint.Stage != current.Stage || endpoint.Address != current.Address {
-		log.Info("An endpoint was added or changed.", "endpoint", endpoint.ID, "service", endpoint.Service, "data_centre", endpoint.DataCentre, "draining", endpoint.Draining, "stage", endpoint.Stage, "version", row.Version)
+	if !ok || endpoint.Draining != current.Draining || endpoint.StartedMS != current.StartedMS || endpoint.Stage != current.Stage || endpoint.Address != current.Address || endpoint.SoftwareVersion != current.SoftwareVersion {
+		log.Info("An endpoint was added or changed.", "endpoint", endpoint.ID, "service", endpoint.Service, "data_centre", endpoint.DataCentre, "draining", endpoint.Draining, "stage", endpoint.Stage, "software", endpoint.SoftwareVersion, "version", row.Version)
 	}
 	for _, listener := range f.listeners {
 		listener.EndpointChanged(endpoint)
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -71,10 +71,13 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
+// maxLoggedIDBytes bounds the ID of an event in a log line.
+const maxLoggedIDBytes = 64
+
 // Ended logs the outcome of a request.
 func (l *RequestLog) Ended(job *relay.Job, outcome relay.Outcome, duration time.Duration) {
 	late := outcome.TimeToFirstByte > job.Route.LatencyObjective && job.Route.LatencyObjective > 0
-	unusual := outcome.Reason != relay.ReasonNone || outcome.Attempts > 1 || late
+	unusual := outcome.Reason != relay.ReasonNone || outcome.Attempts > 1 || late || job.Caller.LastEventID != ""
 	endpoints := l.Endpoints()
 	ok, omitted := l.allowLine(unusual)
 	if !ok {
@@ -95,6 +98,9 @@
 	if outcome.PassedOver.Count > 0 {
 		fields = append(fields, "limited_endpoints", outcome.PassedOver.Count, "limited_endpoint", outcome.PassedOver.Any)
 	}
+	if job.Caller.LastEventID != "" {
+		fields = append(fields, "last_event", job.Caller.LastEventID[:min(len(job.Caller.LastEventID), maxLoggedIDBytes)], "resumes", job.Caller.ResumedRequestID)
+	}
 	if outcome.RetryAfter > 0 {
 		fields = append(fields, "retry_in_ms", outcome.RetryAfter.Milliseconds())
 	}
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -49,7 +49,8 @@
 	Endpoint string `json:"endpoint"`
 	Result   Result `json:"result"`
 	MS       int64  `json:"ms"`
-	Events   int    `json:"events,omitempty"` // Received from the endpoint.
+	Events   int    `json:"events,omitempty"`   // Received from the endpoint.
+	Software string `json:"software,omitempty"` // Version of the endpoint's software, if it runs models.
 }
 
 // maxCalls is the number of calls that are recorded per job.
@@ -63,7 +64,7 @@
 // recordStreamCall records a call that has just ended after a number of events.
 func (o *Outcome) recordStreamCall(endpoint string, start time.Time, result Result, events int) {
 	if len(o.Calls) < maxCalls {
-		o.Calls = append(o.Calls, Call{Endpoint: endpoint, Result: result, MS: time.Since(start).Milliseconds(), Events: events})
+		o.Calls = append(o.Calls, Call{Endpoint: endpoint, Result: result, MS: time.Since(start).Milliseconds(), Events: events, Software: o.software[endpoint]})
 	}
 }
 
@@ -97,6 +98,8 @@
 	FetchedTokens   int                // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
 	PassedOver      engines.PassedOver // By the last selection.
 	Timing
+
+	software map[string]string // Versions of the software of the endpoints selected, by ID.
 }
 
 // Timing holds the predicted and measured times of a prompt.
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -120,6 +120,7 @@
 		EndpointID: placed.DecodeEndpoint.ID, Team: s.job.Team, Remaining: s.job.remaining(time.Now()), Priority: placed.Level,
 		LastEventID: s.events.lastID, KVFetch: placed.FetchAddress,
 	}
+	s.progress.noteSoftware(placed.DecodeEndpoint, placed.PrefillEndpoint)
 	s.progress.Endpoint = placed.DecodeEndpoint.ID
 	s.progress.PrefillEndpoint = ""
 	s.progress.Level = placed.Level
@@ -152,6 +153,7 @@
 			return attemptResult{sent: true}
 		}
 		placed.DecodeEndpoint = next
+		s.progress.noteSoftware(next)
 	}
 	s.progress.Endpoint = placed.DecodeEndpoint.ID
 	run.EndpointID = placed.DecodeEndpoint.ID
