--- a/core/placement/affinity.go
+++ b/core/placement/affinity.go
@@ -89,3 +89,14 @@
 	}
 	return a
 }
+
+// ofVersion omits engines of other software versions.
+func (a affinity) ofVersion(version string) affinity {
+	if a.local != nil && a.local.Version != version {
+		a.local = nil
+	}
+	if a.any != nil && a.any.Version != version {
+		a.any = nil
+	}
+	return a
+}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -58,6 +58,7 @@
 	DataCentre string
 	Stage      Stage
 	Slots      int
+	Version    string // Of its software.
 	Draining   bool
 	Health     health.Record
 	// BackoffUntil is when new requests may be sent again after the engine refused
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -7,7 +7,10 @@
 // and on the time that is passed in, and have no effects outside.
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Prompt describes the input of a request.
 type Prompt struct {
@@ -27,6 +30,7 @@
 	MaxEventGap     time.Duration   // Longest time between events that the route allows; 0 for no limit.
 	RemoteCost      time.Duration   // Penalty for an engine in another data centre.
 	Exclude         map[string]bool // By ID of the engine.
+	Version         string          // Of the engines' software; empty for any.
 	MustServe       bool            // Choose the best engine even if the answer will be late.
 	// Jitter is the largest random amount added to the cost of an engine, so that
 	// processes with little knowledge of each other don't all choose the same one.
@@ -118,10 +122,42 @@
 	return late
 }
 
-// cheapestOption returns the engines with the lowest cost for a priority level.
+// cheapestOption returns the engines with the lowest cost for a priority level. They have
+// one software version: what one version has read is of no use to another.
 func cheapestOption(now time.Time, request Request, engines []*Engine, level int) Decision {
+	best, bestCost := Decision{Level: level}, 0.0
+	for _, group := range byVersion(candidates(now, request, engines)) {
+		option, cost := cheapestOfVersion(now, request, group, level)
+		if option.Decode != nil && (best.Decode == nil || cost < bestCost) {
+			best, bestCost = option, cost
+		}
+	}
+	return best
+}
+
+// byVersion groups engines by their software version, in the order of its first engine.
+func byVersion(engines []*Engine) [][]*Engine {
+	if !slices.ContainsFunc(engines, func(e *Engine) bool { return e.Version != engines[0].Version }) {
+		return [][]*Engine{engines}
+	}
+	var groups [][]*Engine
+	index := make(map[string]int)
+	for _, engine := range engines {
+		i, ok := index[engine.Version]
+		if !ok {
+			i = len(groups)
+			index[engine.Version] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], engine)
+	}
+	return groups
+}
+
+// cheapestOfVersion returns the engines with the lowest cost among those of one software
+// version, and the cost.
+func cheapestOfVersion(now time.Time, request Request, engines []*Engine, level int) (Decision, float64) {
 	best := Decision{Level: level}
-	engines = candidates(now, request, engines)
 	decode, decodeCost := bestDecode(now, request, engines)
 	source, cached := bestSource(now, request, engines)
 	affinity := affinityFor(now, request, engines)
@@ -142,12 +178,12 @@
 			best, bestCost = option, cost
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 func affinityFor(now time.Time, request Request, engines []*Engine) affinity {
-	if request.affinity != nil {
-		return request.affinity.usable(now)
+	if request.affinity != nil && len(engines) > 0 {
+		return request.affinity.usable(now).ofVersion(engines[0].Version)
 	}
 	return affinityOf(request, engines)
 }
@@ -244,15 +280,15 @@
 	return best, bestCost
 }
 
-// candidates returns the engines that may be used: those that are neither draining
-// nor excluded nor resting nor in backoff. If none of these can decode, resting
+// candidates returns the engines that may be used: those of the requested version that
+// are neither draining nor excluded nor resting nor in backoff. If none of these can decode, resting
 // engines and engines in backoff are included.
 func candidates(now time.Time, request Request, engines []*Engine) []*Engine {
 	notDraining := make([]*Engine, 0, len(engines))
 	available := make([]*Engine, 0, len(engines))
 	canDecode := false
 	for _, engine := range engines {
-		if engine.Draining || request.Exclude[engine.ID] {
+		if engine.Draining || request.Exclude[engine.ID] || request.Version != "" && engine.Version != request.Version {
 			continue
 		}
 		notDraining = append(notDraining, engine)
--- /dev/null
+++ b/core/streamversion/memory.go
@@ -0,0 +1,97 @@
+package streamversion
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+)
+
+// maxRecords bounds the streams that a Memory remembers.
+const maxRecords = 1 << 15
+
+// StreamID identifies a stream by the request that brought its first event. It is a hash:
+// callers choose the IDs of requests.
+type StreamID uint64
+
+// IDOf returns the ID of the stream whose first event a request brought.
+func IDOf(requestID string) StreamID {
+	hash := sha256.Sum256([]byte(requestID))
+	return StreamID(binary.BigEndian.Uint64(hash[:8]))
+}
+
+// Record is the version that began a stream.
+type Record struct {
+	ID      StreamID
+	Version string
+}
+
+// Memory remembers the versions that began the streams of one service, for Retention.
+type Memory struct {
+	records []remembered // In the order of their times.
+	first   int          // Sequence number of records[0].
+	byID    map[StreamID]entry
+	written int // Sequence number of the first record that was not taken to be written.
+}
+
+type remembered struct {
+	Record
+	at time.Time
+}
+
+type entry struct {
+	seq     int
+	version string
+	several bool // Streams of several versions were begun under one ID.
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory { return &Memory{byID: make(map[StreamID]entry)} }
+
+// Add remembers a stream.
+func (m *Memory) Add(r Record, now time.Time) {
+	m.expire(now, maxRecords-1)
+	known, ok := m.byID[r.ID]
+	if ok && known.version == r.Version && now.Sub(m.records[known.seq-m.first].at) < Retention/2 {
+		return
+	}
+	m.byID[r.ID] = entry{seq: m.first + len(m.records), version: r.Version, several: ok && (known.several || known.version != r.Version)}
+	m.records = append(m.records, remembered{Record: r, at: now})
+}
+
+// Find returns the version that began a stream, and false if it is not known.
+func (m *Memory) Find(id StreamID) (string, bool) {
+	known, ok := m.byID[id]
+	if !ok || known.several {
+		return "", false
+	}
+	return known.version, true
+}
+
+// expire forgets the streams that nobody takes up any more, and the oldest if there are
+// more than most.
+func (m *Memory) expire(now time.Time, most int) {
+	n := 0
+	for n < len(m.records) && (now.Sub(m.records[n].at) >= Retention || len(m.records)-n > most) {
+		if m.byID[m.records[n].ID].seq == m.first+n {
+			delete(m.byID, m.records[n].ID)
+		}
+		n++
+	}
+	m.records = m.records[n:]
+	m.first += n
+	m.written = max(m.written, m.first)
+}
+
+// Take returns up to limit records that were not taken before.
+func (m *Memory) Take(limit int, now time.Time) []Record {
+	m.expire(now, maxRecords)
+	var taken []Record
+	for m.written < m.first+len(m.records) && len(taken) < limit {
+		taken = append(taken, m.records[m.written-m.first].Record)
+		m.written++
+	}
+	return taken
+}
+
+// Rewind makes Take return all records again.
+func (m *Memory) Rewind() { m.written = m.first }
--- /dev/null
+++ b/core/streamversion/streamversion.go
@@ -0,0 +1,143 @@
+// Package streamversion decides at which version of the engines' software a stream may go
+// on. What two versions write doesn't fit together, so a stream stays at the version that
+// began it, also when its caller takes it up at another process.
+//
+// The version of a stream is known from a record of it, or from the register of the
+// versions in use: if only one version can have begun streams lately, it began this one.
+package streamversion
+
+import (
+	"slices"
+	"time"
+)
+
+// Retention is how long after the beginning of a stream its caller may take it up, and how
+// long after a version went out of use streams of it may be taken up.
+const Retention = 60 * time.Second
+
+// Use is the use of one version of a service.
+type Use struct {
+	Version string `json:"version"`
+	// EndedMS is when the version was first found to be in use no more, by the store's
+	// clock; 0 while it is in use.
+	EndedMS int64 `json:"ended_ms,omitempty"`
+}
+
+// Register holds the versions of one service that are in use, or were lately. A version is
+// registered before the first stream begins at it. The zero value is the register of a
+// service that no stream has begun at, in a store that never came back from an older copy.
+type Register struct {
+	// Era is the era of the store in which the register was written. In a later era it may
+	// be an older copy.
+	Era int64 `json:"era"`
+	// UncertainUntilMS is the time, by the store's clock, until which versions may be
+	// missing.
+	UncertainUntilMS int64 `json:"uncertain_until_ms,omitempty"`
+	Uses             []Use `json:"versions"`
+}
+
+// Moment is a moment of the store.
+type Moment struct {
+	Era   int64
+	NowMS int64 // By the store's clock.
+}
+
+// InUse reports whether a version is registered as in use.
+func (r Register) InUse(version string) bool {
+	return slices.Contains(r.Uses, Use{Version: version})
+}
+
+// Possible returns the versions that may have begun a stream that is taken up now.
+func (r Register) Possible(nowMS int64) []string {
+	var versions []string
+	for _, use := range r.Uses {
+		if !use.expired(nowMS) {
+			versions = append(versions, use.Version)
+		}
+	}
+	return versions
+}
+
+func (u Use) expired(nowMS int64) bool {
+	return u.EndedMS != 0 && nowMS >= u.EndedMS+Retention.Milliseconds()
+}
+
+// Single returns the version that began all streams that may be taken up now, and false if
+// there may be several.
+func (r Register) Single(now Moment) (string, bool) {
+	possible := r.Possible(now.NowMS)
+	if r.Era != now.Era || now.NowMS < r.UncertainUntilMS || len(possible) != 1 {
+		return "", false
+	}
+	return possible[0], true
+}
+
+// Observation is what a process knows when it may have to write a register.
+type Observation struct {
+	Moment
+	Listed []string // Versions of the endpoints that are listed.
+	// Remembered is what the process knew in an earlier era of the store; nil if it knew
+	// nothing.
+	Remembered *Register
+	// EndUnlisted makes versions end that are no longer listed.
+	EndUnlisted bool
+}
+
+// Next returns the register that follows from an observation, and whether it differs so
+// that it must be written.
+func (r Register) Next(o Observation) (Register, bool) {
+	next := Register{Era: r.Era, UncertainUntilMS: r.UncertainUntilMS, Uses: slices.Clone(r.Uses)}
+	if r.Era < o.Era {
+		next.Era = o.Era
+		next.UncertainUntilMS = o.NowMS + Retention.Milliseconds()
+	}
+	if o.Remembered != nil {
+		next.UncertainUntilMS = min(next.UncertainUntilMS, o.Remembered.UncertainUntilMS)
+		next.Uses = Merge(next.Uses, o.Remembered.Uses)
+	}
+	for _, version := range o.Listed {
+		next.begin(version)
+	}
+	if o.EndUnlisted {
+		next.endUnlisted(o.Listed, o.NowMS)
+	}
+	changed := next.Era != r.Era || next.UncertainUntilMS != r.UncertainUntilMS || !slices.Equal(next.Uses, r.Uses)
+	next.Uses = slices.DeleteFunc(next.Uses, func(u Use) bool { return u.expired(o.NowMS) })
+	return next, changed
+}
+
+func (r *Register) begin(version string) {
+	for i := range r.Uses {
+		if r.Uses[i].Version == version {
+			r.Uses[i].EndedMS = 0
+			return
+		}
+	}
+	r.Uses = append(r.Uses, Use{Version: version})
+}
+
+func (r *Register) endUnlisted(listed []string, nowMS int64) {
+	for i := range r.Uses {
+		if r.Uses[i].EndedMS == 0 && !slices.Contains(listed, r.Uses[i].Version) {
+			r.Uses[i].EndedMS = max(nowMS, 1)
+		}
+	}
+}
+
+// Merge returns the versions of two lists. A version is in use if one of them says so, and
+// ended at the later of two times.
+func Merge(a, b []Use) []Use {
+	merged := slices.Clone(a)
+	for _, use := range b {
+		i := slices.IndexFunc(merged, func(u Use) bool { return u.Version == use.Version })
+		switch {
+		case i < 0:
+			merged = append(merged, use)
+		case use.EndedMS == 0 || merged[i].EndedMS == 0:
+			merged[i].EndedMS = 0
+		default:
+			merged[i].EndedMS = max(merged[i].EndedMS, use.EndedMS)
+		}
+	}
+	return merged
+}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -22,6 +22,10 @@
 	// Limits knows the rate limits of endpoints. It must be set before the first use, if
 	// at all. Its lock is acquired while that of the selector is held.
 	Limits SendLimits
+	// Versions knows the software versions at which no stream may begin. It must be set
+	// before the first use, if at all. Its lock is acquired while that of the selector is
+	// held.
+	Versions StreamVersions
 
 	dataCentre string
 	now        func() time.Time
@@ -44,7 +48,7 @@
 // New returns a selector without endpoints for a process in dataCentre.
 func New(dataCentre string, now func() time.Time) *Selector {
 	return &Selector{
-		Limits: noLimits{}, dataCentre: dataCentre, now: now,
+		Limits: noLimits{}, Versions: noVersions{}, dataCentre: dataCentre, now: now,
 		enginesByID: make(map[string]*placement.Engine), enginesByService: make(map[string][]*placement.Engine),
 		plainByService: make(map[string][]*plainEndpoint), endpoints: make(map[string]site.Endpoint), memoryTokens: make(map[string]int),
 		biases: make(map[string]*placement.Bias), sentPrompts: sentPromptList{nextSeq: make(map[string]int)}, peerReportedAt: make(map[string]time.Time),
@@ -110,6 +114,7 @@
 	}
 	delete(s.fleets, endpoint.Service)
 	engine.SetStage(stage)
+	engine.Version = endpoint.SoftwareVersion
 	engine.Draining = endpoint.Draining
 }
 
@@ -158,11 +163,14 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
+	confirmed, unconfirmed := s.withoutUnconfirmed(service, request.Exclude)
+	request.Exclude = confirmed
 	blocked := s.Limits.Blocked()
 	allowed := request
 	allowed.Exclude = s.unavailable(request.Exclude, blocked, false)
 	decision := s.fleet(service).Decide(s.now(), allowed)
 	placed := Placement{Decision: decision, PassedOver: s.passedEngines(service, request.Exclude, blocked)}
+	placed.PassedOver.Unconfirmed = unconfirmed
 	if placed.PassedOver.Count > 0 && decision.Verdict != placement.InTime {
 		placed.PassedOver.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
 	}
@@ -185,6 +193,7 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
+	request.Exclude, _ = s.withoutUnconfirmed(service, request.Exclude)
 	request.Exclude = s.unavailable(request.Exclude, s.Limits.Blocked(), false)
 	engine := s.fleet(service).ChooseDecode(s.now(), request)
 	if engine == nil {
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -24,12 +24,15 @@
 func (noLimits) MayAsk(string) bool       { return false }
 func (noLimits) Limited(string) bool      { return false }
 
-// PassedOver describes the endpoints of a service that a decision passed over because of
-// their rate limits.
+// PassedOver describes the endpoints of a service that a decision passed over, most because
+// of their rate limits.
 type PassedOver struct {
 	Count int    // Their number.
 	Ask   string // The one to ask for a permit, if the request would be served better there; "" for none.
 	Any   string // Any of them; "" for none.
+	// Unconfirmed is the number of engines passed over since their software version is not
+	// known to be registered.
+	Unconfirmed int
 }
 
 // passedEngines describes the blocked engines of a service that are not excluded anyway.
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -79,6 +79,7 @@
 		{"members", n.membersFollower().Run},
 		{"crash_marks", n.crashTracker.Run},
 		{"crash_parts", n.crashBackup.Run},
+		{"stream_versions", n.versions.Run},
 		{"register", n.cluster.Register},
 		{"exchange", n.cluster.Run},
 		{"limits", n.limiter.Run},
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -37,6 +37,7 @@
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/peers"
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
 )
@@ -103,6 +104,7 @@
 	clockLost     chan struct{} // Receives a value when the store may have lost the offset of the shared clock.
 	crashTracker  *crashes.Tracker
 	crashBackup   *crashes.Backup
+	versions      *streamversions.Tracker
 	cluster       *peers.Cluster
 	lease         *leasekeeper.Keeper         // The duty lease.
 	bounds        atomic.Pointer[site.Bounds] // From the latest settings.
@@ -146,6 +148,10 @@
 	n.cluster.Supervisor = n.supervisor
 	n.limiter = limits.New(settings.NodeName, n.cluster, n.meter, time.Now)
 	n.selector.Limits = n.limiter
+	n.versions = streamversions.New(n.store, n.cluster, n.instance, n.meter)
+	n.versions.StoreLost = n.storeWatch.IsLost
+	n.selector.Versions = n.versions
+	n.fleet.AddListener(n.versions)
 	n.fleet.AddListener(n.limiter)
 	n.fleet.AddListener(n.selector)
 	n.crashBackup = crashes.NewBackup(n.store, n.crashTracker, func() bool { return n.cluster.AmongFirst(crashPartWriters) })
@@ -253,7 +259,7 @@
 	handler := &ingress.Handler{
 		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
 		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
-		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, Versions: n.versions, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext = ingress.ConnContext
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -8,6 +8,7 @@
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/fleet"
+	"flamingospar.org/gateway/streamversions"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
@@ -31,6 +32,9 @@
 	}
 	state.Parts = n.crashTracker.PartsForPeer(peer)
 	state.Limits = n.limiter.Report(peer)
+	for _, known := range n.versions.InUse() {
+		state.Versions = append(state.Versions, &wirev1.ServiceVersion{Service: known.Service, Version: known.Version})
+	}
 	if usage {
 		state.UsageWhole = true
 		for window, counts := range n.tally.Snapshot() {
@@ -105,6 +109,7 @@
 	n.selector.MarkCached(decodePrompts(state.GetPrompts()))
 	n.crashTracker.Merge(decodeMarks(state.GetMarks()), state.GetParts())
 	n.limiter.Merge(state.GetVm(), state.GetLimits())
+	n.versions.MergeInUse(decodeVersions(state.GetVersions()))
 	for _, window := range state.GetUsage() {
 		counts := make(map[string]int64, len(window.GetTeams()))
 		for _, team := range window.GetTeams() {
@@ -117,6 +122,14 @@
 	}
 }
 
+func decodeVersions(encoded []*wirev1.ServiceVersion) []streamversions.ServiceVersion {
+	versions := make([]streamversions.ServiceVersion, 0, len(encoded))
+	for _, known := range encoded {
+		versions = append(versions, streamversions.ServiceVersion{Service: known.GetService(), Version: known.GetVersion()})
+	}
+	return versions
+}
+
 func decodeMarks(encoded []*wirev1.CrashMark) []crash.Mark {
 	marks := make([]crash.Mark, 0, len(encoded))
 	for _, mark := range encoded {
@@ -181,6 +194,9 @@
 	return n.limiter.Grant(request)
 }
 
+// FindStream returns the version that began a stream, if this process knows it.
+func (n *Node) FindStream(id uint64) (string, bool) { return n.versions.Remembered(id) }
+
 func (n *Node) MemberRemoved(vm string) {
 	n.selector.DropPeer(vm)
 }
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -32,6 +32,7 @@
 	n.usageWriter.StoreRestored()
 	n.cluster.StoreRestored()
 	n.crashBackup.StoreRestored()
+	n.versions.StoreRestored()
 	select {
 	case n.clockLost <- struct{}{}:
 	default:
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -102,6 +102,8 @@
 	// GrantSends answers a process that asks for permits to send requests to an
 	// endpoint.
 	GrantSends(*wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply
+	// FindStream returns the version that began a stream, if this process knows it.
+	FindStream(id uint64) (string, bool)
 }
 
 // Cluster tracks the other entry processes of the fleet and exchanges state with
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -76,8 +76,10 @@
 	return f.version
 }
 
-func (f *fakeState) StoreLost() bool      { return false }
-func (f *fakeState) MemberRemoved(string) {}
+func (f *fakeState) StoreLost() bool                  { return false }
+func (f *fakeState) MemberRemoved(string)             {}
+func (f *fakeState) FindStream(uint64) (string, bool) { return "", false }
+
 func (f *fakeState) GrantSends(request *wirev1.AcquireSendsRequest) *wirev1.AcquireSendsReply {
 	return &wirev1.AcquireSendsReply{SharesLimit: true, Granted: request.GetCount()}
 }
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -42,7 +42,7 @@
 				streamEnded = s.relay.Selector.StreamStarted(endpoint.ID)
 				s.countRunStart()
 			}
-			if s.writeEvents(response, buffer[:n]) != nil {
+			if s.writeEvents(endpoint, response, buffer[:n]) != nil {
 				s.progress.recordStreamCall(endpoint.ID, start, ResultCallerLeft, received)
 				return s.endCallerLeft()
 			}
@@ -131,14 +131,14 @@
 
 // writeEvents sends data to the caller. For a resumable stream it sends whole events
 // only, since the stream may continue on another endpoint.
-func (s *stream) writeEvents(response *transport.Response, data []byte) error {
+func (s *stream) writeEvents(endpoint site.Endpoint, response *transport.Response, data []byte) error {
 	if s.job.Route.Resumable {
 		data = s.events.add(data)
 		if len(data) == 0 {
 			return nil
 		}
 	}
-	s.writeHeader(response)
+	s.writeHeader(endpoint, response)
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
@@ -146,10 +146,11 @@
 }
 
 // writeHeader sends the header of the first endpoint that responded.
-func (s *stream) writeHeader(response *transport.Response) {
+func (s *stream) writeHeader(endpoint site.Endpoint, response *transport.Response) {
 	if s.headerSent {
 		return
 	}
+	s.fixVersion(endpoint)
 	s.headerSent = true
 	s.progress.TimeToFirstByte = time.Since(s.job.Arrived)
 	s.progress.Status = response.Status
@@ -162,7 +163,7 @@
 func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
 	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
 	s.relay.Crashes.RecordComplete(s.job.Identity)
-	s.writeHeader(response)
+	s.writeHeader(endpoint, response)
 	if remainder := s.events.remainder(); len(remainder) > 0 {
 		if _, err := s.w.Write(remainder); err != nil {
 			return s.endCallerLeft()
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -75,6 +75,8 @@
 	switch {
 	case p.PassedOver.Count > 0:
 		return ReasonRateLimited
+	case p.PassedOver.Unconfirmed > 0:
+		return ReasonVersionUnconfirmed
 	case p.sends > 0:
 		return ReasonEndpointsFull
 	default:
@@ -96,5 +98,8 @@
 	if placed.Verdict == placement.Refused {
 		return s.giveUp(ctx, ReasonTooLate, placed.RetryAfter)
 	}
+	if s.version != "" && s.progress.sends == 0 && s.progress.PassedOver.Count == 0 {
+		return s.giveUp(ctx, ReasonVersionGone, max(placed.RetryAfter, unknownVersionRetryAfter))
+	}
 	return s.giveUp(ctx, s.progress.reasonUnplaced(), max(placed.RetryAfter, s.relay.limitRetryAfter(s.progress)))
 }
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -27,6 +27,13 @@
 	ReasonDeadline      Reason = "deadline"
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonBroken        Reason = "broken_midway" // The response had begun.
+	// ReasonVersionUnknown: it takes up a stream of which the version of the engines that
+	// began it can't be known.
+	ReasonVersionUnknown Reason = "version_unknown"
+	// ReasonVersionGone: no endpoint serves the version that began the stream it takes up.
+	ReasonVersionGone Reason = "version_gone"
+	// ReasonVersionUnconfirmed: the versions of the endpoints left are not registered yet.
+	ReasonVersionUnconfirmed Reason = "version_unconfirmed"
 )
 
 // Result is the result of one call to an endpoint.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -58,6 +58,7 @@
 	OnRunStart   RunStartFunc
 	RetryBudgets *RetryBudgets
 	Crashes      *crashes.Tracker
+	Versions     StreamVersions
 	// MaxIdleConns returns the number of idle connections to keep to each endpoint of a
 	// service, 0 for no limit of its own.
 	MaxIdleConns func(service string) int
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,6 +15,7 @@
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
@@ -31,6 +33,17 @@
 func (noFleet) Endpoint(string) (site.Endpoint, bool) { return site.Endpoint{}, false }
 func (noFleet) Position(string) int                   { return 0 }
 
+// oneVersion knows that all streams were begun at one software version.
+type oneVersion struct{}
+
+func (oneVersion) RecordStream(string, string, string) {}
+func (oneVersion) Find(context.Context, streamversions.TakeUp) (string, bool) {
+	return softwareVersion, true
+}
+
+// softwareVersion is that of all endpoints.
+const softwareVersion = "v1"
+
 // newRelay returns a relay with endpoints of the service "plain".
 func newRelay(endpoints ...*sitetest.Endpoint) *relay.Relay {
 	selector := engines.New("dc-1", time.Now)
@@ -39,7 +52,7 @@
 	}
 	registry := meter.NewRegistry()
 	return &relay.Relay{
-		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, Crashes: crashes.New(noFleet{}), MaxIdleConns: func(string) int { return 0 }, OnPrefillDone: func(_, _ time.Duration) {},
+		Pool: transport.NewPool(), Selector: selector, Limits: limits.New("vm-1", onlyProcess{}, registry, time.Now), Meter: registry, OnRunStart: func(string) {}, Crashes: crashes.New(noFleet{}), Versions: oneVersion{}, MaxIdleConns: func(string) int { return 0 }, OnPrefillDone: func(_, _ time.Duration) {},
 		RetryBudgets: relay.NewRetryBudgets(retrybudget.Settings{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50}),
 	}
 }
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -43,6 +43,9 @@
 	prefillCalls int
 	// prefillFailed reports whether the last attempt ended with a failed prefill call.
 	prefillFailed bool
+	// version is the version of the engines' software at which the stream has to go on;
+	// empty until the caller is about to get the first event.
+	version string
 	// reserved is the limited decode engine for which a permit was taken before the
 	// prefill, if any.
 	reserved string
@@ -54,6 +57,9 @@
 		relay: r, job: job, w: w, flush: http.NewResponseController(w).Flush, prompt: job.prompt(),
 		progress: &progress{excluded: make(map[string]bool)}, answered: job.Caller.LastEventID != "",
 	}
+	if s.takesUp() && !s.findVersion(ctx) {
+		return s.giveUp(ctx, ReasonVersionUnknown, unknownVersionRetryAfter)
+	}
 	for first := true; ; first = false {
 		if !first {
 			if decision := r.decide(job); decision.Refused {
@@ -97,6 +103,7 @@
 		RemoteCost:     time.Duration(remoteCostShare * float64(s.job.Route.LatencyObjective)),
 		Exclude:        s.progress.excluded,
 		MustServe:      s.headerSent,
+		Version:        s.version,
 	}
 }
 
@@ -148,7 +155,9 @@
 		return attemptResult{sent: true}
 	}
 	if s.reserved == "" {
-		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
+		request := s.placementRequest()
+		request.Version = placed.PrefillEndpoint.SoftwareVersion
+		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, request)
 		if !ok {
 			return attemptResult{sent: true}
 		}
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -1,6 +1,50 @@
 package relay
 
-import "flamingospar.org/platform/site"
+import (
+	"context"
+	"time"
+
+	"flamingospar.org/gateway/streamversions"
+	"flamingospar.org/platform/site"
+)
+
+// unknownVersionRetryAfter is the Retry-After time of a caller whose stream can't go on now:
+// an engine may start again, or the version may become known.
+const unknownVersionRetryAfter = 700 * time.Millisecond
+
+// StreamVersions knows the versions of the engines' software that began streams.
+type StreamVersions interface {
+	// RecordStream records that a stream begins at a version.
+	RecordStream(service, requestID, version string)
+	// Find returns the version that began a stream that is taken up, and false if it can't
+	// be known.
+	Find(ctx context.Context, taken streamversions.TakeUp) (string, bool)
+}
+
+// takesUp reports whether the caller takes up a stream that another request began.
+func (s *stream) takesUp() bool { return s.job.Caller.LastEventID != "" }
+
+// findVersion finds the version at which a stream that is taken up has to go on. It reports
+// false if the version is not known.
+func (s *stream) findVersion(ctx context.Context) bool {
+	version, ok := s.relay.Versions.Find(ctx, streamversions.TakeUp{
+		Service: s.job.Service, RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
+	})
+	s.version = version
+	return ok
+}
+
+// fixVersion keeps the stream at the version of the endpoint whose event the caller is about
+// to get first.
+func (s *stream) fixVersion(endpoint site.Endpoint) {
+	if s.version != "" {
+		return
+	}
+	s.version = endpoint.SoftwareVersion
+	if s.job.Route.Resumable {
+		s.relay.Versions.RecordStream(s.job.Service, s.job.Caller.ID, s.version)
+	}
+}
 
 // noteSoftware notes the versions of the software of endpoints for the lines about calls
 // to them.
--- /dev/null
+++ b/gateway/streamversions/find.go
@@ -0,0 +1,124 @@
+package streamversions
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/core/streamversion"
+)
+
+// findTimeout bounds the time that a stream waits until the table was read.
+const findTimeout = 600 * time.Millisecond
+
+// Source is how the version of a stream was found.
+type Source string
+
+// The sources, which are also names of counters.
+const (
+	SourceMemory  Source = "memory"  // This process has begun the stream or taken it up.
+	SourceStore   Source = "store"   // Another process has written it down.
+	SourceSingle  Source = "single"  // No other version can have begun it.
+	SourcePeer    Source = "peer"    // Another process has begun it or taken it up.
+	SourceUnknown Source = "unknown" // The version is not known.
+)
+
+// TakeUp is a stream that its caller takes up.
+type TakeUp struct {
+	Service          string
+	RequestID        string
+	ResumedRequestID string // The request that brought the first event; empty if unknown.
+}
+
+// RecordStream records that a stream begins at a version. It must be called before the
+// caller gets the first event.
+func (t *Tracker) RecordStream(serviceName, requestID, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(serviceName)
+	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: version}, clock.Now())
+	if s.recording {
+		t.signal()
+	}
+}
+
+// Find returns the version that began a stream that is taken up, and false if it can't be
+// known.
+func (t *Tracker) Find(ctx context.Context, taken TakeUp) (string, bool) {
+	start := clock.Now()
+	version, source, err := t.findHere(ctx, taken)
+	if source == SourceUnknown && taken.ResumedRequestID != "" && ctx.Err() == nil {
+		if found, ok := t.fleet.FindStream(ctx, uint64(streamversion.IDOf(taken.ResumedRequestID))); ok {
+			version, source = found, SourcePeer
+		}
+	}
+	if source != SourceUnknown && taken.ResumedRequestID != "" {
+		t.RecordStream(taken.Service, taken.ResumedRequestID, version)
+	}
+	t.meter.Count("stream_versions", "found", string(source))
+	t.logTakeUp(taken, version, source, start, err)
+	return version, source != SourceUnknown
+}
+
+// findHere finds the version without asking other processes.
+func (t *Tracker) findHere(ctx context.Context, taken TakeUp) (string, Source, error) {
+	id := streamversion.IDOf(taken.ResumedRequestID)
+	if version, ok := t.Remembered(uint64(id)); ok && taken.ResumedRequestID != "" {
+		return version, SourceMemory, nil
+	}
+	if t.StoreLost() {
+		return "", SourceUnknown, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	if err := t.refresh(ctx); err != nil {
+		return "", SourceUnknown, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version, ok := t.table.find(id); ok && taken.ResumedRequestID != "" {
+		return version, SourceStore, nil
+	}
+	now := streamversion.Moment{Era: t.store.Era(), NowMS: t.table.nowMS}
+	if version, ok := t.table.registers[taken.Service].Single(now); ok && t.table.era == now.Era {
+		return version, SourceSingle, nil
+	}
+	return "", SourceUnknown, nil
+}
+
+// Remembered returns the version that began a stream which this process has begun or taken
+// up.
+func (t *Tracker) Remembered(id uint64) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if version, ok := s.memory.Find(streamversion.StreamID(id)); ok {
+			return version, true
+		}
+	}
+	return "", false
+}
+
+// logTakeUp writes a line about a stream that is taken up.
+func (t *Tracker) logTakeUp(taken TakeUp, version string, source Source, start time.Time, err error) {
+	ok, omitted := t.lines.Allow("", maxLinesPerSec)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	age := clock.Now().Sub(t.table.clockAt)
+	era, tableVersion := t.table.era, t.table.version
+	row := t.table.registers[taken.Service]
+	possible := row.Possible(t.table.nowMS)
+	t.mu.Unlock()
+	fields := []any{
+		"request", taken.RequestID, "resumes", taken.ResumedRequestID, "service", taken.Service, "software", version, "known_from", string(source), "possible", possible,
+		"register_era", row.Era, "uncertain_until_ms", row.UncertainUntilMS, "era", era, "version", tableVersion, "age_ms", age.Milliseconds(), "ms", clock.Now().Sub(start).Milliseconds(), "lines_omitted", omitted,
+	}
+	if err != nil && !errors.Is(err, context.Canceled) {
+		log.Error(err, "A stream is taken up, and the store does not answer.", fields...)
+		return
+	}
+	log.Info("A stream is taken up.", fields...)
+}
--- /dev/null
+++ b/gateway/streamversions/segment.go
@@ -0,0 +1,70 @@
+package streamversions
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"flamingospar.org/core/streamversion"
+)
+
+// Limits of a segment, whose row may have 64 KB.
+const (
+	maxSegmentStreams  = 3000
+	maxSegmentVersions = 100
+	// maxSegmentWrites is how often a segment is written, each time with what has come
+	// since, before the next one is begun.
+	maxSegmentWrites = 10
+)
+
+// streamBytes is the size of an encoded stream: its ID, and the number of its version.
+const streamBytes = 9
+
+var errSegment = errors.New("the streams of a segment don't match its versions; remedy: none, another writer has written it")
+
+// segment is a number of streams that one process began.
+type segment struct {
+	writtenMS int64 // By the store's clock.
+	streams   map[streamversion.StreamID]string
+}
+
+// segmentRow is the value of a row.
+type segmentRow struct {
+	WrittenMS int64    `json:"written_ms"`
+	Versions  []string `json:"versions"`
+	Streams   []byte   `json:"streams"`
+}
+
+func (s segment) encode() ([]byte, error) {
+	row := segmentRow{WrittenMS: s.writtenMS}
+	for id, version := range s.streams {
+		index := slices.Index(row.Versions, version)
+		if index < 0 {
+			index = len(row.Versions)
+			row.Versions = append(row.Versions, version)
+		}
+		if index >= maxSegmentVersions {
+			continue // Streams of that many versions are not known to other processes.
+		}
+		row.Streams = binary.BigEndian.AppendUint64(row.Streams, uint64(id))
+		row.Streams = append(row.Streams, byte(index))
+	}
+	row.Versions = row.Versions[:min(len(row.Versions), maxSegmentVersions)]
+	return json.Marshal(row)
+}
+
+func decodeSegment(value []byte) (segment, error) {
+	var row segmentRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return segment{}, err
+	}
+	decoded := segment{writtenMS: row.WrittenMS, streams: make(map[streamversion.StreamID]string, len(row.Streams)/streamBytes)}
+	for stream := range slices.Chunk(row.Streams, streamBytes) {
+		if len(stream) != streamBytes || int(stream[streamBytes-1]) >= len(row.Versions) {
+			return segment{}, errSegment
+		}
+		decoded.streams[streamversion.StreamID(binary.BigEndian.Uint64(stream))] = row.Versions[stream[streamBytes-1]]
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/gateway/streamversions/table.go
@@ -0,0 +1,190 @@
+package streamversions
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/core/streamversion"
+	"flamingospar.org/platform/site"
+)
+
+// Table is the table of the store with the versions of each service that are in use, and
+// with the streams that were begun while there are several.
+const Table = "stream_versions"
+
+// Prefixes of the keys of its rows.
+const (
+	registerPrefix = "in-use/"
+	segmentPrefix  = "streams/"
+)
+
+// readTimeout bounds one read of the table.
+const readTimeout = 600 * time.Millisecond
+
+// Store is where versions and streams are kept.
+type Store interface {
+	Table(ctx context.Context, table string) (site.Page, error)
+	Feed(ctx context.Context, table string, after int64, wait time.Duration) (site.Page, error)
+	Commit(ctx context.Context, tx site.Tx) (site.Page, error)
+	Era() int64
+}
+
+// register is the row of a service.
+type register struct {
+	streamversion.Register
+	rowVersion int64 // 0 if there is no row.
+}
+
+// tableCopy is this process's copy of the table.
+type tableCopy struct {
+	loaded      bool
+	era         int64
+	version     int64
+	registers   map[string]register // By service.
+	segments    map[string]segment  // By key.
+	nowMS       int64               // The store's clock at clockAt.
+	clockAt     time.Time
+	requestedAt time.Time // When the last read was sent.
+}
+
+func newTableCopy() tableCopy {
+	return tableCopy{registers: make(map[string]register), segments: make(map[string]segment)}
+}
+
+// moment returns the present moment of the store as the copy tells.
+func (c *tableCopy) moment() streamversion.Moment {
+	return streamversion.Moment{Era: c.era, NowMS: c.nowMS + clock.Now().Sub(c.clockAt).Milliseconds()}
+}
+
+// observeClock records the store's clock as an answer states it.
+func (c *tableCopy) observeClock(page site.Page) {
+	c.nowMS, c.clockAt = page.StoreClockMS, clock.Now()
+}
+
+// apply adds the changes of a read, or replaces everything by it.
+func (c *tableCopy) apply(page site.Page, whole bool, requestedAt time.Time) {
+	if whole {
+		clear(c.registers)
+		clear(c.segments)
+	}
+	for _, row := range page.Rows {
+		c.applyRow(row)
+	}
+	c.loaded, c.era, c.version, c.requestedAt = true, page.Era, page.Version, requestedAt
+	c.observeClock(page)
+}
+
+func (c *tableCopy) applyRow(row site.Row) {
+	service, isRegister := strings.CutPrefix(row.Key, registerPrefix)
+	switch {
+	case isRegister && row.Deleted:
+		delete(c.registers, service)
+	case isRegister && c.registers[service].rowVersion > row.Version: // Written here in the meantime.
+	case isRegister:
+		stored := register{rowVersion: row.Version}
+		if err := json.Unmarshal(row.Value, &stored.Register); err != nil {
+			log.Info("A row does not hold the versions of a service; it will be replaced.", "row", row.Key, "reason", err.Error())
+			stored.Register = streamversion.Register{Era: unreadableEra}
+		}
+		c.registers[service] = stored
+	case row.Deleted:
+		delete(c.segments, row.Key)
+	case strings.HasPrefix(row.Key, segmentPrefix):
+		decoded, err := decodeSegment(row.Value)
+		if err != nil {
+			log.Info("A row does not hold streams; it will be removed.", "row", row.Key, "reason", err.Error())
+		}
+		c.segments[row.Key] = decoded
+	}
+}
+
+// unreadableEra is the era of a row that can't be read: as if it were an older copy.
+const unreadableEra = -1
+
+// find returns the version that began a stream, as the segments tell.
+func (c *tableCopy) find(id streamversion.StreamID) (string, bool) {
+	found := ""
+	for _, s := range c.segments {
+		version, ok := s.streams[id]
+		if !ok {
+			continue
+		}
+		if found != "" && found != version {
+			return "", false
+		}
+		found = version
+	}
+	return found, found != ""
+}
+
+// flight is a read that all wait for who asked before it was sent.
+type flight struct {
+	done chan struct{}
+	err  error
+}
+
+// refresh reads what has changed in the table, once for all who wait.
+func (t *Tracker) refresh(ctx context.Context) error {
+	t.mu.Lock()
+	if t.nextFlight == nil {
+		t.nextFlight = &flight{done: make(chan struct{})}
+	}
+	f := t.nextFlight
+	if !t.flying {
+		t.flying = true
+		go t.fly()
+	}
+	t.mu.Unlock()
+	select {
+	case <-f.done:
+		return f.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fly makes the reads that are asked for, one after the other.
+func (t *Tracker) fly() {
+	for {
+		t.mu.Lock()
+		f := t.nextFlight
+		t.nextFlight = nil
+		t.flying = f != nil
+		t.mu.Unlock()
+		if f == nil {
+			return
+		}
+		f.err = t.read()
+		close(f.done)
+	}
+}
+
+func (t *Tracker) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	t.mu.Lock()
+	after, whole := t.table.version, !t.table.loaded || t.table.era != t.store.Era()
+	t.mu.Unlock()
+	requestedAt := clock.Now()
+	var page site.Page
+	var err error
+	if !whole {
+		page, err = t.store.Feed(ctx, Table, after, 0)
+		whole = errors.Is(err, site.ErrHistoryGone) || errors.Is(err, site.ErrRestored)
+	}
+	if whole {
+		page, err = t.store.Table(ctx, Table)
+	}
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.apply(page, whole, requestedAt)
+	t.reconcile()
+	return nil
+}
--- /dev/null
+++ b/gateway/streamversions/writer.go
@@ -0,0 +1,352 @@
+package streamversions
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"flamingospar.org/base/clock"
+	"flamingospar.org/core/streamversion"
+	"flamingospar.org/platform/site"
+)
+
+// Times and limits of what is written.
+const (
+	// minInterval is the least time between two writes of streams, and intervalPerProcess
+	// makes it longer in a large fleet. What was not written is lost if all processes end.
+	minInterval        = 60 * time.Millisecond
+	intervalPerProcess = 8 * time.Millisecond
+	// idleInterval is the time after which the writer looks for what is due.
+	idleInterval = 200 * time.Millisecond
+	// registrars is how many processes register a new version without waiting for the word
+	// of another one, end versions and remove old streams.
+	registrars = 2
+	// minPatience and patiencePerProcess give the time that the other processes wait.
+	minPatience        = 150 * time.Millisecond
+	patiencePerProcess = 15 * time.Millisecond
+	// endDelay is how long a version must be unlisted before its end is written: an engine
+	// may be listed again.
+	endDelay = 1 * time.Second
+	// recheckInterval is the time between two reads while there are several versions.
+	recheckInterval = 10 * time.Second
+	writeTimeout    = 1 * time.Second
+	// maxAttempts bounds the writes of registers in a row, of which others may prevent some.
+	maxAttempts = 6
+	// minBackoff is the least time from a failed call to the next.
+	minBackoff = 400 * time.Millisecond
+	// segmentMargin is how much longer than Retention streams stay in the store.
+	segmentMargin = 5 * time.Second
+	// maxRemovals bounds the rows that one transaction removes, of which the store accepts
+	// 100.
+	maxRemovals = 50
+)
+
+// writer is the state of the task that writes.
+type writer struct {
+	segment     segment // The one that is being filled.
+	segmentKey  string
+	writes      int // Of the segment.
+	segments    int // Number begun.
+	unsaved     bool
+	notBefore   time.Time // After a failed call.
+	flushAt     time.Time // When streams that wait may be written; zero if none wait.
+	mustRead    bool
+	lastFlushAt time.Time
+}
+
+// Run registers versions and writes streams until ctx ends.
+func (t *Tracker) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !clock.Now().Before(t.writer.notBefore) {
+			if err := t.step(ctx); err != nil && ctx.Err() == nil {
+				t.recordFailure(err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-t.wake:
+		case <-time.After(t.writer.wait()):
+		}
+	}
+}
+
+// wait returns the time until something may be due.
+func (w *writer) wait() time.Duration {
+	if w.flushAt.IsZero() {
+		return idleInterval
+	}
+	return min(max(w.flushAt.Sub(clock.Now()), 0), idleInterval)
+}
+
+// recordFailure delays the next call. What a write did is not known, so the table is read
+// before the next one.
+func (t *Tracker) recordFailure(err error) {
+	t.writer.mustRead = true
+	t.writer.notBefore = clock.Now().Add(minBackoff + rand.N(minBackoff))
+	t.meter.Count("stream_versions", "store_failed")
+	log.Error(err, "The versions of streams can't be written or read now.", "segment", t.writer.segmentKey, "streams", len(t.writer.segment.streams))
+}
+
+func (t *Tracker) step(ctx context.Context) error {
+	if t.readIsDue() {
+		if err := t.refresh(ctx); err != nil {
+			return err
+		}
+		t.writer.mustRead = false
+	}
+	for range maxAttempts {
+		due, ok := t.dueRegister()
+		if !ok {
+			break
+		}
+		if err := t.writeRegister(ctx, due); err != nil {
+			return err
+		}
+	}
+	return t.writeStreams(ctx)
+}
+
+func (t *Tracker) readIsDue() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.table.loaded || t.table.era != t.store.Era() || t.writer.mustRead {
+		return true
+	}
+	if t.lacksWord() {
+		return true
+	}
+	if clock.Now().Sub(t.table.clockAt) < recheckInterval {
+		return false
+	}
+	if len(t.table.segments) > 0 && t.fleet.AmongFirst(registrars) {
+		return true
+	}
+	for name, s := range t.services {
+		if t.several(name, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacksWord reports whether this process has waited long enough for the word of another one
+// about a listed version. t.mu must be held.
+func (t *Tracker) lacksWord() bool {
+	if t.fleet.AmongFirst(registrars) {
+		return false // It writes the register, and reads it if another process has written it.
+	}
+	for _, s := range t.services {
+		for _, v := range s.versions {
+			if v.engines > 0 && !v.inUse && !v.missing && t.patienceIsOver(v.since) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// patienceIsOver reports whether a process that is not among the first has waited long
+// enough since a moment.
+func (t *Tracker) patienceIsOver(since time.Time) bool {
+	patience := minPatience + time.Duration(t.fleet.Size())*patiencePerProcess
+	return clock.Now().Sub(since) >= patience/2+rand.N(patience/2)
+}
+
+// several reports whether streams of a service that are taken up can't be told to be of one
+// version without a record. t.mu must be held.
+func (t *Tracker) several(name string, s *service) bool {
+	now := t.table.moment()
+	now.Era = t.store.Era()
+	register := t.table.registers[name].Register
+	register.Uses = streamversion.Merge(register.Uses, s.seen(now.NowMS))
+	_, single := register.Single(now)
+	return !single && len(register.Uses) > 0
+}
+
+// dueWrite is a register that is due to be written.
+type dueWrite struct {
+	service    string
+	next       streamversion.Register
+	before     streamversion.Register
+	rowVersion int64
+}
+
+// dueRegister returns a register that is due to be written, if any.
+func (t *Tracker) dueRegister() (dueWrite, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := t.fleet.AmongFirst(registrars)
+	if t.table.era != t.store.Era() || !first && !t.patienceIsOver(t.eraSince) {
+		return dueWrite{}, false
+	}
+	for name, s := range t.services {
+		row := t.table.registers[name]
+		next, changed := row.Next(streamversion.Observation{
+			Moment: t.table.moment(), Listed: s.due(first), Remembered: s.remembered, EndUnlisted: first && s.settled(),
+		})
+		if changed {
+			return dueWrite{service: name, next: next, before: row.Register, rowVersion: row.rowVersion}, true
+		}
+		s.remembered = nil
+	}
+	return dueWrite{}, false
+}
+
+// due returns the listed versions, without those that another process is expected to
+// register.
+func (s *service) due(first bool) []string {
+	var due []string
+	for _, name := range s.listed() {
+		if v := s.versions[name]; first || v.inUse || v.missing {
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
+// settled reports whether no version was listed or unlisted a moment ago.
+func (s *service) settled() bool {
+	for _, v := range s.versions {
+		changed := v.since
+		if v.engines == 0 {
+			changed = v.ended
+		}
+		if clock.Now().Sub(changed) < endDelay {
+			return false
+		}
+	}
+	return true
+}
+
+// writeRegister writes a register, or reads the table if another process has written it
+// before.
+func (t *Tracker) writeRegister(ctx context.Context, due dueWrite) error {
+	value, err := json.Marshal(due.next)
+	if err != nil {
+		return err
+	}
+	var tx site.Tx
+	tx.Require(Table, registerPrefix+due.service, due.rowVersion)
+	tx.Put(Table, registerPrefix+due.service, value)
+	page, err := t.commit(ctx, tx)
+	if errors.Is(err, site.ErrConflict) {
+		return t.refresh(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	t.meter.Count("stream_versions", "registered")
+	log.Info("The software versions of a service in use have changed.", "service", due.service, "versions", due.next.Uses, "before", due.before.Uses, "uncertain_until_ms", due.next.UncertainUntilMS, "now_ms", page.StoreClockMS, "era", due.next.Era, "version", page.Version)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if page.Era != t.table.era {
+		return nil // It is read again.
+	}
+	t.table.registers[due.service] = register{Register: due.next, rowVersion: page.Version}
+	t.services[due.service].remembered = nil
+	t.reconcile()
+	return nil
+}
+
+func (t *Tracker) commit(ctx context.Context, tx site.Tx) (site.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return t.store.Commit(ctx, tx)
+}
+
+// writeStreams writes the streams that were begun while there are several versions, and
+// removes old ones.
+func (t *Tracker) writeStreams(ctx context.Context) error {
+	interval := max(minInterval, time.Duration(t.fleet.Size())*intervalPerProcess)
+	if due := t.writer.lastFlushAt.Add(interval); clock.Now().Before(due) {
+		t.writer.flushAt = due
+		return nil
+	}
+	t.writer.flushAt = time.Time{}
+	t.takeStreams()
+	var tx site.Tx
+	if t.writer.unsaved {
+		value, err := t.writer.segment.encode()
+		if err != nil {
+			return err
+		}
+		tx.Put(Table, t.writer.segmentKey, value)
+	}
+	removed := t.expiredSegments()
+	for _, key := range removed {
+		tx.Delete(Table, key)
+	}
+	if len(tx.Puts)+len(tx.Deletes) == 0 {
+		return nil
+	}
+	t.writer.lastFlushAt = clock.Now()
+	page, err := t.commit(ctx, tx)
+	if err != nil {
+		return err
+	}
+	t.streamsWritten(page, removed)
+	return nil
+}
+
+// takeStreams adds the streams that have to be written to the segment.
+func (t *Tracker) takeStreams() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := &t.writer
+	if w.writes >= maxSegmentWrites || len(w.segment.streams) >= maxSegmentStreams || w.segmentKey == "" {
+		w.segments++
+		w.segmentKey, w.writes, w.unsaved = fmt.Sprintf("%s%s/%d", segmentPrefix, t.instance, w.segments), 0, false
+		w.segment = segment{streams: make(map[streamversion.StreamID]string)}
+	}
+	for name, s := range t.services {
+		if !t.several(name, s) {
+			s.recording = false
+			continue
+		}
+		if !s.recording {
+			s.recording = true
+			s.memory.Rewind()
+		}
+		for _, record := range s.memory.Take(maxSegmentStreams-len(w.segment.streams), clock.Now()) {
+			w.segment.streams[record.ID] = record.Version
+			w.unsaved = true
+		}
+	}
+	w.segment.writtenMS = t.table.moment().NowMS
+}
+
+// streamsWritten records that the segment was written and old ones were removed.
+func (t *Tracker) streamsWritten(page site.Page, removed []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := &t.writer
+	if w.unsaved {
+		w.unsaved = false
+		w.writes++
+		t.table.segments[w.segmentKey] = segment{writtenMS: w.segment.writtenMS}
+		t.meter.Count("stream_versions", "streams_written")
+	}
+	for _, key := range removed {
+		delete(t.table.segments, key)
+	}
+}
+
+// expiredSegments returns the keys of old segments, if this process is to remove them.
+func (t *Tracker) expiredSegments() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nowMS := t.table.moment().NowMS
+	var expired []string
+	for key, s := range t.table.segments {
+		if nowMS-s.writtenMS > (streamversion.Retention + segmentMargin).Milliseconds() {
+			expired = append(expired, key)
+		}
+	}
+	if len(expired) == 0 || !t.fleet.AmongFirst(registrars) {
+		return nil
+	}
+	return expired[:min(len(expired), maxRemovals)]
+}
--- a/wire/gen/flamingospar/wire/v1/wirev1connect/peer.connect.go
+++ b/wire/gen/flamingospar/wire/v1/wirev1connect/peer.connect.go
@@ -39,6 +39,8 @@
 	// PeerServiceAcquireSendsProcedure is the fully-qualified name of the PeerService's AcquireSends
 	// RPC.
 	PeerServiceAcquireSendsProcedure = "/flamingospar.wire.v1.PeerService/AcquireSends"
+	// PeerServiceFindStreamProcedure is the fully-qualified name of the PeerService's FindStream RPC.
+	PeerServiceFindStreamProcedure = "/flamingospar.wire.v1.PeerService/FindStream"
 )
 
 // PeerServiceClient is a client for the flamingospar.wire.v1.PeerService service.
@@ -47,6 +49,8 @@
 	// Asks the process that shares out the rate limit of an endpoint for permits to
 	// send requests there.
 	AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error)
+	// Asks for the version of the engines' software that began a stream.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamReply], error)
 }
 
 // NewPeerServiceClient constructs a client for the flamingospar.wire.v1.PeerService service. By
@@ -72,6 +76,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("AcquireSends")),
 			connect.WithClientOptions(opts...),
 		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamReply](
+			httpClient,
+			baseURL+PeerServiceFindStreamProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -79,6 +89,7 @@
 type peerServiceClient struct {
 	exchangeState *connect.Client[v1.ExchangeStateRequest, v1.ExchangeStateReply]
 	acquireSends  *connect.Client[v1.AcquireSendsRequest, v1.AcquireSendsReply]
+	findStream    *connect.Client[v1.FindStreamRequest, v1.FindStreamReply]
 }
 
 // ExchangeState calls flamingospar.wire.v1.PeerService.ExchangeState.
@@ -91,12 +102,19 @@
 	return c.acquireSends.CallUnary(ctx, req)
 }
 
+// FindStream calls flamingospar.wire.v1.PeerService.FindStream.
+func (c *peerServiceClient) FindStream(ctx context.Context, req *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamReply], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the flamingospar.wire.v1.PeerService service.
 type PeerServiceHandler interface {
 	ExchangeState(context.Context, *connect.Request[v1.ExchangeStateRequest]) (*connect.Response[v1.ExchangeStateReply], error)
 	// Asks the process that shares out the rate limit of an endpoint for permits to
 	// send requests there.
 	AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error)
+	// Asks for the version of the engines' software that began a stream.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamReply], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -118,12 +136,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("AcquireSends")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFindStreamHandler := connect.NewUnaryHandler(
+		PeerServiceFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(peerServiceMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/flamingospar.wire.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeStateProcedure:
 			peerServiceExchangeStateHandler.ServeHTTP(w, r)
 		case PeerServiceAcquireSendsProcedure:
 			peerServiceAcquireSendsHandler.ServeHTTP(w, r)
+		case PeerServiceFindStreamProcedure:
+			peerServiceFindStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -140,3 +166,7 @@
 func (UnimplementedPeerServiceHandler) AcquireSends(context.Context, *connect.Request[v1.AcquireSendsRequest]) (*connect.Response[v1.AcquireSendsReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingospar.wire.v1.PeerService.AcquireSends is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingospar.wire.v1.PeerService.FindStream is not implemented"))
+}
