--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -130,7 +130,9 @@
 	if w.replaced() {
 		return // The first call failed meanwhile: the stream waits for this one.
 	}
-	if c.begun() && w.pair.Began() {
+	if c.begun() && !w.stream.mayGoOnAt(c.endpoint) {
+		c.cancel(errOutrun)
+	} else if c.begun() && w.pair.Began() {
 		w.stream.relay.Meter.Count("standby", "took_over")
 		w.first.cancel(errSilent)
 		return
@@ -178,7 +180,7 @@
 	if w.call == nil {
 		return
 	}
-	if !result.finished && (w.pair.FirstFailed() || w.replaced()) {
+	if !result.finished && w.stream.mayGoOnAt(w.call.endpoint) && (w.pair.FirstFailed() || w.replaced()) {
 		w.stream.next = w.call
 		return
 	}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -46,6 +46,9 @@
 	prefillCalls int
 	// prefillFailed reports whether the last attempt ended with a failed prefill call.
 	prefillFailed bool
+	// version is the version of the engines' software at which the stream has to go on;
+	// empty until the caller is about to get the first event.
+	version string
 	// reserved is the limited decode engine for which a permit was taken before the
 	// prefill, if any.
 	reserved string
@@ -68,6 +71,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.takesUp() && !s.findVersion(ctx) {
+		return s.giveUp(ctx, ReasonVersionUnknown, unknownVersionRetryAfter)
+	}
 	for first := true; ; first = false {
 		result, ended := s.nextAttempt(ctx, first)
 		if ended {
@@ -162,6 +168,7 @@
 		RemoteCost:     time.Duration(remoteCostShare * float64(s.job.Route.LatencyObjective)),
 		Exclude:        s.progress.excluded,
 		MustServe:      s.headerSent,
+		Version:        s.version,
 	}
 }
 
@@ -183,6 +190,7 @@
 // the decode engine.
 func (s *stream) attempt(ctx context.Context, placed engines.Placement) attemptResult {
 	run := s.runHeaders(placed)
+	s.progress.noteSoftware(placed.DecodeEndpoint, placed.PrefillEndpoint)
 	s.progress.Endpoint = placed.DecodeEndpoint.ID
 	s.progress.PrefillEndpoint = ""
 	s.progress.Level = placed.Level
@@ -211,11 +219,14 @@
 		return attemptResult{sent: true}
 	}
 	if s.reserved == "" {
-		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
+		request := s.placementRequest()
+		request.Version = placed.PrefillEndpoint.SoftwareVersion
+		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, request)
 		if !ok {
 			return attemptResult{sent: true}
 		}
 		placed.DecodeEndpoint = next
+		s.progress.noteSoftware(next)
 	}
 	s.progress.Endpoint = placed.DecodeEndpoint.ID
 	run.EndpointID = placed.DecodeEndpoint.ID
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -31,6 +31,7 @@
 // newCall prepares a call to the decode engine of a placement.
 func (s *stream) newCall(ctx context.Context, placed engines.Placement, run site.RunHeaders) *streamCall {
 	endpoint := placed.DecodeEndpoint
+	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
