Changes too large for one answer of the store are read by the page

Cause: 4 MB are read of an answer of the store. A page of a table is smaller; a feed has no such bound. Entries of the largest size (64 KB), or one that is written anew while a process can't reach the store, make it larger. It was then taken for a malformed answer and asked for again, without end: the version from which to go on never advanced. The whole table, besides, had to be read within one second, however many pages it has.

Change: such an answer has an error of its own, after which the follower reads the whole table. Each of its pages has the timeout, and the table ten seconds. The stand-ins of the follower's tests take the timeout of a page; what they check is the same.

Evidence: TestManyLargeEntriesDoNotEndTheFollowing, a whole process, the store away while 100 entries of 64 KB are written.

"The store does not answer; what is known stays in use." err="no valid response, ...: malformed response: unexpected end of JSON input" oddentry_test.go:89: Condition never satisfied (20 s)

With the error but without the timeout for each page it failed under the race detector. After: passes, also with -race -cpu 1.

--- a/gateway/follow/era_test.go
+++ b/gateway/follow/era_test.go
@@ -33,7 +33,7 @@
 	return s.era
 }
 
-func (s *eraStore) Table(context.Context, string) (site.Page, error) {
+func (s *eraStore) TableByPage(context.Context, string, time.Duration) (site.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return site.Page{Version: s.version, Era: s.era}, nil
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -18,6 +18,8 @@
 	// and immediateCallTimeout bounds a call without long polling.
 	callTimeoutMargin    = 1 * time.Second
 	immediateCallTimeout = 1 * time.Second
+	// tableTimeout bounds the read of a whole table, each page of which is such a call.
+	tableTimeout = 10 * time.Second
 	// minBackoff and maxBackoff are the longest waits after the first and after
 	// later failed calls. The actual wait is at least half as long.
 	minBackoff = 100 * time.Millisecond
@@ -30,7 +32,7 @@
 
 // Store provides the tables and their changes.
 type Store interface {
-	Table(ctx context.Context, table string) (site.Page, error)
+	TableByPage(ctx context.Context, table string, pageTimeout time.Duration) (site.Page, error)
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (site.Page, error)
 	// Era returns the highest era of the store that is known. Versions of different
 	// eras can't be compared.
@@ -158,12 +160,15 @@
 	if snapshot || f.lost || f.immediate {
 		wait, timeout = 0, immediateCallTimeout // Find out whether the store answers, without waiting for a change.
 	}
+	if snapshot {
+		timeout = tableTimeout
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var page site.Page
 	var err error
 	if snapshot {
-		page, err = f.Store.Table(ctx, f.Table)
+		page, err = f.Store.TableByPage(ctx, f.Table, immediateCallTimeout)
 	} else {
 		page, err = f.Store.Feed(ctx, f.Table, f.version, wait)
 	}
@@ -172,6 +177,11 @@
 		f.version = 0
 		return nil
 	}
+	if !snapshot && errors.Is(err, site.ErrAnswerTooLarge) {
+		log.Info("The changes since the last read are too large for one answer; the whole table is read again.", "table", f.Table, "after", f.version, "era", f.Store.Era())
+		f.version = 0
+		return nil
+	}
 	if errors.Is(err, site.ErrRestored) {
 		f.version = 0
 		return nil
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -29,7 +29,7 @@
 
 func (s *fakeStore) Era() int64 { return 0 }
 
-func (s *fakeStore) Table(context.Context, string) (site.Page, error) {
+func (s *fakeStore) TableByPage(context.Context, string, time.Duration) (site.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return site.Page{Version: s.version}, s.err
--- a/gateway/follow/outage_test.go
+++ b/gateway/follow/outage_test.go
@@ -40,7 +40,9 @@
 
 func (s *silentStore) Era() int64 { return 0 }
 
-func (s *silentStore) Table(ctx context.Context, _ string) (site.Page, error) {
+func (s *silentStore) TableByPage(ctx context.Context, _ string, pageTimeout time.Duration) (site.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
 	return s.Feed(ctx, "", -1, 0)
 }
 
--- a/gateway/node/oddentry_test.go
+++ b/gateway/node/oddentry_test.go
@@ -99,3 +99,19 @@
 	})
 	return next
 }
+
+// Guards against: entries of the largest size filled an answer of the store beyond what is
+// read of one, and the process followed the list no longer.
+func TestManyLargeEntriesDoNotEndTheFollowing(t *testing.T) {
+	h := newHarness(t)
+	first := sitetest.NewEndpoint(t, "e-first", nil)
+	h.register(first, "plain", "")
+	h.run()
+	h.waitUntilServing(plainPath)
+	h.store.SetDown(true)
+	for i := range 100 {
+		h.store.PutRaw(site.TableEndpoints, fmt.Sprintf("odd-%d", i), []byte(nested(maxRowBytes/2)))
+	}
+	h.store.SetDown(false)
+	h.replaceEndpoint(first, "e-next")
+}
