A row that names no endpoint is logged once for each reason

Cause: each version of a row that can't be used wrote a line. Heartbeats write a row each second, and the error contained values of the row, up to 64 KB.

Change: a line is written when the reason for a row is new. The gauge fleet_invalid_rows has the number of such rows.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -51,7 +51,8 @@
 	// completeSince is the version after which every change is known here. A
 	// snapshot doesn't contain the rows that were removed before it.
 	completeSince int64
-	confirmedAt   time.Time // When the store last confirmed the rows.
+	confirmedAt   time.Time       // When the store last confirmed the rows.
+	invalid       logging.Reasons // Why rows name no endpoint, by key.
 }
 
 // New returns an empty fleet.
@@ -135,6 +136,7 @@
 		}
 		f.rows[row.Key] = row
 		if row.Deleted {
+			f.invalid.Forget(row.Key)
 			delete(f.pendingReturns, row.Key)
 			f.removeOrDefer(row.Key)
 			continue
@@ -150,6 +152,7 @@
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
+	f.invalid.Keep(func(key string) bool { return listed[key] })
 	for id := range f.endpoints {
 		if !listed[id] {
 			f.rows[id] = Row{Key: id, Version: version, Deleted: true}
@@ -161,10 +164,11 @@
 func (f *Fleet) update(row Row) {
 	endpoint, err := site.ParseEndpoint(row.Key, row.Value)
 	if err != nil {
-		log.Info("An invalid endpoint row was ignored.", "row", row.Key, "version", row.Version, "reason", err.Error())
+		f.logInvalid(row, err)
 		f.removeOrDefer(row.Key)
 		return
 	}
+	f.invalid.Forget(row.Key)
 	if f.deferReturn(endpoint, row) {
 		return
 	}
--- a/gateway/node/gauges.go
+++ b/gateway/node/gauges.go
@@ -18,6 +18,7 @@
 	n.meter.Gauge(n.config.Version(), "configuration", "version")
 	n.meter.Gauge(n.fleet.Version(), "fleet", "version")
 	n.meter.Gauge(n.fleet.Age().Milliseconds(), "fleet", "age_ms")
+	n.meter.Gauge(int64(n.fleet.InvalidRows()), "fleet", "invalid_rows")
 	n.meter.Gauge(n.storeWatch.AvailableFor().Milliseconds(), "store", "steady_ms")
 	n.meter.Gauge(n.store.Era(), "store", "era")
 	n.meter.Gauge(int64(n.cluster.Size()), "processes", "listed")
