Large endpoint rows are passed on without what is not decoded

Cause: processes pass the rows of endpoints on to each other as they are in the store, also those that name no endpoint. Of the largest rows that the store accepts, 64 KB, some 120 are more than a process accepts in one exchange, 8 MB. A process that doesn't reach the store then gets no endpoints at all, and a process keeps all of them in memory.

Change: a row of more than 1 KB is kept and passed on with the decoded fields alone, or without a value if it names no endpoint; the receiver decodes either to the same. Names in a row are at most 200 bytes, so such a row has 2 KB at most (FuzzParseEndpoint).

Evidence: TestLargeRowsFitIntoAnExchange with 100 odd and 100 sound rows of 64 KB. Before: "" is not less than "8388608". After: passes.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -134,7 +134,7 @@
 		if row.Version < f.rows[row.Key].Version {
 			continue
 		}
-		f.rows[row.Key] = row
+		f.rows[row.Key] = row.compact()
 		if row.Deleted {
 			f.invalid.Forget(row.Key)
 			delete(f.pendingReturns, row.Key)
