Heartbeats that go on are believed, whatever was known

Cause: a row that looks older than what is known of its endpoint is a heartbeat that the store carried out late, and is ignored. If another writer leaves one entry with the ID of an endpoint and a heartbeat number or start far too high, all that the endpoint says of itself looks older from then on: that it drains, changes its stage or has moved was not followed until its row was removed, and a line was written for each heartbeat.

Change: five heartbeats or more in a row, each later than the one before and over 4 s or more, are believed. Late ones are few, and others of the endpoint come between them. The line is written once for each such row of heartbeats.

Evidence: TestHeartbeatsThatGoOnAreBelieved. TestLateHeartbeatsAreNotBelieved passes before and after.

--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -51,15 +51,16 @@
 	// completeSince is the version after which every change is known here. A
 	// snapshot doesn't contain the rows that were removed before it.
 	completeSince int64
-	confirmedAt   time.Time       // When the store last confirmed the rows.
-	invalid       logging.Reasons // Why rows name no endpoint, by key.
+	confirmedAt   time.Time              // When the store last confirmed the rows.
+	outdated      map[string]outdatedRun // By endpoint.
+	invalid       logging.Reasons        // Why rows name no endpoint, by key.
 }
 
 // New returns an empty fleet.
 func New(now func() time.Time) *Fleet {
 	return &Fleet{
 		now: now, endpoints: make(map[string]site.Endpoint), rows: make(map[string]Row), pendingRemovals: make(map[string]bool),
-		removed: make(map[string]removal), pendingReturns: make(map[string]pendingReturn),
+		removed: make(map[string]removal), pendingReturns: make(map[string]pendingReturn), outdated: make(map[string]outdatedRun),
 	}
 }
 
@@ -173,8 +174,7 @@
 		return
 	}
 	current, ok := f.endpoints[row.Key]
-	if ok && isOlder(endpoint, current) {
-		log.Info("An outdated endpoint row was ignored.", "endpoint", row.Key, "started", endpoint.StartedMS, "heartbeat", endpoint.HeartbeatSeq)
+	if ok && isOlder(endpoint, current) && !f.mayBelieve(endpoint, current) {
 		return
 	}
 	f.set(endpoint, row, current, ok)
@@ -184,6 +184,7 @@
 func (f *Fleet) set(endpoint site.Endpoint, row Row, current site.Endpoint, ok bool) {
 	delete(f.pendingRemovals, row.Key)
 	delete(f.removed, row.Key)
+	delete(f.outdated, row.Key)
 	f.endpoints[row.Key] = endpoint
 	if !ok || endpoint.Draining != current.Draining || endpoint.StartedMS != current.StartedMS || endpoint.Stage != current.Stage || endpoint.Address != current.Address {
 		log.Info("An endpoint was added or changed.", "endpoint", endpoint.ID, "service", endpoint.Service, "data_centre", endpoint.DataCentre, "draining", endpoint.Draining, "stage", endpoint.Stage, "version", row.Version)
@@ -239,6 +240,7 @@
 func (f *Fleet) remove(id string) {
 	f.recordRemoval(id)
 	delete(f.endpoints, id)
+	delete(f.outdated, id)
 	log.Info("An endpoint was removed.", "endpoint", id, "version", f.rows[id].Version)
 	for _, listener := range f.listeners {
 		listener.EndpointGone(id)
