A row of the list of processes counts only if it describes one

Cause: any row with an address was taken for an entry process, under the name in its value. A row that another writer left could take the place of a listed process, whose exchanges then failed, or count as one more: limits and budgets are shared out by their number.

Change: the name must be that of the key; instance and address must be given, with a port in range. A line is written once for each reason.

The address "x" in a test of ranks is now one that has a port; what the test checks is the same.

Evidence: TestOddRowsOfTheListDescribeNoProcess. Before, a row under another key replaced "b": expected Address:"127.0.0.1:1", actual "127.0.0.1:2".

--- a/gateway/peers/members.go
+++ b/gateway/peers/members.go
@@ -80,15 +80,19 @@
 	c.listEra = max(c.listEra, page.Era)
 	for _, row := range page.Rows {
 		if row.Deleted {
+			c.invalidRows.Forget(row.Key)
 			removed = c.remove(removed, row.Key)
 			continue
 		}
 		listed[row.Key] = true
-		var member Member
-		if err := json.Unmarshal(row.Value, &member); err != nil || member.Address == "" {
-			log.Info("A row of the list does not describe an entry process; ignoring it.", "row", row.Key)
+		member, err := parseMember(row.Key, row.Value)
+		if err != nil {
+			if c.invalidRows.Changed(row.Key, err.Error()) {
+				log.Info("A row of the list does not describe an entry process; ignoring it.", "row", row.Key, "version", row.Version, "reason", err.Error())
+			}
 			continue
 		}
+		c.invalidRows.Forget(row.Key)
 		delete(c.unlisted, member.VM)
 		c.addListed(member, older)
 	}
@@ -96,6 +100,7 @@
 		return removed
 	}
 	c.listLoaded = true
+	c.invalidRows.Keep(func(key string) bool { return listed[key] })
 	for vm := range c.members {
 		switch {
 		case listed[vm]:
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -128,8 +128,9 @@
 	listEra          int64                // Of the store that the list was read from.
 	// unlisted are the members that a list lacked after the store came back from an older
 	// copy, with the time until which they may register again.
-	unlisted map[string]time.Time
-	restored chan struct{} // Receives a value when this process must register again.
+	unlisted    map[string]time.Time
+	invalidRows logging.Reasons // Why rows of the list describe no process, by key.
+	restored    chan struct{}   // Receives a value when this process must register again.
 }
 
 type peer struct {
--- a/gateway/peers/silence_test.go
+++ b/gateway/peers/silence_test.go
@@ -60,8 +60,8 @@
 	a := New(Member{VM: "a"}, nil, nil, &fakeState{vm: "a"})
 	b := New(Member{VM: "b"}, nil, nil, &fakeState{vm: "b"})
 	before := a.Generation()
-	applyList(t, a, Member{VM: "b", Address: "x", Instance: "1"}, Member{VM: "c", Address: "x", Instance: "1"})
-	applyList(t, b, Member{VM: "a", Address: "x", Instance: "1"}, Member{VM: "c", Address: "x", Instance: "1"})
+	applyList(t, a, Member{VM: "b", Address: "127.0.0.1:1", Instance: "1"}, Member{VM: "c", Address: "127.0.0.1:1", Instance: "1"})
+	applyList(t, b, Member{VM: "a", Address: "127.0.0.1:1", Instance: "1"}, Member{VM: "c", Address: "127.0.0.1:1", Instance: "1"})
 	require.NotEqual(t, before, a.Generation())
 	for _, key := range []string{"e-1", "e-2", "e-3"} {
 		require.Equal(t, a.Rank(key, 3), b.Rank(key, 3))
