Odd rows among the usage windows don't end the reports

Cause: a holder of the lease goes on at the newest sealed window, the last key of the table. With any other key there it could not begin, and no usage was reported any more. Counts below zero were added to those of a window.

Change: keys that are no window, or one far in the future, are passed over, and rows with such counts left out like those that can't be decoded.

Evidence: TestOddRowsInAnyTableEndNothing, a whole process with 16 odd values in all tables that it reads. Before: "Could not determine the newest sealed window." err="sealed window \"odd-9\": strconv.ParseInt ..." and no report in 20 s. Nothing panicked, and the configuration was followed. After: passes.

--- a/gateway/duties/reporter.go
+++ b/gateway/duties/reporter.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -163,15 +161,7 @@
 	if err != nil {
 		return err
 	}
-	newest := Window(0)
-	if len(page.Rows) > 0 {
-		key := page.Rows[len(page.Rows)-1].Key
-		number, err := strconv.ParseInt(key, 10, 64)
-		if err != nil {
-			return fmt.Errorf("sealed window %q: %w", key, err)
-		}
-		newest = Window(number)
-	}
+	newest := newestWindow(page.Rows, due+lookbackWindows)
 	if newest, err = r.startEra(ctx, fence, newest, due); err != nil {
 		return err
 	}
@@ -222,8 +212,8 @@
 	missing := r.Replicas.Counts(window)
 	for _, row := range page.Rows {
 		var counted usageRow
-		if err := json.Unmarshal(row.Value, &counted); err != nil {
-			log.Error(err, "Could not decode the counts of a process; they are left out.", "row", row.Key)
+		if err := json.Unmarshal(row.Value, &counted); err != nil || counted.hasNegative() {
+			log.Info("A row does not hold the counts of a process; it is left out.", "row", row.Key, "version", row.Version)
 			continue
 		}
 		total.add(counted.Counts)
--- a/gateway/duties/usage.go
+++ b/gateway/duties/usage.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"flamingospar.org/base/logging"
+	"flamingospar.org/platform/site"
 )
 
 // Tables of the usage reports.
@@ -38,6 +40,29 @@
 	}
 }
 
+// hasNegative reports whether a count is negative, which none can be.
+func (r usageRow) hasNegative() bool {
+	for _, n := range r.Counts {
+		if n < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// newestWindow returns the newest window up to limit that has one of the rows, or 0. Other
+// writers may have left rows with other keys.
+func newestWindow(rows []site.Row, limit Window) Window {
+	newest := Window(0)
+	for _, row := range rows {
+		number, err := strconv.ParseInt(row.Key, 10, 64)
+		if window := Window(number); err == nil && row.Key == windowKey(window) && window <= limit {
+			newest = max(newest, window)
+		}
+	}
+	return newest
+}
+
 func windowKey(window Window) string { return fmt.Sprintf("%0*d", windowKeyDigits, int64(window)) }
 
 func countsKey(window Window, instance string) string { return windowKey(window) + "/" + instance }
