A configuration that can't be parsed is logged once for each reason

Cause: each such configuration wrote a line with the error of the decoder, which holds the value: 60 KB for a number of 60,000 digits, as often as it is written.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"flamingospar.org/base/logging"
@@ -73,6 +74,9 @@
 // Holder holds the newest configuration received by this process.
 type Holder struct {
 	current atomic.Pointer[Config]
+
+	mu      sync.Mutex
+	invalid logging.Reasons // Why a configuration could not be parsed, by source.
 }
 
 // Current returns the configuration in force, or nil if there is none yet.
@@ -90,8 +94,8 @@
 // names where it came from, for the log.
 func (h *Holder) UpdateIfNewer(raw []byte, source string) {
 	candidate, err := New(raw)
+	h.recordParsed(err, source)
 	if err != nil {
-		log.Error(err, "Could not parse a configuration; the previous one stays in force.", "source", source, "version_in_force", h.Version())
 		return
 	}
 	for {
@@ -105,3 +109,17 @@
 		}
 	}
 }
+
+// recordParsed writes a line if the reason why a source gives no configuration is new. err
+// is nil if it gives one.
+func (h *Holder) recordParsed(err error, source string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.invalid.Forget(source)
+		return
+	}
+	if h.invalid.Changed(source, err.Error()) {
+		log.Error(err, "Could not parse a configuration; the previous one stays in force.", "source", source, "version_in_force", h.Version())
+	}
+}
