Test of the reads of a large fleet's list: rows as processes write them

The rows had keys and values that name different VMs, port 0 and no instance, and no longer describe processes. What the test checks is the same. Before: "1s" is not greater than "3s", since no process was known.

--- a/gateway/node/members_test.go
+++ b/gateway/node/members_test.go
@@ -20,7 +20,7 @@
 		n := &Node{cluster: peers.New(peers.Member{VM: "self"}, nil, nil, noLocalState{})}
 		var page site.Page
 		for i := range size - 1 {
-			page.Rows = append(page.Rows, site.Row{Key: fmt.Sprint(i), Value: fmt.Appendf(nil, `{"vm":"vm-%d","address":"10.0.0.1:%d"}`, i, i)})
+			page.Rows = append(page.Rows, site.Row{Key: fmt.Sprint("vm-", i), Value: fmt.Appendf(nil, `{"vm":"vm-%d","address":"10.0.0.1:%d","instance":"vm-%d/1"}`, i, i+1, i)})
 		}
 		n.cluster.ApplyList(page, false)
 		return n.membersInterval()
