--- a/gateway/node/oddentry_test.go
+++ b/gateway/node/oddentry_test.go
@@ -16,13 +16,22 @@
 // maxRowBytes is the size of the largest value that the store accepts.
 const maxRowBytes = 64 << 10
 
+// newAlone is newHarness for a test that runs while no other does: it costs so much that
+// it would change the times of others, or it reads the log of the whole process.
+func newAlone(t *testing.T, vm string) *harness {
+	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
+	h.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(1, "key"))
+	h.vm = sitetest.NewVM(t, vm, "dc", h.store.Address, h.duties.Address)
+	return h
+}
+
 // nested returns a JSON value of arrays within arrays.
 func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
 
 // Guards against: an odd entry that another writer left among those of the endpoints was
 // used, ended the process or kept it from following the list.
 func TestOddEntryAmongTheEndpointsIsNotUsed(t *testing.T) {
-	h := newHarness(t)
+	h := newAlone(t, "vm")
 	current := sitetest.NewEndpoint(t, "e-first", nil)
 	h.register(current, "plain", "")
 	h.run()
@@ -103,7 +112,7 @@
 // Guards against: entries of the largest size filled an answer of the store beyond what is
 // read of one, and the process followed the list no longer.
 func TestManyLargeEntriesDoNotEndTheFollowing(t *testing.T) {
-	h := newHarness(t)
+	h := newAlone(t, "vm")
 	first := sitetest.NewEndpoint(t, "e-first", nil)
 	h.register(first, "plain", "")
 	h.run()
--- a/gateway/node/oddprompt_test.go
+++ b/gateway/node/oddprompt_test.go
@@ -26,9 +26,7 @@
 		}
 	})
 	defer logging.SetSink(func(string, string, error, []any) {})
-	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
-	h.store.PutRaw("op", "config", manifest(1, "key"))
-	h.vm = sitetest.NewVM(t, "first", "dc", h.store.Address, h.duties.Address)
+	h := newAlone(t, "first")
 	h.register(sitetest.NewEndpoint(t, "e1", sitetest.Events(3, 0)), "model", "decode")
 	h.run()
 	second := sitetest.NewVM(t, "second", "dc", h.store.Address, h.duties.Address)
--- a/gateway/node/oddrows_test.go
+++ b/gateway/node/oddrows_test.go
@@ -26,9 +26,7 @@
 		}
 	})
 	defer logging.SetSink(func(string, string, error, []any) {})
-	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
-	h.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(1, "key"))
-	h.vm = sitetest.NewVM(t, "vm", "dc", h.store.Address, h.duties.Address)
+	h := newAlone(t, "vm")
 	h.register(sitetest.NewEndpoint(t, "e1", nil), "plain", "")
 	h.run()
 	h.waitUntilServing(plainPath)
--- a/gateway/node/stalerefusal_test.go
+++ b/gateway/node/stalerefusal_test.go
@@ -73,8 +73,7 @@
 func TestRefusalWrittenOnceMoreIsNoProof(t *testing.T) {
 	for name, staleID := range staleIDs {
 		t.Run(name, func(t *testing.T) {
-			h := newFakes(t)
-			h.vm = sitetest.NewVM(t, "vm-"+name, "dc", h.store.Address, h.duties.Address)
+			h := newAlone(t, "vm-"+name)
 			var runs runCounter
 			h.register(newRefusingTwice(t, "a-plain", &runs, staleID).Endpoint(), "plain", "")
 			h.register(newRefusingTwice(t, "a-model", &runs, staleID).Endpoint(), "model", "decode")
@@ -109,8 +108,7 @@
 func TestRefusalWrittenOnceMoreByTheOnlyEndpoint(t *testing.T) {
 	for name, staleID := range staleIDs {
 		t.Run(name, func(t *testing.T) {
-			h := newFakes(t)
-			h.vm = sitetest.NewVM(t, "vm-"+name, "dc", h.store.Address, h.duties.Address)
+			h := newAlone(t, "vm-"+name)
 			var runs runCounter
 			h.register(newRefusingTwice(t, "a-plain", &runs, staleID).Endpoint(), "plain", "")
 			h.run()
