--- a/gateway/fleet/fleet.go
+++ b/gateway/fleet/fleet.go
@@ -51,14 +51,16 @@
 	// completeSince is the version after which every change is known here. A
 	// snapshot doesn't contain the rows that were removed before it.
 	completeSince int64
-	confirmedAt   time.Time // When the store last confirmed the rows.
+	confirmedAt   time.Time              // When the store last confirmed the rows.
+	outdated      map[string]outdatedRun // By endpoint.
+	invalid       logging.Reasons        // Why rows name no endpoint, by key.
 }
 
 // New returns an empty fleet.
 func New(now func() time.Time) *Fleet {
 	return &Fleet{
 		now: now, endpoints: make(map[string]site.Endpoint), rows: make(map[string]Row), pendingRemovals: make(map[string]bool),
-		removed: make(map[string]removal), pendingReturns: make(map[string]pendingReturn),
+		removed: make(map[string]removal), pendingReturns: make(map[string]pendingReturn), outdated: make(map[string]outdatedRun),
 	}
 }
 
@@ -133,8 +135,9 @@
 		if row.Version < f.rows[row.Key].Version {
 			continue
 		}
-		f.rows[row.Key] = row
+		f.rows[row.Key] = row.compact()
 		if row.Deleted {
+			f.invalid.Forget(row.Key)
 			delete(f.pendingReturns, row.Key)
 			f.removeOrDefer(row.Key)
 			continue
@@ -150,6 +153,7 @@
 	for _, row := range rows {
 		listed[row.Key] = true
 	}
+	f.invalid.Keep(func(key string) bool { return listed[key] })
 	for id := range f.endpoints {
 		if !listed[id] {
 			f.rows[id] = Row{Key: id, Version: version, Deleted: true}
@@ -161,16 +165,16 @@
 func (f *Fleet) update(row Row) {
 	endpoint, err := site.ParseEndpoint(row.Key, row.Value)
 	if err != nil {
-		log.Info("An invalid endpoint row was ignored.", "row", row.Key, "version", row.Version, "reason", err.Error())
+		f.logInvalid(row, err)
 		f.removeOrDefer(row.Key)
 		return
 	}
+	f.invalid.Forget(row.Key)
 	if f.deferReturn(endpoint, row) {
 		return
 	}
 	current, ok := f.endpoints[row.Key]
-	if ok && isOlder(endpoint, current) {
-		log.Info("An outdated endpoint row was ignored.", "endpoint", row.Key, "started", endpoint.StartedMS, "heartbeat", endpoint.HeartbeatSeq)
+	if ok && isOlder(endpoint, current) && !f.mayBelieve(endpoint, current) {
 		return
 	}
 	f.set(endpoint, row, current, ok)
@@ -180,6 +184,7 @@
 func (f *Fleet) set(endpoint site.Endpoint, row Row, current site.Endpoint, ok bool) {
 	delete(f.pendingRemovals, row.Key)
 	delete(f.removed, row.Key)
+	delete(f.outdated, row.Key)
 	f.endpoints[row.Key] = endpoint
 	if !ok || endpoint.Draining != current.Draining || endpoint.StartedMS != current.StartedMS || endpoint.Stage != current.Stage || endpoint.Address != current.Address || endpoint.SoftwareVersion != current.SoftwareVersion {
 		log.Info("An endpoint was added or changed.", "endpoint", endpoint.ID, "service", endpoint.Service, "data_centre", endpoint.DataCentre, "draining", endpoint.Draining, "stage", endpoint.Stage, "software", endpoint.SoftwareVersion, "version", row.Version)
@@ -235,6 +240,7 @@
 func (f *Fleet) remove(id string) {
 	f.recordRemoval(id)
 	delete(f.endpoints, id)
+	delete(f.outdated, id)
 	log.Info("An endpoint was removed.", "endpoint", id, "version", f.rows[id].Version)
 	for _, listener := range f.listeners {
 		listener.EndpointGone(id)
