One substitute shares out the limit of a silent owner

Cause: a process shared out half of a limit as soon as all that rank before it had been silent for 2 s, whatever its rank. Processes that are all slow, or whose connections lose much, don't hear each other, and each further one added its half.

Ruled out: permits (used within 1.1 s of the grant, and out of the same bucket) and tokens saved across a change of the share (a ledger starts and ends empty).

A process that has been silent for 15 s counts as gone, as before, and the next one has its rank.

The price: if owner and substitute end at once, nobody shares out the limit until they count as gone, 15 s in place of 2 s.

--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -102,12 +102,14 @@
 		silences []time.Duration
 		want     float64
 	}{
-		"ranks first":                     {nil, 1},
-		"the first is alive":              {[]time.Duration{time.Second}, 0},
-		"the first is silent":             {[]time.Duration{3 * time.Second}, substituteShare},
-		"the second is alive":             {[]time.Duration{time.Minute, 0}, 0},
-		"one of two has just gone silent": {[]time.Duration{time.Minute, 3 * time.Second}, substituteShare},
-		"all are gone":                    {[]time.Duration{time.Minute, time.Minute}, 1},
+		"ranks first":                      {nil, 1},
+		"the first is alive":               {[]time.Duration{time.Second}, 0},
+		"the first is silent":              {[]time.Duration{3 * time.Second}, substituteShare},
+		"the second is alive":              {[]time.Duration{time.Minute, 0}, 0},
+		"one of two has just gone silent":  {[]time.Duration{time.Minute, 3 * time.Second}, substituteShare},
+		"the second may replace the first": {[]time.Duration{3 * time.Second, 3 * time.Second}, 0},
+		"only the first is gone":           {[]time.Duration{time.Minute, 10 * time.Second, 3 * time.Second}, 0},
+		"all are gone":                     {[]time.Duration{time.Minute, time.Minute}, 1},
 	} {
 		require.Equal(t, c.want, ShareToGrant(c.silences), name)
 	}
