A follower that is still not answered says so again

Fault: the followers of a process share one state of the store. While one goes on failing and another is answered once, the store counted as available until the first was answered: a follower reported only its first failure. Endpoints whose rows expire in the rest of the outage would not have been kept, and other processes would have taken this one to reach the store.

Change: OnLost is called for each call that fails. storeWatch ignores it while the store is known to be lost.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -54,7 +54,8 @@
 	KnownVersion func() (era, version int64)
 	// Apply applies changed rows, or the whole table if snapshot is set.
 	Apply func(page site.Page, snapshot bool)
-	// OnLost is called when the store stops answering, OnRecovered when it
+	// OnLost is called for each call that the store does not answer, since another
+	// follower may have been answered since the last; OnRecovered is called when it
 	// answers again.
 	OnLost      func()
 	OnRecovered func()
@@ -202,9 +203,9 @@
 	if !f.lost {
 		f.lost = true
 		log.Error(err, "The store does not answer; what is known stays in use.", "table", f.Table, "after", f.version)
-		if f.OnLost != nil {
-			f.OnLost()
-		}
+	}
+	if f.OnLost != nil {
+		f.OnLost()
 	}
 	f.backoff = min(max(f.backoff*2, minBackoff), maxBackoff)
 	return jitter(f.backoff)
--- a/gateway/follow/outage_test.go
+++ b/gateway/follow/outage_test.go
@@ -78,6 +78,12 @@
 	}
 }
 
+func (s *storeState) isLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 func (s *storeState) stateChanged() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
