The first answer of the store ends an outage for all followers

Cause: the follower of the list did not report that the store answers again.

Change: it does, and the others repeat their calls at once. It still does not report that a call of its own has failed: its calls are held for 15 s, and one lost answer is no outage.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -188,7 +188,8 @@
 
 func (n *Node) membersFollower() *follow.Follower {
 	return &follow.Follower{
-		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList, StateChanged: n.storeWatch.StateChanged,
+		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList,
+		OnRecovered: n.storeWatch.MarkRecovered, StateChanged: n.storeWatch.StateChanged,
 	}
 }
 
