--- /dev/null
+++ b/gateway/node/servers.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+
+	"flamingospar.org/gateway/ingress"
+	"flamingospar.org/gateway/relay"
+)
+
+type servers struct {
+	callers  *http.Server
+	internal *http.Server
+}
+
+// openServers listens on all addresses of the process and serves them.
+func (n *Node) openServers(ctx context.Context) (servers, error) {
+	callers, err := listen(ctx, n.settings.CallerAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the address for callers that the settings name", err)
+	}
+	ready, err := listen(ctx, n.settings.ReadyAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the readiness address that the settings name", err)
+	}
+	control, err := listen(ctx, n.settings.ControlAddress)
+	if err != nil {
+		return servers{}, fmt.Errorf("%w; remedy: free the control address that the settings name", err)
+	}
+	handler := &ingress.Handler{
+		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
+		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
+	}
+	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
+	s.callers.ConnContext = ingress.ConnContext
+	serveOn(s.callers, ingress.Listener{Listener: callers})
+	serveOn(s.internal, ready)
+	serveOn(s.internal, control)
+	if n.options.MetricsPort > 0 {
+		n.listenMetrics(ctx, s.internal)
+	}
+	return s, nil
+}
+
+// listenMetrics serves metrics on a separate port. If that fails, the process
+// still serves callers.
+func (n *Node) listenMetrics(ctx context.Context, server *http.Server) {
+	address := net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
+	listener, err := listen(ctx, address)
+	if err != nil {
+		log.Error(err, "Metrics are not served.", "address", address)
+		return
+	}
+	serveOn(server, listener)
+}
+
+func serveOn(server *http.Server, listener net.Listener) {
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error(err, "A server stopped unexpectedly.", "address", listener.Addr().String())
+		}
+	}()
+}
