--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -111,6 +111,8 @@
 type Cluster struct {
 	// Supervisor recovers a panic of an exchange, which then counts as failed.
 	Supervisor supervise.Supervisor
+	// Now is the clock by which exchanges are due and other processes are silent.
+	Now func() time.Time
 
 	self       Member
 	seeds      []string // Addresses of processes that may know other members.
@@ -148,8 +150,8 @@
 }
 
 // observe records the state that the process has sent of itself.
-func (p *peer) observe(state *wirev1.PeerState) {
-	p.lastSeen = time.Now()
+func (p *peer) observe(state *wirev1.PeerState, now time.Time) {
+	p.lastSeen = now
 	p.storeLost = state.GetStoreLost()
 }
 
@@ -157,7 +159,7 @@
 // it asks the processes at the seed addresses for them.
 func New(self Member, seeds []string, store *site.Store, localState LocalState) *Cluster {
 	return &Cluster{
-		self: self, seeds: seeds, store: store, localState: localState, members: make(map[string]*peer), endedInstances: make(map[string]time.Time), unlisted: make(map[string]time.Time), restored: make(chan struct{}, 1),
+		Now: time.Now, self: self, seeds: seeds, store: store, localState: localState, members: make(map[string]*peer), endedInstances: make(map[string]time.Time), unlisted: make(map[string]time.Time), restored: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: 20 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
@@ -166,10 +168,10 @@
 
 // Run exchanges state with other processes until ctx ends.
 func (c *Cluster) Run(ctx context.Context) {
-	lastTick := time.Now()
+	lastTick := c.Now()
 	for clock.Sleep(ctx, tickInterval) {
 		c.contactSeeds(ctx)
-		now := time.Now()
+		now := c.Now()
 		c.notePause(lastTick, now)
 		c.removeUnlisted(now)
 		lastTick = now
@@ -210,118 +212,6 @@
 	return remoteInterval
 }
 
-func (c *Cluster) exchange(ctx context.Context, p *peer) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	c.mu.Lock()
-	usage := !time.Now().Before(p.nextUsage)
-	c.mu.Unlock()
-	var err error
-	if panicErr := c.Supervisor.Call("exchange", func() { err = c.exchangeState(ctx, p, usage) }); panicErr != nil {
-		err = panicErr
-	}
-	c.finishExchange(p, usage, err)
-}
-
-// observePeer records the state with which a member has answered a call. Another instance
-// that answers at its address has taken its place.
-func (c *Cluster) observePeer(called *peer, state *wirev1.PeerState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.members[state.GetVm()]
-	if ok && p == called && p.Instance != state.GetInstance() {
-		delete(c.endedInstances, state.GetInstance())
-		answered := p.Member
-		answered.Instance = state.GetInstance()
-		c.add(answered)
-		p = c.members[state.GetVm()]
-	}
-	if ok && p.Instance == state.GetInstance() {
-		p.observe(state)
-	}
-}
-
-// exchangeState calls a process. If the reply shows that it has an older
-// configuration, a second call sends it the current one: the response to its own
-// request for the configuration may have been lost.
-func (c *Cluster) exchangeState(ctx context.Context, p *peer, usage bool) error {
-	request := &wirev1.ExchangeStateRequest{
-		State: c.localState.State(p.VM, usage), Address: c.self.Address, DataCentre: c.self.DataCentre, WantUsage: usage,
-	}
-	requestedAt := time.Now()
-	reply, err := p.client.ExchangeState(ctx, connect.NewRequest(request))
-	if err != nil {
-		return err
-	}
-	c.observePeer(p, reply.Msg.GetState())
-	c.localState.MergeState(reply.Msg.GetState())
-	c.localState.ApplyNewer(reply.Msg, requestedAt)
-	newer := c.localState.NewerConfiguration(reply.Msg.GetState())
-	if newer == nil {
-		return nil
-	}
-	log.Info("An entry process has an older configuration; sending it the current one.", "vm", p.VM, "version", reply.Msg.GetState().GetConfigurationVersion())
-	request.Configuration = newer
-	_, err = p.client.ExchangeState(ctx, connect.NewRequest(request))
-	return err
-}
-
-// finishExchange records the result of an exchange and backs off after a failure.
-func (c *Cluster) finishExchange(p *peer, usage bool, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p.inFlight = false
-	if err != nil {
-		p.failures++
-		p.nextExchange = time.Now().Add(min(time.Duration(p.failures)*backoffStep, maxBackoff))
-		if p.failures == 1 {
-			log.Error(err, "An entry process does not answer.", "vm", p.VM, "address", p.Address)
-		}
-		return
-	}
-	if p.failures > 0 {
-		log.Info("An entry process answers again.", "vm", p.VM, "failures", p.failures)
-	}
-	p.failures = 0
-	if usage {
-		p.nextUsage = time.Now().Add(usageInterval)
-	}
-}
-
-// ExchangeState serves an exchange that another process has started.
-func (c *Cluster) ExchangeState(_ context.Context, request *connect.Request[wirev1.ExchangeStateRequest]) (*connect.Response[wirev1.ExchangeStateReply], error) {
-	state := request.Msg.GetState()
-	c.observeCaller(request.Msg)
-	c.localState.MergeState(state)
-	if raw := request.Msg.GetConfiguration(); len(raw) > 0 {
-		c.localState.ApplyConfiguration(state.GetVm(), raw)
-	}
-	reply := &wirev1.ExchangeStateReply{State: c.localState.State(state.GetVm(), request.Msg.GetWantUsage())}
-	c.localState.AddNewer(state, reply)
-	if request.Msg.GetWantMembers() {
-		reply.Members = c.knownMembers()
-	}
-	return connect.NewResponse(reply), nil
-}
-
-// observeCaller records the state of a calling process and adds it to the members
-// if it is unknown, since it may have been listed after the list was last read.
-// An instance that is known to have ended is not added again.
-func (c *Cluster) observeCaller(request *wirev1.ExchangeStateRequest) {
-	state := request.GetState()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if request.GetAddress() == "" || c.mayBeLate(state.GetInstance()) {
-		return
-	}
-	delete(c.endedInstances, state.GetInstance())
-	if p, ok := c.members[state.GetVm()]; ok && p.Instance == state.GetInstance() {
-		p.observe(state)
-		return
-	}
-	c.add(Member{VM: state.GetVm(), Address: request.GetAddress(), DataCentre: request.GetDataCentre(), Instance: state.GetInstance()})
-}
-
 // Handler returns the path and handler of the peer service.
 func (c *Cluster) Handler() (string, http.Handler) {
 	return wirev1connect.NewPeerServiceHandler(serviceHandler{c}, connect.WithReadMaxBytes(maxMessageBytes))
