One list of reasons for which an endpoint is passed over

core/availability holds them with their ends: leaving, asked to wait, rate limited, ejected, busy. The first three are binding: the endpoint is no last choice either. Draining, health and backoff move from placement.Engine into availability.State, which it embeds; what endpoints say of themselves is kept for each process of an endpoint, listed or not.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -85,3 +85,7 @@
 // Ejected reports whether the endpoint should not be used while others are
 // available.
 func (r *Record) Ejected(now time.Time) bool { return now.Before(r.ejectedUntil) }
+
+// EjectedUntil returns the end of the ejection; it has passed if the endpoint is not
+// ejected.
+func (r *Record) EjectedUntil() time.Time { return r.ejectedUntil }
--- a/core/placement/affinity.go
+++ b/core/placement/affinity.go
@@ -18,7 +18,7 @@
 	var best *Engine
 	var bestScore uint64
 	for _, engine := range engines {
-		if engine.Stage != Prefill || engine.Draining || (dataCentre != "" && engine.DataCentre != dataCentre) {
+		if engine.Stage != Prefill || engine.Draining || engine.Statement.IsLeaving() || (dataCentre != "" && engine.DataCentre != dataCentre) {
 			continue
 		}
 		if score := rendezvousScore(engine.ID, prefix); best == nil || score > bestScore {
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"flamingospar.org/core/health"
+	"flamingospar.org/core/availability"
 )
 
 // Stage is the phase of inference that an engine serves.
@@ -58,11 +58,7 @@
 	DataCentre string
 	Stage      Stage
 	Slots      int
-	Draining   bool
-	Health     health.Record
-	// BackoffUntil is when new requests may be sent again after the engine refused
-	// one for a reason that is not a failure.
-	BackoffUntil time.Time
+	availability.State
 	// LastAnswer is when this process last received an answer or part of one.
 	LastAnswer time.Time
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -7,7 +7,11 @@
 // and on the time that is passed in, and have no effects outside.
 package placement
 
-import "time"
+import (
+	"time"
+
+	"flamingospar.org/core/availability"
+)
 
 // Prompt describes the input of a request.
 type Prompt struct {
@@ -244,19 +248,20 @@
 	return best, bestCost
 }
 
-// candidates returns the engines that may be used: those that are neither draining
-// nor excluded nor resting nor in backoff. If none of these can decode, resting
-// engines and engines in backoff are included.
+// candidates returns the engines that may be used: those that are neither excluded nor
+// passed over for any reason. If none of these can decode, engines that are passed over
+// for a reason that is not binding are included.
 func candidates(now time.Time, request Request, engines []*Engine) []*Engine {
-	notDraining := make([]*Engine, 0, len(engines))
+	allowed := make([]*Engine, 0, len(engines))
 	available := make([]*Engine, 0, len(engines))
 	canDecode := false
 	for _, engine := range engines {
-		if engine.Draining || request.Exclude[engine.ID] {
+		passedOver := engine.PassOver(now, false)
+		if passedOver.Reason.Binding() || request.Exclude[engine.ID] {
 			continue
 		}
-		notDraining = append(notDraining, engine)
-		if engine.Health.Ejected(now) || now.Before(engine.BackoffUntil) {
+		allowed = append(allowed, engine)
+		if passedOver.Reason != availability.None {
 			continue
 		}
 		available = append(available, engine)
@@ -265,7 +270,7 @@
 	if canDecode {
 		return available
 	}
-	return notDraining
+	return allowed
 }
 
 // slotWaitMS returns the expected time that a new stream waits for a slot.
