An endpoint that says it leaves gets no further request

What callers saw: requests were sent to an endpoint until its address was gone, if the store that lists it as leaving was away, had come back from an older copy, or could not be reached by the process. Cause: entry processes took leaving from the list alone.

Each answer is observed: whole, stream, refusal, prefill, 421, an answer to another request on the connection, report and order. From then on the process sends that process of the endpoint no request, report or order, also when another answer arrives between the choice of the endpoint and the call. Its connections are closed once they are idle. A broken connection to it is no crash. Line "An endpoint is passed over." on change.

limits_test.go: the expected PassedOver also names its reason.

--- a/gateway/duties/stages.go
+++ b/gateway/duties/stages.go
@@ -141,6 +141,9 @@
 	if order.ToPrefill {
 		stage = site.Prefill
 	}
+	if !p.Balancer.Take(endpoint) {
+		return
+	}
 	p.engineNotBefore[id] = time.Now().Add(downtime)
 	report, err := p.report(ctx, endpoint)
 	if err != nil {
@@ -155,6 +158,10 @@
 	if !held || current.Term.Row.Epoch != fence.Term.Row.Epoch {
 		return
 	}
+	if !p.Balancer.Take(endpoint) {
+		stageLog.Info("No order is sent: the engine leaves or has asked to be sent nothing for a time.", "endpoint", id)
+		return
+	}
 	if !p.Limits.Take(id) {
 		stageLog.Info("No order is sent: the rate limit of the engine is used up.", "endpoint", id)
 		return
--- /dev/null
+++ b/gateway/duties/statements_test.go
@@ -0,0 +1,50 @@
+package duties
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// newStatingEngine returns a prefill engine that states nothing yet.
+func newStatingEngine(t *testing.T, id string) (*prefillEngine, *sitetest.Stating) {
+	s := sitetest.NewStating(func(w http.ResponseWriter, request *http.Request) {
+		if strings.HasSuffix(request.URL.Path, "/report") {
+			fmt.Fprint(w, `{"stage":"prefill","busy":false,"seq":2,"waiting":0,"running":0}`)
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return &prefillEngine{endpoint: sitetest.NewEndpoint(t, id, s.Serve), orderStatus: http.StatusAccepted}, s
+}
+
+// plannerThatObserves is like planner and applies what engines say of themselves.
+func (f *fixture) plannerThatObserves(engines ...*prefillEngine) *StagePlanner {
+	p := f.planner("vm-1", engines...)
+	p.Endpoints.OnAnswer = p.Balancer.Observe
+	return p
+}
+
+// An engine said in its report that it leaves, and was ordered to change its stage. No
+// further report is asked of it either.
+func TestNoOrderToAnEngineThatLeaves(t *testing.T) {
+	f := newFixture(t)
+	e, s := newStatingEngine(t, "e1")
+	s.SetLeaving(true)
+	p := f.plannerThatObserves(e)
+	for range 3 {
+		p.step(t.Context(), "model")
+		clear(p.serviceNotBefore)
+		clear(p.engineNotBefore)
+	}
+	require.Empty(t, e.receivedOrders(t))
+	require.Equal(t, 1, s.Arrivals())
+	view, list := p.Balancer.StageView("model")
+	require.Empty(t, list)
+	require.Zero(t, view.PrefillEngines)
+}
--- /dev/null
+++ b/gateway/engines/availability.go
@@ -0,0 +1,162 @@
+package engines
+
+import (
+	"time"
+
+	"flamingospar.org/base/logging"
+	"flamingospar.org/core/availability"
+	"flamingospar.org/platform/site"
+)
+
+var log = logging.For("gateway/engines")
+
+// maxLinesPerSec bounds the lines about each reason for which endpoints are passed over,
+// and about statements that can't be read.
+const (
+	maxLinesPerSec = 10
+	classMalformed = "malformed"
+)
+
+// StatementFunc is called when an endpoint has said something that keeps requests from it.
+type StatementFunc func(endpoint site.Endpoint, excluded availability.Exclusion)
+
+func processOf(endpoint site.Endpoint) availability.Process {
+	return availability.Process{Endpoint: endpoint.ID, StartedMS: endpoint.StartedMS}
+}
+
+// Observe records what an answer of an endpoint says about further requests to it. What
+// is listed, here or later, doesn't change that.
+func (s *Selector) Observe(from site.Endpoint, answer site.EndpointResponse) {
+	if answer.RetryAfter.Malformed {
+		if ok, omitted := s.lines.Allow(classMalformed, maxLinesPerSec); ok {
+			log.Info("An endpoint states a time to wait that is not one number of seconds.", "endpoint", from.ID, "request", answer.RequestID, "used_ms", answer.RetryAfter.Wait.Milliseconds(), "lines_omitted", omitted)
+		}
+	}
+	for _, endpoint := range s.speakers(from, answer) {
+		s.observe(endpoint, answer)
+	}
+}
+
+// speakers returns the endpoints that may have given an answer: the one that was called
+// and, if the answer comes from another one that leaves, those listed at its address.
+func (s *Selector) speakers(called site.Endpoint, answer site.EndpointResponse) []site.Endpoint {
+	speakers := []site.Endpoint{called}
+	if !answer.Misdirected || !answer.Leaving {
+		return speakers
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, endpoint := range s.endpoints {
+		if endpoint.Address == called.Address && endpoint.ID != called.ID {
+			speakers = append(speakers, endpoint)
+		}
+	}
+	return speakers
+}
+
+func (s *Selector) observe(endpoint site.Endpoint, answer site.EndpointResponse) {
+	said := availability.Answer{Leaving: answer.Leaving}
+	s.mu.Lock()
+	now := s.now()
+	excluded := s.statements.Observe(now, processOf(endpoint), said)
+	if excluded.Reason != availability.None {
+		s.attachStatement(endpoint)
+	}
+	s.mu.Unlock()
+	if excluded.Reason == availability.None {
+		return
+	}
+	s.logPassedOver(endpoint.ID, now, excluded, "started", endpoint.StartedMS, "request", answer.RequestID, "asked_ms", answer.RetryAfter.Wait.Milliseconds())
+	if s.OnStatement != nil {
+		s.OnStatement(endpoint, excluded)
+	}
+}
+
+// attachStatement makes known to the choice of endpoints what an endpoint has said. s.mu
+// must be held.
+func (s *Selector) attachStatement(endpoint site.Endpoint) {
+	if s.endpoints[endpoint.ID].StartedMS != endpoint.StartedMS {
+		return
+	}
+	if state := s.state(endpoint.ID); state != nil {
+		state.Statement = s.statements.Of(processOf(endpoint))
+		delete(s.fleets, endpoint.Service)
+	}
+}
+
+// logPassedOver writes a line about an endpoint that is passed over from now on.
+func (s *Selector) logPassedOver(id string, now time.Time, excluded availability.Exclusion, fields ...any) {
+	ok, omitted := s.lines.Allow(string(excluded.Reason), maxLinesPerSec)
+	if !ok {
+		return
+	}
+	fields = append([]any{"endpoint", id, "reason", string(excluded.Reason)}, fields...)
+	if !excluded.Until.IsZero() {
+		fields = append(fields, "for_ms", excluded.Until.Sub(now).Milliseconds())
+	}
+	log.Info("An endpoint is passed over.", append(fields, "lines_omitted", omitted)...)
+}
+
+// Take reports whether an endpoint allows a request now, as far as it has said itself, and
+// records that the request is sent. It is asked right before each request to an endpoint:
+// another answer may have arrived since the endpoint was chosen.
+func (s *Selector) Take(to site.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.Take(s.now(), processOf(to))
+}
+
+// Allows reports whether an endpoint allows a request now.
+func (s *Selector) Allows(to site.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := availability.State{Statement: s.statements.Of(processOf(to))}
+	return state.PassOver(s.now(), false).Reason == availability.None
+}
+
+// IsLeaving reports whether an endpoint said that it leaves.
+func (s *Selector) IsLeaving(endpoint site.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.Of(processOf(endpoint)).IsLeaving()
+}
+
+// LeavingAddresses returns the addresses of listed endpoints that said that they leave.
+func (s *Selector) LeavingAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, endpoint := range s.endpoints {
+		if s.statements.Of(processOf(endpoint)).IsLeaving() {
+			addresses = append(addresses, endpoint.Address)
+		}
+	}
+	return addresses
+}
+
+// RetryIn returns the time until the first endpoint of a service may be sent a request
+// again, if all that could serve one have asked to wait. It is 0 if one may be sent now, or
+// if there is none.
+func (s *Selector) RetryIn(service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if !s.statements.AnyWaits(now) {
+		return 0
+	}
+	first := time.Time{}
+	for _, state := range s.servingStates(service) {
+		excluded := state.PassOver(now, false)
+		switch {
+		case excluded.Reason == availability.Leaving:
+		case excluded.Reason != availability.AskedToWait:
+			return 0
+		case first.IsZero() || excluded.Until.Before(first):
+			first = excluded.Until
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	return first.Sub(now)
+}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -7,7 +7,8 @@
 	"sync"
 	"time"
 
-	"flamingospar.org/core/health"
+	"flamingospar.org/base/logging"
+	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/platform/site"
 )
@@ -22,7 +23,11 @@
 	// Limits knows the rate limits of endpoints. It must be set before the first use, if
 	// at all. Its lock is acquired while that of the selector is held.
 	Limits SendLimits
+	// OnStatement, if set, is called for each endpoint that gets no requests from now on
+	// because it said so.
+	OnStatement StatementFunc
 
+	lines      logging.LineBudget
 	dataCentre string
 	now        func() time.Time
 
@@ -35,6 +40,7 @@
 	memoryTokens     map[string]int                 // By service.
 	biases           map[string]*placement.Bias     // By service.
 	lengthsByService map[string]*meanLengths        // Of responses, by service.
+	statements       *availability.Statements       // Of listed and former endpoints.
 	sentPrompts      sentPromptList
 	jitter           time.Duration
 	processes        int                  // Entry processes, this one included.
@@ -48,7 +54,7 @@
 		enginesByID: make(map[string]*placement.Engine), enginesByService: make(map[string][]*placement.Engine),
 		plainByService: make(map[string][]*plainEndpoint), endpoints: make(map[string]site.Endpoint), memoryTokens: make(map[string]int),
 		biases: make(map[string]*placement.Bias), sentPrompts: sentPromptList{nextSeq: make(map[string]int)}, peerReportedAt: make(map[string]time.Time),
-		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet),
+		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet), statements: availability.NewStatements(),
 	}
 }
 
@@ -111,6 +117,7 @@
 	delete(s.fleets, endpoint.Service)
 	engine.SetStage(stage)
 	engine.Draining = endpoint.Draining
+	engine.Statement = s.statements.Of(processOf(endpoint))
 }
 
 func (s *Selector) bias(service string) *placement.Bias {
@@ -239,32 +246,54 @@
 func (s *Selector) RecordResult(id string, result Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.healthRecord(id)
-	if record == nil {
+	state := s.state(id)
+	if state == nil {
 		return
 	}
+	now := s.now()
+	before := state.PassOver(now, false)
 	switch result {
 	case RequestSucceeded:
-		record.Succeeded(s.now())
+		state.Health.Succeeded(now)
 	case RequestFailed:
-		record.Failed(s.now())
+		state.Health.Failed(now)
 	case Unreachable, TooLarge:
-		record.Unreachable(s.now())
+		state.Health.Unreachable(now)
 	case Busy:
 		if engine, ok := s.enginesByID[id]; ok {
-			engine.BackoffUntil = s.now().Add(busyBackoff)
+			engine.BackoffUntil = now.Add(busyBackoff)
 		}
 	}
+	if after := state.PassOver(now, false); after.Reason != before.Reason && after.Reason != availability.None {
+		s.logPassedOver(id, now, after)
+	}
 }
 
-func (s *Selector) healthRecord(id string) *health.Record {
+// state returns the availability of an endpoint, or nil if it is not listed. s.mu must be
+// held.
+func (s *Selector) state(id string) *availability.State {
 	if engine, ok := s.enginesByID[id]; ok {
-		return &engine.Health
+		return &engine.State
 	}
-	for _, endpoint := range s.plainByService[s.endpoints[id].Service] {
-		if endpoint.endpoint.ID == id {
-			return &endpoint.health
+	for _, plain := range s.plainByService[s.endpoints[id].Service] {
+		if plain.endpoint.ID == id {
+			return &plain.State
 		}
 	}
 	return nil
 }
+
+// servingStates returns the availability of the endpoints of a service that can serve a
+// request alone. s.mu must be held.
+func (s *Selector) servingStates(service string) []*availability.State {
+	var states []*availability.State
+	for _, engine := range s.enginesByService[service] {
+		if engine.Stage == placement.Decode {
+			states = append(states, &engine.State)
+		}
+	}
+	for _, plain := range s.plainByService[service] {
+		states = append(states, &plain.State)
+	}
+	return states
+}
--- a/gateway/engines/gauges.go
+++ b/gateway/engines/gauges.go
@@ -24,7 +24,7 @@
 	}
 	for _, list := range s.plainByService {
 		for _, plain := range list {
-			gauges[plain.endpoint.ID] = map[string]int64{"running": int64(plain.running), "failures_percent": percent(plain.health.Rate(now))}
+			gauges[plain.endpoint.ID] = map[string]int64{"running": int64(plain.running), "failures_percent": percent(plain.Health.Rate(now))}
 		}
 	}
 	return gauges
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
 )
 
@@ -25,24 +26,34 @@
 func (noLimits) Limited(string) bool      { return false }
 
 // PassedOver describes the endpoints of a service that a decision passed over because of
-// their rate limits.
+// their rate limits, or because they asked to wait.
 type PassedOver struct {
-	Count int    // Their number.
-	Ask   string // The one to ask for a permit, if the request would be served better there; "" for none.
-	Any   string // Any of them; "" for none.
+	Count  int                 // Their number.
+	Ask    string              // The one to ask for a permit, if the request would be served better there; "" for none.
+	Any    string              // Any of them; "" for none.
+	Reason availability.Reason // Why Any was passed over.
 }
 
-// passedEngines describes the blocked engines of a service that are not excluded anyway.
-// s.mu must be held.
+// add adds an endpoint if it is passed over for a reason that ends.
+func (p *PassedOver) add(id string, excluded availability.Exclusion) {
+	if excluded.Reason != availability.RateLimited && excluded.Reason != availability.AskedToWait {
+		return
+	}
+	p.Count++
+	p.Any, p.Reason = id, excluded.Reason
+}
+
+// passedEngines describes the engines of a service that are passed over and not excluded
+// anyway. s.mu must be held.
 func (s *Selector) passedEngines(service string, exclude, blocked map[string]bool) PassedOver {
 	var passed PassedOver
-	if len(blocked) == 0 {
+	now := s.now()
+	if len(blocked) == 0 && !s.statements.AnyWaits(now) {
 		return passed
 	}
 	for _, engine := range s.enginesByService[service] {
-		if blocked[engine.ID] && !exclude[engine.ID] && !engine.Draining {
-			passed.Count++
-			passed.Any = engine.ID
+		if !exclude[engine.ID] {
+			passed.add(engine.ID, engine.PassOver(now, blocked[engine.ID]))
 		}
 	}
 	return passed
@@ -81,26 +92,24 @@
 	return ""
 }
 
-// PassedOverPlain describes the endpoints of a plain service that have no room for another
-// request because of their rate limits.
+// PassedOverPlain describes the endpoints of a plain service that get no request now
+// because of their rate limits, or because they asked to wait.
 func (s *Selector) PassedOverPlain(service string, exclude map[string]bool) PassedOver {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var passed PassedOver
-	blocked := s.Limits.Blocked()
+	blocked, now := s.Limits.Blocked(), s.now()
 	for _, candidate := range s.plainByService[service] {
-		id := candidate.endpoint.ID
-		if blocked[id] && !exclude[id] && !candidate.endpoint.Draining {
-			passed.Count++
-			passed.Any = id
+		if id := candidate.endpoint.ID; !exclude[id] {
+			passed.add(id, candidate.PassOver(now, blocked[id]))
 		}
 	}
-	if passed.Count == 0 {
+	if passed.Count == 0 || len(blocked) == 0 {
 		return passed
 	}
 	unavailable := s.unavailable(exclude, blocked, true)
 	for _, skipEjected := range []bool{true, false} {
-		if best := s.cheapestPlain(service, unavailable, skipEjected); best != nil {
+		if best := s.cheapestPlain(service, unavailable, skipEjected); best != nil && blocked[best.endpoint.ID] {
 			passed.Ask = best.endpoint.ID
 			break
 		}
--- a/gateway/engines/limits_test.go
+++ b/gateway/engines/limits_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/platform/site"
 )
@@ -87,7 +88,7 @@
 	}
 	_, _, ok := s.ChoosePlain("s", map[string]bool{"e-2": true})
 	require.False(t, ok)
-	require.Equal(t, PassedOver{Count: 1, Ask: "e-1", Any: "e-1"}, s.PassedOverPlain("s", map[string]bool{"e-2": true}))
+	require.Equal(t, PassedOver{Count: 1, Ask: "e-1", Any: "e-1", Reason: availability.RateLimited}, s.PassedOverPlain("s", map[string]bool{"e-2": true}))
 	require.Equal(t, PassedOver{}, s.PassedOverPlain("s", map[string]bool{"e-1": true}))
 }
 
--- a/gateway/engines/plain.go
+++ b/gateway/engines/plain.go
@@ -1,32 +1,43 @@
 package engines
 
 import (
-	"flamingospar.org/core/health"
+	"flamingospar.org/core/availability"
 	"flamingospar.org/platform/site"
 )
 
 // plainEndpoint is an endpoint of a plain service, that is one without a model.
 type plainEndpoint struct {
+	availability.State
+
 	endpoint site.Endpoint
-	health   health.Record
 	running  int
 }
 
 func (s *Selector) setPlain(endpoint site.Endpoint) {
+	plain := s.plain(endpoint)
+	plain.endpoint = endpoint
+	plain.Draining = endpoint.Draining
+	plain.Statement = s.statements.Of(processOf(endpoint))
+}
+
+// plain returns the record of a listed plain endpoint, a new one if need be. s.mu must be
+// held.
+func (s *Selector) plain(endpoint site.Endpoint) *plainEndpoint {
 	for _, known := range s.plainByService[endpoint.Service] {
 		if known.endpoint.ID == endpoint.ID {
-			known.endpoint = endpoint
-			return
+			return known
 		}
 	}
-	s.plainByService[endpoint.Service] = append(s.plainByService[endpoint.Service], &plainEndpoint{endpoint: endpoint})
+	added := &plainEndpoint{}
+	s.plainByService[endpoint.Service] = append(s.plainByService[endpoint.Service], added)
+	return added
 }
 
 // ChoosePlain chooses the endpoint of a plain service with the lowest cost, which
 // grows with the requests of this process in flight and the failure rate, and is
 // higher in another data centre. An ejected endpoint is chosen only if there is no
-// other, and one whose rate limit is used up never. done must be called when the request has ended. ok is false if there is no
-// endpoint.
+// other, and one that is passed over for a binding reason never. done must be called when
+// the request has ended. ok is false if there is no endpoint.
 func (s *Selector) ChoosePlain(service string, exclude map[string]bool) (endpoint site.Endpoint, done func(), ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,10 +68,11 @@
 	var best *plainEndpoint
 	bestCost := 0.0
 	for _, candidate := range s.plainByService[service] {
-		if candidate.endpoint.Draining || exclude[candidate.endpoint.ID] || (skipEjected && candidate.health.Ejected(now)) {
+		passedOver := candidate.PassOver(now, false).Reason
+		if passedOver.Binding() || exclude[candidate.endpoint.ID] || (skipEjected && passedOver == availability.Ejected) {
 			continue
 		}
-		cost := float64(candidate.running) + failureCost*candidate.health.Rate(now)
+		cost := float64(candidate.running) + failureCost*candidate.Health.Rate(now)
 		if candidate.endpoint.DataCentre != s.dataCentre {
 			cost += remoteCost
 		}
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/core/stages"
 	"flamingospar.org/platform/site"
@@ -26,7 +27,8 @@
 }
 
 // StageView returns a snapshot of the load on a service's engines, and the engines
-// that may change their stage: those that are neither draining nor ejected.
+// that may change their stage: those that are not passed over. Engines that are
+// passed over for a time that they state themselves count in their stage.
 func (s *Selector) StageView(service string) (stages.View, []stages.Engine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -35,11 +37,12 @@
 	var wait time.Duration
 	list := make([]stages.Engine, 0, len(s.enginesByService[service]))
 	for _, engine := range s.enginesByService[service] {
-		if engine.Draining || engine.Health.Ejected(now) {
+		passedOver := engine.PassOver(now, s.Limits.Limited(engine.ID)).Reason
+		if passedOver == availability.Leaving || engine.Health.Ejected(now) {
 			continue
 		}
 		isPrefill := engine.Stage == placement.Prefill
-		if !s.Limits.Limited(engine.ID) {
+		if !passedOver.Binding() {
 			list = append(list, stages.Engine{ID: engine.ID, DataCentre: engine.DataCentre, Prefill: isPrefill, Load: engine.Running() + engine.PendingCount()})
 		}
 		if isPrefill {
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -69,8 +69,10 @@
 		ReportTimeout: n.settings.Bounds.MaxUsageReportDelay, Replicas: n.replicas, StoreAvailableFor: n.storeWatch.AvailableFor, PeerInstances: n.cluster.PeerInstances,
 		Handover: guard,
 	}
+	endpointClient := site.NewEndpointClient(n.httpClient)
+	endpointClient.OnAnswer = n.selector.Observe
 	planner := &duties.StagePlanner{
-		Balancer: n.selector, Endpoints: site.NewEndpointClient(n.httpClient), Limits: n.limiter, Lease: n.lease, Holder: n.settings.NodeName, FleetAge: n.fleet.Age, StageChangeTime: n.stageChangeTime,
+		Balancer: n.selector, Endpoints: endpointClient, Limits: n.limiter, Lease: n.lease, Holder: n.settings.NodeName, FleetAge: n.fleet.Age, StageChangeTime: n.stageChangeTime,
 		Handover: guard,
 	}
 	tasks := []task{
@@ -208,6 +210,7 @@
 	clock.Every(ctx, maintenanceInterval, func() {
 		n.updateProcessCount()
 		n.pool.CloseExpired()
+		n.closeLeaving()
 		n.fleet.Flush()
 	})
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -146,6 +146,7 @@
 	n.cluster.Supervisor = n.supervisor
 	n.limiter = limits.New(settings.NodeName, n.cluster, n.meter, time.Now)
 	n.selector.Limits = n.limiter
+	n.selector.OnStatement = n.applyStatement
 	n.fleet.AddListener(n.limiter)
 	n.fleet.AddListener(n.selector)
 	n.crashBackup = crashes.NewBackup(n.store, n.crashTracker, func() bool { return n.cluster.AmongFirst(crashPartWriters) })
@@ -227,8 +228,13 @@
 // crashFleet tells the crash tracker about endpoints and processes.
 type crashFleet struct{ node *Node }
 
-// Endpoint returns an endpoint that is listed.
-func (f crashFleet) Endpoint(id string) (site.Endpoint, bool) { return f.node.fleet.Get(id) }
+// Endpoint returns an endpoint that is listed. One that said that it leaves counts as
+// draining.
+func (f crashFleet) Endpoint(id string) (site.Endpoint, bool) {
+	endpoint, ok := f.node.fleet.Get(id)
+	endpoint.Draining = endpoint.Draining || f.node.selector.IsLeaving(endpoint)
+	return endpoint, ok
+}
 
 // Position returns the position of this process in the ranking of all for a key.
 func (f crashFleet) Position(key string) int {
--- /dev/null
+++ b/gateway/relay/availability.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"flamingospar.org/gateway/transport"
+)
+
+// retrySpreadShare is the share of the time until endpoints accept requests again over
+// which the callers that are refused meanwhile are asked to return after it.
+const retrySpreadShare = 0.5
+
+// errPassedOver means that an endpoint said between its selection and the call that it
+// wants no request.
+var errPassedOver = fmt.Errorf("%w: it leaves or has asked to be sent nothing for a time", transport.ErrNotSent)
+
+// heldBack reports whether a request was not sent because the endpoint wants none now.
+func heldBack(err error) bool {
+	return errors.Is(err, errRateLimited) || errors.Is(err, errPassedOver)
+}
+
+// retryIn returns the time after which a refused caller should retry because all endpoints
+// of a service have asked to wait, 0 if they have not. It is spread so that the callers
+// don't meet the endpoints' first moment all at once.
+func (r *Relay) retryIn(service string) time.Duration {
+	wait := r.Selector.RetryIn(service)
+	if wait <= 0 {
+		return 0
+	}
+	return wait + rand.N(time.Duration(retrySpreadShare*float64(wait))+1)
+}
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/transport"
@@ -73,6 +74,8 @@
 // reasonUnplaced returns why no endpoint was selected.
 func (p *progress) reasonUnplaced() Reason {
 	switch {
+	case p.PassedOver.Reason == availability.AskedToWait:
+		return ReasonAskedToWait
 	case p.PassedOver.Count > 0:
 		return ReasonRateLimited
 	case p.sends > 0:
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -20,6 +20,7 @@
 	ReasonNoEndpoint    Reason = "no_endpoint"       // None is listed, or none accepts requests.
 	ReasonTooLate       Reason = "too_late"          // No engine can serve it before its caller stops waiting.
 	ReasonRateLimited   Reason = "rate_limited"      // The rate limits of all endpoints left are used up.
+	ReasonAskedToWait   Reason = "asked_to_wait"     // All endpoints left have asked to be sent nothing for a time.
 	ReasonEndpointsFull Reason = "endpoints_full"    // All endpoints tried refused it without running it.
 	ReasonCrashes       Reason = "crashes_endpoints" // It, or a part of its prompt, crashes endpoints.
 	ReasonMayHaveRun    Reason = "may_have_run"      // It was sent and is not retried.
@@ -34,14 +35,15 @@
 
 // The results of calls.
 const (
-	ResultPrefilled  Result = "read"     // The prefill is done.
-	ResultAnswered   Result = "answered" // The response was received completely.
-	ResultFailed     Result = "failed"   // The endpoint responded with an error.
-	ResultRefused    Result = "refused"  // The endpoint responded that it did not run the request.
-	ResultLimited    Result = "limited"  // Not sent: the endpoint's rate limit was used up.
-	ResultNotSent    Result = "not_sent" // The request can't have reached the endpoint.
-	ResultBroken     Result = "broken"   // The connection was lost or timed out.
-	ResultCallerLeft Result = "left"     // The caller disconnected during the call.
+	ResultPrefilled  Result = "read"        // The prefill is done.
+	ResultAnswered   Result = "answered"    // The response was received completely.
+	ResultFailed     Result = "failed"      // The endpoint responded with an error.
+	ResultRefused    Result = "refused"     // The endpoint responded that it did not run the request.
+	ResultLimited    Result = "limited"     // Not sent: the endpoint's rate limit was used up.
+	ResultPassedOver Result = "passed_over" // Not sent: the endpoint had just said that it wants no request.
+	ResultNotSent    Result = "not_sent"    // The request can't have reached the endpoint.
+	ResultBroken     Result = "broken"      // The connection was lost or timed out.
+	ResultCallerLeft Result = "left"        // The caller disconnected during the call.
 )
 
 // Call is one call to an endpoint for a job.
@@ -72,6 +74,8 @@
 	switch {
 	case errors.Is(err, errRateLimited):
 		return ResultLimited
+	case errors.Is(err, errPassedOver):
+		return ResultPassedOver
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -23,7 +23,7 @@
 		}
 		endpoint, done, ok := r.choosePlain(ctx, job, p)
 		if !ok {
-			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), r.limitRetryAfter(p))
+			return p.endUnanswered(ctx, w, job, p.reasonUnplaced(), max(r.limitRetryAfter(p), r.retryIn(job.Service)))
 		}
 		p.Endpoint = endpoint.ID
 		result := r.attemptPlain(ctx, w, job, endpoint, p)
@@ -35,7 +35,7 @@
 		}
 		p.excluded[endpoint.ID] = true
 		if ctx.Err() != nil || !r.mayRetry(job, p, result.sent) {
-			return p.endUnanswered(ctx, w, job, ReasonEndpointsFull, 0)
+			return p.endUnanswered(ctx, w, job, ReasonEndpointsFull, r.retryIn(job.Service))
 		}
 	}
 }
@@ -54,7 +54,7 @@
 	}
 	if errors.Is(err, transport.ErrNotSent) {
 		p.Err = err
-		if ctx.Err() == nil && !errors.Is(err, errRateLimited) {
+		if ctx.Err() == nil && !heldBack(err) {
 			r.Selector.RecordResult(endpoint.ID, engines.Unreachable)
 		}
 		return attemptResult{}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -166,8 +166,13 @@
 	return r.sendPermitted(ctx, endpoint, request)
 }
 
-// sendPermitted sends a request for which a permit was taken.
+// sendPermitted sends a request for which a permit was taken, unless the endpoint said
+// meanwhile that it wants none.
 func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
+	if !r.Selector.Take(endpoint) {
+		return nil, errPassedOver
+	}
+	request.OnAnswer = func(answer site.EndpointResponse) { r.Selector.Observe(endpoint, answer) }
 	sentAt := time.Now()
 	response, err := r.Pool.Send(ctx, endpoint.Address, request)
 	if err != nil {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -103,7 +103,7 @@
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
-		return s.progress.endUnanswered(ctx, s.w, s.job, reason, atLeast)
+		return s.progress.endUnanswered(ctx, s.w, s.job, reason, max(atLeast, s.relay.retryIn(s.job.Service)))
 	}
 	s.progress.Reason = ReasonBroken
 	if ctx.Err() != nil && time.Now().Before(s.job.Deadline) {
@@ -146,7 +146,8 @@
 	if s.relay.decide(s.job).Refused {
 		return attemptResult{sent: true}
 	}
-	if s.reserved == "" {
+	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
+		s.reserved = ""
 		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, s.placementRequest())
 		if !ok {
 			return attemptResult{sent: true}
@@ -163,7 +164,7 @@
 
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
-	if errors.Is(err, errRateLimited) {
+	if heldBack(err) {
 		return
 	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -68,6 +68,15 @@
 	// MaxIdleConns bounds the idle connections that are kept to the endpoint, in addition
 	// to the limit of the pool. 0 means no such bound.
 	MaxIdleConns int
+	// OnAnswer, if set, is called with the header of each answer that the endpoint gives on
+	// the connection, also one to another request.
+	OnAnswer func(site.EndpointResponse)
+}
+
+func (r Request) observe(answer site.EndpointResponse) {
+	if r.OnAnswer != nil {
+		r.OnAnswer(answer)
+	}
 }
 
 type conn struct {
@@ -175,7 +184,9 @@
 		if err != nil {
 			return nil, err
 		}
-		id := site.ParseEndpointResponse(response.StatusCode, response.Header).RequestID
+		meta := site.ParseEndpointResponse(response.StatusCode, response.Header)
+		request.observe(meta)
+		id := meta.RequestID
 		if id == request.ID || (id == "" && response.StatusCode/100 != 2) {
 			c.limited.setLimit(maxBodyBytes)
 			return response, nil
@@ -240,7 +251,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.complete || r.httpResponse.Close || r.conn.reader.Buffered() > 0 {
+	if !r.complete || r.Meta.Leaving || r.httpResponse.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
