An endpoint that asks to be sent nothing for a time gets nothing

What callers saw: a request that an endpoint had turned away with 503 and Retry-After was sent there again 0.3 s later, and refused again; callers were told to return 0.2 to 0.5 s later though no endpoint would take them. Cause: the engine's Retry-After was not read. Any refusal kept requests from an engine for 0.3 s, from a plain endpoint for none, and not if no other was left.

From the answer to the end of the time this process sends the endpoint no request, retry, prefill, report or order. Requests go on to another one within the retry budget, or are refused at once (asked_to_wait) with the time until the first endpoint accepts again, spread by up to half of it. 30 s are kept in full; of longer times each 30 s one request is sent, and the wait ends once one is accepted (docs/decisions/endpoint-statements.md).

--- a/gateway/duties/statements_test.go
+++ b/gateway/duties/statements_test.go
@@ -48,3 +48,22 @@
 	require.Empty(t, list)
 	require.Zero(t, view.PrefillEngines)
 }
+
+// An engine turned its report away and said for how long it wants no request. It was asked
+// again at the next step; in the time that it states it keeps its stage and counts in it.
+func TestNoReportOfAnEngineThatAskedToWait(t *testing.T) {
+	f := newFixture(t)
+	e, s := newStatingEngine(t, "e1")
+	s.Refuse(1, "60")
+	p := f.plannerThatObserves(e)
+	for range 3 {
+		p.step(t.Context(), "model")
+		clear(p.serviceNotBefore)
+		clear(p.engineNotBefore)
+	}
+	require.Empty(t, e.receivedOrders(t))
+	require.Equal(t, 1, s.Arrivals())
+	view, list := p.Balancer.StageView("model")
+	require.Empty(t, list)
+	require.Equal(t, 1, view.PrefillEngines)
+}
--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -55,7 +55,7 @@
 }
 
 func (s *Selector) observe(endpoint site.Endpoint, answer site.EndpointResponse) {
-	said := availability.Answer{Leaving: answer.Leaving}
+	said := availability.Answer{Leaving: answer.Leaving, Wait: answer.RetryAfter.Wait, Accepted: answer.Succeeded}
 	s.mu.Lock()
 	now := s.now()
 	excluded := s.statements.Observe(now, processOf(endpoint), said)
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -103,6 +103,10 @@
 	if !sent {
 		return true
 	}
+	if r.Selector.RetryIn(job.Service) > 0 {
+		r.Meter.Count("retry", "denied", "asked_to_wait")
+		return false
+	}
 	if !r.RetryBudgets.take(job.Service, 1) {
 		r.Meter.Count("retry", "denied", "budget")
 		return false
