--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"flamingospar.org/core/health"
+	"flamingospar.org/core/availability"
 )
 
 // Stage is the phase of inference that an engine serves.
@@ -59,11 +59,7 @@
 	Stage      Stage
 	Slots      int
 	Version    string // Of its software.
-	Draining   bool
-	Health     health.Record
-	// BackoffUntil is when new requests may be sent again after the engine refused
-	// one for a reason that is not a failure.
-	BackoffUntil time.Time
+	availability.State
 	// LastAnswer is when this process last received an answer or part of one.
 	LastAnswer time.Time
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -10,6 +10,8 @@
 import (
 	"slices"
 	"time"
+
+	"flamingospar.org/core/availability"
 )
 
 // Prompt describes the input of a request.
@@ -280,19 +282,20 @@
 	return best, bestCost
 }
 
-// candidates returns the engines that may be used: those of the requested version that
-// are neither draining nor excluded nor resting nor in backoff. If none of these can decode, resting
-// engines and engines in backoff are included.
+// candidates returns the engines that may be used: those of the requested version that are
+// neither excluded nor passed over for any reason. If none of these can decode, engines
+// that are passed over for a reason that is not binding are included.
 func candidates(now time.Time, request Request, engines []*Engine) []*Engine {
-	notDraining := make([]*Engine, 0, len(engines))
+	allowed := make([]*Engine, 0, len(engines))
 	available := make([]*Engine, 0, len(engines))
 	canDecode := false
 	for _, engine := range engines {
-		if engine.Draining || request.Exclude[engine.ID] || request.Version != "" && engine.Version != request.Version {
+		passedOver := engine.PassOver(now, false)
+		if passedOver.Reason.Binding() || request.Exclude[engine.ID] || request.Version != "" && engine.Version != request.Version {
 			continue
 		}
-		notDraining = append(notDraining, engine)
-		if engine.Health.Ejected(now) || now.Before(engine.BackoffUntil) {
+		allowed = append(allowed, engine)
+		if passedOver.Reason != availability.None {
 			continue
 		}
 		available = append(available, engine)
@@ -301,7 +304,7 @@
 	if canDecode {
 		return available
 	}
-	return notDraining
+	return allowed
 }
 
 // slotWaitMS returns the expected time that a new stream waits for a slot.
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -157,6 +157,7 @@
 	n.cluster.Now = options.now()
 	n.limiter = limits.New(settings.NodeName, n.cluster, n.meter, options.now())
 	n.selector.Limits = n.limiter
+	n.selector.OnStatement = n.applyStatement
 	n.versions = streamversions.New(n.store, n.cluster, n.instance, n.meter)
 	n.versions.StoreLost = n.storeWatch.IsLost
 	n.selector.Versions = n.versions
@@ -238,8 +239,13 @@
 // crashFleet tells the crash tracker about endpoints and processes.
 type crashFleet struct{ node *Node }
 
-// Endpoint returns an endpoint that is listed.
-func (f crashFleet) Endpoint(id string) (site.Endpoint, bool) { return f.node.fleet.Get(id) }
+// Endpoint returns an endpoint that is listed. One that said that it leaves counts as
+// draining.
+func (f crashFleet) Endpoint(id string) (site.Endpoint, bool) {
+	endpoint, ok := f.node.fleet.Get(id)
+	endpoint.Draining = endpoint.Draining || f.node.selector.IsLeaving(endpoint)
+	return endpoint, ok
+}
 
 // Position returns the position of this process in the ranking of all for a key.
 func (f crashFleet) Position(key string) int {
--- a/gateway/node/stalerefusal_test.go
+++ b/gateway/node/stalerefusal_test.go
@@ -50,11 +50,11 @@
 		previous[conn] = requestID
 		mu.Unlock()
 		if n%2 == 0 {
-			_, _ = io.WriteString(conn, sitetest.Refusal("503 Service Unavailable", requestID)) // The client sees a truncated response.
+			_, _ = io.WriteString(conn, sitetest.RefusalText("503 Service Unavailable", requestID)) // The client sees a truncated response.
 			return true
 		}
 		runs.add(requestID)
-		_, _ = io.WriteString(conn, sitetest.Refusal("503 Service Unavailable", staleID(before))) // Likewise.
+		_, _ = io.WriteString(conn, sitetest.RefusalText("503 Service Unavailable", staleID(before))) // Likewise.
 		time.Sleep(runTime)
 		_, _ = io.WriteString(conn, sitetest.Answer("200 OK", requestID, "id: 1\ndata: own\n\n")) // Likewise.
 		return true
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -159,7 +159,7 @@
 		return p.forward(p.failed), true
 	}
 	if p.ctx.Err() != nil || !p.relay.mayRetry(p.job, p.progress, sent) {
-		return p.endWith(ReasonEndpointsFull, 0), true
+		return p.endWith(ReasonEndpointsFull, p.relay.retryIn(p.job.Service)), true
 	}
 	if decision := p.relay.decide(p.job); decision.Refused {
 		return p.endWith(ReasonCrashes, decision.RetryIn), true
@@ -174,7 +174,7 @@
 
 // endUnplaced ends a request for which there is no endpoint.
 func (p *plainRun) endUnplaced() Outcome {
-	return p.endWith(p.reasonUnplaced(), p.relay.limitRetryAfter(p.progress))
+	return p.endWith(p.reasonUnplaced(), max(p.relay.limitRetryAfter(p.progress), p.relay.retryIn(p.job.Service)))
 }
 
 // endWith ends a request that no endpoint has answered with success.
@@ -251,7 +251,7 @@
 	case errors.Is(c.err, transport.ErrNotSent):
 		p.recordCall(c.endpoint.ID, c.start, resultOfError(c.ctx, c.err))
 		p.Err = c.err
-		if p.ctx.Err() == nil && !errors.Is(c.err, errRateLimited) {
+		if p.ctx.Err() == nil && !heldBack(c.err) {
 			p.relay.Selector.RecordResult(c.endpoint.ID, engines.Unreachable)
 		}
 		return false
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -104,6 +104,10 @@
 	if !sent {
 		return true
 	}
+	if r.Selector.RetryIn(job.Service) > 0 {
+		r.Meter.Count("retry", "denied", "asked_to_wait")
+		return false
+	}
 	if !r.RetryBudgets.take(job.Service, 1) {
 		r.Meter.Count("retry", "denied", "budget")
 		return false
@@ -176,8 +180,13 @@
 	return r.sendPermitted(ctx, endpoint, request)
 }
 
-// sendPermitted sends a request for which a permit was taken.
+// sendPermitted sends a request for which a permit was taken, unless the endpoint said
+// meanwhile that it wants none.
 func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
+	if !r.Selector.Take(endpoint) {
+		return nil, errPassedOver
+	}
+	request.OnAnswer = func(answer site.EndpointResponse) { r.Selector.Observe(endpoint, answer) }
 	sentAt := time.Now()
 	response, err := r.Pool.Send(ctx, endpoint.Address, request)
 	if err != nil {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -175,7 +175,7 @@
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
-		return s.relay.endUnanswered(ctx, s.w, s.progress, s.job, reason, atLeast)
+		return s.relay.endUnanswered(ctx, s.w, s.progress, s.job, reason, max(atLeast, s.relay.retryIn(s.job.Service)))
 	}
 	s.progress.Reason = ReasonBroken
 	s.relay.countUnreplaced(s.progress)
@@ -218,7 +218,8 @@
 	if s.relay.decide(s.job).Refused {
 		return attemptResult{sent: true}
 	}
-	if s.reserved == "" {
+	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
+		s.reserved = ""
 		request := s.placementRequest()
 		request.Version = placed.PrefillEndpoint.SoftwareVersion
 		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, request)
@@ -247,7 +248,7 @@
 
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
-	if errors.Is(err, errRateLimited) {
+	if heldBack(err) {
 		return
 	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/transport/match.go
+++ b/gateway/transport/match.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
+	"strings"
 
 	"flamingospar.org/platform/site"
 )
@@ -36,6 +38,7 @@
 			return nil, err
 		}
 		meta := site.ParseEndpointResponse(response.StatusCode, response.Header)
+		request.observe(meta)
 		first := c.answers == 0
 		c.answers++
 		if meta.Ambiguous || isJoined(response) {
@@ -84,19 +87,21 @@
 
 // isJoined reports whether the header of a response contains the start of another.
 func isJoined(response *http.Response) bool {
-	if statusLine.MatchString(response.Status) {
+	if hasStatusLine(response.Status) {
 		return true
 	}
 	for _, values := range response.Header {
-		for _, value := range values {
-			if statusLine.MatchString(value) {
-				return true
-			}
+		if slices.ContainsFunc(values, hasStatusLine) {
+			return true
 		}
 	}
 	return false
 }
 
+func hasStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
+}
+
 // readFinalHeader reads the header of the next response that is not an interim one.
 func (c *conn) readFinalHeader(httpRequest *http.Request) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
--- a/gateway/transport/stale_test.go
+++ b/gateway/transport/stale_test.go
@@ -32,10 +32,10 @@
 
 // staleAnswers are answers that an endpoint has written before and writes once more.
 var staleAnswers = map[string]func(id string) string{
-	"503 not run":      func(id string) string { return sitetest.Refusal("503 Service Unavailable", id) },
-	"429 not run":      func(id string) string { return sitetest.Refusal("429 Too Many Requests", id) },
-	"421":              func(id string) string { return sitetest.Refusal("421 Misdirected Request", id) },
-	"400 not run":      func(id string) string { return sitetest.Refusal("400 Bad Request", id) },
+	"503 not run":      func(id string) string { return sitetest.RefusalText("503 Service Unavailable", id) },
+	"429 not run":      func(id string) string { return sitetest.RefusalText("429 Too Many Requests", id) },
+	"421":              func(id string) string { return sitetest.RefusalText("421 Misdirected Request", id) },
+	"400 not run":      func(id string) string { return sitetest.RefusalText("400 Bad Request", id) },
 	"503 without word": func(id string) string { return sitetest.Answer("503 Service Unavailable", id, "stale") },
 	"500":              func(id string) string { return sitetest.Answer("500 Internal Server Error", id, "stale") },
 	"200":              func(id string) string { return sitetest.Answer("200 OK", id, "stale") },
@@ -111,7 +111,7 @@
 // ran at a second endpoint. Other answers that are written once more must not be taken for
 // it either.
 func TestStaleAnswerIsNotThatOfALaterRequest(t *testing.T) {
-	refusal := func(id string) string { return sitetest.Refusal("503 Service Unavailable", id) }
+	refusal := func(id string) string { return sitetest.RefusalText("503 Service Unavailable", id) }
 	for staleName, stale := range staleAnswers {
 		for momentName, moment := range staleMoments {
 			for idName, ids := range map[string]struct{ second, stale string }{
@@ -169,7 +169,7 @@
 				endpoint := sitetest.NewConnEndpoint(t, "e", func(conn net.Conn, request *http.Request, n int) bool {
 					id := request.Header.Get(sitetest.HeaderRequestID)
 					if n == 0 {
-						write(conn, sitetest.Refusal("503 Service Unavailable", id))
+						write(conn, sitetest.RefusalText("503 Service Unavailable", id))
 						return true
 					}
 					write(conn, stale[:end]+sitetest.Answer("200 OK", id, "own"))
@@ -189,7 +189,7 @@
 func TestRefusalsKeepTheirConnection(t *testing.T) {
 	const requests = 200
 	endpoint := sitetest.NewConnEndpoint(t, "e", func(conn net.Conn, request *http.Request, _ int) bool {
-		write(conn, sitetest.Refusal("503 Service Unavailable", request.Header.Get(sitetest.HeaderRequestID)))
+		write(conn, sitetest.RefusalText("503 Service Unavailable", request.Header.Get(sitetest.HeaderRequestID)))
 		return true
 	})
 	pool := transport.NewPool()
@@ -231,7 +231,7 @@
 // An answer without an ID is that of the request if nothing else can have been asked.
 func TestAnswerWithoutAnIDIsTakenOnANewConnectionOnly(t *testing.T) {
 	endpoint := sitetest.NewConnEndpoint(t, "e", func(conn net.Conn, _ *http.Request, _ int) bool {
-		write(conn, sitetest.Refusal("421 Misdirected Request", ""))
+		write(conn, sitetest.RefusalText("421 Misdirected Request", ""))
 		return true
 	})
 	pool := transport.NewPool()
