A plain endpoint that refused a request is the last choice for a moment

What callers saw: after a plain endpoint had refused a request for lack of capacity the next one went there too: it had the fewest in flight. Model engines were spared for 0.3 s, plain endpoints not.

Now the backoff is one reason of availability.State for both.

Before: TestPlainEndpointThatRefusedIsTheLastChoiceForAMoment: expected: "e-2" actual: "e-1"

Unit tests of what endpoints say through changes of the list are added with it.

--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -238,11 +238,11 @@
 	Busy                           // It refused a request for lack of capacity.
 )
 
-// busyBackoff is how long an engine gets no new requests after it refused one.
+// busyBackoff is how long an endpoint is the last choice after it refused a request.
 const busyBackoff = 300 * time.Millisecond
 
-// RecordResult updates the health of an endpoint. A busy engine is not counted as
-// failed, but gets no new requests for busyBackoff.
+// RecordResult updates the health of an endpoint. A busy endpoint is not counted as
+// failed, but is the last choice for busyBackoff.
 func (s *Selector) RecordResult(id string, result Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -260,9 +260,7 @@
 	case Unreachable, TooLarge:
 		state.Health.Unreachable(now)
 	case Busy:
-		if engine, ok := s.enginesByID[id]; ok {
-			engine.BackoffUntil = now.Add(busyBackoff)
-		}
+		state.BackoffUntil = now.Add(busyBackoff)
 	}
 	if after := state.PassOver(now, false); after.Reason != before.Reason && after.Reason != availability.None {
 		s.logPassedOver(id, now, after)
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -108,8 +108,8 @@
 		return passed
 	}
 	unavailable := s.unavailable(exclude, blocked, true)
-	for _, skipEjected := range []bool{true, false} {
-		if best := s.cheapestPlain(service, unavailable, skipEjected); best != nil && blocked[best.endpoint.ID] {
+	for _, skipSpared := range []bool{true, false} {
+		if best := s.cheapestPlain(service, unavailable, skipSpared); best != nil && blocked[best.endpoint.ID] {
 			passed.Ask = best.endpoint.ID
 			break
 		}
--- a/gateway/engines/plain.go
+++ b/gateway/engines/plain.go
@@ -35,8 +35,8 @@
 
 // ChoosePlain chooses the endpoint of a plain service with the lowest cost, which
 // grows with the requests of this process in flight and the failure rate, and is
-// higher in another data centre. An ejected endpoint is chosen only if there is no
-// other, and one that is passed over for a binding reason never. done must be called when
+// higher in another data centre. An ejected or busy endpoint is chosen only if there is
+// no other, and one that is passed over for a binding reason never. done must be called when
 // the request has ended. ok is false if there is no endpoint.
 func (s *Selector) ChoosePlain(service string, exclude map[string]bool) (endpoint site.Endpoint, done func(), ok bool) {
 	s.mu.Lock()
@@ -63,13 +63,15 @@
 	failureCost = 12.0 // At a failure rate of 1.
 )
 
-func (s *Selector) cheapestPlain(service string, exclude map[string]bool, skipEjected bool) *plainEndpoint {
+// cheapestPlain returns the endpoint with the lowest cost, or nil. If skipSpared is set,
+// it leaves out those that are passed over for any reason, otherwise for binding ones.
+func (s *Selector) cheapestPlain(service string, exclude map[string]bool, skipSpared bool) *plainEndpoint {
 	now := s.now()
 	var best *plainEndpoint
 	bestCost := 0.0
 	for _, candidate := range s.plainByService[service] {
 		passedOver := candidate.PassOver(now, false).Reason
-		if passedOver.Binding() || exclude[candidate.endpoint.ID] || (skipEjected && passedOver == availability.Ejected) {
+		if passedOver.Binding() || exclude[candidate.endpoint.ID] || (skipSpared && passedOver != availability.None) {
 			continue
 		}
 		cost := float64(candidate.running) + failureCost*candidate.Health.Rate(now)
