Events of another software version are never written

The choice of endpoints keeps a stream at its version; this keeps it there whatever chooses, also where two attempts run at once.

--- a/gateway/node/streamversion_test.go
+++ b/gateway/node/streamversion_test.go
@@ -311,3 +311,23 @@
 		require.NotEmpty(t, got.header.Get("Retry-After"), name)
 	}
 }
+
+// While the store is away, a process can't read which version began a stream. The process
+// that began it knows.
+func TestStreamIsTakenUpAtAnotherProcessWhileTheStoreIsAway(t *testing.T) {
+	f := newVersionedFleet(t, 2)
+	old := f.addEngines("v1", 2)
+	breakAll(old, true)
+	f.awaitVersion(f.processes[0], "v1")
+	added := f.addEngines("v2", 2)
+	f.awaitVersion(f.processes[0], "v2")
+	breakAll(added, true)
+	time.Sleep(settleTime)
+	f.store.SetDown(true)
+	time.Sleep(settleTime)
+	begun := f.begin(f.processes[0], 8)
+	breakAll(old, false)
+	breakAll(added, false)
+	wentOn := f.takeUpAll(f.processes[1], begun)
+	require.GreaterOrEqual(t, float64(wentOn), minTakeUpShare*float64(len(begun)))
+}
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -126,6 +126,9 @@
 
 func (s *stream) endCallerLeft() attemptResult {
 	s.progress.Reason = ReasonCallerLeft
+	if errors.Is(s.progress.Err, errOtherVersion) {
+		s.progress.Reason = ReasonBroken
+	}
 	return attemptResult{finished: true, sent: true}
 }
 
@@ -138,7 +141,10 @@
 			return nil
 		}
 	}
-	s.writeHeader(endpoint, response)
+	if err := s.fixVersion(endpoint); err != nil {
+		return err
+	}
+	s.writeHeader(response)
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
@@ -146,11 +152,10 @@
 }
 
 // writeHeader sends the header of the first endpoint that responded.
-func (s *stream) writeHeader(endpoint site.Endpoint, response *transport.Response) {
+func (s *stream) writeHeader(response *transport.Response) {
 	if s.headerSent {
 		return
 	}
-	s.fixVersion(endpoint)
 	s.headerSent = true
 	s.progress.TimeToFirstByte = time.Since(s.job.Arrived)
 	s.progress.Status = response.Status
@@ -163,7 +168,10 @@
 func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
 	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
 	s.relay.Crashes.RecordComplete(s.job.Identity)
-	s.writeHeader(endpoint, response)
+	if s.fixVersion(endpoint) != nil {
+		return s.endCallerLeft()
+	}
+	s.writeHeader(response)
 	if remainder := s.events.remainder(); len(remainder) > 0 {
 		if _, err := s.w.Write(remainder); err != nil {
 			return s.endCallerLeft()
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"flamingospar.org/gateway/streamversions"
@@ -34,16 +35,25 @@
 	return ok
 }
 
+// errOtherVersion means that events can't be joined with those that the caller has.
+var errOtherVersion = errors.New("the events are of another software version than those before; remedy: report it, it is a bug in this program")
+
 // fixVersion keeps the stream at the version of the endpoint whose event the caller is about
-// to get first.
-func (s *stream) fixVersion(endpoint site.Endpoint) {
+// to get first. It returns an error for events of another version.
+func (s *stream) fixVersion(endpoint site.Endpoint) error {
+	if s.version != "" && s.version != endpoint.SoftwareVersion {
+		s.progress.Err = errOtherVersion
+		s.relay.Meter.Count("stream_versions", "not_joined")
+		return errOtherVersion
+	}
 	if s.version != "" {
-		return
+		return nil
 	}
 	s.version = endpoint.SoftwareVersion
 	if s.job.Route.Resumable {
 		s.relay.Versions.RecordStream(s.job.Service, s.job.Caller.ID, s.version)
 	}
+	return nil
 }
 
 // noteSoftware notes the versions of the software of endpoints for the lines about calls
--- /dev/null
+++ b/gateway/relay/version_test.go
@@ -0,0 +1,90 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/relay"
+	"flamingospar.org/gateway/streamversions"
+	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// fakeVersions knows the versions of some streams.
+type fakeVersions struct {
+	known    map[string]string // By resumed request.
+	recorded map[string]string // By request.
+}
+
+func (f *fakeVersions) RecordStream(_, requestID, version string) { f.recorded[requestID] = version }
+
+func (f *fakeVersions) Find(_ context.Context, taken streamversions.TakeUp) (string, bool) {
+	version, ok := f.known[taken.ResumedRequestID]
+	return version, ok
+}
+
+// recordingWriter notes what was recorded when the first byte was written.
+type recordingWriter struct {
+	*httptest.ResponseRecorder
+	versions *fakeVersions
+	atFirst  string
+}
+
+func (w *recordingWriter) Write(data []byte) (int, error) {
+	if w.Body.Len() == 0 {
+		w.atFirst = w.versions.recorded["id-1"]
+	}
+	return w.ResponseRecorder.Write(data)
+}
+
+func newVersionedRelay(t *testing.T, versions *fakeVersions) (*relay.Relay, *sitetest.VersionedEngine) {
+	r := newRelay()
+	r.Versions = versions
+	e := sitetest.NewVersionedEngine(t, "e-1", "v1")
+	r.Selector.EndpointChanged(site.Endpoint{ID: "e-1", Service: "model", Address: e.Address, DataCentre: "dc-1", Slots: 8, StartedMS: 1, Stage: site.Decode, SoftwareVersion: "v1"})
+	return r, e
+}
+
+func newModelJob() *relay.Job {
+	job := newJob(site.Stream)
+	job.Service = "model"
+	job.Route.Resumable = true
+	return job
+}
+
+// A stream whose first event its caller had could be unknown when the caller took it up.
+func TestVersionIsRecordedBeforeTheFirstEventIsWritten(t *testing.T) {
+	versions := &fakeVersions{recorded: make(map[string]string)}
+	r, _ := newVersionedRelay(t, versions)
+	w := &recordingWriter{ResponseRecorder: httptest.NewRecorder(), versions: versions}
+	outcome := r.Serve(t.Context(), w, newModelJob())
+	require.Equal(t, relay.ReasonNone, outcome.Reason)
+	require.Equal(t, "v1", w.atFirst)
+}
+
+// A take-up whose version was not known, or not served, was sent to any endpoint.
+func TestTakeUpIsSentNowhereWithoutItsVersion(t *testing.T) {
+	for resumed, want := range map[string]relay.Reason{"unknown": relay.ReasonVersionUnknown, "of-v2": relay.ReasonVersionGone, "of-v1": relay.ReasonNone} {
+		t.Run(resumed, func(t *testing.T) {
+			versions := &fakeVersions{known: map[string]string{"of-v1": "v1", "of-v2": "v2"}, recorded: make(map[string]string)}
+			r, e := newVersionedRelay(t, versions)
+			job := newModelJob()
+			job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", resumed
+			w := httptest.NewRecorder()
+			outcome := r.Serve(t.Context(), w, job)
+			require.Equal(t, want, outcome.Reason)
+			if want == relay.ReasonNone {
+				require.Equal(t, http.StatusOK, w.Code)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			require.False(t, outcome.MayHaveRun)
+			require.Empty(t, e.Requests())
+		})
+	}
+}
