--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -88,3 +88,24 @@
 		})
 	}
 }
+
+// After a prefill on an engine of one version the stream was decoded by one of another.
+func TestDecodeIsOfTheVersionOfThePrefill(t *testing.T) {
+	r := newRelay()
+	r.Versions = &fakeVersions{recorded: make(map[string]string)}
+	engines := make(map[string]*sitetest.VersionedEngine)
+	for _, e := range []struct {
+		id, version string
+		stage       site.Stage
+	}{{"d-2", "v2", site.Decode}, {"p-1", "v1", site.Prefill}, {"d-1", "v1", site.Decode}} {
+		engines[e.id] = sitetest.NewVersionedEngine(t, e.id, e.version)
+		r.Selector.EndpointChanged(site.Endpoint{ID: e.id, Service: "model", Address: engines[e.id].Address, DataCentre: "dc-1", Slots: 8, StartedMS: 1, Stage: e.stage, SoftwareVersion: e.version})
+	}
+	job := newModelJob()
+	job.Caller.Prompt = site.Prompt{InputTokens: 8000, Parts: []site.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 7990}}}
+	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
+	require.Equal(t, relay.ReasonNone, outcome.Reason)
+	require.Equal(t, "p-1", outcome.PrefillEndpoint)
+	require.Equal(t, "d-1", outcome.Endpoint)
+	require.Empty(t, engines["d-2"].Requests())
+}
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -225,3 +225,18 @@
 	require.Empty(t, p.find("unknown"))
 	require.Less(t, time.Since(start), 300*time.Millisecond)
 }
+
+// Streams that were written after the copy was made are written again.
+func TestStreamsAreWrittenAgainAfterTheStoreWentBack(t *testing.T) {
+	store := sitetest.NewStore(t)
+	p := startProcess(t, store, "a", true)
+	p.list("v1", "v2")
+	p.awaitConfirmed()
+	c := store.Copy()
+	p.RecordStream("s", "one", "v2")
+	require.Eventually(t, func() bool { return len(store.Keys(streamversions.Table)) == 2 }, 5*time.Second, 10*time.Millisecond)
+	store.Restore(c)
+	p.find("unknown") // Tells p that the store went back.
+	require.Eventually(t, func() bool { return len(store.Keys(streamversions.Table)) == 2 }, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, "v2", startProcess(t, store, "b", true).find("one"))
+}
