--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -138,6 +138,9 @@
 
 func (s *stream) endCallerLeft() attemptResult {
 	s.progress.Reason = ReasonCallerLeft
+	if errors.Is(s.progress.Err, errOtherVersion) {
+		s.progress.Reason = ReasonBroken
+	}
 	return attemptResult{finished: true, sent: true}
 }
 
@@ -150,7 +153,10 @@
 			return nil
 		}
 	}
-	s.writeHeader(endpoint, response)
+	if err := s.fixVersion(endpoint); err != nil {
+		return err
+	}
+	s.writeHeader(response)
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
@@ -158,11 +164,10 @@
 }
 
 // writeHeader sends the header of the first endpoint that responded.
-func (s *stream) writeHeader(endpoint site.Endpoint, response *transport.Response) {
+func (s *stream) writeHeader(response *transport.Response) {
 	if s.headerSent {
 		return
 	}
-	s.fixVersion(endpoint)
 	s.headerSent = true
 	s.progress.TimeToFirstByte = time.Since(s.job.Arrived)
 	s.progress.Status = response.Status
@@ -175,7 +180,10 @@
 func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
 	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
 	s.relay.Crashes.RecordComplete(s.job.Identity)
-	s.writeHeader(endpoint, response)
+	if s.fixVersion(endpoint) != nil {
+		return s.endCallerLeft()
+	}
+	s.writeHeader(response)
 	if remainder := s.events.remainder(); len(remainder) > 0 {
 		if _, err := s.w.Write(remainder); err != nil {
 			return s.endCallerLeft()
