Engines of unregistered versions stand in the list of reasons

Change: a binding reason version_unregistered; the selector marks engines and writes a line when one is passed over from now on. Behaviour is the same otherwise.

--- a/core/availability/availability.go
+++ b/core/availability/availability.go
@@ -20,12 +20,17 @@
 	Leaving     Reason = "leaving"       // It says so, or is listed so. Ends with its process.
 	AskedToWait Reason = "asked_to_wait" // It refused a request and stated when it wants the next.
 	RateLimited Reason = "rate_limited"  // The rate of requests that it states is used up.
-	Ejected     Reason = "ejected"       // It failed requests or can't be reached.
-	Busy        Reason = "busy"          // It refused a request for lack of capacity, or changes its stage.
+	// Unregistered: its software version is not known to be registered, so no stream may
+	// begin there. Ends when the version is registered.
+	Unregistered Reason = "version_unregistered"
+	Ejected      Reason = "ejected" // It failed requests or can't be reached.
+	Busy         Reason = "busy"    // It refused a request for lack of capacity, or changes its stage.
 )
 
 // Binding reports whether the endpoint gets no request even if no other is left.
-func (r Reason) Binding() bool { return r == Leaving || r == AskedToWait || r == RateLimited }
+func (r Reason) Binding() bool {
+	return r == Leaving || r == AskedToWait || r == RateLimited || r == Unregistered
+}
 
 // Exclusion is a reason for which an endpoint is passed over now.
 type Exclusion struct {
@@ -39,7 +44,9 @@
 	Draining bool // It is listed as leaving.
 	// Statement is what the endpoint said itself; nil for nothing.
 	Statement *Statement
-	Health    health.Record
+	// Unregistered is set while its software version is not known to be registered.
+	Unregistered bool
+	Health       health.Record
 	// BackoffUntil is when new requests may be sent again after the endpoint refused one
 	// for a reason that is not a failure.
 	BackoffUntil time.Time
@@ -56,6 +63,8 @@
 		return Exclusion{Reason: AskedToWait, Until: s.Statement.waitUntil}
 	case rateLimited:
 		return Exclusion{Reason: RateLimited}
+	case s.Unregistered:
+		return Exclusion{Reason: Unregistered}
 	case s.Health.Ejected(now):
 		return Exclusion{Reason: Ejected, Until: s.Health.EjectedUntil()}
 	case now.Before(s.BackoffUntil):
--- a/core/availability/availability_test.go
+++ b/core/availability/availability_test.go
@@ -30,6 +30,8 @@
 	require.Equal(t, availability.Exclusion{Reason: availability.Busy, Until: state.BackoffUntil}, state.PassOver(start, false))
 	state.Health.Unreachable(start)
 	require.Equal(t, availability.Exclusion{Reason: availability.Ejected, Until: state.Health.EjectedUntil()}, state.PassOver(start, false))
+	state.Unregistered = true
+	require.Equal(t, availability.Exclusion{Reason: availability.Unregistered}, state.PassOver(start, false))
 	require.Equal(t, availability.RateLimited, state.PassOver(start, true).Reason)
 	state.Statement = statements.Of(process)
 	require.Equal(t, availability.Exclusion{Reason: availability.AskedToWait, Until: start.Add(2 * time.Second)}, state.PassOver(start, true))
@@ -37,7 +39,7 @@
 	require.Equal(t, availability.Exclusion{Reason: availability.Leaving}, state.PassOver(start, true))
 	require.Equal(t, availability.Exclusion{}, new(availability.State).PassOver(start, false))
 	for reason, binding := range map[availability.Reason]bool{
-		availability.Leaving: true, availability.AskedToWait: true, availability.RateLimited: true, availability.Ejected: false, availability.Busy: false, availability.None: false,
+		availability.Leaving: true, availability.AskedToWait: true, availability.RateLimited: true, availability.Unregistered: true, availability.Ejected: false, availability.Busy: false, availability.None: false,
 	} {
 		require.Equal(t, binding, reason.Binding(), reason)
 	}
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -45,6 +45,7 @@
 	biases           map[string]*placement.Bias     // By service.
 	lengthsByService map[string]*meanLengths        // Of responses, by service.
 	statements       *availability.Statements       // Of listed and former endpoints.
+	unregistered     map[string]bool                // Services with engines of a version that is not registered.
 	sentPrompts      sentPromptList
 	jitter           time.Duration
 	processes        int                  // Entry processes, this one included.
@@ -58,7 +59,7 @@
 		enginesByID: make(map[string]*placement.Engine), enginesByService: make(map[string][]*placement.Engine),
 		plainByService: make(map[string][]*plainEndpoint), endpoints: make(map[string]site.Endpoint), memoryTokens: make(map[string]int),
 		biases: make(map[string]*placement.Bias), sentPrompts: sentPromptList{nextSeq: make(map[string]int)}, peerReportedAt: make(map[string]time.Time),
-		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet), statements: availability.NewStatements(),
+		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet), statements: availability.NewStatements(), unregistered: make(map[string]bool),
 	}
 }
 
@@ -170,14 +171,13 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
-	confirmed, unconfirmed := s.withoutUnconfirmed(service, request.Exclude)
-	request.Exclude = confirmed
+	unregistered := s.markUnregistered(service)
 	blocked := s.Limits.Blocked()
 	allowed := request
 	allowed.Exclude = s.unavailable(request.Exclude, blocked, false)
 	decision := s.fleet(service).Decide(s.now(), allowed)
 	placed := Placement{Decision: decision, PassedOver: s.passedEngines(service, request.Exclude, blocked)}
-	placed.PassedOver.Unconfirmed = unconfirmed
+	placed.PassedOver.Unregistered = unregistered
 	if placed.PassedOver.Count > 0 && decision.Verdict != placement.InTime {
 		placed.PassedOver.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
 	}
@@ -200,7 +200,7 @@
 	defer s.mu.Unlock()
 	request.LocalDataCentre = s.dataCentre
 	request.Jitter, request.Random = s.jitter, rand.Float64
-	request.Exclude, _ = s.withoutUnconfirmed(service, request.Exclude)
+	s.markUnregistered(service)
 	request.Exclude = s.unavailable(request.Exclude, s.Limits.Blocked(), false)
 	engine := s.fleet(service).ChooseDecode(s.now(), request)
 	if engine == nil {
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -25,16 +25,16 @@
 func (noLimits) MayAsk(string) bool       { return false }
 func (noLimits) Limited(string) bool      { return false }
 
-// PassedOver describes the endpoints of a service that a decision passed over, most because
-// of their rate limits, or because they asked to wait.
+// PassedOver describes the endpoints of a service that a decision passed over because of
+// their rate limits, or because they asked to wait.
 type PassedOver struct {
 	Count  int                 // Their number.
 	Ask    string              // The one to ask for a permit, if the request would be served better there; "" for none.
 	Any    string              // Any of them; "" for none.
 	Reason availability.Reason // Why Any was passed over.
-	// Unconfirmed is the number of engines passed over since their software version is not
+	// Unregistered is the number of engines passed over since their software version is not
 	// known to be registered.
-	Unconfirmed int
+	Unregistered int
 }
 
 // add adds an endpoint if it is passed over for a reason that ends.
--- a/gateway/engines/versions.go
+++ b/gateway/engines/versions.go
@@ -1,38 +1,41 @@
 package engines
 
 import (
-	"maps"
 	"slices"
+
+	"flamingospar.org/core/availability"
 )
 
 // StreamVersions knows the software versions at which no stream may begin.
 type StreamVersions interface {
-	// Unconfirmed returns the versions of a service that are not known to be registered.
-	Unconfirmed(service string) []string
+	// Unregistered returns the versions of a service that are not known to be registered.
+	Unregistered(service string) []string
 }
 
 // noVersions is used where versions are not registered.
 type noVersions struct{}
 
-func (noVersions) Unconfirmed(string) []string { return nil }
+func (noVersions) Unregistered(string) []string { return nil }
 
-// withoutUnconfirmed adds the engines of unconfirmed versions to those that a decision must
-// not choose, and returns their number. s.mu must be held.
-func (s *Selector) withoutUnconfirmed(service string, exclude map[string]bool) (map[string]bool, int) {
-	versions := s.Versions.Unconfirmed(service)
-	if len(versions) == 0 {
-		return exclude, 0
-	}
-	all := maps.Clone(exclude)
-	if all == nil {
-		all = make(map[string]bool)
+// markUnregistered marks the engines of a service whose version is not registered, and
+// returns their number. s.mu must be held.
+func (s *Selector) markUnregistered(service string) int {
+	versions := s.Versions.Unregistered(service)
+	if len(versions) == 0 && !s.unregistered[service] {
+		return 0
 	}
-	unconfirmed := 0
+	marked := 0
 	for _, engine := range s.enginesByService[service] {
-		if slices.Contains(versions, engine.Version) {
-			all[engine.ID] = true
-			unconfirmed++
+		before := engine.Unregistered
+		engine.Unregistered = slices.Contains(versions, engine.Version)
+		if !engine.Unregistered {
+			continue
+		}
+		marked++
+		if !before {
+			s.logPassedOver(engine.ID, s.now(), availability.Exclusion{Reason: availability.Unregistered}, "software", engine.Version)
 		}
 	}
-	return all, unconfirmed
+	s.unregistered[service] = marked > 0
+	return marked
 }
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -78,8 +78,8 @@
 		return ReasonAskedToWait
 	case p.PassedOver.Count > 0:
 		return ReasonRateLimited
-	case p.PassedOver.Unconfirmed > 0:
-		return ReasonVersionUnconfirmed
+	case p.PassedOver.Unregistered > 0:
+		return ReasonVersionUnregistered
 	case p.sends > 0:
 		return ReasonEndpointsFull
 	default:
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -33,8 +33,8 @@
 	ReasonVersionUnknown Reason = "version_unknown"
 	// ReasonVersionGone: no endpoint serves the version that began the stream it takes up.
 	ReasonVersionGone Reason = "version_gone"
-	// ReasonVersionUnconfirmed: the versions of the endpoints left are not registered yet.
-	ReasonVersionUnconfirmed Reason = "version_unconfirmed"
+	// ReasonVersionUnregistered: the versions of the endpoints left are not registered yet.
+	ReasonVersionUnregistered Reason = "version_unregistered"
 )
 
 // Result is the result of one call to an endpoint.
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -204,22 +204,22 @@
 		"service", serviceName, "software", versionName, "source", source, "listed_ms", clock.Now().Sub(v.since).Milliseconds(), "era", t.table.era, "version", t.table.version)
 }
 
-// Unconfirmed returns the versions of a service at which no stream may begin, since they
+// Unregistered returns the versions of a service at which no stream may begin, since they
 // are not known to be registered as in use.
-func (t *Tracker) Unconfirmed(serviceName string) []string {
+func (t *Tracker) Unregistered(serviceName string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.services[serviceName]
 	if !ok {
 		return nil
 	}
-	var unconfirmed []string
+	var unregistered []string
 	for name, v := range s.versions {
 		if v.engines > 0 && !v.inUse {
-			unconfirmed = append(unconfirmed, name)
+			unregistered = append(unregistered, name)
 		}
 	}
-	return unconfirmed
+	return unregistered
 }
 
 // ServiceVersion is a software version of a service.
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -64,7 +64,7 @@
 
 func (p *process) awaitConfirmed() {
 	p.t.Helper()
-	require.Eventually(p.t, func() bool { return len(p.Unconfirmed("s")) == 0 }, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(p.t, func() bool { return len(p.Unregistered("s")) == 0 }, 10*time.Second, 5*time.Millisecond)
 }
 
 func (p *process) find(id string) string {
@@ -77,7 +77,7 @@
 
 // No stream begins at a version before the store has it, whatever else is known; a process
 // that started later would not know of it.
-func TestVersionIsUnconfirmedUntilTheStoreHasIt(t *testing.T) {
+func TestVersionIsUnregisteredUntilTheStoreHasIt(t *testing.T) {
 	store := sitetest.NewStore(t)
 	p := startProcess(t, store, "a", true)
 	p.list("v1")
@@ -85,7 +85,7 @@
 	store.SetDown(true)
 	p.list("v1", "v2")
 	time.Sleep(500 * time.Millisecond)
-	require.Equal(t, []string{"v2"}, p.Unconfirmed("s"))
+	require.Equal(t, []string{"v2"}, p.Unregistered("s"))
 	require.Equal(t, []streamversions.ServiceVersion{{Service: "s", Version: "v1"}}, p.InUse())
 	store.SetDown(false)
 	p.awaitConfirmed()
@@ -96,7 +96,7 @@
 	other := startProcess(t, store, "b", true)
 	other.list("v1", "v2")
 	other.MergeInUse(p.InUse())
-	require.Empty(t, other.Unconfirmed("s"))
+	require.Empty(t, other.Unregistered("s"))
 }
 
 // With one version in use, nothing is written for streams, and any process knows the
