Odd names of services keep no version from being registered

Seen in reading: a service's name is part of a key of the store, which has 200 bytes at most. An entry of another writer with a longer name would have made each write of registers fail, and with it the registration of new versions: streams there would be refused. The fake store takes any key, so the test requires that no such row is written; without the change it finds one.

--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -26,6 +26,10 @@
 // maxLinesPerSec bounds the lines about streams that are taken up.
 const maxLinesPerSec = 30
 
+// maxServiceBytes bounds the name of a service, which is part of a key of the store. An entry
+// with a longer one is that of another writer.
+const maxServiceBytes = 190
+
 // Fleet is what the tracker needs to know of the other processes.
 type Fleet interface {
 	// AmongFirst reports whether this process is among the first n that are alive.
@@ -111,7 +115,7 @@
 		return
 	}
 	t.unlist(endpoint.ID)
-	if endpoint.Stage != "" { // Plain services have no streams to go on with.
+	if endpoint.Stage != "" && len(endpoint.Service) <= maxServiceBytes { // Plain services have no streams to go on with.
 		t.endpoints[endpoint.ID] = engine
 		t.list(engine)
 	}
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -240,3 +240,14 @@
 	require.Eventually(t, func() bool { return len(store.Keys(streamversions.Table)) == 2 }, 5*time.Second, 10*time.Millisecond)
 	require.Equal(t, "v2", startProcess(t, store, "b", true).find("one"))
 }
+
+// A key of the store has 200 bytes at most. An odd entry names a service for which there is
+// no key; writes for it would fail and keep other versions from being registered.
+func TestOddServiceNameKeepsNoVersionFromBeingRegistered(t *testing.T) {
+	store := sitetest.NewStore(t)
+	p := startProcess(t, store, "a", true)
+	p.EndpointChanged(site.Endpoint{ID: "odd", Service: strings.Repeat("s", 300), Stage: site.Decode, SoftwareVersion: "v1"})
+	p.list("v1")
+	p.awaitConfirmed()
+	require.Equal(t, []string{"in-use/s"}, store.Keys(streamversions.Table))
+}
