A standby takes over with its first event, not with its header

Callers got a part of a stream, or 502, although the engine of their request would have gone on. Cause: the standby counted as begun with the header of its answer; the silent call was cancelled then, and the standby broke off or fell silent before its first event. Change: the standby reads up to its first whole event, at most 256 KiB, or to a sound end, before it takes over.

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -26,7 +26,7 @@
 	for {
 		var n int
 		var err error
-		s.wait(func() { n, err = response.Read(buffer) })
+		s.wait(func() { n, err = c.read(buffer) })
 		s.raise()
 		if w.replaced() {
 			return s.endReplaced(c, w, received)
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -67,7 +67,10 @@
 	}
 	w.call = c
 	defer close(c.done)
-	s.wait(func() { c.send(s.relay) })
+	s.wait(func() {
+		c.send(s.relay)
+		c.readHead()
+	})
 	w.standbyReturned(c)
 }
 
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -26,6 +28,8 @@
 	done     chan struct{}
 	response *transport.Response
 	err      error
+	// head is what was read of the response of a standby, up to its first event at least.
+	head []byte
 }
 
 // newCall prepares a call to the decode engine of a placement.
@@ -59,6 +63,47 @@
 	return c.err == nil && !c.response.Meta.NotRun && c.response.Status == http.StatusOK
 }
 
+// readHead reads the response of a standby until it has brought an event or has ended: a
+// header alone doesn't show that its endpoint can replace a silent one. It sets err if the
+// response breaks off before.
+func (c *streamCall) readHead() {
+	if !c.begun() {
+		return
+	}
+	var counter eventCounter
+	buffer := make([]byte, streamBufferBytes)
+	for {
+		n, err := c.response.Read(buffer)
+		c.head = append(c.head, buffer[:n]...)
+		events, sizeErr := counter.add(buffer[:n])
+		switch {
+		case events > 0:
+			return
+		case sizeErr != nil:
+			c.err = sizeErr
+		case errors.Is(err, io.EOF):
+			c.err = brokenOff(c.response, &counter, 0)
+		case err != nil:
+			c.err = err
+		case len(c.head) > maxEventBytes:
+			c.err = fmt.Errorf("%w: more than %d bytes before the first event", transport.ErrResponseTooLarge, maxEventBytes)
+		default:
+			continue
+		}
+		return
+	}
+}
+
+// read reads the body of the response, first what readHead has read.
+func (c *streamCall) read(buffer []byte) (int, error) {
+	if len(c.head) == 0 {
+		return c.response.Read(buffer)
+	}
+	n := copy(buffer, c.head)
+	c.head = c.head[n:]
+	return n, nil
+}
+
 // end releases what the call holds, and aborts it if it has not ended.
 func (c *streamCall) end() {
 	if c.response != nil {
