A plain standby is silent only after its own time

A third call was made and a sound endpoint marked as failed when the first call failed or was refused: the recheck each 50 ms looked at the standby as soon as it was alone. Change: the age of the call itself counts. Evidence: TestStandbyIsSilentOnlyAfterItsOwnTime failed 2 of 2: first failed 1003 ms, second answered 502 ms, third outrun 400 ms; it passes.

--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -91,6 +91,9 @@
 		return
 	}
 	first := p.underWay[0]
+	if time.Since(first.start) < attemptTimeout(p.job) {
+		return
+	}
 	p.recordSilence(first)
 	if decision := p.relay.Crashes.Decide(p.job.Identity); decision.Refused || decision.Trial {
 		return
