A cancelled call closes its connection at once

An endpoint worked on after its call was cancelled, until somebody closed the response, which can wait behind a write to a slow caller. Cause: the end of the context set a deadline on the connection only. Change: it closes the connection. Evidence: TestCancelledCallIsClosedAtOnce failed ('the endpoint still works' after 400 ms) and passes.

--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.carried.add(request.ID)
 	writeResult, err := c.writeRequest(request)
 	if err != nil {
