The time of a write to a slow caller is no silence of its endpoint

A standby was made, and a retry taken, while the caller was slow to receive. Cause: the time of the last progress was set before the write; a timer that waited for the mutex meanwhile found it long ago. Change: it is set again after the write. Evidence (review): TestSlowCallerIsNoSilenceOfItsEngine failed in 5 of 50 cases with -cpu 4 once the standby read its first event, and in none after; on one processor it passed before as well.

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -52,6 +52,9 @@
 				s.progress.recordStreamCall(endpoint.ID, start, ResultCallerLeft, received)
 				return s.endCallerLeft()
 			}
+			if events > 0 {
+				w.wrote()
+			}
 		}
 		ended := errors.Is(err, io.EOF)
 		if ended {
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// wrote records that events were written to the caller. The time that the caller took is
+// no silence of the endpoint.
+func (w *watch) wrote() {
+	w.progressAt = time.Now()
+	w.stall.progress()
+}
+
 // replaced reports whether a standby has replaced the first call.
 func (w *watch) replaced() bool { return w.pair.StandbyGoesOn() }
 
