A failed prefill does not exclude the decode engine

A request was refused, or a stream cut, although its decode engine had not been asked. Cause: each attempt that did not finish excluded its decode engine, also when only the prefill elsewhere had failed; with one decode engine none was left. Change: the result of an attempt says whether the decode engine was asked. Evidence: TestDecodeEngineIsNotExcludedForAFailedPrefill failed 3 of 3 (503 no_endpoint; calls: prefill silent 889 ms, refused 6 ms, broken 5 ms) and passes.

--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -83,7 +83,9 @@
 			s.progress.Attempts = s.progress.sends
 			return s.progress.Outcome
 		}
-		s.progress.excluded[s.progress.Endpoint] = true
+		if !result.unasked {
+			s.progress.excluded[s.progress.Endpoint] = true
+		}
 		if !s.anotherAttempt(ctx, result) {
 			s.dropNext()
 			return s.giveUp(ctx, ReasonEndpointsFull, s.retryAfter)
@@ -213,6 +215,7 @@
 			placed.Prefill = nil
 			s.unread = &placed
 		}
+		result.unasked = true
 		return result
 	}
 	if s.relay.decide(s.job).Refused {
