Test of idle connections: an ID for each request

TestIdleConnectionsAreBounded failed in about half of its runs of ten (9 dials in place of 8): it sent the IDs of the first round again in the second, and a connection that has carried an ID is not used for it again since refusals that are written once more are told apart. Callers give each attempt an ID of its own.

--- a/gateway/transport/transport_test.go
+++ b/gateway/transport/transport_test.go
@@ -228,11 +228,11 @@
 			pool := transport.NewPool()
 			var dials atomic.Int64
 			pool.OnDial = func() { dials.Add(1) }
-			for range 2 {
+			for round := range 2 {
 				var sent sync.WaitGroup
 				for i := range conns {
 					sent.Go(func() {
-						request := newRequest(fmt.Sprint(i))
+						request := newRequest(fmt.Sprint(round*conns + i))
 						site.RunHeaders{EndpointID: "e", Priority: -1}.Apply(request.Header)
 						request.MaxIdleConns = c.limit
 						response, err := pool.Send(t.Context(), endpoint.Address, request)
