A full segment of streams that the store refused is written later

The versions of streams were lost, so that their take-ups were refused, when 3,000 records stood in a segment that the store had not taken yet. Cause: a new segment was begun while the full one was unsaved. Change: not before it is saved. Evidence: TestFullSegmentThatWasRefusedIsWrittenLater knew 2 of 10 streams, now 10.

--- a/gateway/streamversions/streams.go
+++ b/gateway/streamversions/streams.go
@@ -58,7 +58,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := &t.writer
-	if w.writes >= maxSegmentWrites || len(w.segment.streams) >= maxSegmentStreams || w.segmentKey == "" {
+	full := w.writes >= maxSegmentWrites || len(w.segment.streams) >= maxSegmentStreams
+	if w.segmentKey == "" || full && !w.unsaved {
 		w.segments++
 		w.segmentKey, w.writes, w.unsaved = fmt.Sprintf("%s%s/%d", segmentPrefix, t.instance, w.segments), 0, false
 		w.segment = segment{streams: make(map[streamversion.StreamID]string)}
