Changes of streams too large for one answer are read as a whole table

Take-ups and new versions were refused for good at a process for which more than 4 MB of changes had gathered: the read that can't finish was repeated, and a whole table shared one time limit of 600 ms over all pages. Change: the whole table is read then, 600 ms a page; changes of another era are not added. Evidence: TestChangesTooLargeForOneAnswerAreReadAsAWholeTable failed ('Condition never satisfied') and passes.

--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -22,12 +22,16 @@
 	segmentPrefix  = "streams/"
 )
 
-// readTimeout bounds one read of the table.
-const readTimeout = 600 * time.Millisecond
+// readTimeout bounds one call that reads of the table, and wholeReadTimeout the calls that
+// read all of it, page by page.
+const (
+	readTimeout      = 600 * time.Millisecond
+	wholeReadTimeout = 5 * time.Second
+)
 
 // Store is where versions and streams are kept.
 type Store interface {
-	Table(ctx context.Context, table string) (site.Page, error)
+	TableByPage(ctx context.Context, table string, pageTimeout time.Duration) (site.Page, error)
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (site.Page, error)
 	Commit(ctx context.Context, tx site.Tx) (site.Page, error)
 	Era() int64
@@ -163,9 +167,22 @@
 	}
 }
 
-func (t *Tracker) read() error {
+// readChanges reads what has changed after a version.
+func (t *Tracker) readChanges(after int64) (site.Page, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
+	return t.store.Feed(ctx, Table, after, 0)
+}
+
+// readWhole reads the whole table. What it takes longer than its callers wait is of use to
+// those that ask again.
+func (t *Tracker) readWhole() (site.Page, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wholeReadTimeout)
+	defer cancel()
+	return t.store.TableByPage(ctx, Table, readTimeout)
+}
+
+func (t *Tracker) read() error {
 	t.mu.Lock()
 	after, whole := t.table.version, !t.table.loaded || t.table.era != t.store.Era()
 	t.mu.Unlock()
@@ -173,17 +190,20 @@
 	var page site.Page
 	var err error
 	if !whole {
-		page, err = t.store.Feed(ctx, Table, after, 0)
-		whole = errors.Is(err, site.ErrHistoryGone) || errors.Is(err, site.ErrRestored)
+		page, err = t.readChanges(after)
+		whole = errors.Is(err, site.ErrHistoryGone) || errors.Is(err, site.ErrRestored) || errors.Is(err, site.ErrAnswerTooLarge)
 	}
 	if whole {
-		page, err = t.store.Table(ctx, Table)
+		page, err = t.readWhole()
 	}
 	if err != nil {
 		return err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !whole && page.Era != t.table.era {
+		return site.ErrRestored // Versions of another era were asked for.
+	}
 	t.table.apply(page, whole, requestedAt)
 	t.reconcile()
 	return nil
