The version of a stream of a split route is inferred over all its services

A take-up that the split sent to another service went on at that one's only version, which then counted as the version of the stream: streams of two versions of one service were joined. Cause: only the register of the service drawn was looked at. Change: a version is inferred only if it is the only one of all services of the route. Evidence: TestTakeUpAtAnotherServiceOfASplitRouteFixesNoWrongVersion failed ('a stream that service a began at v1 goes on there at v2') and passes.

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -64,9 +64,19 @@
 
 // Single returns the version that began all streams that may be taken up now, and false if
 // there may be several.
-func (r Register) Single(now Moment) (string, bool) {
-	possible := r.Possible(now.NowMS)
-	if r.Era != now.Era || now.NowMS < r.UncertainUntilMS || len(possible) != 1 {
+func (r Register) Single(now Moment) (string, bool) { return SingleOf(now, r) }
+
+// SingleOf is Single for streams that one of several services began.
+func SingleOf(now Moment, registers ...Register) (string, bool) {
+	var possible []string
+	for _, r := range registers {
+		if r.Era != now.Era || now.NowMS < r.UncertainUntilMS {
+			return "", false
+		}
+		possible = append(possible, r.Possible(now.NowMS)...)
+	}
+	slices.Sort(possible)
+	if possible = slices.Compact(possible); len(possible) != 1 {
 		return "", false
 	}
 	return possible[0], true
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -29,7 +29,7 @@
 // false if the version is not known.
 func (s *stream) findVersion(ctx context.Context) bool {
 	version, ok := s.relay.Versions.Find(ctx, streamversions.TakeUp{
-		Service: s.job.Service, RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
+		Service: s.job.Service, Services: s.job.Route.Services(), RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
 	})
 	s.version = version
 	return ok
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -27,6 +27,7 @@
 // TakeUp is a stream that its caller takes up.
 type TakeUp struct {
 	Service          string
+	Services         []string // All to which its route may send it, Service included.
 	RequestID        string
 	ResumedRequestID string // The request that brought the first event; empty if unknown.
 }
@@ -81,12 +82,22 @@
 		return version, SourceStore, nil
 	}
 	now := streamversion.Moment{Era: t.store.Era(), NowMS: t.table.nowMS}
-	if version, ok := t.table.registers[taken.Service].Single(now); ok && t.table.era == now.Era {
+	if version, ok := t.singleOf(taken, now); ok && t.table.era == now.Era {
 		return version, SourceSingle, nil
 	}
 	return "", SourceUnknown, nil
 }
 
+// singleOf returns the version that began all streams of the services to which a route may
+// send a stream, and false if there may be several. t.mu must be held.
+func (t *Tracker) singleOf(taken TakeUp, now streamversion.Moment) (string, bool) {
+	registers := []streamversion.Register{t.table.registers[taken.Service].Register}
+	for _, name := range taken.Services {
+		registers = append(registers, t.table.registers[name].Register)
+	}
+	return streamversion.SingleOf(now, registers...)
+}
+
 // Remembered returns the version that began a stream which this process has begun or taken
 // up.
 func (t *Tracker) Remembered(id uint64) (string, bool) {
--- /dev/null
+++ b/gateway/streamversions/splitroute_test.go
@@ -0,0 +1,32 @@
+package streamversions_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/streamversions"
+	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// Guards against streams joined over the services of a split route: a take-up that was sent
+// to the other service went on at that one's version, which then counted as that of the
+// stream.
+func TestTakeUpAtAnotherServiceOfASplitRouteFixesNoWrongVersion(t *testing.T) {
+	store := sitetest.NewStore(t)
+	p := startProcess(t, store, "a", true)
+	list := func(id, service, version string) {
+		p.EndpointChanged(site.Endpoint{ID: id, Service: service, Stage: site.Decode, SoftwareVersion: version})
+	}
+	list("a1", "a", "v1")
+	list("b1", "b", "v2")
+	require.Eventually(t, func() bool { return len(p.Unregistered("a"))+len(p.Unregistered("b")) == 0 }, 5*time.Second, 5*time.Millisecond)
+	// Another process began stream "x" at service a, v1, and has ended.
+	_, _ = p.Find(t.Context(), streamversions.TakeUp{Service: "b", Services: []string{"a", "b"}, RequestID: "again", ResumedRequestID: "x"})
+	list("a2", "a", "v2")
+	require.Eventually(t, func() bool { return len(p.Unregistered("a")) == 0 }, 5*time.Second, 5*time.Millisecond)
+	version, ok := p.Find(t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again2", ResumedRequestID: "x"})
+	require.False(t, ok && version != "v1", "a stream that service a began at v1 goes on there at %s", version)
+}
