A request is not sent to an engine that started again since it was chosen

A placement may be seconds old (after a silent prefill, with a permit taken in advance): its engine may have started again under its ID with other software meanwhile. Change: the last check before a call compares start and version with the list. Evidence: TestEndpointThatStartedAgainSinceItWasChosenIsNotSentTheRequest failed and passes; shown at the selector, not through the whole path.

--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -103,6 +103,9 @@
 func (s *Selector) Take(to site.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if current, ok := s.endpoints[to.ID]; ok && (current.StartedMS != to.StartedMS || current.SoftwareVersion != to.SoftwareVersion) {
+		return false // It has started again since it was chosen.
+	}
 	return s.statements.Take(s.now(), processOf(to))
 }
 
