Streams of an engine that started again with other software are in doubt

An engine that had started again under its ID with other software, whose row had not been read yet, began streams that counted as of the version before: they were joined with it. Change: records name their engine; when a listed ID changes its version without leaving the list, the streams that it began are doubtful, also in the store, and refused when taken up. Open: a stream under way, and take-ups before the new row was read.

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -19,12 +19,17 @@
 	return StreamID(binary.BigEndian.Uint64(hash[:8]))
 }
 
-// Record is the version that began a stream.
+// Record is the version that began a stream; Doubtful if it can't be known.
 type Record struct {
-	ID      StreamID
-	Version string
+	ID       StreamID
+	Version  string
+	Endpoint string // The endpoint that began it; empty if it is not known.
 }
 
+// Doubtful stands for the version of a stream of which an endpoint that had started again
+// with other software may have sent the first event.
+const Doubtful = ""
+
 // Memory remembers the versions that began the streams of one service, for Retention.
 type Memory struct {
 	records []remembered // In the order of their times.
@@ -58,6 +63,16 @@
 	m.records = append(m.records, remembered{Record: r, at: now})
 }
 
+// Doubt forgets the versions of the streams that an endpoint began, since it was found to
+// have started again with other software.
+func (m *Memory) Doubt(endpoint string, now time.Time) {
+	for _, r := range m.records {
+		if r.Endpoint == endpoint {
+			m.Add(Record{ID: r.ID, Version: Doubtful}, now)
+		}
+	}
+}
+
 // Find returns the version that began a stream, and false if it is not known.
 func (m *Memory) Find(id StreamID) (string, bool) {
 	known, ok := m.byID[id]
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -36,7 +36,7 @@
 // oneVersion knows that all streams were begun at one software version.
 type oneVersion struct{}
 
-func (oneVersion) RecordStream(string, string, string) {}
+func (oneVersion) RecordStreamAt(string, string, site.Endpoint) {}
 func (oneVersion) Find(context.Context, streamversions.TakeUp) (string, bool) {
 	return softwareVersion, true
 }
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -15,8 +15,8 @@
 
 // StreamVersions knows the versions of the engines' software that began streams.
 type StreamVersions interface {
-	// RecordStream records that a stream begins at a version.
-	RecordStream(service, requestID, version string)
+	// RecordStreamAt records that a stream begins at an endpoint.
+	RecordStreamAt(service, requestID string, endpoint site.Endpoint)
 	// Find returns the version that began a stream that is taken up, and false if it can't
 	// be known.
 	Find(ctx context.Context, taken streamversions.TakeUp) (string, bool)
@@ -57,7 +57,7 @@
 	}
 	s.version = endpoint.SoftwareVersion
 	if s.job.Route.Resumable {
-		s.relay.Versions.RecordStream(s.job.Service, s.job.Caller.ID, s.version)
+		s.relay.Versions.RecordStreamAt(s.job.Service, s.job.Caller.ID, endpoint)
 	}
 	return nil
 }
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -20,7 +20,9 @@
 	recorded map[string]string // By request.
 }
 
-func (f *fakeVersions) RecordStream(_, requestID, version string) { f.recorded[requestID] = version }
+func (f *fakeVersions) RecordStreamAt(_, requestID string, endpoint site.Endpoint) {
+	f.recorded[requestID] = endpoint.SoftwareVersion
+}
 
 func (f *fakeVersions) Find(_ context.Context, taken streamversions.TakeUp) (string, bool) {
 	version, ok := f.known[taken.ResumedRequestID]
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -7,6 +7,7 @@
 
 	"flamingospar.org/base/clock"
 	"flamingospar.org/core/streamversion"
+	"flamingospar.org/platform/site"
 )
 
 // findTimeout bounds the time that a stream waits until the table was read.
@@ -35,10 +36,15 @@
 // RecordStream records that a stream begins at a version. It must be called before the
 // caller gets the first event.
 func (t *Tracker) RecordStream(serviceName, requestID, version string) {
+	t.RecordStreamAt(serviceName, requestID, site.Endpoint{SoftwareVersion: version})
+}
+
+// RecordStreamAt is RecordStream for a stream that an endpoint begins.
+func (t *Tracker) RecordStreamAt(serviceName, requestID string, endpoint site.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(serviceName)
-	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: version}, clock.Now())
+	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: endpoint.SoftwareVersion, Endpoint: endpoint.ID}, clock.Now())
 	if s.recording {
 		t.signal()
 	}
--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -117,7 +117,7 @@
 		if !ok {
 			continue
 		}
-		if found != "" && found != version {
+		if version == streamversion.Doubtful || found != "" && found != version {
 			return "", false
 		}
 		found = version
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -114,6 +114,9 @@
 	if ok && known == engine && endpoint.Stage != "" {
 		return
 	}
+	if ok && known.service == endpoint.Service && known.version != endpoint.SoftwareVersion {
+		t.services[known.service].memory.Doubt(endpoint.ID, clock.Now())
+	}
 	t.unlist(endpoint.ID)
 	if endpoint.Stage != "" && len(endpoint.Service) <= maxServiceBytes { // Plain services have no streams to go on with.
 		t.endpoints[endpoint.ID] = engine
