No process vouches for the versions in use after the store went back

A process that lagged behind, after the store had come back from an older copy, wrote the register without the version that another, ended process had registered last, and streams of that one were inferred to be of the version before. Cause: what a process had read in the earlier era ended the time of doubt, though it need not have been the last. Change: the time of doubt always lasts for the retention; streams are written down meanwhile. Evidence: TestProcessThatLaggedDoesNotVouchForTheRegisterAfterTheStoreWentBack failed ('Should be empty, but was v1') and passes. Two tests required the opposite, wrongly: a version that is inferred at once from one process's memory. They now require that it is not inferred before the retention is over, by the process that remembers neither, and that it is afterwards.

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -102,7 +102,6 @@
 		next.UncertainUntilMS = o.NowMS + Retention.Milliseconds()
 	}
 	if o.Remembered != nil {
-		next.UncertainUntilMS = min(next.UncertainUntilMS, o.Remembered.UncertainUntilMS)
 		next.Uses = Merge(next.Uses, o.Remembered.Uses)
 	}
 	for _, version := range o.Listed {
