--- a/gateway/node/serve.go
+++ b/gateway/node/serve.go
@@ -67,7 +67,7 @@
 }
 
 // ready reports whether this process can serve: it has a configuration, has read
-// the fleet at least once, and is not stopping.
+// the fleet and the versions of its engines at least once, and is not stopping.
 func (n *Node) ready() bool {
-	return n.config.Current() != nil && n.fleet.Version() > 0 && !n.stopping.Load()
+	return n.config.Current() != nil && n.fleet.Version() > 0 && n.versions.Ready() && !n.stopping.Load()
 }
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -58,6 +58,7 @@
 	flying     bool
 	endpoints  map[string]listedEngine // By ID.
 	services   map[string]*service
+	ready      bool      // Ready has been true.
 	eraSince   time.Time // When the store was last known to have come back from an older copy.
 
 	writer writer // Used by Run alone.
@@ -229,6 +230,32 @@
 	return unregistered
 }
 
+// Ready reports whether streams of each service with listed engines could begin, if only
+// once: a process that has just started has to learn first which versions are registered.
+func (t *Tracker) Ready() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ready {
+		return true
+	}
+	for _, s := range t.services {
+		if len(s.listed()) > 0 && !s.anyInUse() {
+			return false
+		}
+	}
+	t.ready = true
+	return true
+}
+
+func (s *service) anyInUse() bool {
+	for _, v := range s.versions {
+		if v.engines > 0 && v.inUse {
+			return true
+		}
+	}
+	return false
+}
+
 // ServiceVersion is a software version of a service.
 type ServiceVersion struct {
 	Service string
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -75,6 +75,24 @@
 	return version
 }
 
+// A process that had just started took requests before it knew a version at which streams
+// may begin, and refused them.
+func TestProcessIsReadyOnceStreamsMayBegin(t *testing.T) {
+	store := sitetest.NewStore(t)
+	store.SetDown(true)
+	p := startProcess(t, store, "a", true)
+	require.True(t, p.Ready(), "there are no engines")
+	q := startProcess(t, store, "b", true)
+	q.list("v1")
+	require.False(t, q.Ready())
+	store.SetDown(false)
+	q.awaitConfirmed()
+	require.True(t, q.Ready())
+	store.SetDown(true)
+	q.list("v2")
+	require.True(t, q.Ready(), "it serves what it has begun")
+}
+
 // No stream begins at a version before the store has it, whatever else is known; a process
 // that started later would not know of it.
 func TestVersionIsUnregisteredUntilTheStoreHasIt(t *testing.T) {
