Tests of crashing parts run alone in their package

In that run the lists of endpoints were 5.4 s old at the median and 12.8 s at most, and dials over loopback ran into their limit of 0.6 s: eight such tests share the one processor of the package. Change: it runs while no other test of the package does, as other heavy ones do; bounds and loads are the same.

--- a/gateway/node/crashpart_test.go
+++ b/gateway/node/crashpart_test.go
@@ -42,7 +42,7 @@
 type servedCount struct{ sent, served atomic.Int64 }
 
 func newCrashFleet(t *testing.T, processes int) *crashFleet {
-	return &crashFleet{limitedFleet: newLimitedFleet(t, processes)}
+	return &crashFleet{limitedFleet: (&limitedFleet{harness: newFakesAlone(t)}).start(processes)}
 }
 
 // addEngine adds an engine of the service "model" to the fleet.
--- a/gateway/node/node_test.go
+++ b/gateway/node/node_test.go
@@ -59,6 +59,13 @@
 // newFakes returns a harness without a VM to run a process on.
 func newFakes(t *testing.T) *harness {
 	t.Parallel()
+	return newFakesAlone(t)
+}
+
+// newFakesAlone is newFakes for a test that runs while no other of the package does: it
+// costs so much that it would change the times of others, its bounds are short beside the
+// times for which processes wait for a processor, or it reads the log of the whole process.
+func newFakesAlone(t *testing.T) *harness {
 	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
 	h.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(1, "key"))
 	return h
--- a/gateway/node/oddentry_test.go
+++ b/gateway/node/oddentry_test.go
@@ -16,11 +16,9 @@
 // maxRowBytes is the size of the largest value that the store accepts.
 const maxRowBytes = 64 << 10
 
-// newAlone is newHarness for a test that runs while no other does: it costs so much that
-// it would change the times of others, or it reads the log of the whole process.
+// newAlone is newHarness for a test that runs while no other of the package does.
 func newAlone(t *testing.T, vm string) *harness {
-	h := &harness{t: t, store: sitetest.NewStore(t), duties: sitetest.NewDutyServer(t), done: make(chan error, 1)}
-	h.store.PutRaw(site.TableOperator, site.KeyConfiguration, manifest(1, "key"))
+	h := newFakesAlone(t)
 	h.vm = sitetest.NewVM(t, vm, "dc", h.store.Address, h.duties.Address)
 	return h
 }
