--- a/core/standby/standby.go
+++ b/core/standby/standby.go
@@ -29,7 +29,7 @@
 
 const (
 	firstAlone   state = iota
-	both               // The standby is under way and has not begun to answer.
+	both               // The standby is under way and has sent no event.
 	standbyEnds        // The first made progress; the standby is being cancelled.
 	standbyAlone       // The standby goes on, or is the next attempt.
 )
@@ -57,7 +57,7 @@
 	return true
 }
 
-// Began records that the standby has begun to answer. It reports whether the standby goes
+// Began records that the standby has sent an event. It reports whether the standby goes
 // on; then the first must be cancelled, and otherwise the standby.
 func (p *Pair) Began() bool {
 	if p.state != both {
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -16,7 +16,7 @@
 var errOutrun = errors.New("another call of the same request goes on; remedy: none is needed")
 
 // watch watches a call of a stream. While its endpoint is silent, it makes a second call
-// beside it, the standby, which replaces the first one once it has begun to answer. All
+// beside it, the standby, which replaces the first one once it has sent an event. All
 // fields are guarded by the mutex of the stream.
 type watch struct {
 	stream  *stream
