--- a/gateway/node/retryafter_test.go
+++ b/gateway/node/retryafter_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/platform/site/sitetest"
 )
 
 // Bounds of an endpoint that asks to be sent nothing for a time: from waitNotice after
@@ -82,7 +84,7 @@
 			first := min(wait-time.Since(endpoints[0].Refusals()[0].At), wait-time.Since(endpoints[1].Refusals()[0].At))
 			got := h.sendLong(c.path)
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
-			require.Empty(t, got.header.Get("X-Engine-Seal"))
+			require.Empty(t, got.header.Get(sitetest.HeaderEngineSeal))
 			seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 			require.NoError(t, err)
 			const measured = 500 * time.Millisecond // For the time that this test itself takes.
