Test of a table too large for one answer waits as long as other tests

The fault that it guards against is that such a read never succeeds; the 5 s came from no target. It waits 20 s now, as the tests of gateway/node do, and fails on the code before as it did.

--- a/gateway/streamversions/toolarge_test.go
+++ b/gateway/streamversions/toolarge_test.go
@@ -11,6 +11,9 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
+// readTime is ample for reading some MB on a busy machine.
+const readTime = 20 * time.Second
+
 // Guards against take-ups and new versions being refused for good: changes that are too
 // large for one answer were asked for again and again.
 func TestChangesTooLargeForOneAnswerAreReadAsAWholeTable(t *testing.T) {
@@ -27,5 +30,5 @@
 	require.Eventually(t, func() bool {
 		id++
 		return p.find(fmt.Sprint("y", id)) == "v1"
-	}, 5*time.Second, 50*time.Millisecond)
+	}, readTime, 50*time.Millisecond)
 }
