Tests of restored stores run alone in their package

Its ten rounds of calls, 1.2 s nominally, took 2.4 to 2.7 s there, and endpoints are dropped 2 s after a new era begins: a process that waits for a processor can't keep that bound. Change: these tests run while no other of the package does; bounds are the same.

--- a/gateway/node/restored_test.go
+++ b/gateway/node/restored_test.go
@@ -19,7 +19,7 @@
 }
 
 func newRestoredFleet(t *testing.T, processes int) *restoredFleet {
-	return &restoredFleet{newLimitedFleet(t, processes)}
+	return &restoredFleet{(&limitedFleet{harness: newFakesAlone(t)}).start(processes)}
 }
 
 // restore takes the store away for a moment and brings it back from a copy. After that,
