Test of an engine that started again: it breaks streams off until v1 is in use

Cause: the test waits until a stream begins at v1, but by then the engine that started again answers, and the process sends it each of the test's equal prompts, which it has cached: v1 is chosen only if that happens before the engine has the prompt. In the failed run all requests went to it (200, one attempt, endpoint x) for 20 s. What the test guards against was not reached. Ruled out: load (it fails alone), a fault of the register (v1 and v2 were in use).

Change: the engine goes on breaking its streams off until one has begun at v1, and only then serves, 1 s before the take-ups, as before. Nothing that is checked changes.

Measured: 8 of 8 runs pass (-race -cpu 1, load 10 to 20). With the doubt about the streams of such an engine taken out in a copy it fails in 4 of 4: "Should be zero, but was 4 ... of 4 streams taken up".

--- a/gateway/node/startedagain_test.go
+++ b/gateway/node/startedagain_test.go
@@ -26,9 +26,9 @@
 	begun := f.begin(p, 4)
 	row["version"], row["born"], row["seq"] = "v2", 2, 1
 	f.store.Put(site.TableEndpoints, e.ID, row)
-	breakAll([]*sitetest.VersionedEngine{e}, false)
 	f.addEngines("v1", 2)
 	f.awaitVersion(p, "v1")
+	breakAll([]*sitetest.VersionedEngine{e}, false)
 	time.Sleep(settleTime)
 	joined := 0
 	for _, b := range begun {
