A priority out of range ends no stream

What callers saw: nothing yet; found by a review. A priority of a route or team below 0, or so large that it overflows, ended each stream of that route with a panic: the caller's connection was closed without an answer.

Cause: the level that follows from it is an index, and was bounded above only. Change: priorities outside of the levels count as the first or the last one. Levels of all others are as before.

Measured, before: TestAnyPriorityIsServed: "func should not panic ... -1". After: gateway/relay passes (-race -cpu 1).

--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -157,11 +157,17 @@
 	return "in_time"
 }
 
+// priorityLevel returns the level of a priority of routes and teams. What is outside of the
+// levels counts as the first or the last.
+func priorityLevel(priority int) int {
+	return min(max(priority, 0), maxLevel/levelsPerPriority) * levelsPerPriority
+}
+
 func (s *stream) placementRequest() placement.Request {
 	waited := time.Since(s.job.Arrived)
 	return placement.Request{
 		Prompt:         s.prompt,
-		Level:          min(s.job.Priority*levelsPerPriority, maxLevel),
+		Level:          priorityLevel(s.job.Priority),
 		Budget:         s.job.Route.LatencyObjective - waited,
 		MaxWait:        min(s.job.maxEventWait()-waited, s.job.remaining(time.Now())),
 		ExpectedEvents: s.relay.Selector.ExpectedEvents(s.job.Service, s.job.Caller.Prompt.OutputTokensHint),
