An endpoint that states a huge rate stays in use at all processes

Found by a review: an endpoint that states a rate above 1e9 a second was used by the process that shares out its rate alone; the questions of all others for permits were refused, since what they stated was taken for no rate.

Cause: the bound was checked where other processes' statements arrive and not where endpoints' own do. Change: a larger stated rate counts as 1e9.

Measured, before: TestEndpointThatStatesAHugeRateStaysInUse: "Should be true ... 2e+09 a second: another process". After: gateway/limits passes (-race -cpu 1, 64 s).

--- a/gateway/limits/exchange.go
+++ b/gateway/limits/exchange.go
@@ -13,7 +13,8 @@
 	reportInterval = 1 * time.Second
 	// maxAge is the largest age of a statement that is told apart.
 	maxAge = 1 * time.Hour
-	// maxRate is far above the rate of any endpoint. It keeps infinite rates out.
+	// maxRate, in requests a second, is far above the rate of any endpoint. Larger stated
+	// rates count as this one; other processes can't have found one.
 	maxRate = 1e9
 )
 
--- a/gateway/limits/limits.go
+++ b/gateway/limits/limits.go
@@ -125,7 +125,7 @@
 	if !ok || e.startedMS != to.StartedMS {
 		return
 	}
-	l.apply(e, ratelimit.Answered(response.RateLimit.Stated, response.RateLimit.PerSecond, sentAt, l.now()), l.vm)
+	l.apply(e, ratelimit.Answered(response.RateLimit.Stated, min(response.RateLimit.PerSecond, maxRate), sentAt, l.now()), l.vm)
 }
 
 // apply replaces the statement of an endpoint by a newer one, received by the process on
