An engine whose entry lacks its stage is no engine any more

Found by a review: an entry of an engine that lacks its stage left the engine in use as it was known before, at the address that the entry names, also if the entry said that it drains; the endpoint stood in both lists, of engines and of plain endpoints.

Cause: only a new start or another service removed what was known of an endpoint. Change: becoming an engine or a plain endpoint does too.

Measured, before: TestEntryOfAnEngineThatLacksItsStageLeavesNoEngineInUse: expected "", actual "decode-1". After: gateway/engines passes (-race -cpu 1).

--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -93,17 +93,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous, ok := s.endpoints[endpoint.ID]
-	if ok && (previous.StartedMS != endpoint.StartedMS || previous.Service != endpoint.Service) {
+	if ok && (previous.StartedMS != endpoint.StartedMS || previous.Service != endpoint.Service || isEngine(previous) != isEngine(endpoint)) {
 		s.drop(endpoint.ID)
 	}
 	s.endpoints[endpoint.ID] = endpoint
-	if endpoint.Stage == "" {
+	if !isEngine(endpoint) {
 		s.setPlain(endpoint)
 		return
 	}
 	s.setEngine(endpoint)
 }
 
+// isEngine reports whether an endpoint is a model engine, not a plain one.
+func isEngine(endpoint site.Endpoint) bool { return endpoint.Stage != "" }
+
 func (s *Selector) setEngine(endpoint site.Endpoint) {
 	stage := placement.Decode
 	if endpoint.Stage == site.Prefill {
