A refusal by an endpoint that does not state that nothing ran is not passed on

Found by a review: an endpoint that answers 503, 429 or 408 without stating that it did not run the request may have run it. The answer was passed on as it was, and tells the caller that it may send again what may run once only.

Cause: such an answer counted as a failure of the endpoint's own, and these are passed on. Change: the caller gets 502, may have run, without the endpoint's seal. Whether another attempt follows is decided as before.

Measured, before: TestRefusalThatDoesNotStateThatNothingRanIsNotPassedOn: "expected: 502, actual: 408 ... non_idempotent". After: gateway/relay passes (-race -cpu 1, 23 s), and the tests of refusals in gateway/node and gateway/transport.

--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -193,6 +193,9 @@
 	defer c.close()
 	p.cancelOthers()
 	p.Endpoint = c.endpoint.ID
+	if promisesNotRun(c.response.Status) {
+		return p.relay.endUnanswered(p.ctx, p.w, p.progress, p.job, ReasonMayHaveRun, 0)
+	}
 	p.TimeToFirstByte = time.Since(p.job.Arrived)
 	p.Status = c.response.Status
 	writeResponse(p.w, c.response, c.body, c.complete)
--- a/gateway/relay/response.go
+++ b/gateway/relay/response.go
@@ -19,6 +19,17 @@
 	return body, len(body) < maxBufferedResponseBytes, nil
 }
 
+// promisesNotRun reports whether a status tells a caller that its request did not run. It is
+// not passed on from an endpoint that does not state this.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // writeResponse writes an endpoint's response to the caller: body, and the rest of the
 // response if body is not complete.
 func writeResponse(w http.ResponseWriter, response *transport.Response, body []byte, complete bool) {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -304,6 +304,10 @@
 	if s.headerSent || w.replaced() || err != nil || (another && c.response.Status >= http.StatusInternalServerError) {
 		return attemptResult{sent: true}
 	}
+	if promisesNotRun(c.response.Status) {
+		s.progress.Outcome = s.giveUp(c.ctx, ReasonMayHaveRun, 0)
+		return attemptResult{finished: true, sent: true}
+	}
 	s.progress.Status = c.response.Status
 	writeResponse(s.w, c.response, body, complete)
 	return attemptResult{finished: true, sent: true}
