The end of a software version is noted before it is dated

Streams were joined from two versions if the write that ends a version took effect long after it was decided (a frozen process, a call carried out late) and engines of the version were listed again meanwhile: the end dated from the decision, so a process started later inferred the other version.

Cause: one write both found a version unlisted and dated its end, and nobody who lists the version had to look at the register before streams began at it again.

Change: a first write notes that the version is ending. A second one, conditioned on the row of the first, dates the end from the latest that the store's clock may have been when the first had taken effect. A version that is ending counts as possible, but no stream begins at it: a process that lists it, and reads that it is ending, registers it again, which voids a dated end that is still on its way. A version that is listed again counts as in use only by a register that was read at most 1 s before. The time until which a register is uncertain uses the latest time of the store's clock too. Late beginnings make more versions possible, and late writes of an earlier era aren't trusted, as before.

One write more for each end.

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -18,6 +18,10 @@
 // Use is the use of one version of a service.
 type Use struct {
 	Version string `json:"version"`
+	// Ending is set once a writer has found the version no longer listed. Its end is dated
+	// in a later write, which has no effect if the row has changed in between: a process
+	// that lists the version takes the note back before a stream begins at it.
+	Ending bool `json:"ending,omitempty"`
 	// EndedMS is when the version was first found to be in use no more, by the store's
 	// clock; 0 while it is in use.
 	EndedMS int64 `json:"ended_ms,omitempty"`
@@ -42,7 +46,8 @@
 	NowMS int64 // By the store's clock.
 }
 
-// InUse reports whether a version is registered as in use.
+// InUse reports whether a version is registered as in use. One that is ending is not: a
+// stream may begin at it only after it was registered again.
 func (r Register) InUse(version string) bool {
 	return slices.Contains(r.Uses, Use{Version: version})
 }
@@ -58,6 +63,8 @@
 	return versions
 }
 
+func (u Use) inUse() bool { return u.EndedMS == 0 && !u.Ending }
+
 func (u Use) expired(nowMS int64) bool {
 	return u.EndedMS != 0 && nowMS >= u.EndedMS+Retention.Milliseconds()
 }
@@ -89,8 +96,19 @@
 	// Remembered is what the process knew in an earlier era of the store; nil if it knew
 	// nothing.
 	Remembered *Register
-	// EndUnlisted makes versions end that are no longer listed.
+	// NoteUnlisted notes that versions are ending that are no longer listed.
+	NoteUnlisted bool
+	// EndUnlisted makes versions end that are no longer listed. A late write of an end is
+	// harmless only if EndsNoted holds for the register that it replaces.
 	EndUnlisted bool
+	// LatestMS is the latest that the store's clock may have been when the register was
+	// read; times that are written are no earlier.
+	LatestMS int64
+}
+
+// EndsNoted reports whether all versions that are in use and not listed are noted as ending.
+func (r Register) EndsNoted(listed []string) bool {
+	return !slices.ContainsFunc(r.Uses, func(u Use) bool { return u.inUse() && !slices.Contains(listed, u.Version) })
 }
 
 // Next returns the register that follows from an observation, and whether it differs so
@@ -99,7 +117,7 @@
 	next := Register{Era: r.Era, UncertainUntilMS: r.UncertainUntilMS, Uses: slices.Clone(r.Uses)}
 	if r.Era < o.Era {
 		next.Era = o.Era
-		next.UncertainUntilMS = o.NowMS + Retention.Milliseconds()
+		next.UncertainUntilMS = max(o.NowMS, o.LatestMS) + Retention.Milliseconds()
 	}
 	if o.Remembered != nil {
 		next.Uses = Merge(next.Uses, o.Remembered.Uses)
@@ -107,8 +125,11 @@
 	for _, version := range o.Listed {
 		next.begin(version)
 	}
+	if o.NoteUnlisted {
+		next.noteUnlisted(o.Listed)
+	}
 	if o.EndUnlisted {
-		next.endUnlisted(o.Listed, o.NowMS)
+		next.endUnlisted(o.Listed, max(o.NowMS, o.LatestMS))
 	}
 	changed := next.Era != r.Era || next.UncertainUntilMS != r.UncertainUntilMS || !slices.Equal(next.Uses, r.Uses)
 	next.Uses = slices.DeleteFunc(next.Uses, func(u Use) bool { return u.expired(o.NowMS) })
@@ -118,23 +139,31 @@
 func (r *Register) begin(version string) {
 	for i := range r.Uses {
 		if r.Uses[i].Version == version {
-			r.Uses[i].EndedMS = 0
+			r.Uses[i] = Use{Version: version}
 			return
 		}
 	}
 	r.Uses = append(r.Uses, Use{Version: version})
 }
 
+func (r *Register) noteUnlisted(listed []string) {
+	for i := range r.Uses {
+		if r.Uses[i].inUse() && !slices.Contains(listed, r.Uses[i].Version) {
+			r.Uses[i].Ending = true
+		}
+	}
+}
+
 func (r *Register) endUnlisted(listed []string, nowMS int64) {
 	for i := range r.Uses {
 		if r.Uses[i].EndedMS == 0 && !slices.Contains(listed, r.Uses[i].Version) {
-			r.Uses[i].EndedMS = max(nowMS, 1)
+			r.Uses[i] = Use{Version: r.Uses[i].Version, EndedMS: max(nowMS, 1)}
 		}
 	}
 }
 
-// Merge returns the versions of two lists. A version is in use if one of them says so, and
-// ended at the later of two times.
+// Merge returns the versions of two lists. A version is in use if one of them says so,
+// ending if one says that and none that it is in use, and ended at the later of two times.
 func Merge(a, b []Use) []Use {
 	merged := slices.Clone(a)
 	for _, use := range b {
@@ -142,8 +171,10 @@
 		switch {
 		case i < 0:
 			merged = append(merged, use)
-		case use.EndedMS == 0 || merged[i].EndedMS == 0:
-			merged[i].EndedMS = 0
+		case use.inUse() || merged[i].inUse():
+			merged[i] = Use{Version: use.Version}
+		case use.Ending || merged[i].Ending:
+			merged[i] = Use{Version: use.Version, Ending: true}
 		default:
 			merged[i].EndedMS = max(merged[i].EndedMS, use.EndedMS)
 		}
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -136,3 +136,30 @@
 	require.Len(t, m.Take(5, now), 5)
 	require.Empty(t, m.Take(5, now.Add(time.Hour)))
 }
+
+// The end of a version is dated in a second write, and not if the version is listed again.
+func TestEndIsNotedBeforeItIsDated(t *testing.T) {
+	inUse := streamversion.Register{Uses: []streamversion.Use{{Version: "v1"}, {Version: "v2"}}}
+	require.False(t, inUse.EndsNoted([]string{"v2"}))
+	noted, changed := inUse.Next(streamversion.Observation{Moment: at(0, 10), Listed: []string{"v2"}, NoteUnlisted: true})
+	require.True(t, changed)
+	require.True(t, noted.EndsNoted([]string{"v2"}))
+	require.False(t, noted.InUse("v1"), "no stream begins at it")
+	require.Equal(t, []string{"v1", "v2"}, noted.Possible(10*retentionMS))
+
+	ended := next(t, noted, streamversion.Observation{Moment: at(0, 20), LatestMS: 25, Listed: []string{"v2"}, EndUnlisted: true})
+	require.Equal(t, []streamversion.Use{{Version: "v1", EndedMS: 25}, {Version: "v2"}}, ended.Uses)
+	again := next(t, noted, streamversion.Observation{Moment: at(0, 20), Listed: []string{"v1"}})
+	require.True(t, again.InUse("v1"))
+}
+
+func TestMergeKeepsWhatMayBeInUse(t *testing.T) {
+	inUse, ending := streamversion.Use{Version: "v"}, streamversion.Use{Version: "v", Ending: true}
+	ended, later := streamversion.Use{Version: "v", EndedMS: 5}, streamversion.Use{Version: "v", EndedMS: 9}
+	for _, c := range []struct{ a, b, want streamversion.Use }{
+		{inUse, ending, inUse}, {inUse, ended, inUse}, {ending, ending, ending}, {ending, ended, ending}, {ended, later, later},
+	} {
+		require.Equal(t, []streamversion.Use{c.want}, streamversion.Merge([]streamversion.Use{c.a}, []streamversion.Use{c.b}))
+		require.Equal(t, []streamversion.Use{c.want}, streamversion.Merge([]streamversion.Use{c.b}, []streamversion.Use{c.a}))
+	}
+}
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -124,7 +124,7 @@
 		return
 	}
 	t.mu.Lock()
-	age := clock.Now().Sub(t.table.clockAt)
+	age := clock.Now().Sub(t.table.requestedAt)
 	era, tableVersion := t.table.era, t.table.version
 	row := t.table.registers[taken.Service]
 	possible := row.Possible(t.table.nowMS)
--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -40,6 +40,8 @@
 type register struct {
 	streamversion.Register
 	rowVersion int64 // 0 if there is no row.
+	// askedAt is when the call was sent whose answer showed the row, or its absence.
+	askedAt time.Time
 }
 
 // tableCopy is this process's copy of the table.
@@ -51,6 +53,7 @@
 	segments    map[string]segment  // By key.
 	nowMS       int64               // The store's clock at clockAt.
 	clockAt     time.Time
+	latestMS    int64     // The latest that the store's clock may have been at clockAt.
 	requestedAt time.Time // When the last read was sent.
 }
 
@@ -63,9 +66,24 @@
 	return streamversion.Moment{Era: c.era, NowMS: c.nowMS + clock.Now().Sub(c.clockAt).Milliseconds()}
 }
 
-// observeClock records the store's clock as an answer states it.
-func (c *tableCopy) observeClock(page site.Page) {
+// latest returns the latest that the store's clock may be now.
+func (c *tableCopy) latest() int64 {
+	return c.latestMS + clock.Now().Sub(c.clockAt).Milliseconds()
+}
+
+// observeClock records the store's clock as the answer to a call states it.
+func (c *tableCopy) observeClock(page site.Page, requestedAt time.Time) {
 	c.nowMS, c.clockAt = page.StoreClockMS, clock.Now()
+	c.latestMS = c.nowMS + c.clockAt.Sub(requestedAt).Milliseconds() + 1 // Of which a part was cut off.
+}
+
+// register returns the register of a service.
+func (c *tableCopy) register(service string) register {
+	r, ok := c.registers[service]
+	if !ok {
+		r.askedAt = c.requestedAt
+	}
+	return r
 }
 
 // apply replaces the copy by a read. Registers that this process has written since the read
@@ -73,11 +91,11 @@
 func (c *tableCopy) apply(page site.Page, requestedAt time.Time) {
 	maps.DeleteFunc(c.registers, func(_ string, r register) bool { return page.Era != c.era || r.rowVersion <= page.Version })
 	clear(c.segments)
+	c.loaded, c.era, c.version, c.requestedAt = true, page.Era, page.Version, requestedAt
+	c.observeClock(page, requestedAt)
 	for _, row := range page.Rows {
 		c.applyRow(row)
 	}
-	c.loaded, c.era, c.version, c.requestedAt = true, page.Era, page.Version, requestedAt
-	c.observeClock(page)
 }
 
 func (c *tableCopy) applyRow(row site.Row) {
@@ -85,7 +103,7 @@
 	switch {
 	case isRegister && c.registers[service].rowVersion > row.Version: // Written here in the meantime.
 	case isRegister:
-		stored := register{rowVersion: row.Version}
+		stored := register{rowVersion: row.Version, askedAt: c.requestedAt}
 		if err := json.Unmarshal(row.Value, &stored.Register); err != nil {
 			log.Info("A row does not hold the versions of a service; it will be replaced.", "row", row.Key, "reason", err.Error())
 			stored.Register = streamversion.Register{Era: unreadableEra}
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -26,6 +26,10 @@
 // maxLinesPerSec bounds the lines about streams that are taken up.
 const maxLinesPerSec = 30
 
+// maxRegisterAge is how much earlier than a version was listed a register may have been read
+// that tells that it is in use: its end may have been noted since.
+const maxRegisterAge = 1 * time.Second
+
 // maxServiceBytes bounds the name of a service, which is part of a key of the store. An entry
 // with a longer one is that of another writer.
 const maxServiceBytes = 190
@@ -191,14 +195,15 @@
 	if v.engines == 0 || !t.table.loaded {
 		return
 	}
-	row := t.table.registers[serviceName]
-	if row.InUse(versionName) {
+	row := t.table.register(serviceName)
+	if row.InUse(versionName) && row.askedAt.After(v.since.Add(-maxRegisterAge)) {
 		t.setInUse(serviceName, versionName, v, "the store")
 		v.missing = false
 		return
 	}
-	if row.Era == t.store.Era() && t.table.requestedAt.After(v.since) {
+	if !row.InUse(versionName) && row.Era == t.store.Era() && row.askedAt.After(v.since) {
 		v.missing, v.inUse = true, false
+		t.signal()
 	}
 }
 
--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -112,7 +112,7 @@
 	if t.lacksWord() {
 		return true
 	}
-	if clock.Now().Sub(t.table.clockAt) < recheckInterval {
+	if clock.Now().Sub(t.table.requestedAt) < recheckInterval {
 		return false
 	}
 	if len(t.table.segments) > 0 && t.fleet.AmongFirst(registrars) {
@@ -129,12 +129,15 @@
 // lacksWord reports whether this process has waited long enough for the word of another one
 // about a listed version. t.mu must be held.
 func (t *Tracker) lacksWord() bool {
-	if t.fleet.AmongFirst(registrars) {
-		return false // It writes the register, and reads it if another process has written it.
-	}
-	for _, s := range t.services {
-		for _, v := range s.versions {
-			if v.engines > 0 && !v.inUse && !v.missing && t.patienceIsOver(v.since) {
+	first := t.fleet.AmongFirst(registrars)
+	for serviceName, s := range t.services {
+		register := t.table.register(serviceName)
+		for name, v := range s.versions {
+			if v.engines == 0 || v.inUse || v.missing {
+				continue
+			}
+			// One of the first writes the register, unless its copy has the version.
+			if first && register.InUse(name) || !first && t.patienceIsOver(v.since) {
 				return true
 			}
 		}
@@ -177,9 +180,12 @@
 		return dueWrite{}, false
 	}
 	for name, s := range t.services {
-		row := t.table.registers[name]
+		row := t.table.register(name)
+		mayEnd := first && s.settled()
+		noted := row.EndsNoted(s.listed())
 		next, changed := row.Next(streamversion.Observation{
-			Moment: t.table.moment(), Listed: s.due(first), Remembered: s.remembered, EndUnlisted: first && s.settled(),
+			Moment: t.table.moment(), LatestMS: t.table.latest(), Listed: s.due(first), Remembered: s.remembered,
+			NoteUnlisted: mayEnd && !noted, EndUnlisted: mayEnd && noted && s.remembered == nil,
 		})
 		if changed {
 			return dueWrite{service: name, next: next, before: row.Register, rowVersion: row.rowVersion}, true
@@ -225,6 +231,7 @@
 	var tx site.Tx
 	tx.Require(Table, registerPrefix+due.service, due.rowVersion)
 	tx.Put(Table, registerPrefix+due.service, value)
+	askedAt := clock.Now()
 	page, err := t.commit(ctx, tx)
 	if errors.Is(err, site.ErrConflict) {
 		return t.refresh(ctx)
@@ -239,7 +246,8 @@
 	if page.Era != t.table.era {
 		return nil // It is read again.
 	}
-	t.table.registers[due.service] = register{Register: due.next, rowVersion: page.Version}
+	t.table.registers[due.service] = register{Register: due.next, rowVersion: page.Version, askedAt: askedAt}
+	t.table.observeClock(page, askedAt)
 	t.services[due.service].remembered = nil
 	t.reconcile()
 	return nil
