A part of the changes of a table is not taken for all of them

A process could take its list of endpoints for more recent than it was, and send requests to endpoints past the bound within which one that leaves gets none; it passed the age on to others. Cause: the store ends an answer with changes at some hundred rows or 1 MB, and the follower took each answer for all changes up to its sending. Change: an answer of 100 rows or 256 KB and more, whose version is that of its last row, may be a part. It is applied, but counts as recent as the last answer that held all changes, and the follower reads on at once. Smaller answers take no further call.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -54,7 +54,8 @@
 	// set.
 	IsFresh      func() bool
 	KnownVersion func() (era, version int64)
-	// Apply applies changed rows, or the whole table if snapshot is set.
+	// Apply applies changed rows, or the whole table if snapshot is set. The rows known
+	// after it are at least as recent as page.RequestedAt.
 	Apply func(page site.Page, snapshot bool)
 	// OnLost is called for each call that the store does not answer, since another
 	// follower may have been answered since the last; OnRecovered is called when it
@@ -72,6 +73,8 @@
 	lost      bool
 	immediate bool // The next call uses no long polling.
 	backoff   time.Duration
+	partial   bool      // The last answer may have held only the first of the changes.
+	recentAt  time.Time // When the last answer was asked for that held all changes.
 }
 
 // Run follows the table until ctx ends.
@@ -99,6 +102,9 @@
 		return
 	}
 	wait := f.minInterval() - time.Since(start)
+	if f.partial {
+		wait = 0
+	}
 	if err != nil {
 		wait = f.recordFailure(err)
 	}
@@ -137,7 +143,7 @@
 }
 
 func (f *Follower) skipCall() bool {
-	if f.IsFresh == nil || f.version == 0 || f.lost || !f.IsFresh() {
+	if f.IsFresh == nil || f.version == 0 || f.lost || f.partial || !f.IsFresh() {
 		return false
 	}
 	era, version := f.KnownVersion()
@@ -191,6 +197,11 @@
 		return err
 	}
 	f.recordSuccess()
+	f.partial = !snapshot && page.MayLackChanges()
+	if f.partial {
+		page.RequestedAt = f.recentAt // Later changes may be missing.
+	}
+	f.recentAt = page.RequestedAt
 	f.Apply(page, snapshot)
 	f.era, f.version = page.Era, page.Version
 	return nil
