--- /dev/null
+++ b/gateway/node/closing_test.go
@@ -0,0 +1,150 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/platform/site/sitetest"
+)
+
+// channel is a connection of a caller that is kept for several requests.
+type channel struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (h *harness) dial() *channel {
+	conn, err := net.Dial("tcp", h.vm.CallerAddress)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { _ = conn.Close() }) // The test is over.
+	return &channel{t: h.t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// send sends a request in pieces, with a pause between them, and reads the answer. An error
+// is that of a channel that ended.
+func (c *channel) send(pause time.Duration, pieces ...string) (status int, body string, err error) {
+	for i, piece := range pieces {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		if _, err := io.WriteString(c.conn, piece); err != nil {
+			return 0, "", err
+		}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // TCP connections support deadlines.
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// piecesOf returns a request in the pieces in which a caller may send it.
+func piecesOf(form int, id string) []string {
+	head := fmt.Sprintf("Host: h.example\r\n%s: %s\r\n%s: key\r\n%s: 5000\r\n", sitetest.HeaderRequestID, id, sitetest.HeaderAPIKey, sitetest.HeaderDeadline)
+	switch form {
+	case 0:
+		return []string{"GET /once/x HTTP/1.1\r\n" + head + "\r\n"}
+	case 1:
+		return []string{"POST /once/x HTTP/1.1\r\n" + head + "Content-Length: 8\r\n\r\n", "the body"}
+	case 2:
+		return []string{"POST /plain/x HTTP/1.1\r\n" + head, "Transfer-Encoding: chunked\r\n\r\n3\r\nthe\r\n", "5\r\n body\r\n0\r\n\r\n"}
+	default:
+		return []string{"G", "ET /plain/x HTTP/1.1\r\n" + head + "\r\n"}
+	}
+}
+
+// Parameters of the test of the close.
+const (
+	formsOfRequests = 4
+	channelsPerForm = 120
+	// closingTime is when a process that was asked to stop closes idle connections: after
+	// the time in which the load balancer may still send it new ones.
+	closingTime = 2500 * time.Millisecond
+	// firstReuse and reuseStep spread the requests around that time.
+	firstReuse = -30 * time.Millisecond
+	reuseStep  = 500 * time.Microsecond
+	// The first and the last requests of each form are certain to be before and after it.
+	longBefore = -800 * time.Millisecond
+	longAfter  = 1200 * time.Millisecond
+)
+
+// reuseAfter returns when the nth of the requests of a form is sent, from the close.
+func reuseAfter(n int) time.Duration {
+	switch n {
+	case 0:
+		return longBefore
+	case channelsPerForm - 1:
+		return longAfter
+	default:
+		return firstReuse + time.Duration(n)*reuseStep
+	}
+}
+
+// Idle connections are used again at each moment around the time at which a process that
+// stops closes them. A request is then answered wholly, or reaches no endpoint.
+func TestRequestsThatCrossTheCloseOfTheirConnectionAreNotRun(t *testing.T) {
+	h := newHarness(t)
+	e := sitetest.NewEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get(sitetest.HeaderRequestID), "second") {
+			time.Sleep(20 * time.Millisecond)
+		}
+		fmt.Fprint(w, "ok")
+	})
+	h.register(e, "plain", "")
+	h.run()
+	h.waitUntilServing(oncePath)
+	var channels []*channel
+	for i := range formsOfRequests * channelsPerForm {
+		c := h.dial()
+		channels = append(channels, c)
+		status, _, err := c.send(0, piecesOf(0, fmt.Sprintf("first%d", i))...)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	}
+	h.stop()
+	closing := time.Now().Add(closingTime)
+	answered, notRun := h.reuse(channels, closing)
+	require.NotEmpty(t, answered, "requests before the close")
+	require.NotEmpty(t, notRun, "requests after the close")
+	for _, received := range e.Requests() {
+		require.NotContains(t, notRun, received.Header.Get(sitetest.HeaderRequestID), "a request without an answer was run")
+	}
+}
+
+// reuse sends one more request on each channel, around a time. It returns the IDs of those
+// that were answered with success and of those that were refused or whose channel ended.
+func (h *harness) reuse(channels []*channel, around time.Time) (answered, notRun []string) {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	for i, c := range channels {
+		running.Go(func() {
+			id := fmt.Sprintf("second%d", i)
+			time.Sleep(time.Until(around.Add(reuseAfter(i / formsOfRequests))))
+			status, body, err := c.send(10*time.Millisecond, piecesOf(i%formsOfRequests, id)...)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || status == http.StatusServiceUnavailable {
+				notRun = append(notRun, id)
+				return
+			}
+			answered = append(answered, fmt.Sprintf("%d %s", status, body))
+		})
+	}
+	running.Wait()
+	for _, answer := range answered {
+		require.Equal(h.t, "200 ok", answer)
+	}
+	return answered, notRun
+}
