A process that stops keeps to the grace period in force

Callers saw: after the settings were reloaded with a longer stop grace period, a process that was asked to stop closed the connections of requests still running when the former period was nearly over, seconds before it had to.

Cause: the time until which running requests are awaited was taken from the settings at the start of the process; only the time of the exit came from those in force.

Change: both come from the settings in force.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -259,7 +259,7 @@
 	n.stopping.Store(true)
 	close(n.stopRequested)
 	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
-	grace := max(n.settings.Bounds.StopGracePeriod-stopMargin, loadBalancerDelay)
+	grace := max(n.bounds.Load().StopGracePeriod-stopMargin, loadBalancerDelay)
 	deadline := time.Now().Add(grace)
 	time.Sleep(min(loadBalancerDelay, grace))
 	callers.SetKeepAlivesEnabled(false)
