A process that stops answers each request that it has begun to read

Callers saw: around the moment at which a process that was asked to stop closes its idle connections and its listener, some 2.5 s after SIGTERM, a whole request was read and its connection closed with neither an answer nor a refusal.

Cause, two: http.Server.Shutdown makes the server drop each request whose header is read afterwards, also the first one on a connection that was accepted before. And idle connections are closed while the next request on them is being read, since they count as idle until its header was parsed.

Change: the listener is closed, and connections are awaited, without Shutdown. ingress.Listener counts open connections; one on which bytes of a request were read since it was idle stays open until the server has answered it, with "Connection: close". What had not been read is cut off as before: its caller may repeat it.

Before, TestRequestsThatAreReadWhileTheProcessClosesAreAnswered fails in all three cases (kept, accepted, accepted-whole): Received unexpected error: unexpected EOF After: passes, with the tests of stops and closes, 3 of 3 runs, -race -cpu 1.

TestRequestOnAClosedConnectionIsNotRun has its server report the state of connections, as in the process; it asks what it asked before.

--- a/gateway/ingress/conn_test.go
+++ b/gateway/ingress/conn_test.go
@@ -41,7 +41,8 @@
 		accepted <- conn
 		return ingress.ConnContext(ctx, conn)
 	}
-	go func() { _ = server.Serve(ingress.Listener{Listener: listener}) }()
+	server.ConnState = ingress.ConnState
+	go func() { _ = server.Serve(ingress.NewListener(listener)) }()
 	defer server.Close()
 
 	conn, err := net.Dial("tcp", listener.Addr().String())
--- a/gateway/node/closing_test.go
+++ b/gateway/node/closing_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/platform/site/sitetest"
@@ -148,3 +149,33 @@
 	}
 	return answered, notRun
 }
+
+// What a process has begun to read when it stops accepting connections is answered: the next
+// request on a kept connection, and the first one on a connection that was accepted before.
+func TestRequestsThatAreReadWhileTheProcessClosesAreAnswered(t *testing.T) {
+	h := newHarness(t)
+	h.register(sitetest.NewEndpoint(t, "e1", nil), "plain", "")
+	h.run()
+	h.waitUntilServing(oncePath)
+	kept := h.dial()
+	status, _, err := kept.send(0, piecesOf(0, "first")...)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	h.stop()
+	time.Sleep(closingTime - 300*time.Millisecond)
+	channels := map[string]*channel{"kept": kept, "accepted": h.dial(), "accepted-whole": h.dial()}
+	pieces := map[string][]string{
+		"kept": piecesOf(3, "kept"), "accepted": piecesOf(3, "accepted"), // The first byte is sent alone.
+		"accepted-whole": append([]string{""}, piecesOf(0, "accepted-whole")...),
+	}
+	var running sync.WaitGroup
+	for name, c := range channels {
+		running.Go(func() {
+			status, _, err := c.send(800*time.Millisecond, pieces[name]...)
+			assert.NoError(t, err, name)
+			assert.Equal(t, http.StatusOK, status, name)
+		})
+	}
+	running.Wait()
+	h.eventually(func() bool { return !accepts(h.vm.CallerAddress) })
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -206,7 +206,7 @@
 	}
 	<-ctx.Done()
 	exitBy := time.Now().Add(n.bounds.Load().StopGracePeriod - exitMargin)
-	n.stop(servers.callers)
+	n.stop(servers)
 	stopTasks()
 	n.awaitTasks(&tasks, exitBy)
 	_ = servers.internal.Close() // The process ends, so an error has no consequence.
@@ -255,19 +255,15 @@
 
 // stop gives the load balancer time to send callers elsewhere and waits for
 // running requests.
-func (n *Node) stop(callers *http.Server) {
+func (n *Node) stop(s servers) {
 	n.stopping.Store(true)
 	close(n.stopRequested)
 	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
 	grace := max(n.bounds.Load().StopGracePeriod-stopMargin, loadBalancerDelay)
 	deadline := time.Now().Add(grace)
 	time.Sleep(min(loadBalancerDelay, grace))
-	callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		log.Error(err, "Requests were still running at the end of the stop grace period.", "vm", n.settings.NodeName)
-		_ = callers.Close() // The connections end with the process in any case.
+	if err := s.drain(deadline); err != nil {
+		log.Error(err, "The process closes the connections of its callers.", "vm", n.settings.NodeName)
 	}
 }
 
--- a/gateway/node/servers.go
+++ b/gateway/node/servers.go
@@ -7,14 +7,38 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"flamingospar.org/gateway/ingress"
 	"flamingospar.org/gateway/relay"
 )
 
 type servers struct {
-	callers  *http.Server
-	internal *http.Server
+	callers     *http.Server
+	connections *ingress.Listener // Of callers.
+	internal    *http.Server
+}
+
+// drainInterval is the time between two checks whether all connections are closed.
+const drainInterval = 20 * time.Millisecond
+
+// errStillRunning is returned when requests were not finished within the stop grace period.
+var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: none, if they may take that long; otherwise lengthen it")
+
+// drain closes the idle connections of callers and waits until all others are closed, at
+// most until the deadline. Each request that was begun to be read is answered, for which
+// http.Server.Shutdown can't be used: it drops requests that it reads later.
+func (s servers) drain(deadline time.Time) error {
+	s.connections.StopAccepting()
+	for time.Now().Before(deadline) {
+		s.callers.SetKeepAlivesEnabled(false) // Closes the connections that are idle now.
+		if s.connections.Open() == 0 {
+			return nil
+		}
+		time.Sleep(drainInterval)
+	}
+	_ = s.callers.Close() // The connections end with the process in any case.
+	return errStillRunning
 }
 
 // openServers listens on all addresses of the process and serves them.
@@ -36,9 +60,9 @@
 		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
 		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, Versions: n.versions, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
-	s := servers{callers: newServer(handler), internal: newServer(n.internalHandler())}
-	s.callers.ConnContext = ingress.ConnContext
-	serveOn(s.callers, ingress.Listener{Listener: callers})
+	s := servers{callers: newServer(handler), connections: ingress.NewListener(callers), internal: newServer(n.internalHandler())}
+	s.callers.ConnContext, s.callers.ConnState = ingress.ConnContext, ingress.ConnState
+	serveOn(s.callers, s.connections)
 	serveOn(s.internal, ready)
 	serveOn(s.internal, control)
 	if n.options.MetricsPort > 0 {
