A long request is not given up while its endpoint's system acknowledges

Cause: TCP_USER_TIMEOUT of 2 s also counts the time during which the window is full, though each probe of it is acknowledged. It can't tell an endpoint that reads nothing from a VM that has ended.

Change: while a request of over 4 KB is sent, the connection is looked at each 0.25 s (TCP_INFO). As long as the endpoint's system acknowledges, or has left no probe or retransmission unanswered, the limit is set to 2 s from then; the kernel also probes at least that often then. Once all is acknowledged the limit is 2 s again. Where TCP_INFO is not known, all stays as it was.

--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -22,7 +22,7 @@
 // Limits of connections to endpoints.
 const (
 	dialTimeout = 600 * time.Millisecond
-	// tcpUserTimeout is how long sent data may remain unacknowledged.
+	// tcpUserTimeout is how long sent data may remain unacknowledged; see sendWatch.
 	tcpUserTimeout    = 2 * time.Second
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -89,6 +89,7 @@
 	carried   carriedIDs // IDs of the requests that were sent on it.
 	answers   int        // Number of final responses received, to any request.
 	strays    int        // Those that can't be told to be the answer to the request.
+	sending   *sendWatch // While a long request is sent.
 }
 
 // Response is the header of an endpoint's response, whose body is read with Read.
@@ -167,8 +168,11 @@
 	data := encodeRequest(request)
 	result := make(chan error, 1)
 	if len(data) > maxInlineWriteBytes {
+		sending := watchSending(c.Conn)
+		c.sending = sending
 		go func() {
 			_, err := c.Conn.Write(data)
+			sending.setWritten()
 			result <- err
 		}()
 		return result, nil
@@ -198,6 +202,7 @@
 // otherwise.
 func (r *Response) Close() {
 	notCancelled := r.stopCancel()
+	r.conn.sending.end()
 	if !notCancelled || !r.reusable() {
 		r.conn.Close()
 		return
