An endpoint's word is asked for again once there is a connection to it

Cause: whether an endpoint had said that it leaves, or had asked to be sent nothing for a time, was asked before the connection was opened, which may take up to dialTimeout. What it said in another answer meanwhile kept nothing from it. Change: transport.Request has MaySend, which is asked right before the request is written; the relay takes the endpoint there. No connection is opened to one that wants nothing. Before: TestRequestIsNotSentIfItsEndpointStatesMeanwhileThatItWantsNone: 'Should be empty, but was [{GET /look/up map[X-Deadline-Ms:[4998] X-Expect-Instance:[e-1] ...' (4 of 4 cases); TestStreamIsNotSentIfItsEngineStatesMeanwhileThatItWantsNone/decode: 'expected: "passed_over" actual: "answered"'. After: both pass, and gateway/relay and gateway/transport with -race -cpu 1.

--- a/gateway/relay/availability_test.go
+++ b/gateway/relay/availability_test.go
@@ -103,3 +103,53 @@
 		})
 	}
 }
+
+// While a connection to the endpoint was being opened, another answer arrived that kept
+// requests from it: the request was sent on the new connection all the same.
+func TestRequestIsNotSentIfItsEndpointStatesMeanwhileThatItWantsNone(t *testing.T) {
+	for name, answer := range map[string]site.EndpointResponse{
+		"leaves": {Leaving: true},
+		"waits":  {RetryAfter: site.RetryAfter{Stated: true, Wait: time.Minute}},
+	} {
+		for _, kind := range []site.RouteKind{site.Idempotent, site.NonIdempotent} {
+			t.Run(name+" "+string(kind), func(t *testing.T) {
+				first, second := sitetest.NewEndpoint(t, "e-1", nil), sitetest.NewEndpoint(t, "e-2", nil)
+				r := newRelay(first, second)
+				r.Pool.OnDial = func() {
+					r.Selector.Observe(site.Endpoint{ID: "e-1", StartedMS: 1}, answer)
+				}
+				recorder := httptest.NewRecorder()
+				outcome := r.Serve(t.Context(), recorder, newJob(kind))
+				require.Equal(t, http.StatusOK, recorder.Code)
+				require.Empty(t, first.Requests())
+				require.Len(t, second.Requests(), 1)
+				require.Equal(t, relay.ResultPassedOver, outcome.Calls[0].Result)
+			})
+		}
+	}
+}
+
+// The same for a stream, whose prompt is read on the engine that generates or on another.
+func TestStreamIsNotSentIfItsEngineStatesMeanwhileThatItWantsNone(t *testing.T) {
+	for name, stage := range map[string]site.Stage{"decode": site.Decode, "prefill": site.Prefill} {
+		t.Run(name, func(t *testing.T) {
+			waits := sitetest.NewEndpoint(t, "e-1", sitetest.WithPrefill("h", sitetest.Events(3, 0)))
+			other := sitetest.NewEndpoint(t, "e-2", sitetest.Events(3, 0))
+			r := newRelay()
+			listed := site.Endpoint{ID: "e-1", Service: "model", Address: waits.Address, DataCentre: "dc-1", Slots: 8, Stage: stage, StartedMS: 1}
+			r.Selector.EndpointChanged(listed)
+			addModel(r, "e-2", other.Address, 1)
+			r.Pool.OnDial = func() {
+				r.Selector.Observe(listed, site.EndpointResponse{RetryAfter: site.RetryAfter{Stated: true, Wait: time.Minute}})
+			}
+			job := newStreamJob()
+			job.Caller.Prompt = site.Prompt{InputTokens: 4000, Parts: []site.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 3990}}}
+			recorder := httptest.NewRecorder()
+			outcome := r.Serve(t.Context(), recorder, job)
+			require.Equal(t, http.StatusOK, recorder.Code)
+			require.Equal(t, relay.ResultPassedOver, outcome.Calls[0].Result)
+			require.Empty(t, waits.Requests())
+			require.Equal(t, "e-2", outcome.Endpoint)
+		})
+	}
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -182,11 +182,17 @@
 }
 
 // sendPermitted sends a request for which a permit was taken, unless the endpoint said
-// meanwhile that it wants none.
+// meanwhile, or says while a connection is opened, that it wants none.
 func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
-	if !r.Selector.Take(endpoint) {
+	if !r.Selector.Allows(endpoint) {
 		return nil, errPassedOver
 	}
+	request.MaySend = func() error {
+		if !r.Selector.Take(endpoint) {
+			return errPassedOver
+		}
+		return nil
+	}
 	request.OnAnswer = func(answer site.EndpointResponse) { r.Selector.Observe(endpoint, answer) }
 	sentAt := time.Now()
 	response, err := r.Pool.Send(ctx, endpoint.Address, request)
--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -68,6 +68,10 @@
 	// MaxIdleConns bounds the idle connections that are kept to the endpoint, in addition
 	// to the limit of the pool. 0 means no such bound.
 	MaxIdleConns int
+	// MaySend, if set, is called once there is a connection, right before the request is
+	// written: opening a connection takes time. Its error, which wraps ErrNotSent, ends the
+	// call.
+	MaySend func() error
 	// OnAnswer, if set, is called with the header of each answer that the endpoint gives on
 	// the connection, also one to another request.
 	OnAnswer func(site.EndpointResponse)
@@ -79,6 +83,13 @@
 	}
 }
 
+func (r Request) maySend() error {
+	if r.MaySend == nil {
+		return nil
+	}
+	return r.MaySend()
+}
+
 type conn struct {
 	net.Conn
 	address   string
@@ -119,6 +130,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := request.maySend(); err != nil {
+		c.Close()
+		return nil, err
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.carried.add(request.ID)
 	writeResult, err := c.writeRequest(request)
