What an endpoint said holds for its earlier starts as well

Cause: statements were kept by ID and start. After the store came back from a copy older than the endpoint's last start, the earlier start was listed, for which nothing was known: an endpoint that had said that it leaves got requests again. Change: one statement for each endpoint, that of the process that started last. It holds for this process and for earlier ones, and what is said in answers to requests to these counts as said by it. A later start is still free of it. Before: TestEndpointThatSaysItLeavesGetsNoRequestsUnderAnEarlierStart (whole process): 'expected: 2 actual: 3 ... a got requests after the store came back from a copy that was older than its start'; TestStatementHoldsForEarlierStarts and TestStatementHoldsIfAnEarlierStartIsListed: 'Should be false'. After: all three pass; core/availability, gateway/engines and gateway/duties with -race.

--- a/core/availability/availability_test.go
+++ b/core/availability/availability_test.go
@@ -58,6 +58,26 @@
 	require.True(t, statements.Take(now, availability.Process{Endpoint: "e", StartedMS: 2}))
 }
 
+// A list that was older than the endpoint's last start named an earlier one: what the
+// process that runs had said was not found, and it got requests. The same held for what it
+// said in answers to these.
+func TestStatementHoldsForEarlierStarts(t *testing.T) {
+	earlier := availability.Process{Endpoint: "e", StartedMS: process.StartedMS - 1}
+	later := availability.Process{Endpoint: "e", StartedMS: process.StartedMS + 1}
+	statements := availability.NewStatements()
+	statements.Observe(start, process, availability.Answer{Leaving: true})
+	require.False(t, statements.Take(start, earlier))
+	require.True(t, statements.Take(start, later))
+
+	statements.Observe(start, later, availability.Answer{Accepted: true})
+	require.False(t, statements.Take(start, earlier), "the later process has said nothing")
+	statements.Observe(start, later, availability.Answer{Wait: 5 * time.Second})
+	require.False(t, statements.Take(start, process))
+	statements.Observe(start, earlier, availability.Answer{Wait: 9 * time.Second})
+	require.False(t, statements.Take(start.Add(8*time.Second), later), "the process that runs said so")
+	require.True(t, statements.Take(start.Add(9*time.Second), later))
+}
+
 // Of several refused requests one stated a shorter time: the endpoint got requests before
 // the end of the longer one. A request that was accepted meanwhile doesn't end it either.
 func TestWaitsNeverGetShorter(t *testing.T) {
--- a/core/availability/statements.go
+++ b/core/availability/statements.go
@@ -6,7 +6,8 @@
 const maxStatements = 4096
 
 // Process identifies one process of an endpoint. What it says does not hold for the next
-// process under the same ID.
+// process under the same ID. It holds for earlier ones: a list that names one of them is
+// older than what was said.
 type Process struct {
 	Endpoint  string // ID.
 	StartedMS int64  // Unix milliseconds of its start.
@@ -15,24 +16,36 @@
 // Statements keeps what endpoints have said of themselves, whether they are listed or not:
 // a list may be older than what an endpoint said.
 type Statements struct {
-	byProcess map[Process]*entry
-	waitsEnd  time.Time // The end of the latest wait.
+	byEndpoint map[string]*entry // By ID.
+	waitsEnd   time.Time         // The end of the latest wait.
 }
 
+// entry is what the process of an endpoint that started last has said.
 type entry struct {
 	Statement
+	startedMS  int64
 	observedAt time.Time
 }
 
 // NewStatements returns an empty set.
-func NewStatements() *Statements { return &Statements{byProcess: make(map[Process]*entry)} }
+func NewStatements() *Statements { return &Statements{byEndpoint: make(map[string]*entry)} }
+
+// find returns the entry that holds for a process, or nil if there is none.
+func (s *Statements) find(process Process) *entry {
+	known, ok := s.byEndpoint[process.Endpoint]
+	if !ok || known.startedMS < process.StartedMS {
+		return nil
+	}
+	return known
+}
 
 // Of returns what an endpoint has said, or nil if it has said nothing.
 func (s *Statements) Of(process Process) *Statement {
-	if known, ok := s.byProcess[process]; ok {
-		return &known.Statement
+	known := s.find(process)
+	if known == nil {
+		return nil
 	}
-	return nil
+	return &known.Statement
 }
 
 // AnyWaits reports whether an endpoint may have asked to be sent nothing now.
@@ -41,14 +54,12 @@
 // Observe applies an answer of an endpoint and returns the reason that newly holds for it,
 // or None if the same holds as before.
 func (s *Statements) Observe(now time.Time, process Process, answer Answer) Exclusion {
-	known, ok := s.byProcess[process]
-	if !ok {
+	known := s.find(process)
+	if known == nil {
 		if !answer.says() {
 			return Exclusion{}
 		}
-		s.makeRoom()
-		known = &entry{}
-		s.byProcess[process] = known
+		known = s.add(process)
 	}
 	state := State{Statement: &known.Statement}
 	before := state.PassOver(now, false)
@@ -73,20 +84,29 @@
 	return true
 }
 
+// add adds an entry for a process in place of that for an earlier one.
+func (s *Statements) add(process Process) *entry {
+	delete(s.byEndpoint, process.Endpoint)
+	s.makeRoom()
+	added := &entry{startedMS: process.StartedMS}
+	s.byEndpoint[process.Endpoint] = added
+	return added
+}
+
 // makeRoom drops the statement that was observed first if there are too many. Those of
 // endpoints that leave are the last to go: nothing else may tell of their leaving.
 func (s *Statements) makeRoom() {
-	if len(s.byProcess) < maxStatements {
+	if len(s.byEndpoint) < maxStatements {
 		return
 	}
-	var oldest Process
+	oldest := ""
 	var dropped *entry
-	for process, known := range s.byProcess {
+	for endpoint, known := range s.byEndpoint {
 		if dropped == nil || known.dropsBefore(dropped) {
-			oldest, dropped = process, known
+			oldest, dropped = endpoint, known
 		}
 	}
-	delete(s.byProcess, oldest)
+	delete(s.byEndpoint, oldest)
 }
 
 func (e *entry) dropsBefore(other *entry) bool {
--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -75,12 +75,10 @@
 // attachStatement makes known to the choice of endpoints what an endpoint has said. s.mu
 // must be held.
 func (s *Selector) attachStatement(endpoint site.Endpoint) {
-	if s.endpoints[endpoint.ID].StartedMS != endpoint.StartedMS {
-		return
-	}
 	if state := s.state(endpoint.ID); state != nil {
-		state.Statement = s.statements.Of(processOf(endpoint))
-		delete(s.fleets, endpoint.Service)
+		listed := s.endpoints[endpoint.ID]
+		state.Statement = s.statements.Of(processOf(listed))
+		delete(s.fleets, listed.Service)
 	}
 }
 
--- a/gateway/engines/availability_test.go
+++ b/gateway/engines/availability_test.go
@@ -76,3 +76,20 @@
 	require.False(t, s.Take(plainRow("old", 1)))
 	require.False(t, s.Take(reused))
 }
+
+// The store came back from a copy that was older than the endpoint's last start.
+func TestStatementHoldsIfAnEarlierStartIsListed(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := newPlainSelector(&now)
+	s.EndpointChanged(plainRow("e-1", 2))
+	s.Observe(plainRow("e-1", 2), site.EndpointResponse{Leaving: true})
+	s.EndpointGone("e-1")
+	s.EndpointChanged(plainRow("e-1", 1))
+	_, _, ok := s.ChoosePlain("s", nil)
+	require.False(t, ok)
+	require.False(t, s.Take(plainRow("e-1", 1)))
+	require.Equal(t, []string{"e-1:80"}, s.LeavingAddresses())
+	s.EndpointChanged(plainRow("e-1", 3))
+	_, _, ok = s.ChoosePlain("s", nil)
+	require.True(t, ok)
+}
--- a/gateway/node/leaving_test.go
+++ b/gateway/node/leaving_test.go
@@ -183,3 +183,25 @@
 	h.store.Put(site.TableEndpoints, e.ID, e.row(1, 2))
 	h.waitUntilServing(plainPath)
 }
+
+// The store came back from a copy that was older than the last start of an endpoint that
+// had said that it leaves: under its earlier start it got requests.
+func TestEndpointThatSaysItLeavesGetsNoRequestsUnderAnEarlierStart(t *testing.T) {
+	h := newStatingHarness(t)
+	leaves := h.addStating("plain", "", nil, "a")[0]
+	h.run()
+	h.waitUntilServing(plainPath)
+	older := h.store.Copy()
+	h.store.Put(site.TableEndpoints, leaves.ID, leaves.row(1, 2))
+	time.Sleep(time.Second)
+	leaves.SetLeaving(true)
+	h.eventually(func() bool {
+		h.sendLong(plainPath)
+		return leaves.SaidLeaving()
+	})
+	h.store.Delete(site.TableEndpoints, leaves.ID)
+	time.Sleep(time.Second)
+	h.store.Restore(older)
+	time.Sleep(7 * time.Second) // Longer than a removed endpoint's return from a copy is deferred.
+	h.requireNoRequests(plainPath, leaves, "after the store came back from a copy that was older than its start")
+}
