--- a/gateway/node/otherpart_test.go
+++ b/gateway/node/otherpart_test.go
@@ -48,7 +48,9 @@
 		h.store.PutInPart(site.TableEndpoints, part, "e-2", []byte(oddRow("8", "1", "1", "")(other.Address)))
 		serves(t, h)
 		h.store.Delete(site.TableEndpoints, e.ID)
-		h.eventually(func() bool { return h.send(http.MethodPost, plainPath, "key", nil).status != http.StatusOK || len(other.Requests()) > 0 })
+		h.eventually(func() bool {
+			return h.send(http.MethodPost, plainPath, "key", nil).status != http.StatusOK || len(other.Requests()) > 0
+		})
 		require.Empty(t, other.Requests())
 	})
 	t.Run("configuration", func(t *testing.T) {
