Streams begin only at versions that are known to be registered

Found by a review: in the moment in which the last engine of a version is removed, a stream could begin at a version that is not registered, and be taken up later at another one.

Cause: the selector asked which versions are not registered. The tracker forgets a version before the selector forgets its engine, and in between nothing spoke against it.

Change: the selector asks which versions are registered, and passes over all others. Services whose name is too long for a register are served as before.

--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -45,7 +45,6 @@
 	biases           map[string]*placement.Bias     // By service.
 	lengthsByService map[string]*meanLengths        // Of responses, by service.
 	statements       *availability.Statements       // Of listed and former endpoints.
-	unregistered     map[string]bool                // Services with engines of a version that is not registered.
 	sentPrompts      sentPromptList
 	jitter           time.Duration
 	processes        int                  // Entry processes, this one included.
@@ -59,7 +58,7 @@
 		enginesByID: make(map[string]*placement.Engine), enginesByService: make(map[string][]*placement.Engine),
 		plainByService: make(map[string][]*plainEndpoint), endpoints: make(map[string]site.Endpoint), memoryTokens: make(map[string]int),
 		biases: make(map[string]*placement.Bias), sentPrompts: sentPromptList{nextSeq: make(map[string]int)}, peerReportedAt: make(map[string]time.Time),
-		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet), statements: availability.NewStatements(), unregistered: make(map[string]bool),
+		lengthsByService: make(map[string]*meanLengths), fleets: make(map[string]*placement.Fleet), statements: availability.NewStatements(),
 	}
 }
 
--- a/gateway/engines/versions_test.go
+++ b/gateway/engines/versions_test.go
@@ -11,14 +11,14 @@
 	"flamingospar.org/platform/site"
 )
 
-type unregistered struct{ versions []string }
+type registered struct{ versions []string }
 
-func (u *unregistered) Unregistered(string) []string { return u.versions }
+func (r *registered) Registered(string) ([]string, bool) { return r.versions, true }
 
 // A stream that begins at a version which is not registered could be joined with another one
 // later: its engines are passed over, also as a last choice, until the version is registered.
 func TestEnginesOfAnUnregisteredVersionArePassedOver(t *testing.T) {
-	versions := &unregistered{versions: []string{"v2"}}
+	versions := &registered{versions: []string{"v1"}}
 	s := engines.New("a", time.Now)
 	s.Versions = versions
 	for id, version := range map[string]string{"old": "v1", "new": "v2"} {
@@ -34,6 +34,6 @@
 	_, ok := s.ChooseDecode("m", request)
 	require.False(t, ok)
 
-	versions.versions = nil
+	versions.versions = []string{"v1", "v2"}
 	require.Equal(t, "new", s.Place("m", request).DecodeEndpoint.ID)
 }
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -217,22 +217,24 @@
 		"service", serviceName, "software", versionName, "source", source, "listed_ms", clock.Now().Sub(v.since).Milliseconds(), "era", t.table.era, "version", t.table.version)
 }
 
-// Unregistered returns the versions of a service at which no stream may begin, since they
-// are not known to be registered as in use.
-func (t *Tracker) Unregistered(serviceName string) []string {
+// Registered returns the listed versions of a service that are known to be registered as in
+// use: streams may begin at them alone. kept is false if no register of the service is kept.
+func (t *Tracker) Registered(serviceName string) (versions []string, kept bool) {
+	if len(serviceName) > maxServiceBytes {
+		return nil, false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.services[serviceName]
 	if !ok {
-		return nil
+		return nil, true
 	}
-	var unregistered []string
 	for name, v := range s.versions {
-		if v.engines > 0 && !v.inUse {
-			unregistered = append(unregistered, name)
+		if v.engines > 0 && v.inUse {
+			versions = append(versions, name)
 		}
 	}
-	return unregistered
+	return versions, true
 }
 
 // Ready reports whether streams of each service with listed engines could begin, if only
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -272,3 +272,8 @@
 	p.awaitConfirmed()
 	require.Equal(t, []string{"in-use/s"}, store.Keys(streamversions.Table))
 }
+
+// listAt lists an engine with an ID of its own.
+func (p *process) listAt(id, service, version string) {
+	p.EndpointChanged(site.Endpoint{ID: id, Service: service, Stage: site.Decode, SoftwareVersion: version})
+}
