A version that is in doubt is never found

What callers could get: a stream joined from two versions. Found by a review.

Cause: the version of a stream that is in doubt is noted as the empty one. Of a stream that was remembered no more when the doubt arose, since it was too old or the memory was full, nothing but that note was left, and it counted as a version that is known; the empty one means that a stream may go on anywhere. Other processes were told the same.

Change: a doubtful version is not found, here or in the answer of another process.

Measured, before: TestDoubtfulVersionIsNeverFound: "Should be false ... found """, and TestDoubtfulVersionIsNeverFoundInAFullMemory: "Should be zero, but was 32768". After: core/streamversion and gateway/peers pass (-race -cpu 1).

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -76,7 +76,7 @@
 // Find returns the version that began a stream, and false if it is not known.
 func (m *Memory) Find(id StreamID) (string, bool) {
 	known, ok := m.byID[id]
-	if !ok || known.several {
+	if !ok || known.several || known.version == Doubtful {
 		return "", false
 	}
 	return known.version, true
--- a/gateway/peers/streams.go
+++ b/gateway/peers/streams.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"flamingospar.org/core/streamversion"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
@@ -30,7 +31,7 @@
 	for range asked {
 		select {
 		case answer := <-answers:
-			if answer.GetKnown() {
+			if answer.GetKnown() && answer.GetVersion() != streamversion.Doubtful {
 				return answer.GetVersion(), true
 			}
 		case <-ctx.Done():
