A write of streams that is carried out late replaces nothing

What callers saw in the test: a stream that was written down was refused when it was taken up after its process had ended. Found by a review.

Cause: a process writes a row of streams several times, each time with what has come since. A write without an answer was repeated under the same key, and if the store carried the first one out late, what had been written since was lost.

Change: after a write that failed the row goes on under a new key.

Measured, before: TestWriteOfStreamsThatIsCarriedOutLateReplacesNothing: expected "v2", actual "". After: gateway/streamversions passes (-race -cpu 1, 20 s).

--- a/gateway/streamversions/streams.go
+++ b/gateway/streamversions/streams.go
@@ -47,12 +47,19 @@
 	t.writer.lastFlushAt = clock.Now()
 	page, err := t.commit(ctx, tx)
 	if err != nil {
+		t.writer.renewKey(t.instance) // The write may take effect late, and must replace nothing then.
 		return err
 	}
 	t.streamsWritten(page, removed)
 	return nil
 }
 
+// renewKey gives the segment a key of its own.
+func (w *writer) renewKey(instance string) {
+	w.segments++
+	w.segmentKey, w.writes = fmt.Sprintf("%s%s/%d", segmentPrefix, instance, w.segments), 0
+}
+
 // takeStreams adds the streams that have to be written to the segment.
 func (t *Tracker) takeStreams() {
 	t.mu.Lock()
@@ -60,8 +67,8 @@
 	w := &t.writer
 	full := w.writes >= maxSegmentWrites || len(w.segment.streams) >= maxSegmentStreams
 	if w.segmentKey == "" || full && !w.unsaved {
-		w.segments++
-		w.segmentKey, w.writes, w.unsaved = fmt.Sprintf("%s%s/%d", segmentPrefix, t.instance, w.segments), 0, false
+		w.renewKey(t.instance)
+		w.unsaved = false
 		w.segment = segment{streams: make(map[streamversion.StreamID]string)}
 	}
 	for name, s := range t.services {
