Registrars read the versions in use from time to time

What callers could get: a stream joined from two versions. Found by a review.

Cause: a process that did not see the engines of a version for a moment wrote the version's end, and was killed before it saw them again. All others, which see one version, had no cause to read the register: they began streams at a version that had ended there, and a minute later nobody who started counted it as possible.

Change: the first two processes, which register versions, read the table each 10 s also while one version alone is in use. One that lists a version which has ended registers it again; an ended version counts as possible for 60 s. That is 0.2 calls a second to the store for any fleet.

Measured, before: TestEndWrittenByAProcessThatWasKilledIsTakenBackByTheOthers: "Should not be: "v2" ... the stream of v1 goes on at v2". After: passes.

--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -29,7 +29,8 @@
 	// endDelay is how long a version must be unlisted before its end is written: an engine
 	// may be listed again.
 	endDelay = 1 * time.Second
-	// recheckInterval is the time between two reads while there are several versions.
+	// recheckInterval is the time between two reads while there are several versions, and of
+	// the registrars always. It must be far below the retention of streams.
 	recheckInterval = 10 * time.Second
 	writeTimeout    = 1 * time.Second
 	// maxAttempts bounds the writes of registers in a row, of which others may prevent some.
@@ -115,8 +116,8 @@
 	if clock.Now().Sub(t.table.requestedAt) < recheckInterval {
 		return false
 	}
-	if len(t.table.segments) > 0 && t.fleet.AmongFirst(registrars) {
-		return true
+	if t.fleet.AmongFirst(registrars) && (len(t.table.segments) > 0 || len(t.endpoints) > 0) {
+		return true // Another process may have ended a version that this one lists.
 	}
 	for name, s := range t.services {
 		if t.several(name, s) {
