A take-up goes on at the version and the service that began the stream

A route was moved to another service. A stream that an engine of the service before had begun was joined with events of the new one at that one's version, since only its register was looked at. On a split route a take-up went to the service drawn for it.

Cause: versions belong to one service, and records of streams named no service.

Change: a process remembers the service with the version, and writes both (one entry more for each service in a row of streams; rows without services are read as before). A take-up whose service is known goes there if its route leads there now. On a route that was moved it goes on at the new service at a version of the same name, as before, and is refused otherwise.

Weighed: to refuse all take-ups of a moved route. What is written at versions of different names doesn't fit together; of services nothing like that is said, and a caller whose stream can go on is served better.

Open: other processes answer without the service, since their message has no field for it, and an inferred version tells no service. Such a take-up goes on at the version of the same name at the service drawn.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -77,6 +77,7 @@
 
 	mu      sync.Mutex
 	invalid logging.Reasons // Why a configuration could not be parsed, by source.
+	former  []former        // Those that were replaced, in order.
 }
 
 // Current returns the configuration in force, or nil if there is none yet.
@@ -104,6 +105,7 @@
 			return
 		}
 		if h.current.CompareAndSwap(current, candidate) {
+			h.recordReplaced(current)
 			log.Info("A configuration is in force.", "version", candidate.Version, "source", source, "routes", len(candidate.Routes), "teams", len(candidate.Teams))
 			return
 		}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -124,6 +124,9 @@
 		Route: route, Service: pickService(route), Team: team.Name, Identity: identity, Trial: decision.Trial, Priority: route.Priority, Arrived: arrived,
 		Deadline: deadline(caller, route, arrived), ConfigVersion: current.Version,
 	}
+	if caller.LastEventID != "" {
+		job.FormerServices = h.Config.FormerServices(r.Host, path)
+	}
 	if team.Priority != nil {
 		job.Priority = *team.Priority
 	}
--- a/gateway/relay/job.go
+++ b/gateway/relay/job.go
@@ -11,21 +11,24 @@
 
 // Job is a caller's request that was read completely and admitted.
 type Job struct {
-	Caller        site.CallerRequest
-	Method        string
-	Target        string // Path and query as the caller sent them.
-	Host          string
-	Header        http.Header // Headers of the caller that are forwarded to endpoints.
-	Body          []byte
-	Route         site.Route
-	Service       string
-	Team          string
-	Identity      crashes.Request // What it is recognised by if it crashes endpoints.
-	Trial         bool            // It shows whether a part of its prompt still crashes endpoints.
-	Priority      int             // Of the team if it has one, otherwise of the route; 0 first.
-	Arrived       time.Time
-	Deadline      time.Time // The earlier one of the caller's and the route's.
-	ConfigVersion int64     // Of the configuration that admitted it.
+	Caller  site.CallerRequest
+	Method  string
+	Target  string // Path and query as the caller sent them.
+	Host    string
+	Header  http.Header // Headers of the caller that are forwarded to endpoints.
+	Body    []byte
+	Route   site.Route
+	Service string
+	// FormerServices are those to which former configurations sent such a request while the
+	// stream that it takes up may have begun.
+	FormerServices []string
+	Team           string
+	Identity       crashes.Request // What it is recognised by if it crashes endpoints.
+	Trial          bool            // It shows whether a part of its prompt still crashes endpoints.
+	Priority       int             // Of the team if it has one, otherwise of the route; 0 first.
+	Arrived        time.Time
+	Deadline       time.Time // The earlier one of the caller's and the route's.
+	ConfigVersion  int64     // Of the configuration that admitted it.
 }
 
 // Repeatable reports whether the request may be run again from its start.
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -37,8 +37,8 @@
 type oneVersion struct{}
 
 func (oneVersion) RecordStreamAt(string, string, site.Endpoint) {}
-func (oneVersion) Find(context.Context, streamversions.TakeUp) (string, bool) {
-	return softwareVersion, true
+func (oneVersion) Find(context.Context, streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
+	return streamversions.ServiceVersion{Version: softwareVersion}, true
 }
 
 // softwareVersion is that of all endpoints.
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"flamingospar.org/gateway/streamversions"
@@ -17,21 +18,26 @@
 type StreamVersions interface {
 	// RecordStreamAt records that a stream begins at an endpoint.
 	RecordStreamAt(service, requestID string, endpoint site.Endpoint)
-	// Find returns the version that began a stream that is taken up, and false if it can't
-	// be known.
-	Find(ctx context.Context, taken streamversions.TakeUp) (string, bool)
+	// Find returns the version, and the service if it is known, that began a stream that is
+	// taken up, and false if the version can't be known.
+	Find(ctx context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool)
 }
 
 // takesUp reports whether the caller takes up a stream that another request began.
 func (s *stream) takesUp() bool { return s.job.Caller.LastEventID != "" }
 
-// findVersion finds the version at which a stream that is taken up has to go on. It reports
-// false if the version is not known.
+// findVersion finds the version at which a stream that is taken up has to go on, and sends it
+// to the service that began it if its route still leads there. It reports false if the version
+// is not known.
 func (s *stream) findVersion(ctx context.Context) bool {
-	version, ok := s.relay.Versions.Find(ctx, streamversions.TakeUp{
-		Service: s.job.Service, Services: s.job.Route.Services(), RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
+	begun, ok := s.relay.Versions.Find(ctx, streamversions.TakeUp{
+		Service: s.job.Service, Services: s.job.Route.Services(), FormerServices: s.job.FormerServices,
+		RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
 	})
-	s.version = version
+	s.version = begun.Version
+	if slices.Contains(s.job.Route.Services(), begun.Service) {
+		s.job.Service = begun.Service
+	}
 	return ok
 }
 
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -17,6 +17,7 @@
 // fakeVersions knows the versions of some streams.
 type fakeVersions struct {
 	known    map[string]string // By resumed request.
+	service  string            // That began them; empty if it is not known.
 	recorded map[string]string // By request.
 }
 
@@ -24,9 +25,9 @@
 	f.recorded[requestID] = endpoint.SoftwareVersion
 }
 
-func (f *fakeVersions) Find(_ context.Context, taken streamversions.TakeUp) (string, bool) {
+func (f *fakeVersions) Find(_ context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
 	version, ok := f.known[taken.ResumedRequestID]
-	return version, ok
+	return streamversions.ServiceVersion{Service: f.service, Version: version}, ok
 }
 
 // recordingWriter notes what was recorded when the first byte was written.
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -1,8 +1,10 @@
 package streamversions
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"flamingospar.org/base/clock"
@@ -29,6 +31,7 @@
 type TakeUp struct {
 	Service          string
 	Services         []string // All to which its route may send it, Service included.
+	FormerServices   []string // Those to which its route may have led when it began.
 	RequestID        string
 	ResumedRequestID string // The request that brought the first event; empty if unknown.
 }
@@ -51,54 +54,54 @@
 }
 
 // Find returns the version that began a stream that is taken up, and false if it can't be
-// known.
-func (t *Tracker) Find(ctx context.Context, taken TakeUp) (string, bool) {
+// known. The service that began it is empty if it is not known.
+func (t *Tracker) Find(ctx context.Context, taken TakeUp) (ServiceVersion, bool) {
 	start := clock.Now()
-	version, source, err := t.findHere(ctx, taken)
+	begun, source, err := t.findHere(ctx, taken)
 	if source == SourceUnknown && taken.ResumedRequestID != "" && ctx.Err() == nil {
 		if found, ok := t.fleet.FindStream(ctx, uint64(streamversion.IDOf(taken.ResumedRequestID))); ok {
-			version, source = found, SourcePeer
+			begun, source = ServiceVersion{Version: found}, SourcePeer
 		}
 	}
 	if source != SourceUnknown && taken.ResumedRequestID != "" {
-		t.RecordStream(taken.Service, taken.ResumedRequestID, version)
+		t.RecordStream(cmp.Or(begun.Service, taken.Service), taken.ResumedRequestID, begun.Version)
 	}
 	t.meter.Count("stream_versions", "found", string(source))
-	t.logTakeUp(taken, version, source, start, err)
-	return version, source != SourceUnknown
+	t.logTakeUp(taken, begun, source, start, err)
+	return begun, source != SourceUnknown
 }
 
 // findHere finds the version without asking other processes.
-func (t *Tracker) findHere(ctx context.Context, taken TakeUp) (string, Source, error) {
+func (t *Tracker) findHere(ctx context.Context, taken TakeUp) (ServiceVersion, Source, error) {
 	id := streamversion.IDOf(taken.ResumedRequestID)
-	if version, ok := t.Remembered(uint64(id)); ok && taken.ResumedRequestID != "" {
-		return version, SourceMemory, nil
+	if begun, ok := t.remembered(id); ok && taken.ResumedRequestID != "" {
+		return begun, SourceMemory, nil
 	}
 	if t.StoreLost() {
-		return "", SourceUnknown, nil
+		return ServiceVersion{}, SourceUnknown, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	if err := t.refresh(ctx); err != nil {
-		return "", SourceUnknown, err
+		return ServiceVersion{}, SourceUnknown, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version, ok := t.table.find(id); ok && taken.ResumedRequestID != "" {
-		return version, SourceStore, nil
+	if begun, ok := t.table.find(id); ok && taken.ResumedRequestID != "" {
+		return begun, SourceStore, nil
 	}
 	now := streamversion.Moment{Era: t.store.Era(), NowMS: t.table.nowMS}
 	if version, ok := t.singleOf(taken, now); ok && t.table.era == now.Era {
-		return version, SourceSingle, nil
+		return ServiceVersion{Version: version}, SourceSingle, nil
 	}
-	return "", SourceUnknown, nil
+	return ServiceVersion{}, SourceUnknown, nil
 }
 
 // singleOf returns the version that began all streams of the services to which a route may
-// send a stream, and false if there may be several. t.mu must be held.
+// send a stream, or may have sent it, and false if there may be several. t.mu must be held.
 func (t *Tracker) singleOf(taken TakeUp, now streamversion.Moment) (string, bool) {
 	registers := []streamversion.Register{t.table.registers[taken.Service].Register}
-	for _, name := range taken.Services {
+	for _, name := range slices.Concat(taken.Services, taken.FormerServices) {
 		registers = append(registers, t.table.registers[name].Register)
 	}
 	return streamversion.SingleOf(now, registers...)
@@ -107,18 +110,30 @@
 // Remembered returns the version that began a stream which this process has begun or taken
 // up.
 func (t *Tracker) Remembered(id uint64) (string, bool) {
+	begun, ok := t.remembered(streamversion.StreamID(id))
+	return begun.Version, ok
+}
+
+// remembered is Remembered with the service. A stream that several services began is not
+// known.
+func (t *Tracker) remembered(id streamversion.StreamID) (begun ServiceVersion, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.services {
-		if version, ok := s.memory.Find(streamversion.StreamID(id)); ok {
-			return version, true
+	for name, s := range t.services {
+		version, known := s.memory.Find(id)
+		if !known {
+			continue
+		}
+		if ok {
+			return ServiceVersion{}, false
 		}
+		begun, ok = ServiceVersion{Service: name, Version: version}, true
 	}
-	return "", false
+	return begun, ok
 }
 
 // logTakeUp writes a line about a stream that is taken up.
-func (t *Tracker) logTakeUp(taken TakeUp, version string, source Source, start time.Time, err error) {
+func (t *Tracker) logTakeUp(taken TakeUp, begun ServiceVersion, source Source, start time.Time, err error) {
 	ok, omitted := t.lines.Allow("", maxLinesPerSec)
 	if !ok {
 		return
@@ -130,7 +145,7 @@
 	possible := row.Possible(t.table.nowMS)
 	t.mu.Unlock()
 	fields := []any{
-		"request", taken.RequestID, "resumed_request", taken.ResumedRequestID, "service", taken.Service, "software", version, "known_from", string(source), "possible", possible,
+		"request", taken.RequestID, "resumed_request", taken.ResumedRequestID, "service", taken.Service, "begun_at", begun.Service, "software", begun.Version, "known_from", string(source), "possible", possible,
 		"register_era", row.Era, "uncertain_until_ms", row.UncertainUntilMS, "era", era, "version", tableVersion, "age_ms", age.Milliseconds(), "ms", clock.Now().Sub(start).Milliseconds(), "lines_omitted", omitted,
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/gateway/streamversions/removed_test.go
+++ b/gateway/streamversions/removed_test.go
@@ -18,10 +18,9 @@
 func TestVersionOfAnEngineThatIsBeingRemovedStaysUnregistered(t *testing.T) {
 	store := sitetest.NewStore(t)
 	p := startProcess(t, store, "a", true)
-	p.listAt("old", "s", "v1")
-	p.awaitConfirmed()
+	listAt(p, "old", "s", "v1")
 	store.SetDown(true)
-	p.listAt("new", "s", "v2")
+	p.EndpointChanged(site.Endpoint{ID: "new", Service: "s", Stage: site.Decode, SoftwareVersion: "v2"})
 	require.Equal(t, []string{"v2"}, p.Unregistered("s"))
 	selector := engines.New("dc", time.Now)
 	selector.Versions = p.Tracker
--- a/gateway/streamversions/segment.go
+++ b/gateway/streamversions/segment.go
@@ -26,23 +26,28 @@
 // segment is a number of streams that one process began.
 type segment struct {
 	writtenMS int64 // By the store's clock.
-	streams   map[streamversion.StreamID]string
+	streams   map[streamversion.StreamID]ServiceVersion
 }
 
 // segmentRow is the value of a row.
 type segmentRow struct {
 	WrittenMS int64    `json:"written_ms"`
 	Versions  []string `json:"versions"`
-	Streams   []byte   `json:"streams"`
+	// Services holds the service of each entry of Versions. Processes of an earlier release
+	// write none.
+	Services []string `json:"services,omitempty"`
+	Streams  []byte   `json:"streams"`
 }
 
 func (s segment) encode() ([]byte, error) {
 	row := segmentRow{WrittenMS: s.writtenMS}
-	for id, version := range s.streams {
-		index := slices.Index(row.Versions, version)
-		if index < 0 {
+	indexes := make(map[ServiceVersion]int)
+	for id, begun := range s.streams {
+		index, ok := indexes[begun]
+		if !ok {
 			index = len(row.Versions)
-			row.Versions = append(row.Versions, version)
+			indexes[begun] = index
+			row.Versions, row.Services = append(row.Versions, begun.Version), append(row.Services, begun.Service)
 		}
 		if index >= maxSegmentVersions {
 			continue // Streams of that many versions are not known to other processes.
@@ -50,7 +55,8 @@
 		row.Streams = binary.BigEndian.AppendUint64(row.Streams, uint64(id))
 		row.Streams = append(row.Streams, byte(index))
 	}
-	row.Versions = row.Versions[:min(len(row.Versions), maxSegmentVersions)]
+	entries := min(len(row.Versions), maxSegmentVersions)
+	row.Versions, row.Services = row.Versions[:entries], row.Services[:entries]
 	return json.Marshal(row)
 }
 
@@ -59,12 +65,17 @@
 	if err := json.Unmarshal(value, &row); err != nil {
 		return segment{}, err
 	}
-	decoded := segment{writtenMS: row.WrittenMS, streams: make(map[streamversion.StreamID]string, len(row.Streams)/streamBytes)}
+	decoded := segment{writtenMS: row.WrittenMS, streams: make(map[streamversion.StreamID]ServiceVersion, len(row.Streams)/streamBytes)}
 	for stream := range slices.Chunk(row.Streams, streamBytes) {
 		if len(stream) != streamBytes || int(stream[streamBytes-1]) >= len(row.Versions) {
 			return segment{}, errSegment
 		}
-		decoded.streams[streamversion.StreamID(binary.BigEndian.Uint64(stream))] = row.Versions[stream[streamBytes-1]]
+		index := stream[streamBytes-1]
+		begun := ServiceVersion{Version: row.Versions[index]}
+		if len(row.Services) == len(row.Versions) {
+			begun.Service = row.Services[index]
+		}
+		decoded.streams[streamversion.StreamID(binary.BigEndian.Uint64(stream))] = begun
 	}
 	return decoded, nil
 }
--- a/gateway/streamversions/splitroute_test.go
+++ b/gateway/streamversions/splitroute_test.go
@@ -27,6 +27,6 @@
 	_, _ = p.Find(t.Context(), streamversions.TakeUp{Service: "b", Services: []string{"a", "b"}, RequestID: "again", ResumedRequestID: "x"})
 	list("a2", "a", "v2")
 	require.Eventually(t, func() bool { return len(p.Unregistered("a")) == 0 }, 5*time.Second, 5*time.Millisecond)
-	version, ok := p.Find(t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again2", ResumedRequestID: "x"})
-	require.False(t, ok && version != "v1", "a stream that service a began at v1 goes on there at %s", version)
+	begun, ok := p.Find(t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again2", ResumedRequestID: "x"})
+	require.False(t, ok && begun.Version != "v1", "a stream that service a began at v1 goes on there at %s", begun.Version)
 }
--- a/gateway/streamversions/streams.go
+++ b/gateway/streamversions/streams.go
@@ -69,7 +69,7 @@
 	if w.segmentKey == "" || full && !w.unsaved {
 		w.renewKey(t.instance)
 		w.unsaved = false
-		w.segment = segment{streams: make(map[streamversion.StreamID]string)}
+		w.segment = segment{streams: make(map[streamversion.StreamID]ServiceVersion)}
 	}
 	for name, s := range t.services {
 		if !t.several(name, s) {
@@ -81,7 +81,7 @@
 			s.memory.Rewind()
 		}
 		for _, record := range s.memory.Take(maxSegmentStreams-len(w.segment.streams), clock.Now()) {
-			w.segment.streams[record.ID] = record.Version
+			w.segment.streams[record.ID] = ServiceVersion{Service: name, Version: record.Version}
 			w.unsaved = true
 		}
 	}
--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -1,6 +1,7 @@
 package streamversions
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -121,20 +122,26 @@
 // unreadableEra is the era of a row that can't be read: as if it were an older copy.
 const unreadableEra = -1
 
-// find returns the version that began a stream, as the segments tell.
-func (c *tableCopy) find(id streamversion.StreamID) (string, bool) {
-	found := ""
+// find returns the service and the version that began a stream, as the segments tell.
+func (c *tableCopy) find(id streamversion.StreamID) (found ServiceVersion, ok bool) {
 	for _, s := range c.segments {
-		version, ok := s.streams[id]
-		if !ok {
+		begun, has := s.streams[id]
+		if !has {
 			continue
 		}
-		if version == streamversion.Doubtful || found != "" && found != version {
-			return "", false
+		if begun.Version == streamversion.Doubtful || ok && !found.agrees(begun) {
+			return ServiceVersion{}, false
 		}
-		found = version
+		found = ServiceVersion{Service: cmp.Or(begun.Service, found.Service), Version: begun.Version}
+		ok = true
 	}
-	return found, found != ""
+	return found, ok
+}
+
+// agrees reports whether two records may be of one stream. One of an earlier release has no
+// service.
+func (v ServiceVersion) agrees(other ServiceVersion) bool {
+	return v.Version == other.Version && (v.Service == other.Service || v.Service == "" || other.Service == "")
 }
 
 // flight is a read that all wait for who asked before it was sent.
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -68,11 +68,11 @@
 }
 
 func (p *process) find(id string) string {
-	version, ok := p.Find(p.t.Context(), streamversions.TakeUp{Service: "s", RequestID: "again", ResumedRequestID: id})
+	begun, ok := p.Find(p.t.Context(), streamversions.TakeUp{Service: "s", RequestID: "again", ResumedRequestID: id})
 	if !ok {
 		return ""
 	}
-	return version
+	return begun.Version
 }
 
 // A process that had just started took requests before it knew a version at which streams
@@ -272,8 +272,3 @@
 	p.awaitConfirmed()
 	require.Equal(t, []string{"in-use/s"}, store.Keys(streamversions.Table))
 }
-
-// listAt lists an engine with an ID of its own.
-func (p *process) listAt(id, service, version string) {
-	p.EndpointChanged(site.Endpoint{ID: id, Service: service, Stage: site.Decode, SoftwareVersion: version})
-}
