What an endpoint says in an interim answer counts

Cause: interim (1xx) responses were skipped before their headers were read. Change: the header of each response is observed, those of interim ones included. Before: TestInterimAnswerIsObserved: 'expected: []bool{true, false} actual: []bool{false}'. After: it passes, and gateway/transport with -race -cpu 1.

--- a/gateway/transport/answers_test.go
+++ b/gateway/transport/answers_test.go
@@ -57,3 +57,18 @@
 	response.Close()
 	require.Equal(t, []bool{true, false}, leaving)
 }
+
+// What an endpoint said in an interim answer was discarded.
+func TestInterimAnswerIsObserved(t *testing.T) {
+	address := sitetest.NewRawEndpoint(t, func(id string) string {
+		interim := "HTTP/1.1 103 Early Hints\r\n" + sitetest.HeaderLeaving + ": 1\r\n\r\n"
+		return interim + responseHead(id, "Content-Length: 2\r\n\r\nok")
+	})
+	var leaving []bool
+	request := newRequest("mine")
+	request.OnAnswer = func(answer site.EndpointResponse) { leaving = append(leaving, answer.Leaving) }
+	response, err := transport.NewPool().Send(t.Context(), address, request)
+	require.NoError(t, err)
+	response.Close()
+	require.Equal(t, []bool{true, false}, leaving)
+}
--- a/gateway/transport/match.go
+++ b/gateway/transport/match.go
@@ -33,12 +33,11 @@
 	httpRequest := &http.Request{Method: request.Method}
 	c.limited.setLimit(maxHeaderBytes)
 	for range maxStrayResponses + 1 {
-		response, err := c.readFinalHeader(httpRequest)
+		response, err := c.readFinalHeader(httpRequest, request.observe)
 		if err != nil {
 			return nil, err
 		}
 		meta := site.ParseEndpointResponse(response.StatusCode, response.Header)
-		request.observe(meta)
 		first := c.answers == 0
 		c.answers++
 		if meta.Ambiguous || isJoined(response) {
@@ -102,12 +101,17 @@
 	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
 }
 
-// readFinalHeader reads the header of the next response that is not an interim one.
-func (c *conn) readFinalHeader(httpRequest *http.Request) (*http.Response, error) {
+// readFinalHeader reads the header of the next response that is not an interim one. It
+// calls observe for each header, those of interim responses included.
+func (c *conn) readFinalHeader(httpRequest *http.Request, observe func(site.EndpointResponse)) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(c.reader, httpRequest)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		observe(site.ParseEndpointResponse(response.StatusCode, response.Header))
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
 		}
 	}
 	return nil, fmt.Errorf("%w: more than %d interim responses", ErrResponseTooLarge, maxInterimResponses)
