A late answer to another request ends no wait of an endpoint

Cause: an endpoint that states long times is used again once it accepts the single request that it is sent meanwhile. Any successful answer on the connection counted, also a late one to another request that was skipped. Change: only the answer to the request itself shows that it was accepted. Before: TestLateAnswerToAnotherRequestEndsNoWait: 'Should be false ... it is sent requests again'. After: it passes, and gateway/relay with -race -cpu 1.

--- a/gateway/relay/availability_test.go
+++ b/gateway/relay/availability_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/availability"
+	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
@@ -153,3 +155,23 @@
 		})
 	}
 }
+
+// An endpoint that states long times refused the single request that it was sent, after a
+// late answer to another request that it had accepted: it was used as before.
+func TestLateAnswerToAnotherRequestEndsNoWait(t *testing.T) {
+	address := sitetest.NewRawEndpoint(t, func(id string) string {
+		return sitetest.Answer("200 OK", "other", "ok") + sitetest.RefusalText("503 Service Unavailable", id)
+	})
+	now := time.Now()
+	r := newRelay()
+	r.Selector = engines.New("dc-1", func() time.Time { return now })
+	endpoint := site.Endpoint{ID: "e-1", Service: "plain", Address: address, DataCentre: "dc-1", Slots: 8, StartedMS: 1}
+	r.Selector.EndpointChanged(endpoint)
+	r.Selector.Observe(endpoint, site.EndpointResponse{RetryAfter: site.RetryAfter{Stated: true, Wait: 10 * availability.MaxWait}})
+	now = now.Add(availability.MaxWait)
+	recorder := httptest.NewRecorder()
+	outcome := r.Serve(t.Context(), recorder, newJob(site.Idempotent))
+	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+	require.Equal(t, relay.ResultRefused, outcome.Calls[0].Result)
+	require.False(t, r.Selector.Take(endpoint), "it is sent requests again")
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -193,7 +193,11 @@
 		}
 		return nil
 	}
-	request.OnAnswer = func(answer site.EndpointResponse) { r.Selector.Observe(endpoint, answer) }
+	request.OnAnswer = func(answer site.EndpointResponse) {
+		// An answer to another request doesn't show that this one is accepted.
+		answer.Succeeded = answer.Succeeded && answer.RequestID == request.ID
+		r.Selector.Observe(endpoint, answer)
+	}
 	sentAt := time.Now()
 	response, err := r.Pool.Send(ctx, endpoint.Address, request)
 	if err != nil {
