Doubt about a stream's version is final

What callers could get: a stream joined from two versions. Found by a review.

Cause: a process that found the version of a stream in doubt, since its engine had started again with other software, went on to look in the store and to ask other processes. One that had had the version from this very process, before the doubt arose, answered, and was believed.

Change: a stream in doubt is refused, and the line about it says so (known_from "doubt").

Measured, before: TestDoubtAboutAStreamIsNotOverruledByAProcessThatAskedBefore: "Should be false ... the process that began the stream lets it go on at v1". After: core/streamversion and gateway/streamversions pass (-race -cpu 1).

Open: another process that had the version from this one does not hear of the doubt, and lets the stream go on if its caller comes there.

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -82,6 +82,12 @@
 	return known.version, true
 }
 
+// InDoubt reports whether the version of a stream is in doubt.
+func (m *Memory) InDoubt(id StreamID) bool {
+	known, ok := m.byID[id]
+	return ok && known.version == Doubtful
+}
+
 // expire forgets the streams that nobody takes up any more, and the oldest if there are
 // more than most.
 func (m *Memory) expire(now time.Time, most int) {
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -25,8 +25,13 @@
 	SourceSingle  Source = "single"  // No other version can have begun it.
 	SourcePeer    Source = "peer"    // Another process has begun it or taken it up.
 	SourceUnknown Source = "unknown" // The version is not known.
+	// SourceDoubt: this process has begun it at an endpoint that had started again with other
+	// software. What others know of it they may have from this process, from before.
+	SourceDoubt Source = "doubt"
 )
 
+func (s Source) known() bool { return s != SourceUnknown && s != SourceDoubt }
+
 // TakeUp is a stream that its caller takes up.
 type TakeUp struct {
 	Service          string
@@ -63,12 +68,12 @@
 			begun, source = ServiceVersion{Version: found}, SourcePeer
 		}
 	}
-	if source != SourceUnknown && taken.ResumedRequestID != "" {
+	if source.known() && taken.ResumedRequestID != "" {
 		t.RecordStream(cmp.Or(begun.Service, taken.Service), taken.ResumedRequestID, begun.Version)
 	}
 	t.meter.Count("stream_versions", "found", string(source))
 	t.logTakeUp(taken, begun, source, start, err)
-	return begun, source != SourceUnknown
+	return begun, source.known()
 }
 
 // findHere finds the version without asking other processes.
@@ -77,6 +82,9 @@
 	if begun, ok := t.remembered(id); ok && taken.ResumedRequestID != "" {
 		return begun, SourceMemory, nil
 	}
+	if t.inDoubt(id) && taken.ResumedRequestID != "" {
+		return ServiceVersion{}, SourceDoubt, nil
+	}
 	if t.StoreLost() {
 		return ServiceVersion{}, SourceUnknown, nil
 	}
@@ -132,6 +140,18 @@
 	return begun, ok
 }
 
+// inDoubt reports whether this process has begun a stream at a version that it can't know.
+func (t *Tracker) inDoubt(id streamversion.StreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if s.memory.InDoubt(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // logTakeUp writes a line about a stream that is taken up.
 func (t *Tracker) logTakeUp(taken TakeUp, begun ServiceVersion, source Source, start time.Time, err error) {
 	ok, omitted := t.lines.Allow("", maxLinesPerSec)
