Streams of a split route are written down while its services differ in version

What callers saw in the test: on a route that is split over two services, of one version each but of different ones, streams were refused for ever when they were taken up after their process had ended. Found by a review.

Cause: whether streams are written down was decided by the versions of one service, and whether a version can be inferred by those of all services of the route.

Change: both are decided by all services that share a route.

Measured, before: TestStreamOfASplitRouteIsKnownAfterItsProcessHasEnded: "the version is not known". After: gateway/streamversions and gateway/config pass (-race -cpu 1).

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	Raw          []byte // As the operator wrote it, for sending to other VMs.
 	routesByHost map[string][]site.Route
 	teamsByKey   map[string]site.Team
+	sharing      map[string][]string // By service, the services of its routes.
 }
 
 // New parses and indexes a configuration as the operator wrote it.
@@ -29,10 +31,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{Manifest: manifest, Raw: raw, routesByHost: make(map[string][]site.Route), teamsByKey: make(map[string]site.Team)}
+	c := &Config{Manifest: manifest, Raw: raw, routesByHost: make(map[string][]site.Route), teamsByKey: make(map[string]site.Team), sharing: make(map[string][]string)}
 	for _, route := range manifest.Routes {
 		host := strings.ToLower(route.Host)
 		c.routesByHost[host] = append(c.routesByHost[host], route)
+		c.addSharing(route.Services())
 	}
 	for _, routes := range c.routesByHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
@@ -45,6 +48,22 @@
 	return c, nil
 }
 
+// addSharing records that services share a route.
+func (c *Config) addSharing(services []string) {
+	if len(services) < 2 {
+		return
+	}
+	for _, service := range services {
+		all := append(c.sharing[service], services...)
+		slices.Sort(all)
+		c.sharing[service] = slices.Compact(all)
+	}
+}
+
+// Sharing returns the services that share a route with a service, itself included; nil if it
+// shares none.
+func (c *Config) Sharing(service string) []string { return c.sharing[service] }
+
 // Match returns the route of a host with the longest prefix of path.
 func (c *Config) Match(host, path string) (site.Route, bool) {
 	for _, route := range c.routesByHost[hostName(host)] {
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -217,6 +217,15 @@
 	})
 }
 
+// servicesSharing returns the services that share a route with a service.
+func (n *Node) servicesSharing(service string) []string {
+	current := n.config.Current()
+	if current == nil {
+		return nil
+	}
+	return current.Sharing(service)
+}
+
 // maxIdleConns returns the part of this process in the connections that each endpoint of a
 // service accepts from all processes, 0 if the configuration states none.
 func (n *Node) maxIdleConns(service string) int {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -160,6 +160,7 @@
 	n.selector.OnStatement = n.applyStatement
 	n.versions = streamversions.New(n.store, n.cluster, n.instance, n.meter)
 	n.versions.StoreLost = n.storeWatch.IsLost
+	n.versions.Sharing = n.servicesSharing
 	n.selector.Versions = n.versions
 	n.fleet.AddListener(n.versions)
 	n.fleet.AddListener(n.limiter)
--- a/gateway/streamversions/splitroute_test.go
+++ b/gateway/streamversions/splitroute_test.go
@@ -30,3 +30,26 @@
 	begun, ok := p.Find(t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again2", ResumedRequestID: "x"})
 	require.False(t, ok && begun.Version != "v1", "a stream that service a began at v1 goes on there at %s", begun.Version)
 }
+
+// Guards against take-ups that are refused for ever on a split route: each service has one
+// version in use, so streams were not written down, and the two versions differ, so none was
+// inferred.
+func TestStreamOfASplitRouteIsKnownAfterItsProcessHasEnded(t *testing.T) {
+	store := sitetest.NewStore(t)
+	services := []string{"a", "b"}
+	p := newProcess(t, store, "a", true)
+	p.Sharing = func(string) []string { return services }
+	p.run()
+	listAt(p, "a1", "a", "v1")
+	listAt(p, "b1", "b", "v2")
+	time.Sleep(time.Second)
+	p.RecordStream("a", "x", "v1")
+	time.Sleep(time.Second) // Sixteen times the interval of writes.
+	p.stop()
+	q := startProcess(t, store, "b", true)
+	listAt(q, "a1", "a", "v1")
+	listAt(q, "b1", "b", "v2")
+	begun, ok := q.Find(t.Context(), streamversions.TakeUp{Service: "a", Services: services, RequestID: "again", ResumedRequestID: "x"})
+	require.True(t, ok, "the version is not known")
+	require.Equal(t, "v1", begun.Version)
+}
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -48,6 +48,8 @@
 type Tracker struct {
 	// StoreLost reports whether the store does not answer this process.
 	StoreLost func() bool
+	// Sharing returns the services that share a route with a service.
+	Sharing func(service string) []string
 
 	store    Store
 	fleet    Fleet
@@ -96,7 +98,7 @@
 // New returns the tracker of the process named instance.
 func New(store Store, fleet Fleet, instance string, metrics *meter.Registry) *Tracker {
 	return &Tracker{
-		StoreLost: func() bool { return false }, store: store, fleet: fleet, instance: instance, meter: metrics, wake: make(chan struct{}, 1),
+		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, store: store, fleet: fleet, instance: instance, meter: metrics, wake: make(chan struct{}, 1),
 		table: newTableCopy(), endpoints: make(map[string]listedEngine), services: make(map[string]*service),
 	}
 }
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -34,10 +34,20 @@
 }
 
 func startProcess(t *testing.T, store *sitetest.Store, name string, first bool) *process {
+	p := newProcess(t, store, name, first)
+	p.run()
+	return p
+}
+
+func newProcess(t *testing.T, store *sitetest.Store, name string, first bool) *process {
 	p := &process{t: t, store: site.NewStore(store.Address, http.DefaultClient)}
 	p.Tracker = streamversions.New(p.store, testFleet{first: first}, name, meter.NewRegistry())
 	p.store.OnEra = func(int64, int64) { p.StoreRestored() }
-	ctx, cancel := context.WithCancel(t.Context())
+	return p
+}
+
+func (p *process) run() {
+	ctx, cancel := context.WithCancel(p.t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -47,8 +57,7 @@
 		cancel()
 		<-done
 	}
-	t.Cleanup(p.stop)
-	return p
+	p.t.Cleanup(p.stop)
 }
 
 // list lists one engine of each version, in place of all before.
--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -160,8 +160,15 @@
 	now.Era = t.store.Era()
 	register := t.table.registers[name].Register
 	register.Uses = streamversion.Merge(register.Uses, s.seen(now.NowMS))
-	_, single := register.Single(now)
-	return !single && len(register.Uses) > 0
+	if len(register.Uses) == 0 {
+		return false
+	}
+	registers := []streamversion.Register{register}
+	for _, sharing := range t.Sharing(name) {
+		registers = append(registers, t.table.registers[sharing].Register)
+	}
+	_, single := streamversion.SingleOf(now, registers...)
+	return !single
 }
 
 // dueWrite is a register that is due to be written.
