Take-ups read the changes of the table of streams in place of all of it

What callers saw: in a large fleet take-ups of streams that this process had not begun were refused, version_unknown, though the store had them. Cause: each such take-up read the whole table, which did not fit the 600 ms that it waits. Change: the copy is brought up to date by the changes after its version, call by call until an answer surely holds the last of them; they are applied together or not at all, removed rows included. The whole table is read if there is no copy, in a new era, if the copy is over 15 s old, and if the store has dropped the changes or can't give them in one answer. The recheck each 10 s does the same, and so keeps copies recent while several versions are in use. A segment stays in the copy as it was written: its change may have been read before the answer to its write, and does not come again. The other new tests guard the change itself; those that don't count calls pass before. Why it works: the copy is that of a moment after the take-up came, as after a whole read: the last call was sent after it. The version of a whole read is that of its first page, so that later changes contain what its other pages lack; a register that is newer here stays.

--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -23,8 +23,7 @@
 	segmentPrefix  = "streams/"
 )
 
-// pageTimeout bounds one call that reads the table, and readTimeout the calls that read all
-// of it, page by page.
+// pageTimeout bounds one call that reads the table, and readTimeout all calls of one read.
 const (
 	pageTimeout = 600 * time.Millisecond
 	readTimeout = 5 * time.Second
@@ -33,6 +32,7 @@
 // Store is where versions and streams are kept.
 type Store interface {
 	TableByPage(ctx context.Context, table string, pageTimeout time.Duration) (site.Page, error)
+	Feed(ctx context.Context, table string, after int64, wait time.Duration) (site.Page, error)
 	Commit(ctx context.Context, tx site.Tx) (site.Page, error)
 	Era() int64
 }
@@ -49,7 +49,7 @@
 type tableCopy struct {
 	loaded      bool
 	era         int64
-	version     int64
+	version     int64               // The copy has all changes up to it, and maybe later ones.
 	registers   map[string]register // By service.
 	segments    map[string]segment  // By key.
 	nowMS       int64               // The store's clock at clockAt.
@@ -186,12 +186,20 @@
 	}
 }
 
-// read reads the whole table: changes after a version come in parts of which nothing says
-// whether they are all. What it takes longer than its callers wait is of use to those that
-// ask again.
+// read brings the copy up to date. What it takes longer than its callers wait is of use to
+// those that ask again.
 func (t *Tracker) read() error {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
+	err := t.readChanges(ctx)
+	if lacksChanges(err) {
+		err = t.readWhole(ctx)
+	}
+	return err
+}
+
+// readWhole replaces the copy by the whole table.
+func (t *Tracker) readWhole(ctx context.Context) error {
 	requestedAt := clock.Now()
 	page, err := t.store.TableByPage(ctx, Table, pageTimeout)
 	if err != nil {
