A service without a register keeps no version from being inferred

What callers saw: once the store had come back from an older copy, take-ups on a route that also names a service without engines were refused, version_unknown, for good. Cause: such a service has no register. The zero register stood for it, whose era is 0, and counted as that of an older copy. Change: SingleOf passes over services without a register. A register that is there and of an earlier era, uncertain or unreadable keeps all from being inferred, as before. Before: TestServiceWithoutEnginesKeepsNothingFromBeingInferredAfterTheStoreWentBack: 'expected: "v1" actual: ""'; TestServiceWithoutARegisterHasBegunNothingOnceAnotherOneIsCertain: 'Should be true'. After, -race -cpu 1: both pass, as do core/streamversion and those of gateway/streamversions about registers and versions. Why it works: the copy may lack the register of a service that had begun streams. A version is inferred only if some register of the route has it, is of the present era and certain. It is uncertain for Retention from its first write in the era; after that no stream of the era before is taken up. TestServiceWhoseRegisterIsMissingInAnOlderCopyIsReckonedWith holds this: nothing is inferred 55 s later, and the version is 65 s later. A process that lives and knew of the service writes its register again, also if its engines are gone (a test, which passed before).

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -28,8 +28,8 @@
 }
 
 // Register holds the versions of one service that are in use, or were lately. A version is
-// registered before the first stream begins at it. The zero value is the register of a
-// service that no stream has begun at, in a store that never came back from an older copy.
+// registered before the first stream begins at it. The zero value stands for the register of
+// a service that has none, see SingleOf.
 type Register struct {
 	// Era is the era of the store in which the register was written. In a later era it may
 	// be an older copy.
@@ -69,14 +69,25 @@
 	return u.EndedMS != 0 && nowMS >= u.EndedMS+Retention.Milliseconds()
 }
 
+// absent reports whether r stands for a service that has no register.
+func (r Register) absent() bool {
+	return r.Era == 0 && r.UncertainUntilMS == 0 && len(r.Uses) == 0
+}
+
 // Single returns the version that began all streams that may be taken up now, and false if
 // there may be several.
 func (r Register) Single(now Moment) (string, bool) { return SingleOf(now, r) }
 
-// SingleOf is Single for streams that one of several services began.
+// SingleOf is Single for streams that one of several services began. A service without a
+// register has begun none: an older copy of the store may lack its register, but once the
+// register of another service, written in the present era, is certain, no stream of the eras
+// before can be taken up any more.
 func SingleOf(now Moment, registers ...Register) (string, bool) {
 	var possible []string
 	for _, r := range registers {
+		if r.absent() {
+			continue
+		}
 		if r.Era != now.Era || now.NowMS < r.UncertainUntilMS {
 			return "", false
 		}
