A stream under way doesn't go on elsewhere once its version is in doubt

An engine had started again under its ID with other software; before its row was read, a stream began there and counted as of the version before. When it broke off after the row was read, it went on in the same response at that version: events of two versions joined. Cause: the row puts the streams of that engine in doubt for take-ups, but the stream itself kept the version that it had fixed. Change: a stream whose recorded version is in doubt makes no further attempt and no standby, and one under way doesn't take it over; it ends broken and is refused when taken up.

Fakes of the relay's tests say that no version is in doubt. Open: a stream that breaks off before the row is read; no described field of an engine's answer tells which start of it answered.

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -82,10 +82,10 @@
 	return known.version, true
 }
 
-// InDoubt reports whether the version of a stream is in doubt.
+// InDoubt reports whether a stream is remembered whose version can't be known.
 func (m *Memory) InDoubt(id StreamID) bool {
 	known, ok := m.byID[id]
-	return ok && known.version == Doubtful
+	return ok && (known.several || known.version == Doubtful)
 }
 
 // expire forgets the streams that nobody takes up any more, and the oldest if there are
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -36,6 +36,7 @@
 // oneVersion knows that all streams were begun at one software version.
 type oneVersion struct{}
 
+func (oneVersion) InDoubt(string) bool                          { return false }
 func (oneVersion) RecordStreamAt(string, string, site.Endpoint) {}
 func (oneVersion) Find(context.Context, streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
 	return streamversions.ServiceVersion{Version: softwareVersion}, true
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -96,6 +96,9 @@
 	if w.call != nil || !w.attempts().MayBegin() || s.job.Trial {
 		return nil
 	}
+	if s.inDoubt() {
+		return nil
+	}
 	if decision := s.relay.Crashes.Decide(s.job.Identity); decision.Refused || decision.Trial {
 		return nil
 	}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -96,7 +96,7 @@
 // anotherAttempt reports whether another attempt follows one that did not finish.
 func (s *stream) anotherAttempt(ctx context.Context, result attemptResult) bool {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, s.inDoubt():
 		return false
 	case s.next != nil:
 		return true
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -21,6 +21,8 @@
 	// Find returns the version, and the service if it is known, that began a stream that is
 	// taken up, and false if the version can't be known.
 	Find(ctx context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool)
+	// InDoubt reports whether the version recorded for a stream was found not to be certain.
+	InDoubt(requestID string) bool
 }
 
 // takesUp reports whether the caller takes up a stream that another request began.
@@ -41,10 +43,23 @@
 	return ok
 }
 
+// inDoubt reports whether the version at which the stream has to go on is no longer certain: the
+// engine that began it was found to have started again with other software.
+func (s *stream) inDoubt() bool {
+	if s.version == "" || !s.job.Route.Resumable {
+		return false
+	}
+	id := s.job.Caller.ID
+	if s.takesUp() {
+		id = s.job.Caller.ResumedRequestID
+	}
+	return s.relay.Versions.InDoubt(id)
+}
+
 // mayGoOnAt reports whether an endpoint has the version at which the stream has to go on. A
 // standby may have begun before the version was fixed.
 func (s *stream) mayGoOnAt(endpoint site.Endpoint) bool {
-	return s.version == "" || endpoint.SoftwareVersion == s.version
+	return s.version == "" || endpoint.SoftwareVersion == s.version && !s.inDoubt()
 }
 
 // errOtherVersion means that events can't be joined with those that the caller has.
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -30,6 +30,8 @@
 	return streamversions.ServiceVersion{Service: f.service, Version: version}, ok
 }
 
+func (*fakeVersions) InDoubt(string) bool { return false }
+
 // recordingWriter notes what was recorded when the first byte was written.
 type recordingWriter struct {
 	*httptest.ResponseRecorder
--- a/gateway/streamversions/absentrow_test.go
+++ b/gateway/streamversions/absentrow_test.go
@@ -19,11 +19,11 @@
 
 // findOf takes up a stream of a route that may send it to two services.
 func (p *process) findOf(id string) string {
-	version, ok := p.Find(p.t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again", ResumedRequestID: id})
+	begun, ok := p.Find(p.t.Context(), streamversions.TakeUp{Service: "a", Services: []string{"a", "b"}, RequestID: "again", ResumedRequestID: id})
 	if !ok {
 		return ""
 	}
-	return version
+	return begun.Version
 }
 
 // Guards against take-ups that are refused for ever once the store has come back from an
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -82,7 +82,7 @@
 	if begun, ok := t.remembered(id); ok && taken.ResumedRequestID != "" {
 		return begun, SourceMemory, nil
 	}
-	if t.inDoubt(id) && taken.ResumedRequestID != "" {
+	if taken.ResumedRequestID != "" && t.InDoubt(taken.ResumedRequestID) {
 		return ServiceVersion{}, SourceDoubt, nil
 	}
 	if t.StoreLost() {
@@ -140,12 +140,13 @@
 	return begun, ok
 }
 
-// inDoubt reports whether this process has begun a stream at a version that it can't know.
-func (t *Tracker) inDoubt(id streamversion.StreamID) bool {
+// InDoubt reports whether the version that began a stream of this process was found to be
+// another one than its engine's entry named, or may be.
+func (t *Tracker) InDoubt(requestID string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.services {
-		if s.memory.InDoubt(id) {
+		if s.memory.InDoubt(streamversion.IDOf(requestID)) {
 			return true
 		}
 	}
