A register of versions with an odd era or time is replaced

Found by a review: a register that another writer left, with an era above the store's or with versions that may be missing for millions of years, stayed as it was, and no stream of the service that was taken up and not written down went on any more.

Cause: registers of an earlier era only were replaced, and any time of uncertainty was kept.

Measured, before: TestRegisterOfAnOddEraOrTimeIsReplaced: "Should be true ... era". After: core/streamversion and gateway/streamversions pass (-race -cpu 1).

--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -126,10 +126,11 @@
 // that it must be written.
 func (r Register) Next(o Observation) (Register, bool) {
 	next := Register{Era: r.Era, UncertainUntilMS: r.UncertainUntilMS, Uses: slices.Clone(r.Uses)}
-	if r.Era < o.Era {
-		next.Era = o.Era
-		next.UncertainUntilMS = max(o.NowMS, o.LatestMS) + Retention.Milliseconds()
+	uncertainMS := max(o.NowMS, o.LatestMS) + Retention.Milliseconds()
+	if r.Era != o.Era {
+		next.Era, next.UncertainUntilMS = o.Era, uncertainMS
 	}
+	next.UncertainUntilMS = min(next.UncertainUntilMS, uncertainMS) // Another writer may have left any time.
 	if o.Remembered != nil {
 		next.Uses = Merge(next.Uses, o.Remembered.Uses)
 	}
