Tests fail when changes of another era, or that do not fit, are applied to the copy

Two tests are added. No test fails without the condition that there is a copy: the age of one that was never read is above the limit.

--- a/gateway/streamversions/changes_test.go
+++ b/gateway/streamversions/changes_test.go
@@ -24,10 +24,10 @@
 	*site.Store
 	mu           sync.Mutex
 	whole, feeds int
-	feedErr      error      // Of all feeds from the failFrom-th on.
-	failFrom     int        // Counted from 1.
-	stale        []site.Row // Changes that precede the others in the next feed.
-	afterCommit  func()     // Called before the answer to a write is known.
+	feedErr      error                 // Of all feeds from the failFrom-th on.
+	failFrom     int                   // Counted from 1.
+	onFeed       func(page *site.Page) // Changes the answer to the next feed.
+	afterCommit  func()                // Called before the answer to a write is known.
 }
 
 func (s *callStore) TableByPage(ctx context.Context, table string, timeout time.Duration) (site.Page, error) {
@@ -45,8 +45,10 @@
 		return site.Page{}, s.feedErr
 	}
 	page, err := s.Store.Feed(ctx, table, after, wait)
-	page.Rows = append(s.stale, page.Rows...)
-	s.stale = nil
+	if f := s.onFeed; f != nil {
+		s.onFeed = nil
+		f(&page)
+	}
 	return page, err
 }
 
@@ -209,6 +211,56 @@
 	}
 }
 
+// A store that went back without saying so, and one whose answers lead nowhere.
+func TestTableIsReadWholeIfAnAnswerWithChangesDoesNotFit(t *testing.T) {
+	for name, change := range map[string]func(page *site.Page){
+		"an earlier version": func(page *site.Page) { *page = site.Page{Version: page.Version - 2, StoreClockMS: page.StoreClockMS} },
+		"more, and no progress": func(page *site.Page) {
+			*page = site.Page{Version: page.Version - 1, More: true, StoreClockMS: page.StoreClockMS}
+		},
+	} {
+		store := sitetest.NewStore(t)
+		startTwoVersions(t, store)
+		p, counted := startCounted(t, store, "v1", "v2")
+		putStream(store, "x/1", "x", "v2")
+		counted.set(func() { counted.onFeed = change })
+		require.Equal(t, "v2", p.find("x"), name)
+		whole, feeds := counted.calls()
+		require.Equal(t, []int{1, 1}, []int{whole, feeds}, name)
+	}
+}
+
+// Versions of two eras can't be compared. Another call may tell of the new one, before the
+// changes are asked for or in between.
+func TestTableIsReadWholeInANewEra(t *testing.T) {
+	for feedsBefore := range 2 {
+		store := sitetest.NewStore(t)
+		startTwoVersions(t, store)
+		p, counted := startCounted(t, store, "v1", "v2")
+		older := store.Copy()
+		putRows(store, 250)
+		restore := func(*site.Page) {
+			store.Restore(older)
+			putStream(store, "x/1", "x", "v2")
+			_, err := counted.Range(t.Context(), streamversions.Table, "", "")
+			require.ErrorIs(t, err, site.ErrRestored)
+			putRows(store, 500) // More versions than there were.
+		}
+		if feedsBefore == 0 {
+			restore(nil)
+		}
+		counted.set(func() {
+			if feedsBefore > 0 {
+				counted.onFeed = restore
+			}
+		})
+		require.Equal(t, "v2", p.find("x"))
+		_, feeds := counted.calls()
+		require.Equal(t, 2*feedsBefore, feeds)
+		require.Equal(t, "v2", p.find("many-499"))
+	}
+}
+
 // No further call follows one that the store has refused: it would be refused too, and cost.
 func TestRefusedReadIsNotRepeated(t *testing.T) {
 	store := sitetest.NewStore(t)
@@ -228,10 +280,10 @@
 	p, counted := startCounted(t, store, "v1", "v2")
 	older := site.Row{Table: streamversions.Table, Key: "in-use/s", Value: []byte(`{"era":0,"versions":[{"version":"v1"}]}`)}
 	removed := site.Row{Table: streamversions.Table, Key: "in-use/s", Deleted: true}
-	counted.set(func() { counted.stale = []site.Row{older} })
-	require.Empty(t, p.find("of v2"))
-	counted.set(func() { counted.stale = []site.Row{removed, older} })
-	require.Empty(t, p.find("of v2"))
+	for _, rows := range [][]site.Row{{older}, {removed, older}} {
+		counted.set(func() { counted.onFeed = func(page *site.Page) { page.Rows = append(rows, page.Rows...) } })
+		require.Empty(t, p.find("of v2"))
+	}
 }
 
 // Guards against joined streams: the answer to a write came after the change had been read,
