Names and comments that puzzled a newcomer

Read as a newcomer: some names and comments of the code changed lately were figures of speech (word, patience, put off, of no moment) or said less than the code. They name what is read, waited for or extended. No behaviour changes.

--- a/core/availability/statements.go
+++ b/core/availability/statements.go
@@ -5,9 +5,9 @@
 // maxStatements bounds the endpoints whose statements are kept.
 const maxStatements = 4096
 
-// Process identifies one process of an endpoint. What it says does not hold for the next
-// process under the same ID. It holds for earlier ones: a list that names one of them is
-// older than what was said.
+// Process identifies one process of an endpoint. What it says does not hold for a later
+// process under the same ID, but for earlier ones: a list that still names one of them is
+// older than the statement.
 type Process struct {
 	Endpoint  string // ID.
 	StartedMS int64  // Unix milliseconds of its start.
--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -20,7 +20,7 @@
 	Version string `json:"version"`
 	// Ending is set once a writer has found the version no longer listed. Its end is dated
 	// in a later write, which has no effect if the row has changed in between: a process
-	// that lists the version takes the note back before a stream begins at it.
+	// that lists the version clears Ending before a stream begins at it.
 	Ending bool `json:"ending,omitempty"`
 	// EndedMS is when the version was first found to be in use no more, by the store's
 	// clock; 0 while it is in use.
@@ -107,9 +107,9 @@
 	// Remembered is what the process knew in an earlier era of the store; nil if it knew
 	// nothing.
 	Remembered *Register
-	// NoteUnlisted notes that versions are ending that are no longer listed.
+	// NoteUnlisted marks versions that are no longer listed as ending.
 	NoteUnlisted bool
-	// EndUnlisted makes versions end that are no longer listed. A late write of an end is
+	// EndUnlisted dates the end of versions that are no longer listed. A late write of an end is
 	// harmless only if EndsNoted holds for the register that it replaces.
 	EndUnlisted bool
 	// LatestMS is the latest that the store's clock may have been when the register was
@@ -130,7 +130,7 @@
 	if r.Era != o.Era {
 		next.Era, next.UncertainUntilMS = o.Era, uncertainMS
 	}
-	next.UncertainUntilMS = min(next.UncertainUntilMS, uncertainMS) // Another writer may have left any time.
+	next.UncertainUntilMS = min(next.UncertainUntilMS, uncertainMS) // Another writer may have stored any time.
 	if o.Remembered != nil {
 		next.Uses = Merge(next.Uses, o.Remembered.Uses)
 	}
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -108,7 +108,7 @@
 		return
 	}
 	if state == http.StateClosed {
-		_ = c.closeNow() // The server has closed it before, unless a request was being read.
+		_ = c.closeNow() // It is closed already, unless Close found that a request was being read.
 		return
 	}
 	c.setState(state)
--- a/gateway/limits/exchange.go
+++ b/gateway/limits/exchange.go
@@ -13,8 +13,9 @@
 	reportInterval = 1 * time.Second
 	// maxAge is the largest age of a statement that is told apart.
 	maxAge = 1 * time.Hour
-	// maxRate, in requests a second, is far above the rate of any endpoint. Larger stated
-	// rates count as this one; other processes can't have found one.
+	// maxRate, in requests a second, is far above the rate of any endpoint. A larger
+	// rate that an endpoint states counts as this one; one in a message of another process is
+	// invalid.
 	maxRate = 1e9
 )
 
--- a/gateway/node/servers.go
+++ b/gateway/node/servers.go
@@ -14,9 +14,9 @@
 )
 
 type servers struct {
-	callers     *http.Server
-	connections *ingress.Listener // Of callers.
-	internal    *http.Server
+	callers        *http.Server
+	callerListener *ingress.Listener
+	internal       *http.Server
 }
 
 // drainInterval is the time between two checks whether all connections are closed.
@@ -26,13 +26,13 @@
 var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: none, if they may take that long; otherwise lengthen it")
 
 // drain closes the idle connections of callers and waits until all others are closed, at
-// most until the deadline. Each request that was begun to be read is answered, for which
-// http.Server.Shutdown can't be used: it drops requests that it reads later.
+// most until the deadline. Each request of which a part has been read is answered;
+// http.Server.Shutdown would drop those that it finishes reading later.
 func (s servers) drain(deadline time.Time) error {
-	s.connections.StopAccepting()
+	s.callerListener.StopAccepting()
 	for time.Now().Before(deadline) {
 		s.callers.SetKeepAlivesEnabled(false) // Closes the connections that are idle now.
-		if s.connections.Open() == 0 {
+		if s.callerListener.Open() == 0 {
 			return nil
 		}
 		time.Sleep(drainInterval)
@@ -60,9 +60,9 @@
 		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
 		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, Versions: n.versions, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
-	s := servers{callers: newServer(handler), connections: ingress.NewListener(callers), internal: newServer(n.internalHandler())}
+	s := servers{callers: newServer(handler), callerListener: ingress.NewListener(callers), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext, s.callers.ConnState = ingress.ConnContext, ingress.ConnState
-	serveOn(s.callers, s.connections)
+	serveOn(s.callers, s.callerListener)
 	serveOn(s.internal, ready)
 	serveOn(s.internal, control)
 	if n.options.MetricsPort > 0 {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -157,8 +157,8 @@
 	return "in_time"
 }
 
-// priorityLevel returns the level of a priority of routes and teams. What is outside of the
-// levels counts as the first or the last.
+// priorityLevel returns the level at which a priority of a route or team is placed. A priority
+// that has no level gets the first or the last one.
 func priorityLevel(priority int) int {
 	return min(max(priority, 0), maxLevel/levelsPerPriority) * levelsPerPriority
 }
--- a/gateway/streamversions/changes.go
+++ b/gateway/streamversions/changes.go
@@ -14,19 +14,20 @@
 // recheckInterval, and shorter than the time for which stores usually keep changes.
 const maxCopyAge = 15 * time.Second
 
-// errCopyUnusable reports that there is no copy that could be brought up to date by changes.
+// errCopyUnusable means that no copy can be brought up to date by changes.
 var errCopyUnusable = errors.New("no copy of the table to which changes could be applied; remedy: read the whole table")
 
-// lacksChanges reports whether a read of changes failed in a way in which a read of the whole
-// table may succeed.
-func lacksChanges(err error) bool {
+// needsWholeRead reports whether a read of changes failed in such a way that a read of the
+// whole table may succeed.
+func needsWholeRead(err error) bool {
 	return errors.Is(err, errCopyUnusable) || errors.Is(err, site.ErrHistoryGone) || errors.Is(err, site.ErrAnswerTooLarge) || errors.Is(err, site.ErrRestored)
 }
 
 // readChanges applies the changes after the version of the copy. It applies all or none: an
-// answer may hold only the first of them, and a copy with a part would be of no moment.
+// answer may hold only the first of them, and a copy with some of them would match the table at
+// no time.
 func (t *Tracker) readChanges(ctx context.Context) error {
-	era, version, ok := t.changesBegin()
+	era, version, ok := t.copyVersion()
 	if !ok {
 		return errCopyUnusable
 	}
@@ -44,14 +45,15 @@
 		rows, version = append(rows, page.Rows...), page.Version
 		if !partial {
 			page.Rows = rows
-			return t.applyChanges(page, requestedAt)
+			t.applyChanges(page, requestedAt)
+			return nil
 		}
 	}
 }
 
-// changesBegin returns the era and the version from which on changes have to be read, and
-// false if the copy is of no use for that.
-func (t *Tracker) changesBegin() (era, version int64, ok bool) {
+// copyVersion returns the era and the version of the copy, and false if it can't be brought up
+// to date by changes.
+func (t *Tracker) copyVersion() (era, version int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &t.table
@@ -65,12 +67,11 @@
 	return t.store.Feed(ctx, Table, version, 0)
 }
 
-func (t *Tracker) applyChanges(page site.Page, requestedAt time.Time) error {
+func (t *Tracker) applyChanges(page site.Page, requestedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.table.applyChanges(page, requestedAt)
 	t.reconcile()
-	return nil
 }
 
 // applyChanges applies all changes from the version of the copy to that of page, in their
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -25,8 +25,8 @@
 	SourceSingle  Source = "single"  // No other version can have begun it.
 	SourcePeer    Source = "peer"    // Another process has begun it or taken it up.
 	SourceUnknown Source = "unknown" // The version is not known.
-	// SourceDoubt: this process has begun it at an endpoint that had started again with other
-	// software. What others know of it they may have from this process, from before.
+	// SourceDoubt: this process began it at an endpoint that had started again with other
+	// software. Other processes aren't asked: they may have the wrong version from this one.
 	SourceDoubt Source = "doubt"
 )
 
@@ -140,8 +140,8 @@
 	return begun, ok
 }
 
-// InDoubt reports whether the version that began a stream of this process was found to be
-// another one than its engine's entry named, or may be.
+// InDoubt reports whether a stream of this process was begun, or may have been, at another
+// version than the one that its engine's entry stated.
 func (t *Tracker) InDoubt(requestID string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/streamversions/streams.go
+++ b/gateway/streamversions/streams.go
@@ -54,7 +54,7 @@
 	return nil
 }
 
-// renewKey gives the segment a key of its own.
+// renewKey gives the segment a new key: later writes replace no row under the one before.
 func (w *writer) renewKey(instance string) {
 	w.segments++
 	w.segmentKey, w.writes = fmt.Sprintf("%s%s/%d", segmentPrefix, instance, w.segments), 0
--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -75,7 +75,7 @@
 // observeClock records the store's clock as the answer to a call states it.
 func (c *tableCopy) observeClock(page site.Page, requestedAt time.Time) {
 	c.nowMS, c.clockAt = page.StoreClockMS, clock.Now()
-	c.latestMS = c.nowMS + c.clockAt.Sub(requestedAt).Milliseconds() + 1 // Of which a part was cut off.
+	c.latestMS = c.nowMS + c.clockAt.Sub(requestedAt).Milliseconds() + 1 // Milliseconds rounds down.
 }
 
 // register returns the register of a service.
@@ -125,8 +125,8 @@
 // find returns the service and the version that began a stream, as the segments tell.
 func (c *tableCopy) find(id streamversion.StreamID) (found ServiceVersion, ok bool) {
 	for _, s := range c.segments {
-		begun, has := s.streams[id]
-		if !has {
+		begun, recorded := s.streams[id]
+		if !recorded {
 			continue
 		}
 		if begun.Version == streamversion.Doubtful || ok && !found.agrees(begun) {
@@ -144,7 +144,7 @@
 	return v.Version == other.Version && (v.Service == other.Service || v.Service == "" || other.Service == "")
 }
 
-// flight is a read that all wait for who asked before it was sent.
+// flight is a read that is shared by all who asked before it was sent.
 type flight struct {
 	done chan struct{}
 	err  error
@@ -186,13 +186,13 @@
 	}
 }
 
-// read brings the copy up to date. What it takes longer than its callers wait is of use to
-// those that ask again.
+// read brings the copy up to date. It may take longer than its callers wait: those that ask
+// again then find its result.
 func (t *Tracker) read() error {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	err := t.readChanges(ctx)
-	if lacksChanges(err) {
+	if needsWholeRead(err) {
 		err = t.readWhole(ctx)
 	}
 	return err
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -26,8 +26,8 @@
 // maxLinesPerSec bounds the lines about streams that are taken up.
 const maxLinesPerSec = 30
 
-// maxRegisterAge is how much earlier than a version was listed a register may have been read
-// that tells that it is in use: its end may have been noted since.
+// maxRegisterAge bounds how long before a version was listed the register was read that shows
+// it as in use. In an older one its end may be missing.
 const maxRegisterAge = 1 * time.Second
 
 // maxServiceBytes bounds the name of a service, which is part of a key of the store. An entry
--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -110,7 +110,7 @@
 	if !t.table.loaded || t.table.era != t.store.Era() || t.writer.mustRead {
 		return true
 	}
-	if t.lacksWord() {
+	if t.registrationReadDue() {
 		return true
 	}
 	if clock.Now().Sub(t.table.requestedAt) < recheckInterval {
@@ -127,18 +127,18 @@
 	return false
 }
 
-// lacksWord reports whether this process has waited long enough for the word of another one
-// about a listed version. t.mu must be held.
-func (t *Tracker) lacksWord() bool {
+// registrationReadDue reports whether the registers have to be read to know whether a listed
+// version is registered. t.mu must be held.
+func (t *Tracker) registrationReadDue() bool {
 	first := t.fleet.AmongFirst(registrars)
 	for serviceName, s := range t.services {
-		register := t.table.register(serviceName)
+		row := t.table.register(serviceName)
 		for name, v := range s.versions {
 			if v.engines == 0 || v.inUse || v.missing {
 				continue
 			}
-			// One of the first writes the register, unless its copy has the version.
-			if first && register.InUse(name) || !first && t.patienceIsOver(v.since) {
+			// A registrar writes the version itself, unless its copy of the register has it.
+			if first && row.InUse(name) || !first && t.waitedLongEnough(v.since) {
 				return true
 			}
 		}
@@ -146,9 +146,9 @@
 	return false
 }
 
-// patienceIsOver reports whether a process that is not among the first has waited long
+// waitedLongEnough reports whether a process that is not among the first has waited long
 // enough since a moment.
-func (t *Tracker) patienceIsOver(since time.Time) bool {
+func (t *Tracker) waitedLongEnough(since time.Time) bool {
 	patience := minPatience + time.Duration(t.fleet.Size())*patiencePerProcess
 	return clock.Now().Sub(since) >= patience/2+rand.N(patience/2)
 }
@@ -184,7 +184,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first := t.fleet.AmongFirst(registrars)
-	if t.table.era != t.store.Era() || !first && !t.patienceIsOver(t.eraSince) {
+	if t.table.era != t.store.Era() || !first && !t.waitedLongEnough(t.eraSince) {
 		return dueWrite{}, false
 	}
 	for name, s := range t.services {
--- a/gateway/transport/sendlimit_test.go
+++ b/gateway/transport/sendlimit_test.go
@@ -52,7 +52,7 @@
 	defer conn.Close()
 	w := watchSending(conn)
 	w.mu.Lock()
-	w.putOff = w.setLimit(2*tcpUserTimeout) == nil
+	w.extended = w.setUserTimeout(2*tcpUserTimeout) == nil
 	w.mu.Unlock()
 	w.end()
 	var ms int
--- a/gateway/transport/sendwatch.go
+++ b/gateway/transport/sendwatch.go
@@ -10,23 +10,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// sendCheckInterval is the time between two looks at a connection on which a long request
+// sendCheckInterval is the time between two checks of a connection on which a long request
 // is being sent.
 const sendCheckInterval = tcpUserTimeout / 8
 
 // sendWatch keeps the TCP user timeout from ending the connection to an endpoint that reads
-// nothing for some time. The limit counts also while the receive window is full, although
-// the endpoint's system acknowledges each probe. While it does, the limit is put off; if it
-// no longer does, the kernel ends the connection. Without TCP_INFO the limit stays as it is.
+// nothing for some time. The timeout also runs while the endpoint's receive window is full,
+// although its system acknowledges each probe. While it does, sendWatch extends the timeout;
+// once it no longer does, the kernel ends the connection. Without TCP_INFO the timeout stays as
+// it is.
 type sendWatch struct {
 	raw     syscall.RawConn
 	started time.Time
 	written atomic.Bool // All of the request was handed to the kernel.
 
-	mu     sync.Mutex
-	timer  *time.Timer
-	putOff bool // The limit is another than tcpUserTimeout.
-	ended  bool
+	mu       sync.Mutex
+	timer    *time.Timer
+	extended bool // The timeout is longer than tcpUserTimeout.
+	ended    bool
 }
 
 // watchSending watches a connection on which a request is about to be sent. It returns nil
@@ -54,7 +55,7 @@
 	}
 }
 
-// end ends the watch and sets the usual limit again.
+// end ends the watch and restores tcpUserTimeout.
 func (w *sendWatch) end() {
 	if w == nil {
 		return
@@ -67,13 +68,13 @@
 func (w *sendWatch) endLocked() {
 	w.ended = true
 	w.timer.Stop()
-	if w.putOff {
-		w.putOff = false
-		_ = w.setLimit(tcpUserTimeout) // It fails only on a connection that is closed.
+	if w.extended {
+		w.extended = false
+		_ = w.setUserTimeout(tcpUserTimeout) // It fails only on a connection that is closed.
 	}
 }
 
-// check puts the limit off if the endpoint acknowledges what is sent.
+// check extends the timeout if the endpoint acknowledges what is sent.
 func (w *sendWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,7 +87,7 @@
 		return
 	}
 	if isPending(info) && acknowledges(info) {
-		w.putOff = w.setLimit(time.Since(w.started)+tcpUserTimeout) == nil
+		w.extended = w.setUserTimeout(time.Since(w.started)+tcpUserTimeout) == nil
 	}
 	w.timer.Reset(sendCheckInterval)
 }
@@ -94,8 +95,8 @@
 // isPending reports whether sent bytes are unacknowledged, or bytes wait to be sent.
 func isPending(info *unix.TCPInfo) bool { return info.Unacked > 0 || info.Notsent_bytes > 0 }
 
-// acknowledges reports whether the peer has acknowledged something since the last look, or
-// has left nothing unanswered.
+// acknowledges reports whether the peer has acknowledged something since the last check, or
+// has left no probe or retransmission unanswered.
 func acknowledges(info *unix.TCPInfo) bool {
 	sinceLast := time.Duration(info.Last_ack_recv) * time.Millisecond
 	return sinceLast < sendCheckInterval || (info.Probes == 0 && info.Retransmits == 0)
@@ -111,9 +112,9 @@
 	return info, err
 }
 
-func (w *sendWatch) setLimit(limit time.Duration) (err error) {
+func (w *sendWatch) setUserTimeout(timeout time.Duration) (err error) {
 	controlErr := w.raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if controlErr != nil {
 		return controlErr
