The error of requests that are still running names a clear remedy

Read as a newcomer: "none, if they may take that long; otherwise lengthen it" left open what to lengthen, and when.

--- a/gateway/node/servers.go
+++ b/gateway/node/servers.go
@@ -23,7 +23,7 @@
 const drainInterval = 20 * time.Millisecond
 
 // errStillRunning is returned when requests were not finished within the stop grace period.
-var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: none, if they may take that long; otherwise lengthen it")
+var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: lengthen the period if requests may take longer")
 
 // drain closes the idle connections of callers and waits until all others are closed, at
 // most until the deadline. Each request of which a part has been read is answered;
