--- a/gateway/streamversions/absentrow_test.go
+++ b/gateway/streamversions/absentrow_test.go
@@ -8,13 +8,12 @@
 
 	"flamingospar.org/core/streamversion"
 	"flamingospar.org/gateway/streamversions"
-	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
 
+// listOf lists an engine whose ID is made of its service and version.
 func (p *process) listOf(service, version string) {
-	p.EndpointChanged(site.Endpoint{ID: service + version, Service: service, Stage: site.Decode, SoftwareVersion: version})
-	require.Eventually(p.t, func() bool { return len(p.Unregistered(service)) == 0 }, 5*time.Second, 5*time.Millisecond)
+	listAt(p, service+version, service, version)
 }
 
 // findOf takes up a stream of a route that may send it to two services.
--- a/gateway/streamversions/changes_test.go
+++ b/gateway/streamversions/changes_test.go
@@ -6,13 +6,13 @@
 	"encoding/binary"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
 	"flamingospar.org/core/streamversion"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
@@ -88,7 +88,7 @@
 // startUnread is startCounted without a take-up.
 func startUnread(t *testing.T, store *sitetest.Store, versions ...string) (*process, *callStore) {
 	counted := &callStore{Store: site.NewStore(store.Address, http.DefaultClient)}
-	p := &process{t: t, Tracker: streamversions.New(counted, testFleet{}, "counted", meter.NewRegistry())}
+	p := newProcessOn(t, counted, testFleet{}, "counted")
 	go p.Run(t.Context())
 	p.list(versions...)
 	p.awaitConfirmed()
@@ -97,11 +97,20 @@
 
 // putStream writes a segment of another process with one stream.
 func putStream(store *sitetest.Store, key, id, version string) {
-	streams := append(binary.BigEndian.AppendUint64(nil, uint64(streamversion.IDOf(id))), 0)
-	store.PutRaw(streamversions.Table, "streams/"+key, fmt.Appendf(nil, `{"written_ms":%d,"versions":[%q],"streams":%q}`,
-		time.Now().UnixMilli()%1_000_000_000, version, base64.StdEncoding.EncodeToString(streams)))
+	putSegment(store, key, []string{version}, id)
 }
 
+// putSegment writes a segment of another process with streams, whose versions take turns.
+func putSegment(store *sitetest.Store, key string, versions []string, ids ...string) {
+	var streams []byte
+	for i, id := range ids {
+		streams = append(binary.BigEndian.AppendUint64(streams, uint64(streamversion.IDOf(id))), byte(i%len(versions)))
+	}
+	store.PutRaw(streamversions.Table, "streams/"+key, fmt.Appendf(nil, `{"written_ms":%d,"versions":["%s"],"streams":%q}`,
+		time.Now().UnixMilli()%1_000_000_000, strings.Join(versions, `","`), base64.StdEncoding.EncodeToString(streams)))
+}
+
+// putRows writes n segments of other processes with one stream each.
 func putRows(store *sitetest.Store, n int) {
 	for i := range n {
 		putStream(store, fmt.Sprint("many/", i), fmt.Sprint("many-", i), "v2")
--- a/gateway/streamversions/endinsteps_test.go
+++ b/gateway/streamversions/endinsteps_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
 	"flamingospar.org/core/streamversion"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
@@ -42,7 +41,7 @@
 		Store: site.NewStore(store.Address, http.DefaultClient), contains: []byte(`"ended_ms"`),
 		held: make(chan struct{}), release: make(chan struct{}), done: make(chan struct{}),
 	}
-	slow := &process{t: t, Tracker: streamversions.New(held, testFleet{first: true}, "slow", meter.NewRegistry())}
+	slow := newProcessOn(t, held, testFleet{first: true}, "slow")
 	go slow.Run(t.Context())
 	slow.list("v1", "v2")
 	slow.awaitConfirmed()
--- a/gateway/streamversions/largefleet_test.go
+++ b/gateway/streamversions/largefleet_test.go
@@ -9,8 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
-	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -32,7 +30,7 @@
 	known, begun := 0, 0
 	for i := range ends {
 		store := sitetest.NewStore(t)
-		p := &process{t: t, Tracker: streamversions.New(site.NewStore(store.Address, http.DefaultClient), largeFleet{testFleet{first: true}}, "p", meter.NewRegistry())}
+		p := newProcessOn(t, site.NewStore(store.Address, http.DefaultClient), largeFleet{testFleet{first: true}}, "p")
 		ctx, cancel := context.WithCancel(t.Context())
 		go p.Run(ctx)
 		p.list("v1", "v2")
--- a/gateway/streamversions/lateend_test.go
+++ b/gateway/streamversions/lateend_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
-	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -21,8 +19,7 @@
 func TestEndOfAVersionThatTookEffectLateDoesNotDateBack(t *testing.T) {
 	store := sitetest.NewStore(t)
 	hooked := &commitHook{Store: site.NewStore(store.Address, http.DefaultClient)}
-	tracker := streamversions.New(hooked, testFleet{first: true}, "slow", meter.NewRegistry())
-	slow := &process{Tracker: tracker, t: t}
+	slow := newProcessOn(t, hooked, testFleet{first: true}, "slow")
 	held, release := make(chan struct{}), make(chan struct{})
 	ctx := t.Context()
 	go slow.Run(ctx)
--- a/gateway/streamversions/latewrite_test.go
+++ b/gateway/streamversions/latewrite_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
-	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -40,14 +38,8 @@
 func TestWriteOfStreamsThatIsCarriedOutLateReplacesNothing(t *testing.T) {
 	store := sitetest.NewStore(t)
 	client := &lateStore{Store: site.NewStore(store.Address, http.DefaultClient)}
-	tracker := streamversions.New(client, testFleet{first: true}, "a", meter.NewRegistry())
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		tracker.Run(ctx)
-	}()
-	p := &process{t: t, Tracker: tracker}
+	p := newProcessOn(t, client, testFleet{first: true}, "a")
+	p.run()
 	p.list("v1", "v2")
 	p.awaitConfirmed()
 	time.Sleep(200 * time.Millisecond)
@@ -58,11 +50,10 @@
 	require.Eventually(t, func() bool { client.mu.Lock(); defer client.mu.Unlock(); return client.held != nil }, 2*time.Second, time.Millisecond)
 	p.RecordStream("s", "two", "v2")
 	time.Sleep(1500 * time.Millisecond)
-	reader := &process{t: t, Tracker: streamversions.New(site.NewStore(store.Address, http.DefaultClient), testFleet{}, "b", meter.NewRegistry())}
+	reader := newProcessOn(t, site.NewStore(store.Address, http.DefaultClient), testFleet{}, "b")
 	require.Equal(t, "v2", reader.find("two"), "it is written") // The reader writes nothing itself.
 	_, err := client.Store.Commit(t.Context(), *client.held)    // 1.5 s late.
 	require.NoError(t, err)
-	cancel()
-	<-done
+	p.stop()
 	require.Equal(t, "v2", startProcess(t, store, "c", false).find("two"))
 }
--- a/gateway/streamversions/slowlink_test.go
+++ b/gateway/streamversions/slowlink_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,9 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingospar.org/base/meter"
-	"flamingospar.org/core/streamversion"
-	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -39,6 +34,14 @@
 	return n, err
 }
 
+// newSlowClient returns a client whose connections are slowConns.
+func newSlowClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return slowConn{conn, new(time.Time)}, err
+	}}}
+}
+
 // Guards against refused take-ups in a large fleet: the whole table is read for each, and is
 // larger than a link carries in the time that a take-up waits.
 func TestTakeUpsAreFoundOverASlowLinkInALargeFleet(t *testing.T) {
@@ -53,31 +56,17 @@
 	p.list("v1", "v2")
 	p.awaitConfirmed()
 	p.stop()
-	nowMS := time.Now().UnixMilli() % 1_000_000_000
 	for process := range processes {
 		for n := range segments {
-			var streams []byte
+			var ids []string
 			for i := range perRow {
-				id := streamversion.IDOf(fmt.Sprint(process, "-", n, "-", i))
-				streams = append(binary.BigEndian.AppendUint64(streams, uint64(id)), byte(i%2))
+				ids = append(ids, fmt.Sprint(process, "-", n, "-", i))
 			}
-			store.PutRaw(streamversions.Table, fmt.Sprintf("streams/front-perth-%d/0123abcd/%d", process, n),
-				fmt.Appendf(nil, `{"written_ms":%d,"versions":["v1","v2"],"streams":%q}`, nowMS, base64.StdEncoding.EncodeToString(streams)))
+			putSegment(store, fmt.Sprintf("front-perth-%d/0123abcd/%d", process, n), []string{"v1", "v2"}, ids...)
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return slowConn{conn, new(time.Time)}, err
-	}}}
-	tracker := streamversions.New(site.NewStore(store.Address, client), testFleet{}, "b", meter.NewRegistry())
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		tracker.Run(ctx)
-	}()
-	defer func() { cancel(); <-done }()
-	q := &process{t: t, Tracker: tracker}
+	q := newProcessOn(t, site.NewStore(store.Address, newSlowClient()), testFleet{}, "b")
+	q.run()
 	q.list("v1", "v2")
 	q.awaitConfirmed()
 	const takeUps = 20
--- a/gateway/streamversions/tracker_test.go
+++ b/gateway/streamversions/tracker_test.go
@@ -40,12 +40,19 @@
 }
 
 func newProcess(t *testing.T, store *sitetest.Store, name string, first bool) *process {
-	p := &process{t: t, store: site.NewStore(store.Address, http.DefaultClient)}
-	p.Tracker = streamversions.New(p.store, testFleet{first: first}, name, meter.NewRegistry())
+	client := site.NewStore(store.Address, http.DefaultClient)
+	p := newProcessOn(t, client, testFleet{first: first}, name)
+	p.store = client
 	p.store.OnEra = func(int64, int64) { p.StoreRestored() }
 	return p
 }
 
+// newProcessOn returns a process with another client of the store or another fleet.
+func newProcessOn(t *testing.T, client streamversions.Store, fleet streamversions.Fleet, name string) *process {
+	return &process{t: t, Tracker: streamversions.New(client, fleet, name, meter.NewRegistry())}
+}
+
+// run runs the tracker until stop is called or the test ends.
 func (p *process) run() {
 	ctx, cancel := context.WithCancel(p.t.Context())
 	done := make(chan struct{})
