--- a/gateway/node/closing_test.go
+++ b/gateway/node/closing_test.go
@@ -17,23 +17,23 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
-// channel is a connection of a caller that is kept for several requests.
-type channel struct {
+// keptConn is a connection of a caller that is kept for several requests.
+type keptConn struct {
 	t      *testing.T
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
-func (h *harness) dial() *channel {
+func (h *harness) dial() *keptConn {
 	conn, err := net.Dial("tcp", h.vm.CallerAddress)
 	require.NoError(h.t, err)
 	h.t.Cleanup(func() { _ = conn.Close() }) // The test is over.
-	return &channel{t: h.t, conn: conn, reader: bufio.NewReader(conn)}
+	return &keptConn{t: h.t, conn: conn, reader: bufio.NewReader(conn)}
 }
 
 // send sends a request in pieces, with a pause between them, and reads the answer. An error
-// is that of a channel that ended.
-func (c *channel) send(pause time.Duration, pieces ...string) (status int, body string, err error) {
+// is that of a connection that ended.
+func (c *keptConn) send(pause time.Duration, pieces ...string) (status int, body string, err error) {
 	for i, piece := range pieces {
 		if i > 0 {
 			time.Sleep(pause)
@@ -69,7 +69,7 @@
 // Parameters of the test of the close.
 const (
 	formsOfRequests = 4
-	channelsPerForm = 120
+	connsPerForm    = 120
 	// closingTime is when a process that was asked to stop closes idle connections: after
 	// the time in which the load balancer may still send it new ones.
 	closingTime = 2500 * time.Millisecond
@@ -90,7 +90,7 @@
 	switch n {
 	case 0:
 		return longBefore
-	case channelsPerForm - 1:
+	case connsPerForm - 1:
 		return longAfter
 	default:
 		return firstReuse + time.Duration(n)*reuseStep
@@ -110,17 +110,17 @@
 	h.register(e, "plain", "")
 	h.run()
 	h.waitUntilServing(oncePath)
-	var channels []*channel
-	for i := range formsOfRequests * channelsPerForm {
+	var conns []*keptConn
+	for i := range formsOfRequests * connsPerForm {
 		c := h.dial()
-		channels = append(channels, c)
+		conns = append(conns, c)
 		status, _, err := c.send(0, piecesOf(0, fmt.Sprintf("first%d", i))...)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status)
 	}
 	h.stop()
 	closing := time.Now().Add(closingTime)
-	answered, notRun := h.reuse(channels, closing)
+	answered, notRun := h.reuse(conns, closing)
 	require.NotEmpty(t, answered, "requests before the close")
 	require.NotEmpty(t, notRun, "requests after the close")
 	for _, received := range e.Requests() {
@@ -128,12 +128,12 @@
 	}
 }
 
-// reuse sends one more request on each channel, around a time. It returns the IDs of those
-// that were answered with success and of those that were refused or whose channel ended.
-func (h *harness) reuse(channels []*channel, around time.Time) (answered, notRun []string) {
+// reuse sends one more request on each connection, around a time. It returns the IDs of those
+// that were answered with success and of those that were refused or whose connection ended.
+func (h *harness) reuse(conns []*keptConn, around time.Time) (answered, notRun []string) {
 	var mu sync.Mutex
 	var running sync.WaitGroup
-	for i, c := range channels {
+	for i, c := range conns {
 		running.Go(func() {
 			id := fmt.Sprintf("second%d", i)
 			time.Sleep(time.Until(around.Add(reuseAfter(i / formsOfRequests))))
@@ -167,13 +167,13 @@
 	require.Equal(t, http.StatusOK, status)
 	h.stop()
 	time.Sleep(closingTime - beforeClose)
-	channels := map[string]*channel{"kept": kept, "accepted": h.dial(), "accepted-whole": h.dial()}
+	conns := map[string]*keptConn{"kept": kept, "accepted": h.dial(), "accepted-whole": h.dial()}
 	pieces := map[string][]string{
 		"kept": piecesOf(3, "kept"), "accepted": piecesOf(3, "accepted"), // The first byte is sent alone.
 		"accepted-whole": append([]string{""}, piecesOf(0, "accepted-whole")...),
 	}
 	var running sync.WaitGroup
-	for name, c := range channels {
+	for name, c := range conns {
 		running.Go(func() {
 			status, _, err := c.send(beforeClose+afterClose, pieces[name]...)
 			assert.NoError(t, err, name)
--- a/gateway/node/cutoff_test.go
+++ b/gateway/node/cutoff_test.go
@@ -18,7 +18,7 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
-// storeLink is the way of one process to the store, which may be cut.
+// storeLink is the connection of one process to the store, which a test may cut.
 type storeLink struct {
 	address string
 	cut     atomic.Bool
@@ -105,8 +105,8 @@
 	}
 }
 
-// An endpoint that asked to wait is listed anew, in several ways, while callers press: it
-// must get nothing meanwhile, and requests once the time is over.
+// An endpoint that asked to wait is listed anew, in several ways, while callers keep sending:
+// it must get nothing meanwhile, and requests once the time is over.
 func TestEndpointThatAskedToWaitGetsNothingWhateverIsListed(t *testing.T) {
 	const wait = 7 * time.Second
 	for name, c := range statingCases {
--- a/gateway/node/graceperiod_test.go
+++ b/gateway/node/graceperiod_test.go
@@ -26,7 +26,7 @@
 	h.register(e, "plain", "")
 	h.run()
 	h.vm.SetStopGracePeriod(t, 9)
-	reloadUnder(t, func(int) {})
+	reloadRepeatedly(t, func(int) {})
 	answered := make(chan result, 1)
 	go func() {
 		answered <- h.send(http.MethodPost, oncePath, "key", func(r *http.Request) { r.Header.Set(sitetest.HeaderDeadline, "9000") })
--- a/gateway/node/movedroute_test.go
+++ b/gateway/node/movedroute_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"encoding/json"
 	"net/http"
 	"testing"
 
@@ -13,19 +12,15 @@
 
 // movedManifest returns a configuration with the route of streams moved to the service other.
 func movedManifest(t *testing.T, version int) []byte {
-	var m map[string]any
-	require.NoError(t, json.Unmarshal(manifest(version, "key"), &m))
-	services := m["services"].([]any)
-	other := map[string]any{"name": "other", "max_conns": 50, "engine": map[string]any{"slots": 16, "kv_tokens": 100_000}}
-	m["services"] = append(services, other)
-	for _, route := range m["routes"].([]any) {
-		if r := route.(map[string]any); r["name"] == "stream" {
-			r["service"] = "other"
+	return sitetest.Changed(t, manifest(version, "key"), func(m map[string]any) {
+		other := map[string]any{"name": "other", "max_conns": 50, "engine": map[string]any{"slots": 16, "kv_tokens": 100_000}}
+		m["services"] = append(m["services"].([]any), other)
+		for _, route := range m["routes"].([]any) {
+			if r := route.(map[string]any); r["name"] == "stream" {
+				r["service"] = "other"
+			}
 		}
-	}
-	data, err := json.Marshal(m)
-	require.NoError(t, err)
-	return data
+	})
 }
 
 // A route was moved to another service. Streams that an engine of the service before had begun
--- a/gateway/node/reload_test.go
+++ b/gateway/node/reload_test.go
@@ -10,8 +10,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// reloadUnder sends SIGHUP several times, each after a change. The processes of all tests that run receive it.
-func reloadUnder(t *testing.T, change func(n int)) {
+// reloadRepeatedly sends SIGHUP several times, each after a change. The processes of all tests
+// that run receive it.
+func reloadRepeatedly(t *testing.T, change func(n int)) {
 	// Keeps the signal from ending the test while no process runs that expects it.
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -34,7 +35,7 @@
 	require.NoError(t, err)
 	check := h.startEveryKind(t)
 	later := make(chan func(), 1)
-	reloadUnder(t, func(n int) {
+	reloadRepeatedly(t, func(n int) {
 		switch n {
 		case 1:
 			h.vm.SetBound(t, "retry_slack", 0)
--- a/gateway/transport/latebody_test.go
+++ b/gateway/transport/latebody_test.go
@@ -14,10 +14,11 @@
 	"golang.org/x/sys/unix"
 
 	"flamingospar.org/gateway/transport"
+	"flamingospar.org/platform/site/sitetest"
 )
 
-// An endpoint that reads nothing for longer than sent data may remain unacknowledged. Its
-// receive window is full meanwhile.
+// Guards against a request that fails since its endpoint reads nothing for longer than sent
+// data may remain unacknowledged: its receive window is full meanwhile.
 func TestSilentEndpointReadsALongRequestLate(t *testing.T) {
 	cases := []struct {
 		silence time.Duration
@@ -105,7 +106,7 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	_, _ = io.WriteString(conn, responseHead(request.Header.Get("X-Request-Id"), "Content-Length: 2\r\n\r\nok")) // An error shows at the caller.
+	_, _ = io.WriteString(conn, responseHead(request.Header.Get(sitetest.HeaderRequestID), "Content-Length: 2\r\n\r\nok")) // An error shows at the caller.
 	time.Sleep(100 * time.Millisecond)
 }
 
--- a/gateway/transport/sendlimit_test.go
+++ b/gateway/transport/sendlimit_test.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// The limit of unacknowledged data is put off while a window is full, and set again when
-// all was acknowledged, or a VM that ends later would be found late.
+// Guards against a VM whose end is found late: the timeout of unacknowledged data is extended
+// while a window is full, and must be restored once all was acknowledged.
 func TestLimitIsSetAgainAfterALongRequest(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -24,25 +24,18 @@
 	defer peer.Close()
 
 	w := watchSending(conn)
-	limit := func() time.Duration {
-		var ms int
-		require.NoError(t, w.raw.Control(func(fd uintptr) {
-			ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
-		}))
-		require.NoError(t, err)
-		return time.Duration(ms) * time.Millisecond
-	}
-	require.Equal(t, tcpUserTimeout, limit())
+	require.Equal(t, tcpUserTimeout, userTimeout(t, w))
 	go func() {
 		_, _ = conn.Write(make([]byte, 4<<20)) // An error shows in the limit, which is then not set again.
 		w.setWritten()
 	}()
-	require.Eventually(t, func() bool { return limit() > tcpUserTimeout }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return userTimeout(t, w) > tcpUserTimeout }, 10*time.Second, 10*time.Millisecond)
 	go func() { _, _ = io.Copy(io.Discard, peer) }() // It ends with the connection.
-	require.Eventually(t, func() bool { return limit() == tcpUserTimeout }, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return userTimeout(t, w) == tcpUserTimeout }, 10*time.Second, 10*time.Millisecond)
 }
 
-// A connection is given back before the watch has seen that all was acknowledged.
+// The same for a connection that is given back before the watch has seen that all was
+// acknowledged.
 func TestLimitIsSetAgainAtTheEndOfTheWatch(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -55,10 +48,16 @@
 	w.extended = w.setUserTimeout(2*tcpUserTimeout) == nil
 	w.mu.Unlock()
 	w.end()
+	require.Equal(t, tcpUserTimeout, userTimeout(t, w))
+}
+
+// userTimeout returns the TCP user timeout that is set on a watched connection.
+func userTimeout(t *testing.T, w *sendWatch) time.Duration {
 	var ms int
+	var err error
 	require.NoError(t, w.raw.Control(func(fd uintptr) {
 		ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 	}))
 	require.NoError(t, err)
-	require.EqualValues(t, tcpUserTimeout.Milliseconds(), ms)
+	return time.Duration(ms) * time.Millisecond
 }
