Changes of configurations and rows in platform/site/sitetest alone

Read as a newcomer: tests of the node named fields of the configuration and of endpoint rows that belong to the platform, the same ones in two places. The tests do and check the same.

--- a/gateway/node/movedroute_test.go
+++ b/gateway/node/movedroute_test.go
@@ -12,15 +12,7 @@
 
 // movedManifest returns a configuration with the route of streams moved to the service other.
 func movedManifest(t *testing.T, version int) []byte {
-	return sitetest.Changed(t, manifest(version, "key"), func(m map[string]any) {
-		other := map[string]any{"name": "other", "max_conns": 50, "engine": map[string]any{"slots": 16, "kv_tokens": 100_000}}
-		m["services"] = append(m["services"].([]any), other)
-		for _, route := range m["routes"].([]any) {
-			if r := route.(map[string]any); r["name"] == "stream" {
-				r["service"] = "other"
-			}
-		}
-	})
+	return sitetest.Changed(t, manifest(version, "key"), sitetest.EngineServiceAdded("other"), sitetest.RouteTo("stream", "other"))
 }
 
 // A route was moved to another service. Streams that an engine of the service before had begun
--- a/gateway/node/startedagain_test.go
+++ b/gateway/node/startedagain_test.go
@@ -24,7 +24,7 @@
 	f.awaitVersion(p, "v2")
 	breakAll([]*sitetest.VersionedEngine{e}, true)
 	begun := f.begin(p, 4)
-	row["version"], row["born"], row["seq"] = "v2", 2, 1
+	sitetest.StartedAgain(row, "v2")
 	f.store.Put(site.TableEndpoints, e.ID, row)
 	f.addEngines("v1", 2)
 	f.awaitVersion(p, "v1")
--- a/gateway/node/underway_test.go
+++ b/gateway/node/underway_test.go
@@ -40,7 +40,7 @@
 		}
 	}()
 	<-began
-	row["version"], row["born"], row["seq"] = "v2", 2, 1
+	sitetest.StartedAgain(row, "v2")
 	f.store.Put(site.TableEndpoints, e.ID, row)
 	old := f.addEngines("v1", 2)
 	time.Sleep(settleTime / 2)
