--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -134,6 +134,7 @@
 	return build(settings, options).run(ctx)
 }
 
+// build makes the parts of a process and connects them.
 func build(settings site.Settings, options Options) *Node {
 	client := platformClient()
 	n := &Node{
@@ -158,9 +159,7 @@
 	n.limiter = limits.New(settings.NodeName, n.cluster, n.meter, options.now())
 	n.selector.Limits = n.limiter
 	n.selector.OnStatement = n.applyStatement
-	n.versions = streamversions.New(n.store, n.cluster, n.instance, n.meter)
-	n.versions.StoreLost = n.storeWatch.IsLost
-	n.versions.Sharing = n.servicesSharing
+	n.versions = n.newStreamVersions()
 	n.selector.Versions = n.versions
 	n.fleet.AddListener(n.versions)
 	n.fleet.AddListener(n.limiter)
@@ -182,6 +181,15 @@
 	return n
 }
 
+// newStreamVersions returns the tracker of the versions of streams; store, cluster and
+// storeWatch must be set.
+func (n *Node) newStreamVersions() *streamversions.Tracker {
+	tracker := streamversions.New(n.store, n.cluster, n.instance, n.meter)
+	tracker.StoreLost = n.storeWatch.IsLost
+	tracker.Sharing = n.servicesSharing
+	return tracker
+}
+
 // budgetSettings returns the settings of the retry budget with one VM's share of
 // the allowance.
 func budgetSettings(bounds site.Bounds, vms int) retrybudget.Settings {
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -220,8 +220,9 @@
 }
 
 // Registered returns the listed versions of a service that are known to be registered as in
-// use: streams may begin at them alone. kept is false if no register of the service is kept.
-func (t *Tracker) Registered(serviceName string) (versions []string, kept bool) {
+// use: streams may begin at them alone. tracked is false if the name of the service is too long
+// for a register.
+func (t *Tracker) Registered(serviceName string) (versions []string, tracked bool) {
 	if len(serviceName) > maxServiceBytes {
 		return nil, false
 	}
