Comments of tests say which failure they guard against

Read as a newcomer: some comments named a rule, not the failure, one was a sentence twice, and one spoke of reads of the whole table as of today's.

--- a/core/streamversion/doubt_test.go
+++ b/core/streamversion/doubt_test.go
@@ -9,9 +9,9 @@
 	"flamingospar.org/core/streamversion"
 )
 
-// Guards against joined streams: of a stream that was remembered no more, or just being
-// forgotten, when its endpoint was found to have started again, the version was "known" as
-// the empty one, at which a stream may go on anywhere.
+// Guards against joined streams: a stream was forgotten, or about to be, when its endpoint was
+// found to have started again. Its version was then found as the empty one, with which a stream
+// may go on anywhere.
 func TestDoubtfulVersionIsNeverFound(t *testing.T) {
 	m := streamversion.NewMemory()
 	start := time.Unix(1_000_000, 0)
--- a/core/streamversion/oddregister_test.go
+++ b/core/streamversion/oddregister_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against: a register that another writer left, with an era that the store does not have
-// or with versions that may be missing for millions of years, stayed as it was, and no stream of
+// or that is uncertain for millions of years, stayed as it was, and no stream of
 // the service that was taken up went on any more.
 func TestRegisterOfAnOddEraOrTimeIsReplaced(t *testing.T) {
 	uses := []streamversion.Use{{Version: "v1"}}
--- a/gateway/streamversions/changes_test.go
+++ b/gateway/streamversions/changes_test.go
@@ -125,7 +125,7 @@
 	first.stop()
 }
 
-// Guards against calls that are paid for and bring what is known: the whole table was read,
+// Guards against calls that cost and return only what is known: the whole table was read,
 // page by page, for each take-up.
 func TestTakeUpReadsChangesAlone(t *testing.T) {
 	store := sitetest.NewStore(t)
@@ -141,7 +141,7 @@
 	require.LessOrEqual(t, feeds, 3, "one each, and one if the table is looked through in between")
 }
 
-// What is not in the table any more is not known.
+// Guards against a version that is found for a stream although its row was removed.
 func TestRemovedRowsAreForgotten(t *testing.T) {
 	store := sitetest.NewStore(t)
 	startTwoVersions(t, store)
@@ -168,8 +168,8 @@
 	require.Eventually(t, func() bool { return p.find("z") == "v1" }, 5*time.Second, 10*time.Millisecond, "it is registered again")
 }
 
-// Guards against versions at which no stream begins: what has not changed since the copy was
-// made is as recent as the last read of changes.
+// Guards against versions at which no stream begins: a register that has not changed counted as
+// older than the last read of changes.
 func TestRegisterThatHasNotChangedIsAsRecentAsTheReadOfChanges(t *testing.T) {
 	store := sitetest.NewStore(t)
 	startTwoVersions(t, store)
@@ -206,7 +206,8 @@
 	require.Equal(t, "v2", p.find("many-0"))
 }
 
-// Where there are no changes to go on from, the table is read whole, for the same take-up.
+// Guards against a refused take-up where changes can't be had: the table is read whole for the
+// same one.
 func TestTableIsReadWholeIfChangesCanNotBeHad(t *testing.T) {
 	for _, failure := range []error{site.ErrHistoryGone, site.ErrAnswerTooLarge, site.ErrRestored} {
 		store := sitetest.NewStore(t)
--- a/gateway/streamversions/doubt_test.go
+++ b/gateway/streamversions/doubt_test.go
@@ -29,7 +29,7 @@
 }
 
 // Guards against joined streams: the process that began a stream found that its version is
-// in doubt, and believed another one that had it from itself, from before.
+// in doubt, and believed another process, which had the version from it, from before.
 func TestDoubtAboutAStreamIsNotOverruledByAProcessThatAskedBefore(t *testing.T) {
 	store := sitetest.NewStore(t)
 	var a, b atomic.Pointer[streamversions.Tracker]
--- a/gateway/streamversions/endinsteps_test.go
+++ b/gateway/streamversions/endinsteps_test.go
@@ -70,7 +70,7 @@
 }
 
 // Guards against joined streams: a process that lists a version all along read that it was
-// about to end, and left it at that.
+// about to end, and did not register it again.
 func TestLateEndOfAVersionThatIsListedElsewhereHasNoEffect(t *testing.T) {
 	store := sitetest.NewStore(t)
 	slow, held := startHeld(t, store)
--- a/gateway/streamversions/service_test.go
+++ b/gateway/streamversions/service_test.go
@@ -13,8 +13,8 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
-// listAt lists an engine of a service at a process.
-// listAt lists an engine, and waits until its version is known to be registered.
+// listAt lists an engine of a service at a process, and waits until its version is known to be
+// registered.
 func listAt(p *process, id, service, version string) {
 	p.EndpointChanged(site.Endpoint{ID: id, Service: service, Stage: site.Decode, SoftwareVersion: version})
 	require.Eventually(p.t, func() bool { return len(p.Unregistered(service)) == 0 }, 5*time.Second, 5*time.Millisecond)
--- a/gateway/streamversions/slowlink_test.go
+++ b/gateway/streamversions/slowlink_test.go
@@ -42,7 +42,7 @@
 	}}}
 }
 
-// Guards against refused take-ups in a large fleet: the whole table is read for each, and is
+// Guards against refused take-ups in a large fleet: the whole table was read for each, and is
 // larger than a link carries in the time that a take-up waits.
 func TestTakeUpsAreFoundOverASlowLinkInALargeFleet(t *testing.T) {
 	const (
