streamversions: severalVersions; why what is remembered does not end at once

Read as a newcomer: several named no thing, and the choice between noting and dating an end was unexplained.

--- a/gateway/streamversions/streams.go
+++ b/gateway/streamversions/streams.go
@@ -72,7 +72,7 @@
 		w.segment = segment{streams: make(map[streamversion.StreamID]ServiceVersion)}
 	}
 	for name, s := range t.services {
-		if !t.several(name, s) {
+		if !t.severalVersions(name, s) {
 			s.recording = false
 			continue
 		}
--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -120,7 +120,7 @@
 		return true // Another process may have ended a version that this one lists.
 	}
 	for name, s := range t.services {
-		if t.several(name, s) {
+		if t.severalVersions(name, s) {
 			return true
 		}
 	}
@@ -153,9 +153,9 @@
 	return clock.Now().Sub(since) >= patience/2+rand.N(patience/2)
 }
 
-// several reports whether streams of a service that are taken up can't be told to be of one
-// version without a record. t.mu must be held.
-func (t *Tracker) several(name string, s *service) bool {
+// severalVersions reports whether streams of a service that are taken up can't be told to be
+// of one version without a record. t.mu must be held.
+func (t *Tracker) severalVersions(name string, s *service) bool {
 	now := t.table.moment()
 	now.Era = t.store.Era()
 	register := t.table.registers[name].Register
@@ -191,6 +191,7 @@
 		row := t.table.register(name)
 		mayEnd := first && s.settled()
 		noted := row.EndsNoted(s.listed())
+		// What is remembered of an earlier era is written first, and noted like all others.
 		next, changed := row.Next(streamversion.Observation{
 			Moment: t.table.moment(), LatestMS: t.table.latest(), Listed: s.due(first), Remembered: s.remembered,
 			NoteUnlisted: mayEnd && !noted, EndUnlisted: mayEnd && noted && s.remembered == nil,
