A stop does not wait for bytes that never become a request

Cause: a connection on which a request is being read is not closed, whatever comes of it. Change: it is closed 1.5 s later if no request has been read. Whether to close is decided and noted in one step.

After: TestConnectionOnWhichNoRequestFollowsIsClosedSoonAfterAStop, all cases; gateway/ingress passes (-race -cpu 1).

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Listener accepts the connections of callers and tracks them until they are closed, so
@@ -55,6 +56,7 @@
 	begun  bool // Bytes of a request were read since the connection was idle.
 	failed bool // A read has failed since then: no request is to follow.
 	closed bool
+	unread *time.Timer // Closes it if no request was read since the server closed it.
 }
 
 // Read reads from the connection and records that a request has begun.
@@ -67,23 +69,48 @@
 	return n, err
 }
 
+// maxReadTime is how long a connection stays open on which a request has begun when the
+// server closes it. What comes may be less than a request, such as an empty line.
+const maxReadTime = 1500 * time.Millisecond
+
 // Close closes the connection, unless a request on it is being read: the server then closes
 // it after the answer.
 func (c *trackedConn) Close() error {
 	c.mu.Lock()
-	reading := c.begun && !c.active && !c.failed
-	c.mu.Unlock()
-	if reading {
-		return nil
+	if !c.begun || c.active || c.failed || c.closed {
+		return c.closeAndUnlock()
+	}
+	defer c.mu.Unlock()
+	if c.unread == nil {
+		c.unread = time.AfterFunc(maxReadTime, c.closeUnread)
+	}
+	return nil
+}
+
+// closeUnread closes the connection if no request was read since the server closed it.
+func (c *trackedConn) closeUnread() {
+	c.mu.Lock()
+	if c.active {
+		c.mu.Unlock()
+		return
 	}
-	return c.closeNow()
+	_ = c.closeAndUnlock() // Nothing is lost with it.
 }
 
-// closeNow records that this process closes the connection, and closes it.
+// closeNow closes the connection whatever is being read.
 func (c *trackedConn) closeNow() error {
 	c.mu.Lock()
+	return c.closeAndUnlock()
+}
+
+// closeAndUnlock records that this process closes the connection, and closes it. c.mu must
+// be held.
+func (c *trackedConn) closeAndUnlock() error {
 	first := !c.closed
 	c.closed = true
+	if c.unread != nil {
+		c.unread.Stop()
+	}
 	c.mu.Unlock()
 	if first {
 		c.listener.open.Add(-1)
