A stream of an ID that was used before is not in doubt

Found by a review: a caller that repeats a request under the same ID while versions change got a stream that was not continued when its engine failed, though its own version was certain; it had no standby either.

Cause: the doubt about an engine that started again, and an ID that names several streams, were one. Change: a running stream asks for the former alone; take-ups are refused for both.

Measured, before (review): "in doubt FAIL". After: TestStreamOfAnIDThatWasUsedBeforeIsNotInDoubt passes, as do core/streamversion and gateway/streamversions (-race -cpu 1).

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -82,8 +82,14 @@
 	return known.version, true
 }
 
-// InDoubt reports whether a stream is remembered whose version can't be known.
+// InDoubt reports whether the version of the stream last begun under an ID is in doubt.
 func (m *Memory) InDoubt(id StreamID) bool {
+	known, ok := m.byID[id]
+	return ok && known.version == Doubtful
+}
+
+// Ambiguous reports whether an ID is remembered of which nobody can know the version.
+func (m *Memory) Ambiguous(id StreamID) bool {
 	known, ok := m.byID[id]
 	return ok && (known.several || known.version == Doubtful)
 }
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -82,7 +82,7 @@
 	if begun, ok := t.remembered(id); ok && taken.ResumedRequestID != "" {
 		return begun, SourceMemory, nil
 	}
-	if taken.ResumedRequestID != "" && t.InDoubt(taken.ResumedRequestID) {
+	if taken.ResumedRequestID != "" && t.ambiguous(id) {
 		return ServiceVersion{}, SourceDoubt, nil
 	}
 	if t.StoreLost() {
@@ -175,3 +175,16 @@
 	}
 	log.Info("A stream is taken up.", fields...)
 }
+// ambiguous reports whether nobody can know the version of a stream that is taken up, as this
+// process remembers it.
+func (t *Tracker) ambiguous(id streamversion.StreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if s.memory.Ambiguous(id) {
+			return true
+		}
+	}
+	return false
+}
+
