Records of one stream at several services agree if they name one version

Found by a review: a stream was refused though its version was written down, by two processes at one version and at different services. One had begun it; the other had taken it up without knowing its service, and recorded the one to which it sent it.

Cause: records counted as of one stream only if their services agreed too. Change: if they differ the version counts and the service is not known.

--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -122,8 +122,8 @@
 	return begun.Version, ok
 }
 
-// remembered is Remembered with the service. A stream that several services began is not
-// known.
+// remembered is Remembered with the service. A stream that services began at several versions
+// is not known.
 func (t *Tracker) remembered(id streamversion.StreamID) (begun ServiceVersion, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -132,10 +132,14 @@
 		if !known {
 			continue
 		}
-		if ok {
+		other := ServiceVersion{Service: name, Version: version}
+		if ok && begun.Version != version {
 			return ServiceVersion{}, false
 		}
-		begun, ok = ServiceVersion{Service: name, Version: version}, true
+		if ok {
+			other = begun.merge(other)
+		}
+		begun, ok = other, true
 	}
 	return begun, ok
 }
@@ -153,6 +157,19 @@
 	return false
 }
 
+// ambiguous reports whether nobody can know the version of a stream that is taken up, as this
+// process remembers it.
+func (t *Tracker) ambiguous(id streamversion.StreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if s.memory.Ambiguous(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // logTakeUp writes a line about a stream that is taken up.
 func (t *Tracker) logTakeUp(taken TakeUp, begun ServiceVersion, source Source, start time.Time, err error) {
 	ok, omitted := t.lines.Allow("", maxLinesPerSec)
@@ -175,16 +192,3 @@
 	}
 	log.Info("A stream is taken up.", fields...)
 }
-// ambiguous reports whether nobody can know the version of a stream that is taken up, as this
-// process remembers it.
-func (t *Tracker) ambiguous(id streamversion.StreamID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.services {
-		if s.memory.Ambiguous(id) {
-			return true
-		}
-	}
-	return false
-}
-
--- a/gateway/streamversions/table.go
+++ b/gateway/streamversions/table.go
@@ -129,19 +129,25 @@
 		if !recorded {
 			continue
 		}
-		if begun.Version == streamversion.Doubtful || ok && !found.agrees(begun) {
+		if begun.Version == streamversion.Doubtful || ok && found.Version != begun.Version {
 			return ServiceVersion{}, false
 		}
-		found = ServiceVersion{Service: cmp.Or(begun.Service, found.Service), Version: begun.Version}
-		ok = true
+		if ok {
+			begun = found.merge(begun)
+		}
+		found, ok = begun, true
 	}
 	return found, ok
 }
 
-// agrees reports whether two records may be of one stream. One of an earlier release has no
-// service.
-func (v ServiceVersion) agrees(other ServiceVersion) bool {
-	return v.Version == other.Version && (v.Service == other.Service || v.Service == "" || other.Service == "")
+// merge returns what two records of a stream tell that name the same version. A process that
+// does not know the service records the one to which it sent the take-up, so two that differ
+// tell none.
+func (v ServiceVersion) merge(other ServiceVersion) ServiceVersion {
+	if v.Service != "" && other.Service != "" && v.Service != other.Service {
+		return ServiceVersion{Version: v.Version}
+	}
+	return ServiceVersion{Service: cmp.Or(v.Service, other.Service), Version: v.Version}
 }
 
 // flight is a read that is shared by all who asked before it was sent.
