After changes that did not arrive in time the table is read whole

Seen: TestChangesTooLargeForOneAnswerAreReadAsAWholeTable failed once, "Condition never satisfied" after 20 s, in the whole package beside three others (load 19); alone it passes 3 of 3.

An answer that is too large is noticed once 4 MB of it were read; on a busy machine or a slow link the call ends before, with an unknown outcome, and the next take-up asked for the same changes again, until the copy was 15 s old.

Change: after changes that did not arrive in time the next read is one of the whole table, whose pages are smaller.

--- a/gateway/streamversions/changes.go
+++ b/gateway/streamversions/changes.go
@@ -57,7 +57,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &t.table
-	ok = c.loaded && c.era == t.store.Era() && clock.Now().Sub(c.requestedAt) <= maxCopyAge
+	ok = c.loaded && !c.changesFailed && c.era == t.store.Era() && clock.Now().Sub(c.requestedAt) <= maxCopyAge
 	return c.era, c.version, ok
 }
 
--- a/gateway/streamversions/changes_test.go
+++ b/gateway/streamversions/changes_test.go
@@ -339,3 +339,15 @@
 	whole, feeds = other.calls()
 	require.Equal(t, []int{0, 2}, []int{whole, feeds}, "one call while there was no take-up")
 }
+
+// Guards against take-ups that are refused for ever: changes that can't be read in time stay
+// so, while the pages of the table can.
+func TestTableIsReadWholeAfterChangesThatDidNotArriveInTime(t *testing.T) {
+	store := sitetest.NewStore(t)
+	startTwoVersions(t, store)
+	p, counted := startCounted(t, store, "v1", "v2")
+	putStream(store, "x/1", "x", "v1")
+	counted.set(func() { counted.feedErr = site.ErrOutcomeUnknown })
+	require.Empty(t, p.find("x"))
+	require.Equal(t, "v1", p.find("x"))
+}
