A follower reads on at once after a part of the changes

Found by a review: after an answer that may have held a part only, the next call waited for a change, and until then the list's age was told too high. It asks without waiting now.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -198,6 +198,7 @@
 	}
 	f.recordSuccess()
 	f.partial = !snapshot && page.MayLackChanges()
+	f.immediate = f.partial
 	if f.partial {
 		page.RequestedAt = f.recentAt // Later changes may be missing.
 	}
