Callers of streams that nobody knows are not told to return soon

What callers saw: after all processes had been killed while two versions served, streams that had begun just before were refused again and again, each time with the advice to return in about a second.

Cause: such a stream is not written down, no process knows it, and that doesn't change while two versions may have begun it. The Retry-After said otherwise.

Change: 0.7 s while the version may become known, that is while the store doesn't answer or the process has just started; otherwise 10 s.

--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -37,6 +37,7 @@
 type oneVersion struct{}
 
 func (oneVersion) InDoubt(string) bool                          { return false }
+func (oneVersion) RetryAfterUnknown() time.Duration             { return time.Second }
 func (oneVersion) RecordStreamAt(string, string, site.Endpoint) {}
 func (oneVersion) Find(context.Context, streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
 	return streamversions.ServiceVersion{Version: softwareVersion}, true
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -72,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.takesUp() && !s.findVersion(ctx) {
-		return s.giveUp(ctx, ReasonVersionUnknown, unknownVersionRetryAfter)
+		return s.giveUp(ctx, ReasonVersionUnknown, s.relay.Versions.RetryAfterUnknown())
 	}
 	for first := true; ; first = false {
 		result, ended := s.nextAttempt(ctx, first)
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -10,9 +10,9 @@
 	"flamingospar.org/platform/site"
 )
 
-// unknownVersionRetryAfter is the Retry-After time of a caller whose stream can't go on now:
-// an engine may start again, or the version may become known.
-const unknownVersionRetryAfter = 700 * time.Millisecond
+// goneVersionRetryAfter is the least Retry-After time of a caller for whose stream no endpoint
+// of its version is left: one may start again.
+const goneVersionRetryAfter = 700 * time.Millisecond
 
 // StreamVersions knows the versions of the engines' software that began streams.
 type StreamVersions interface {
@@ -21,6 +21,9 @@
 	// Find returns the version, and the service if it is known, that began a stream that is
 	// taken up, and false if the version can't be known.
 	Find(ctx context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool)
+	// RetryAfterUnknown returns the time after which a caller may return whose stream's version
+	// is not known.
+	RetryAfterUnknown() time.Duration
 	// InDoubt reports whether the version recorded for a stream was found not to be certain.
 	InDoubt(requestID string) bool
 }
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -32,6 +33,11 @@
 
 func (*fakeVersions) InDoubt(string) bool { return false }
 
+// retryAfterUnknown is the Retry-After time of streams whose version is not known.
+const retryAfterUnknown = 3 * time.Second
+
+func (*fakeVersions) RetryAfterUnknown() time.Duration { return retryAfterUnknown }
+
 // recordingWriter notes what was recorded when the first byte was written.
 type recordingWriter struct {
 	*httptest.ResponseRecorder
@@ -82,6 +88,9 @@
 			w := httptest.NewRecorder()
 			outcome := r.Serve(t.Context(), w, job)
 			require.Equal(t, want, outcome.Reason)
+			if want == relay.ReasonVersionUnknown {
+				require.GreaterOrEqual(t, outcome.RetryAfter, retryAfterUnknown)
+			}
 			if want == relay.ReasonNone {
 				require.Equal(t, http.StatusOK, w.Code)
 				return
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -15,6 +15,33 @@
 // findTimeout bounds the time that a stream waits until the table was read.
 const findTimeout = 600 * time.Millisecond
 
+// Times after which callers may return whose stream can't go on since its version is not known.
+const (
+	// soonRetryAfter applies while the version may become known: the store may answer again, or
+	// another process may be reached.
+	soonRetryAfter = 700 * time.Millisecond
+	// lateRetryAfter applies to a stream that is not written down and that no process knows. It
+	// stays unknown for as long as several versions may have begun it.
+	lateRetryAfter = 10 * time.Second
+	// startTime is the time after its start within which a process may not know the others.
+	startTime = 2 * time.Second
+)
+
+// RetryAfterUnknown returns the time after which callers may return whose stream's version was
+// not found just now.
+func (t *Tracker) RetryAfterUnknown() time.Duration {
+	if t.StoreLost() {
+		return soonRetryAfter
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := clock.Now()
+	if now.Sub(t.startedAt) < startTime || now.Sub(t.table.requestedAt) > 2*findTimeout {
+		return soonRetryAfter
+	}
+	return lateRetryAfter
+}
+
 // Source is how the version of a stream was found.
 type Source string
 
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -55,8 +55,10 @@
 	fleet    Fleet
 	instance string
 	meter    *meter.Registry
-	lines    logging.LineBudget
-	wake     chan struct{} // Receives a value when a write may be due.
+	// startedAt is when this process began to follow the versions.
+	startedAt time.Time
+	lines     logging.LineBudget
+	wake      chan struct{} // Receives a value when a write may be due.
 
 	mu         sync.Mutex
 	table      tableCopy
@@ -98,7 +100,7 @@
 // New returns the tracker of the process named instance.
 func New(store Store, fleet Fleet, instance string, metrics *meter.Registry) *Tracker {
 	return &Tracker{
-		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, store: store, fleet: fleet, instance: instance, meter: metrics, wake: make(chan struct{}, 1),
+		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, store: store, fleet: fleet, instance: instance, meter: metrics, startedAt: clock.Now(), wake: make(chan struct{}, 1),
 		table: newTableCopy(), endpoints: make(map[string]listedEngine), services: make(map[string]*service),
 	}
 }
