experiment: one loop over the requests of a model with an ideal cache

The same loop with the same bookkeeping of prefixes stood three times (two bounds and the endpoint hours). No change of behaviour; the package's tests pass.

--- a/flamingospar/experiment/bound.go
+++ b/flamingospar/experiment/bound.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"iter"
 	"math"
 	"sort"
 )
@@ -39,17 +40,29 @@
 	firstBucket, lastBucket int // Buckets in which the work may be done, inclusive.
 }
 
+// requestsOf yields the requests of a model, and for each whether one before it had the same
+// prefix, so that an ideal cache holds it.
+func requestsOf(requests []*request, model int) iter.Seq2[*request, bool] {
+	return func(yield func(*request, bool) bool) {
+		seen := make(map[uint64]bool)
+		for _, r := range requests {
+			if r.model != model {
+				continue
+			}
+			cached := seen[r.prefix] && r.prefix != 0
+			seen[r.prefix] = true
+			if !yield(r, cached) {
+				return
+			}
+		}
+	}
+}
+
 // feasibleJobs returns the requests of a model that an idle engine could serve in
 // time. The first request with a prefix is the one that fills the cache.
 func feasibleJobs(requests []*request, model int) []job {
 	var jobs []job
-	seen := make(map[uint64]bool)
-	for _, r := range requests {
-		if r.model != model {
-			continue
-		}
-		cached := seen[r.prefix] && r.prefix != 0
-		seen[r.prefix] = true
+	for r, cached := range requestsOf(requests, model) {
 		if r.infeasible(cached) {
 			continue
 		}
@@ -235,13 +248,7 @@
 	for model := range f.models {
 		demanded := newMatrix(windows, teams)
 		good := newMatrix(windows, teams)
-		seen := make(map[uint64]bool)
-		for _, r := range requests {
-			if r.model != model {
-				continue
-			}
-			cached := seen[r.prefix] && r.prefix != 0
-			seen[r.prefix] = true
+		for r, cached := range requestsOf(requests, model) {
 			window := min(int(r.arrival/shareWindowSeconds), windows-1)
 			if r.infeasible(cached) {
 				continue
--- a/flamingospar/experiment/scale.go
+++ b/flamingospar/experiment/scale.go
@@ -152,13 +152,7 @@
 	hours := 0.0
 	for model := range f.models {
 		work := make([]float64, windows)
-		seen := make(map[uint64]bool)
-		for _, r := range requests {
-			if r.model != model {
-				continue
-			}
-			cached := seen[r.prefix] && r.prefix != 0
-			seen[r.prefix] = true
+		for r, cached := range requestsOf(requests, model) {
 			work[min(int(r.arrival/minHoursWindowSeconds), windows-1)] += r.work(cached)
 		}
 		for _, w := range work {
