--- a/gateway/duties/statements_test.go
+++ b/gateway/duties/statements_test.go
@@ -30,6 +30,15 @@
 	return p
 }
 
+// stepThrice runs three steps of a planner without the times that it waits between them.
+func stepThrice(t *testing.T, p *StagePlanner) {
+	for range 3 {
+		p.step(t.Context(), "model")
+		clear(p.serviceNotBefore)
+		clear(p.engineNotBefore)
+	}
+}
+
 // An engine said in its report that it leaves, and was ordered to change its stage. No
 // further report is asked of it either.
 func TestNoOrderToAnEngineThatLeaves(t *testing.T) {
@@ -37,11 +46,7 @@
 	e, s := newStatingEngine(t, "e1")
 	s.SetLeaving(true)
 	p := f.plannerThatObserves(e)
-	for range 3 {
-		p.step(t.Context(), "model")
-		clear(p.serviceNotBefore)
-		clear(p.engineNotBefore)
-	}
+	stepThrice(t, p)
 	require.Empty(t, e.receivedOrders(t))
 	require.Equal(t, 1, s.Arrivals())
 	view, list := p.Balancer.StageView("model")
@@ -56,11 +61,7 @@
 	e, s := newStatingEngine(t, "e1")
 	s.Refuse(1, "60")
 	p := f.plannerThatObserves(e)
-	for range 3 {
-		p.step(t.Context(), "model")
-		clear(p.serviceNotBefore)
-		clear(p.engineNotBefore)
-	}
+	stepThrice(t, p)
 	require.Empty(t, e.receivedOrders(t))
 	require.Equal(t, 1, s.Arrivals())
 	view, list := p.Balancer.StageView("model")
