A stream whose engine is listed with other software by its first event is in doubt

Callers saw pieces of two software versions in one stream. An engine started again under its ID with other software and was called before its new entry was read, as by a process that was cut off or frozen meanwhile. The entry was read before the first event arrived: Doubt marked the streams recorded until then, and the first event recorded the stream at the version of the entry before, as certain. It broke off and went on there.

RecordStreamAt now compares the version at which the endpoint was called with the one that is listed; if they differ the version is in doubt, so the stream goes on nowhere else.

--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -74,12 +74,17 @@
 	t.RecordStreamAt(serviceName, requestID, site.Endpoint{SoftwareVersion: version})
 }
 
-// RecordStreamAt is RecordStream for a stream that an endpoint begins.
+// RecordStreamAt is RecordStream for a stream that an endpoint begins, given as it was listed
+// when it was called. If it is listed with other software now, the version is in doubt.
 func (t *Tracker) RecordStreamAt(serviceName, requestID string, endpoint site.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(serviceName)
-	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: endpoint.SoftwareVersion, Endpoint: endpoint.ID}, clock.Now())
+	version := endpoint.SoftwareVersion
+	if listed, ok := t.endpoints[endpoint.ID]; ok && listed.version != version {
+		version = streamversion.Doubtful
+	}
+	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: version, Endpoint: endpoint.ID}, clock.Now())
 	if s.recording {
 		t.signal()
 	}
