A stream does not go on at an engine that is listed with other software meanwhile

Callers saw pieces of two software versions in one stream. A stream of v1 was sent to an engine that had started again as v2 under its ID; its new entry was read before its first event arrived, and the event was written all the same: only the version that the entry stated at the time of the call was compared.

Before the first event of a call that goes on with a stream is written, the engine must not be listed with other software than when it was called. Otherwise the stream goes on at another engine of its version. This counts neither against the engine's health nor as a crash.

Before: TestStreamDoesNotGoOnAtAnEngineThatIsListedWithOtherSoftwareMeanwhile/other_software fails ("expected: data: of stays, actual: data: of again"). After: passes, as does gateway/relay with -race.

--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -107,6 +107,15 @@
 	return s.statements.Take(s.now(), processOf(to))
 }
 
+// HasSoftware reports whether an endpoint is not listed with other software than when it was
+// called.
+func (s *Selector) HasSoftware(called site.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, ok := s.endpoints[called.ID]
+	return !ok || current.SoftwareVersion == called.SoftwareVersion
+}
+
 // Allows reports whether an endpoint allows a request now.
 func (s *Selector) Allows(to site.Endpoint) bool {
 	s.mu.Lock()
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -16,6 +16,7 @@
 	endpoint, response, start := c.endpoint, c.response, c.start
 	s.progress.runs++
 	s.progress.MayHaveRun = true
+	s.callWritten = false
 	streamEnded := func() {}
 	defer func() { streamEnded() }()
 	buffer := make([]byte, streamBufferBytes)
@@ -48,7 +49,10 @@
 				streamEnded = s.relay.Selector.StreamStarted(endpoint.ID)
 				s.countRunStart()
 			}
-			if s.writeEvents(endpoint, response, buffer[:n]) != nil {
+			writeErr := s.writeEvents(endpoint, response, buffer[:n])
+			if errors.Is(writeErr, errStartedAgain) {
+				err = writeErr
+			} else if writeErr != nil {
 				s.progress.recordStreamCall(endpoint.ID, start, ResultCallerLeft, received)
 				return s.endCallerLeft()
 			}
@@ -150,6 +154,9 @@
 // writeEvents sends data to the caller. For a resumable stream it sends whole events
 // only, since the stream may continue on another endpoint.
 func (s *stream) writeEvents(endpoint site.Endpoint, response *transport.Response, data []byte) error {
+	if s.startedAgain(endpoint) {
+		return errStartedAgain
+	}
 	if s.job.Route.Resumable {
 		data = s.events.add(data)
 		if len(data) == 0 {
@@ -159,6 +166,7 @@
 	if err := s.fixVersion(endpoint); err != nil {
 		return err
 	}
+	s.callWritten = true
 	s.writeHeader(response)
 	if _, err := s.w.Write(data); err != nil {
 		return err
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -49,6 +49,8 @@
 	// version is the version of the engines' software at which the stream has to go on;
 	// empty until the caller is about to get the first event.
 	version string
+	// callWritten is set once events of the current call were written.
+	callWritten bool
 	// reserved is the limited decode engine for which a permit was taken before the
 	// prefill, if any.
 	reserved string
@@ -257,7 +259,7 @@
 
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
-	if heldBack(err) {
+	if heldBack(err) || errors.Is(err, errStartedAgain) {
 		return
 	}
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -86,6 +86,16 @@
 	return nil
 }
 
+// errStartedAgain means that an endpoint's events may be of other software than its entry
+// stated when it was called.
+var errStartedAgain = errors.New("the endpoint has started again with other software since it was called; remedy: none is needed, the stream goes on elsewhere")
+
+// startedAgain reports whether an endpoint that is to go on with a stream which others began is
+// listed with other software than when it was called.
+func (s *stream) startedAgain(endpoint site.Endpoint) bool {
+	return s.version != "" && s.version == endpoint.SoftwareVersion && !s.callWritten && !s.relay.Selector.HasSoftware(endpoint)
+}
+
 // noteSoftware notes the versions of the software of endpoints for the lines about calls
 // to them.
 func (o *Outcome) noteSoftware(endpoints ...site.Endpoint) {
