A late answer to a write of a register does not replace a newer register

A caller's stream went on at another version in a test: a process had written that one version is in use, and the answer came late, as over a slow link or after a pause. Meanwhile another process had registered a second version, and a take-up had read that. The late answer replaced what was read, so one version alone seemed to be in use, and the take-up went on at it.

What was written is no longer kept if a newer row was read since.

--- a/gateway/streamversions/writer.go
+++ b/gateway/streamversions/writer.go
@@ -252,8 +252,8 @@
 	log.Info("The software versions of a service in use have changed.", "service", due.service, "versions", due.next.Uses, "before", due.before.Uses, "uncertain_until_ms", due.next.UncertainUntilMS, "now_ms", page.StoreClockMS, "era", due.next.Era, "version", page.Version)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if page.Era != t.table.era {
-		return nil // It is read again.
+	if page.Era != t.table.era || t.table.registers[due.service].rowVersion > page.Version {
+		return nil // It is read again, or was since the write.
 	}
 	t.table.registers[due.service] = register{Register: due.next, rowVersion: page.Version, askedAt: askedAt}
 	t.table.observeClock(page, askedAt)
