Ingress: an answer that breaks off ends with a reset for callers of HTTP/1.0

What callers saw: a caller (or a proxy) that speaks HTTP/1.0 got 200 with a part of a stream, and took it for whole. Cause: such an answer has no chunks and no length, so only the end of its connection ends it, and net/http closes the connection of an aborted handler as after a whole answer. Callers of HTTP/1.1 miss the last chunk and were not concerned.

Evidence: TestBrokenAnswerIsNotWholeForACallerOfHTTP10/broken_off failed before: 'An error is expected but got nil', after 'id: 4\nda'.

Why the fix works: the abort of an HTTP/1.0 request sets the linger time of its connection to 0, so that closing it sends a reset, which the caller's read reports as an error. What was sent before and not received yet is lost, which callers of a broken answer have to expect.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -159,3 +159,15 @@
 	defer conn.mu.Unlock()
 	return conn.closed
 }
+
+// resetOnClose makes a connection end with a reset once it is closed. What was sent and not
+// received yet is lost then.
+func resetOnClose(ctx context.Context) {
+	conn, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // It fails only on a connection that is closed.
+	}
+}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -57,6 +57,9 @@
 			h.Meter.Count("panic", "request")
 			h.Log.Panicked(site.ParseCallerRequest(r.Header).ID, recovered)
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			resetOnClose(r.Context()) // Nothing else shows that the response is not complete.
+		}
 		panic(http.ErrAbortHandler)
 	}()
 	h.handle(w, r)
