Relay tests: two tests that failed for lack of processor time run in simulated time

Which bound of wall time made them fail, found with a test process that was stopped (SIGSTOP) again and again, for 2 to 3 ms of running time in between, -race -cpu 1:

- stopped for 0.8 s: 'faulty' was not asked, result not_sent after 805 ms: the 600 ms to open a connection.
The same failed all three cases of the other test (no_endpoint).

They now run under testing/synctest on standin/memnet, with the same checks and the same bounds of the relay: Pool.Dial can be replaced, and sitetest starts endpoints on a given listener. Stopped for 0.8, 1.9 and 2.4 s they pass, where they failed before each time.

As strict as before: a stream taken as whole inside an event, or unframed before its first one, and a decode engine excluded for a failed prefill turn them red (trials, taken back). A reset over TCP is still tested by TestUnframedPlainResponse and TestAnswerThatIsResetIs Incomplete. go test -race -cpu 1 ./gateway/relay ./gateway/transport passes.

--- a/gateway/relay/unaskeddecode_test.go
+++ b/gateway/relay/unaskeddecode_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,18 +22,21 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			prefill := sitetest.NewEndpoint(t, "prefill", other)
-			decode := sitetest.NewEndpoint(t, "decode", sitetest.Events(4, 0))
-			r := newRelay()
-			addModel(r, "decode", decode.Address, 8)
-			r.Selector.EndpointChanged(site.Endpoint{ID: "prefill", Service: "model", Address: prefill.Address, DataCentre: "dc-1", Slots: 8, Stage: site.Prefill, StartedMS: 1})
-			job := newStreamJob()
-			job.Route.Resumable = false
-			job.Caller.Prompt = site.Prompt{InputTokens: 4000, Parts: []site.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 3990}}}
-			recorder := httptest.NewRecorder()
-			outcome := r.Serve(t.Context(), recorder, job)
-			require.Equal(t, http.StatusOK, recorder.Code, "%s %+v", outcome.Reason, outcome.Calls)
-			require.Equal(t, events(4), recorder.Body.String())
+			synctest.Test(t, func(t *testing.T) {
+				network := newSimulatedNetwork()
+				prefill := network.newEndpoint(t, "prefill", other)
+				decode := network.newEndpoint(t, "decode", sitetest.Events(4, 0))
+				r := network.newRelay()
+				addModel(r, "decode", decode.Address, 8)
+				r.Selector.EndpointChanged(site.Endpoint{ID: "prefill", Service: "model", Address: prefill.Address, DataCentre: "dc-1", Slots: 8, Stage: site.Prefill, StartedMS: 1})
+				job := newStreamJob()
+				job.Route.Resumable = false
+				job.Caller.Prompt = site.Prompt{InputTokens: 4000, Parts: []site.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 3990}}}
+				recorder := httptest.NewRecorder()
+				outcome := r.Serve(t.Context(), recorder, job)
+				require.Equal(t, http.StatusOK, recorder.Code, "%s %+v", outcome.Reason, outcome.Calls)
+				require.Equal(t, events(4), recorder.Body.String())
+			})
 		})
 	}
 }
--- a/gateway/relay/unframed_test.go
+++ b/gateway/relay/unframed_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -25,7 +26,17 @@
 func serveUnframed(t *testing.T, job *relay.Job, body string, reset bool) (outcome relay.Outcome, answer string, requests int64) {
 	faulty := sitetest.NewUnframedEndpoint(t, body, reset)
 	healthy := sitetest.NewEndpoint(t, "healthy", sitetest.Events(6, 0))
-	r := newRelay()
+	return serveUnframedAt(t, newRelay(), faulty, healthy, job)
+}
+
+// serveUnframedIn is serveUnframed in a simulated network.
+func serveUnframedIn(t *testing.T, network simulatedNetwork, job *relay.Job, body string, reset bool) (outcome relay.Outcome, answer string, requests int64) {
+	faulty := network.newUnframed(t, "faulty", body, reset)
+	healthy := network.newEndpoint(t, "healthy", sitetest.Events(6, 0))
+	return serveUnframedAt(t, network.newRelay(), faulty, healthy, job)
+}
+
+func serveUnframedAt(t *testing.T, r *relay.Relay, faulty *sitetest.UnframedEndpoint, healthy *sitetest.Endpoint, job *relay.Job) (outcome relay.Outcome, answer string, requests int64) {
 	if job.Service == "model" {
 		addModel(r, "faulty", faulty.Address, 8)
 		addModel(r, "healthy", healthy.Address, 1) // Its only slot is taken, so that the faulty one is tried first.
@@ -60,28 +71,30 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			job := newStreamJob()
-			job.Route.Resumable = false
-			outcome, answer, retries := serveUnframed(t, job, c.body, c.reset)
-			require.Zero(t, retries)
-			if c.broken {
-				require.NotEqual(t, relay.ReasonNone, outcome.Reason)
-				if outcome.Reason == relay.ReasonBroken { // Otherwise the answer is a failure.
-					require.True(t, strings.HasPrefix(c.body, answer), answer)
+			synctest.Test(t, func(t *testing.T) {
+				job := newStreamJob()
+				job.Route.Resumable = false
+				outcome, answer, retries := serveUnframedIn(t, newSimulatedNetwork(), job, c.body, c.reset)
+				require.Zero(t, retries)
+				if c.broken {
+					require.NotEqual(t, relay.ReasonNone, outcome.Reason)
+					if outcome.Reason == relay.ReasonBroken { // Otherwise the answer is a failure.
+						require.True(t, strings.HasPrefix(c.body, answer), answer)
+					}
+				} else {
+					require.Equal(t, relay.ReasonNone, outcome.Reason)
+					require.Equal(t, c.body, answer)
 				}
-			} else {
-				require.Equal(t, relay.ReasonNone, outcome.Reason)
-				require.Equal(t, c.body, answer)
-			}
 
-			outcome, answer, retries = serveUnframed(t, newStreamJob(), c.body, c.reset)
-			require.Equal(t, relay.ReasonNone, outcome.Reason)
-			if c.broken {
-				require.EqualValues(t, 1, retries)
-				require.Equal(t, pieces(6), answer, "the stream goes on at another endpoint")
-			} else {
-				require.Equal(t, c.body, answer)
-			}
+				outcome, answer, retries = serveUnframedIn(t, newSimulatedNetwork(), newStreamJob(), c.body, c.reset)
+				require.Equal(t, relay.ReasonNone, outcome.Reason)
+				if c.broken {
+					require.EqualValues(t, 1, retries)
+					require.Equal(t, pieces(6), answer, "the stream goes on at another endpoint")
+				} else {
+					require.Equal(t, c.body, answer)
+				}
+			})
 		})
 	}
 }
--- a/gateway/transport/pool.go
+++ b/gateway/transport/pool.go
@@ -15,6 +15,8 @@
 
 // Pool is a pool of connections to endpoints. It holds idle connections by address.
 type Pool struct {
+	// Dial opens connections; NewPool sets it to open TCP connections.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	dialer net.Dialer
 	// OnDial, if set, is called for each new connection.
 	OnDial func()
@@ -34,6 +36,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control:         setUserTimeout,
 	}
+	p.Dial = p.dialer.DialContext
 	return p
 }
 
@@ -58,7 +61,7 @@
 		}
 		c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
