Stop of a process: answer what has arrived on an idle connection

Callers saw: a whole request on a kept connection got neither an answer nor a refusal when the process stopped; its connection ended.

Cause: the drain closed idle connections from outside. Bytes that lay in the system's buffer were dropped, and so was a request that a system call had read but that was not noted as begun yet.

Evidence: TestRequestThatHasArrivedOnAnIdleConnectionIsAnswered holds the read of the server before or after its system call.

Why it works: nothing closes a connection from outside before the deadline of the drain. The drain only ends reads, by a deadline that is a function of the connection's state alone; a read that it ended looks once more, without a deadline, at what the system holds. The server then closes the connection itself. SetKeepAlivesEnabled(false) is no longer called, since it closes idle connections; responses state Connection: close by a writer of their own.

What can make it hang is shown: net/http sets its own read deadline (180 s here) on a connection that has just become idle, after the drain has ended the wait on it, and the server has forgotten a connection that it closed once. TestEveryConnectionIsClosedAtTheEndOfAStop, with a whole process, guards the end of the drain.

TestConnectionOnWhichNoRequestFollowsIsClosedSoonAfterAStop calls Drain and Drained in place of the former drain; its cases and bounds are the same.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -2,119 +2,133 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// Listener accepts the connections of callers and tracks them until they are closed, so
-// that a server that stops answers each request that it has begun to read.
-type Listener struct {
-	net.Listener
-	stopped atomic.Bool
-	open    atomic.Int64
-}
-
-// NewListener returns a listener that tracks the connections of another one. ConnState must
-// be set as http.Server.ConnState.
-func NewListener(listener net.Listener) *Listener { return &Listener{Listener: listener} }
-
-// Accept waits for a connection and tracks it. It returns http.ErrServerClosed after
-// StopAccepting.
-func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil && l.stopped.Load() {
-		return nil, http.ErrServerClosed
-	}
-	if err != nil {
-		return nil, err
-	}
-	l.open.Add(1)
-	return &trackedConn{Conn: conn, listener: l}, nil
-}
-
-// StopAccepting closes the listener. Connections that were accepted stay open.
-func (l *Listener) StopAccepting() {
-	l.stopped.Store(true)
-	_ = l.Listener.Close() // It is not used again.
-}
-
-// Open returns the number of connections that are open.
-func (l *Listener) Open() int64 { return l.open.Load() }
+// How long a connection waits while its listener drains.
+const (
+	// firstRequestTime is how long the first request of a connection is waited for, as in
+	// http.Server.Shutdown.
+	firstRequestTime = 5 * time.Second
+	// maxReadTime is how long the header of a request is read. What comes may be less than
+	// a request, such as an empty line.
+	maxReadTime = 1500 * time.Millisecond
+)
 
-// trackedConn is a connection of a caller. A server that stops closes idle connections, but
-// the next request on one may have been read in part or completely. The connection then
-// stays open until the request was answered.
+// trackedConn is a connection of a caller. While its listener drains, only reads end: the
+// server then closes the connection itself, so that a request of which bytes were read, or
+// have arrived, is answered.
 type trackedConn struct {
 	net.Conn
 	listener *Listener
 
-	mu     sync.Mutex
-	active bool // A request was read up to its body, and is not answered yet.
-	begun  bool // Bytes of a request were read since the connection was idle.
-	failed bool // A read has failed since then: no request is to follow.
-	closed bool
-	unread *time.Timer // Closes it if no request was read since the server closed it.
+	mu             sync.Mutex
+	active         bool      // A request was read up to its body, and is not answered yet.
+	begun          time.Time // When bytes of the next request were first read.
+	waitUntil      time.Time // Until when they are waited for while the listener drains.
+	drainedFrom    time.Time
+	serverDeadline time.Time // The read deadline that the server has set.
+	closed         bool
+}
+
+func newTrackedConn(conn net.Conn, listener *Listener, drainedFrom time.Time) *trackedConn {
+	return &trackedConn{Conn: conn, listener: listener, drainedFrom: drainedFrom, waitUntil: time.Now().Add(firstRequestTime)}
 }
 
 // Read reads from the connection and records that a request has begun.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.begun = c.begun || n > 0
-	c.failed = c.failed || err != nil
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.extendForArrived() {
+		n, err = c.Conn.Read(p)
+	}
+	if n > 0 {
+		c.recordRead()
+	}
 	return n, err
 }
 
-// maxReadTime is how long a connection stays open on which a request has begun when the
-// server closes it. What comes may be less than a request, such as an empty line.
-const maxReadTime = 1500 * time.Millisecond
-
-// Close closes the connection, unless a request on it is being read: the server then closes
-// it after the answer.
-func (c *trackedConn) Close() error {
+// extendForArrived moves the read deadline of a connection that drains, if bytes have
+// arrived that were not read. It reports whether it did.
+func (c *trackedConn) extendForArrived() bool {
 	c.mu.Lock()
-	if !c.begun || c.active || c.failed || c.closed {
-		return c.closeAndUnlock()
-	}
 	defer c.mu.Unlock()
-	if c.unread == nil {
-		c.unread = time.AfterFunc(maxReadTime, c.closeUnread)
+	if c.active || c.drainedFrom.IsZero() || !readable(c.Conn) {
+		return false
 	}
-	return nil
+	return c.Conn.SetReadDeadline(time.Now().Add(maxReadTime)) == nil
 }
 
-// closeUnread closes the connection if no request was read since the server closed it.
-func (c *trackedConn) closeUnread() {
+func (c *trackedConn) recordRead() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.active {
-		c.mu.Unlock()
 		return
 	}
-	_ = c.closeAndUnlock() // Nothing is lost with it.
+	if c.begun.IsZero() {
+		c.begun = time.Now()
+	}
+	c.applyDrain()
 }
 
-// closeNow closes the connection whatever is being read.
-func (c *trackedConn) closeNow() error {
+// SetReadDeadline sets the read deadline of the server. While the listener drains, the wait
+// for a request may end before it.
+func (c *trackedConn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
-	return c.closeAndUnlock()
+	defer c.mu.Unlock()
+	c.serverDeadline = deadline
+	return c.Conn.SetReadDeadline(c.readDeadline())
 }
 
-// closeAndUnlock records that this process closes the connection, and closes it. c.mu must
-// be held.
-func (c *trackedConn) closeAndUnlock() error {
-	first := !c.closed
-	c.closed = true
-	if c.unread != nil {
-		c.unread.Stop()
+// drain ends the wait for the next request.
+func (c *trackedConn) drain(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drainedFrom = now
+	c.applyDrain()
+}
+
+// applyDrain sets the read deadline again while the listener drains. c.mu must be held.
+func (c *trackedConn) applyDrain() {
+	if !c.drainedFrom.IsZero() {
+		_ = c.Conn.SetReadDeadline(c.readDeadline()) // Fails on a closed connection only.
 	}
-	c.mu.Unlock()
-	if first {
-		c.listener.open.Add(-1)
+}
+
+// readDeadline returns the read deadline in the present state. It depends on nothing else,
+// so that no order of a drain and of deadlines of the server lets a wait go on. c.mu must be
+// held.
+func (c *trackedConn) readDeadline() time.Time {
+	if c.active || c.drainedFrom.IsZero() {
+		return c.serverDeadline
 	}
+	deadline := c.waitUntil
+	if !c.begun.IsZero() {
+		deadline = later(deadline, later(c.begun, c.drainedFrom).Add(maxReadTime))
+	}
+	if !c.serverDeadline.IsZero() && c.serverDeadline.Before(deadline) {
+		return c.serverDeadline
+	}
+	return deadline
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.listener.untrack(c)
 	return c.Conn.Close()
 }
 
@@ -124,21 +138,18 @@
 	defer c.mu.Unlock()
 	c.active = state == http.StateActive
 	if state == http.StateIdle {
-		c.begun, c.failed = false, false
+		c.begun = time.Time{}
+		c.waitUntil = time.Now()
 	}
+	c.applyDrain()
 }
 
 // ConnState tracks the state of a connection; it is set as http.Server.ConnState.
 func ConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*trackedConn)
-	if !ok {
-		return
-	}
-	if state == http.StateClosed {
-		_ = c.closeNow() // It is closed already, unless Close found that a request was being read.
-		return
+	if ok && state != http.StateClosed {
+		c.setState(state)
 	}
-	c.setState(state)
 }
 
 type connKey struct{}
@@ -159,3 +170,9 @@
 	defer conn.mu.Unlock()
 	return conn.closed
 }
+
+// connDraining reports whether the connection of a request is closed after the response.
+func connDraining(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*trackedConn)
+	return ok && conn.listener.draining()
+}
--- /dev/null
+++ b/gateway/ingress/drain_test.go
@@ -0,0 +1,170 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/ingress"
+)
+
+const (
+	// arrivalTime is longer than what was sent takes to arrive on the same machine.
+	arrivalTime = 100 * time.Millisecond
+	// drainTime bounds the drain of connections on which nothing is under way.
+	drainTime  = 3 * time.Second
+	answerTime = 10 * time.Second
+)
+
+// hold stops a read of a connection before or after its system call.
+type hold struct {
+	afterCall        bool
+	reached, release chan struct{}
+}
+
+// holdingListener accepts connections whose next read can be held.
+type holdingListener struct {
+	*net.TCPListener
+	next atomic.Pointer[hold]
+}
+
+func (l *holdingListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &holdingConn{TCPConn: conn, next: &l.next}, nil
+}
+
+type holdingConn struct {
+	*net.TCPConn
+	next *atomic.Pointer[hold]
+}
+
+func (c *holdingConn) Read(p []byte) (int, error) {
+	held := c.next.Swap(nil)
+	if held != nil && !held.afterCall {
+		held.wait()
+	}
+	n, err := c.TCPConn.Read(p)
+	if held != nil && held.afterCall {
+		held.wait()
+	}
+	return n, err
+}
+
+func (h *hold) wait() {
+	close(h.reached)
+	<-h.release
+}
+
+// drainable is a server whose listener can be drained.
+type drainable struct {
+	t        *testing.T
+	sockets  *holdingListener
+	listener *ingress.Listener
+	server   *http.Server
+	onIdle   func() // Called each time a connection becomes idle, before the server waits on it.
+}
+
+func newDrainable(t *testing.T, handler http.HandlerFunc) *drainable {
+	sockets, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &drainable{t: t, sockets: &holdingListener{TCPListener: sockets.(*net.TCPListener)}, onIdle: func() {}}
+	d.listener = ingress.NewListener(d.sockets)
+	d.server = &http.Server{Handler: handler, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, ConnContext: ingress.ConnContext}
+	d.server.ConnState = func(conn net.Conn, state http.ConnState) {
+		ingress.ConnState(conn, state)
+		if state == http.StateIdle {
+			d.onIdle()
+		}
+	}
+	t.Cleanup(func() { _ = d.server.Close() }) // The test is over.
+	return d
+}
+
+func (d *drainable) serve() {
+	go func() { _ = d.server.Serve(d.listener) }() // It ends with the test.
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (d *drainable) dial() *callerConn {
+	conn, err := net.Dial("tcp", d.sockets.Addr().String())
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = conn.Close() }) // The test is over.
+	return &callerConn{t: d.t, Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *callerConn) write(data string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, data)
+	require.NoError(c.t, err)
+}
+
+// requireAnswer requires a whole response.
+func (c *callerConn) requireAnswer() {
+	c.t.Helper()
+	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(answerTime)))
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err, "the connection of a whole request ended without a response")
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	require.Equal(c.t, "ok", string(body))
+}
+
+func (d *drainable) requireDrained() {
+	d.t.Helper()
+	require.Eventually(d.t, d.listener.Drained, drainTime, 20*time.Millisecond)
+}
+
+// Guards against requests without an answer: a stop closed an idle connection whose next
+// request had arrived, but was not noted as read.
+func TestRequestThatHasArrivedOnAnIdleConnectionIsAnswered(t *testing.T) {
+	for name, afterCall := range map[string]bool{"not read": false, "read by a system call, not noted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainable(t, answerOK)
+			held := &hold{afterCall: afterCall, reached: make(chan struct{}), release: make(chan struct{})}
+			d.onIdle = func() { d.sockets.next.Store(held) }
+			d.serve()
+			c := d.dial()
+			c.write(postRequest)
+			c.requireAnswer()
+			if !afterCall {
+				<-held.reached
+			}
+			c.write(postRequest)
+			<-held.reached
+			time.Sleep(arrivalTime)
+			d.listener.Drain()
+			time.Sleep(arrivalTime) // The drain does all that it can before the read goes on.
+			close(held.release)
+			c.requireAnswer()
+			d.requireDrained()
+		})
+	}
+}
+
+// Guards against a drain that hangs: the server may set its own read deadline, of minutes, on
+// a connection after the drain has ended the wait on it.
+func TestReadDeadlineOfTheServerDoesNotOutlastADrain(t *testing.T) {
+	d := newDrainable(t, answerOK)
+	d.onIdle = d.listener.Drain
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	c.requireAnswer()
+	d.requireDrained()
+}
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -65,14 +65,15 @@
 func (h *Handler) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // Clears the deadline of the connection's previous request.
+	out := closingWriter{ResponseWriter: w, ctx: r.Context()}
 	current := h.Config.Current()
 	if current == nil {
-		h.refuse(w, r, arrived, refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryIn: notReadyRetryAfter})
+		h.refuse(out, r, arrived, refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryIn: notReadyRetryAfter})
 		return
 	}
 	job, refused := h.admit(w, r, current, arrived)
 	if refused.status != 0 {
-		h.refuse(w, r, arrived, refused)
+		h.refuse(out, r, arrived, refused)
 		return
 	}
 	if connClosed(r.Context()) {
@@ -80,7 +81,7 @@
 		h.Log.Refused(job.Caller.ID, refusal{reason: "connection_closed"}, current.Version, time.Since(arrived))
 		panic(http.ErrAbortHandler)
 	}
-	h.serve(r.Context(), w, job)
+	h.serve(r.Context(), out, job)
 }
 
 // refusal is the response to a request that is not passed to the relay.
--- a/gateway/ingress/stopped_test.go
+++ b/gateway/ingress/stopped_test.go
@@ -49,11 +49,8 @@
 			_, err = io.WriteString(conn, c.after)
 			require.NoError(t, err)
 			time.Sleep(200 * time.Millisecond) // It is read.
-			tracked.StopAccepting()
-			require.Eventually(t, func() bool {
-				server.SetKeepAlivesEnabled(false)
-				return tracked.Open() == 0
-			}, c.bound, 20*time.Millisecond)
+			tracked.Drain()
+			require.Eventually(t, tracked.Drained, c.bound, 20*time.Millisecond)
 		})
 	}
 }
--- a/gateway/node/closing_test.go
+++ b/gateway/node/closing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -34,21 +35,26 @@
 // send sends a request in pieces, with a pause between them, and reads the answer. An error
 // is that of a connection that ended.
 func (c *keptConn) send(pause time.Duration, pieces ...string) (status int, body string, err error) {
+	response, err := c.start(pause, pieces...)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// start sends a request in pieces and reads the header of the answer.
+func (c *keptConn) start(pause time.Duration, pieces ...string) (*http.Response, error) {
 	for i, piece := range pieces {
 		if i > 0 {
 			time.Sleep(pause)
 		}
 		if _, err := io.WriteString(c.conn, piece); err != nil {
-			return 0, "", err
+			return nil, err
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // TCP connections support deadlines.
-	response, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return 0, "", err
-	}
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(data), err
+	return http.ReadResponse(c.reader, nil)
 }
 
 // piecesOf returns a request in the pieces in which a caller may send it.
@@ -183,3 +189,76 @@
 	running.Wait()
 	h.eventually(func() bool { return !accepts(h.vm.CallerAddress) })
 }
+
+// A response that begins while the process closes connections says so to its caller.
+func TestResponseWhileTheProcessClosesSaysThatItsConnectionIsClosed(t *testing.T) {
+	h := newHarness(t)
+	e := sitetest.NewEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(sitetest.HeaderRequestID) == "late" {
+			time.Sleep(beforeClose + afterClose)
+		}
+		fmt.Fprint(w, "ok")
+	})
+	h.register(e, "plain", "")
+	h.run()
+	h.waitUntilServing(oncePath)
+	answered, refused := h.dial(), h.dial()
+	h.stop()
+	time.Sleep(closingTime - beforeClose)
+	var running sync.WaitGroup
+	running.Go(func() {
+		response := answered.exchange(0, piecesOf(0, "late")...)
+		assert.Equal(t, http.StatusOK, response.StatusCode)
+		assert.True(t, response.Close, "answered")
+	})
+	running.Go(func() {
+		response := refused.exchange(beforeClose+afterClose, "G", "ET /none HTTP/1.1\r\nHost: h.example\r\n\r\n")
+		assert.Equal(t, http.StatusNotFound, response.StatusCode)
+		assert.True(t, response.Close, "refused")
+	})
+	running.Wait()
+}
+
+// exchange sends a request in pieces and returns the header of the response.
+func (c *keptConn) exchange(pause time.Duration, pieces ...string) *http.Response {
+	response, err := c.start(pause, pieces...)
+	if !assert.NoError(c.t, err) {
+		return &http.Response{}
+	}
+	return response
+}
+
+// A process closes each connection of its callers before it ends, whatever is under way.
+func TestEveryConnectionIsClosedAtTheEndOfAStop(t *testing.T) {
+	h := newHarness(t)
+	h.vm.SetStopGracePeriod(t, 4)
+	running := make(chan struct{}, 1)
+	e := sitetest.NewEndpoint(t, "e1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(sitetest.HeaderRequestID) == "endless" {
+			running <- struct{}{}
+			<-r.Context().Done()
+		}
+		fmt.Fprint(w, "ok")
+	})
+	h.register(e, "plain", "")
+	h.run()
+	h.waitUntilServing(oncePath)
+	conns := map[string]*keptConn{"unused": h.dial(), "idle": h.dial(), "half a header": h.dial(), "endless": h.dial()}
+	_, _, err := conns["idle"].send(0, piecesOf(0, "first")...)
+	require.NoError(t, err)
+	_, err = io.WriteString(conns["half a header"].conn, "GET / HT")
+	require.NoError(t, err)
+	_, err = io.WriteString(conns["endless"].conn, piecesOf(0, "endless")[0])
+	require.NoError(t, err)
+	<-running
+	h.stop()
+	ended := <-h.done
+	h.done <- ended // The cleanup receives it too.
+	require.NoError(t, ended)
+	for name, c := range conns {
+		_ = c.conn.SetReadDeadline(time.Now().Add(time.Second)) // TCP connections support deadlines.
+		_, err := c.reader.ReadByte()
+		require.Error(t, err, name)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%s: open at the end of the process", name)
+	}
+}
--- a/gateway/node/servers.go
+++ b/gateway/node/servers.go
@@ -25,14 +25,13 @@
 // errStillRunning is returned when requests were not finished within the stop grace period.
 var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: lengthen the period if requests may take longer")
 
-// drain closes the idle connections of callers and waits until all others are closed, at
-// most until the deadline. Each request of which a part has been read is answered;
-// http.Server.Shutdown would drop those that it finishes reading later.
+// drain closes the connections of callers, each when what has arrived on it is answered. At
+// the deadline it closes those that are left. http.Server.Shutdown would drop requests that
+// it finishes reading later, and those of which it has read nothing yet.
 func (s servers) drain(deadline time.Time) error {
-	s.callerListener.StopAccepting()
+	s.callerListener.Drain()
 	for time.Now().Before(deadline) {
-		s.callers.SetKeepAlivesEnabled(false) // Closes the connections that are idle now.
-		if s.callerListener.Open() == 0 {
+		if s.callerListener.Drained() {
 			return nil
 		}
 		time.Sleep(drainInterval)
