Stop of a process: wait for a reuse that no response advised against

Callers saw: a request sent at once after a stream had ended, on the same connection, got neither an answer nor a refusal while the process stopped.

Cause: the header of a response that began before the drain does not state Connection: close, so its caller may use the connection again. The server closed it as soon as the response had ended.

Evidence: TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered on the commit before, and on with the drain of that code: "unexpected EOF". It passes now; go test -race -cpu 1 -p 2 ./gateway/ingress -count 2 too.

Why it works: while the listener drains, a connection that becomes idle is read for 100 ms more; responses that begin then state Connection: close, and their connections are closed as before. Connections that were idle for longer when the drain began are not waited for.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -15,6 +15,9 @@
 	// firstRequestTime is how long the first request of a connection is waited for, as in
 	// http.Server.Shutdown.
 	firstRequestTime = 5 * time.Second
+	// reuseTime is how long the next request is waited for after a response that did not
+	// say that the connection is closed after it.
+	reuseTime = 100 * time.Millisecond
 	// maxReadTime is how long the header of a request is read. What comes may be less than
 	// a request, such as an empty line.
 	maxReadTime = 1500 * time.Millisecond
@@ -139,7 +142,7 @@
 	c.active = state == http.StateActive
 	if state == http.StateIdle {
 		c.begun = time.Time{}
-		c.waitUntil = time.Now()
+		c.waitUntil = time.Now().Add(reuseTime)
 	}
 	c.applyDrain()
 }
--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -168,3 +168,26 @@
 	c.requireAnswer()
 	d.requireDrained()
 }
+
+// Guards against requests without an answer: a response that began before the drain does not
+// say that its connection is closed, so that its caller may use it again at once.
+func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	d := newDrainable(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "o")             // An error shows at the caller.
+		_ = http.NewResponseController(w).Flush() // The same.
+		began <- struct{}{}
+		<-end
+		_, _ = io.WriteString(w, "k") // The same.
+	})
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	<-began
+	d.listener.Drain()
+	close(end)
+	c.requireAnswer()
+	c.write(postRequest)
+	c.requireAnswer()
+	d.requireDrained()
+}
