Stop of a process: accept what the system has accepted

Callers saw: a request sent on a new connection was met with "connection reset by peer" when the process stopped.

Cause: the listener was closed while the system held connections that the process had not accepted yet, with requests on them. The system resets these.

Evidence: TestRequestsOnConnectionsThatWaitToBeAcceptedAreAnswered holds the loop that accepts, dials 20 connections, writes a request on each and drains.

Why it works: the drain ends the wait for connections by a deadline. The loop that accepts takes what the system holds, closes the listener when it holds nothing, and only then the drain can be over. One that arrives between the last look and the close is still reset.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -40,7 +40,11 @@
 }
 
 func newTrackedConn(conn net.Conn, listener *Listener, drainedFrom time.Time) *trackedConn {
-	return &trackedConn{Conn: conn, listener: listener, drainedFrom: drainedFrom, waitUntil: time.Now().Add(firstRequestTime)}
+	wait := firstRequestTime
+	if !drainedFrom.IsZero() {
+		wait = maxReadTime
+	}
+	return &trackedConn{Conn: conn, listener: listener, drainedFrom: drainedFrom, waitUntil: time.Now().Add(wait)}
 }
 
 // Read reads from the connection and records that a request has begun.
--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -169,6 +170,41 @@
 	d.requireDrained()
 }
 
+// Guards against requests without an answer: a stop reset connections that the system had
+// accepted and the process had not.
+func TestRequestsOnConnectionsThatWaitToBeAcceptedAreAnswered(t *testing.T) {
+	const waiting = 20
+	d := newDrainable(t, answerOK)
+	accepting, release := make(chan struct{}, waiting+1), make(chan struct{})
+	d.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		accepting <- struct{}{}
+		<-release // Holds the loop that accepts connections.
+		return ingress.ConnContext(ctx, conn)
+	}
+	d.serve()
+	conns := []*callerConn{d.dial()}
+	<-accepting
+	for range waiting {
+		conns = append(conns, d.dial())
+	}
+	for _, c := range conns {
+		c.write(postRequest)
+	}
+	time.Sleep(arrivalTime)
+	d.listener.Drain()
+	close(release)
+	for _, c := range conns {
+		c.requireAnswer()
+	}
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", d.sockets.Addr().String())
+		if err == nil {
+			_ = conn.Close() // Only whether it is accepted counts.
+		}
+		return err != nil
+	}, drainTime, 20*time.Millisecond, "the listener must be closed")
+}
+
 // Guards against requests without an answer: a response that began before the drain does not
 // say that its connection is closed, so that its caller may use it again at once.
 func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
--- a/gateway/ingress/listener.go
+++ b/gateway/ingress/listener.go
@@ -14,6 +14,7 @@
 
 	mu          sync.Mutex
 	drainedFrom time.Time // When Drain was called.
+	closed      bool      // No further connection is accepted.
 	conns       map[*trackedConn]struct{}
 }
 
@@ -23,18 +24,49 @@
 	return &Listener{Listener: listener, conns: map[*trackedConn]struct{}{}}
 }
 
-// Accept waits for a connection and tracks it. It returns http.ErrServerClosed after Drain.
+// Accept waits for a connection and tracks it. After Drain it returns the connections that
+// the system has accepted, and then http.ErrServerClosed.
 func (l *Listener) Accept() (net.Conn, error) {
+	if l.draining() {
+		return l.acceptArrived()
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil && l.draining() {
+		return l.acceptArrived()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return l.track(conn), nil
+}
+
+// acceptTime bounds the wait for a connection that the system has accepted.
+const acceptTime = time.Second
+
+// acceptArrived returns a connection that the system has accepted. If there is none, it
+// closes the listener: the system resets those that are left.
+func (l *Listener) acceptArrived() (net.Conn, error) {
+	if !readable(l.Listener) {
+		_ = l.Close() // It is not used again.
 		return nil, http.ErrServerClosed
 	}
+	setAcceptDeadline(l.Listener, time.Now().Add(acceptTime))
+	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	return l.track(conn), nil
 }
 
+// setAcceptDeadline ends waits for connections at a time. It reports whether the listener
+// has deadlines.
+func setAcceptDeadline(listener net.Listener, deadline time.Time) bool {
+	withDeadline, ok := listener.(interface {
+		SetDeadline(deadline time.Time) error
+	})
+	return ok && withDeadline.SetDeadline(deadline) == nil
+}
+
 func (l *Listener) track(conn net.Conn) net.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,9 +81,9 @@
 	delete(l.conns, c)
 }
 
-// Drain closes the listener and ends, on each connection, the wait for the next request. What
-// has arrived by then is still read and answered; the server closes a connection after that,
-// or if nothing has arrived.
+// Drain ends the wait for connections and, on each connection, the wait for the next
+// request. What has arrived by then is still accepted, read and answered; the server closes
+// a connection after that, or if nothing has arrived.
 func (l *Listener) Drain() {
 	now := time.Now()
 	l.mu.Lock()
@@ -63,14 +95,24 @@
 	for c := range l.conns {
 		c.drain(now)
 	}
-	_ = l.Listener.Close() // It is not used again.
+	if !setAcceptDeadline(l.Listener, now) {
+		_ = l.Listener.Close() // It is not used again.
+	}
 }
 
 // Drained reports whether the listener and all of its connections are closed.
 func (l *Listener) Drained() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.drainedFrom.IsZero() && len(l.conns) == 0
+	return l.closed && len(l.conns) == 0
+}
+
+// Close closes the listener. Connections that were accepted stay open.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	return l.Listener.Close()
 }
 
 func (l *Listener) draining() bool {
--- a/gateway/ingress/readable.go
+++ b/gateway/ingress/readable.go
@@ -8,7 +8,8 @@
 )
 
 // readable reports whether the system holds something for a socket: bytes, an end or an
-// error. Unlike a read, it isn't kept from that by a deadline that has passed.
+// error of a connection, or a connection of a listener. Unlike a read, it isn't kept from
+// that by a deadline that has passed.
 func readable(socket any) bool {
 	withRaw, ok := socket.(syscall.Conn)
 	if !ok {
