Read the body of a request that is refused for its header

Callers saw: after a change of the configuration that removed a route or a key, or lowered the limit of bodies, a caller that sent a long body before it read the response got "connection reset by peer" in place of the refusal.

Cause: the refusal was sent at once, and the connection closed 0.5 s later with up to the whole body unread. The system then resets the connection.

Evidence: TestRequestThatIsRefusedForItsHeaderMayBeSentWhole, with a whole process and a body of 2 MB sent within 2 s. On the commit before, in all three cases (404, 401, 413): "write: connection reset by peer". It passes now (-race -cpu 1 -count 2), as do the tests of changes and reloads of gateway/node and gateway/ingress.

Why it works: the refusal is still sent at once, but then the body is read, up to 4 MB and 5 s. A caller that waits for 100 Continue is not asked for its body. Callers that read while they send were not affected.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -27,6 +27,8 @@
 	// bodyReadMargin is added to the header timeout to get the timeout for the body.
 	bodyReadMargin      = 5 * time.Second
 	defaultMaxBodyBytes = 4 << 20
+	// maxDiscardedBytes bounds what is read of the body of a request that was refused.
+	maxDiscardedBytes = defaultMaxBodyBytes
 	// notReadyRetryAfter is the Retry-After time of a process without a
 	// configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
@@ -209,6 +211,23 @@
 	http.Error(w, refused.reason, refused.status)
 	h.Meter.Count("request", "refused", refused.reason)
 	h.Log.Refused(caller.ID, refused, h.Config.Version(), time.Since(arrived))
+	if refused.status != http.StatusRequestTimeout {
+		discardBody(w, r)
+	}
+}
+
+// discardBody sends the response and reads what is left of the body. The system resets a
+// connection that is closed before that, so that a caller which sends its whole request
+// before it reads would get no response.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyReadMargin)) // Server connections support deadlines.
+	_ = controller.Flush()                                         // An error ends the connection.
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)         // What is not read then is not waited for.
+	_ = controller.SetReadDeadline(time.Time{})
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
