Stop of a process: responses say that their connection is closed, from the start

Callers saw: a request sent on a kept connection at the moment at which a stopping process closed it got neither an answer nor a refusal. What arrives after the close can't be answered.

Cause: for 2.5 s after the request to stop, responses let their callers keep the connection; then it was closed.

Evidence: TestResponseAfterTheRequestToStopSaysThatItsConnectionIsClosed fails without the call in gateway/node ("Should be true", "kept") and passes with it. go test -race -cpu 1 -p 2 ./gateway/ingress, and ./gateway/node -run 'WhileTheProcessCloses|CrossTheClose|Stop' -count 3, pass.

Why it works: responses state Connection: close from the request to stop on. A caller that is answered in that time opens another connection for its next request. Connections that nobody uses in these 2.5 s are still closed unannounced.

Not played: callers open more connections in these 2.5 s, which the load balancer may still send to this process.

--- a/gateway/ingress/closingwriter.go
+++ b/gateway/ingress/closingwriter.go
@@ -6,7 +6,7 @@
 )
 
 // closingWriter tells the caller with the header of the response that its connection is
-// closed after it, if the listener drains by then.
+// closed after it, if EndReuse was called by then.
 type closingWriter struct {
 	http.ResponseWriter
 	ctx context.Context // Of the request.
@@ -14,7 +14,7 @@
 
 // WriteHeader writes the header of the response.
 func (w closingWriter) WriteHeader(status int) {
-	if connDraining(w.ctx) {
+	if reuseEnded(w.ctx) {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -178,8 +178,8 @@
 	return conn.closed
 }
 
-// connDraining reports whether the connection of a request is closed after the response.
-func connDraining(ctx context.Context) bool {
+// reuseEnded reports whether the connection of a request is closed after the response.
+func reuseEnded(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(*trackedConn)
-	return ok && conn.listener.draining()
+	return ok && conn.listener.reuseEnded.Load()
 }
--- a/gateway/ingress/listener.go
+++ b/gateway/ingress/listener.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 type Listener struct {
 	net.Listener
 
+	reuseEnded  atomic.Bool // Responses say that their connection is closed.
 	mu          sync.Mutex
 	drainedFrom time.Time // When Drain was called.
 	closed      bool      // No further connection is accepted.
@@ -81,10 +83,15 @@
 	delete(l.conns, c)
 }
 
+// EndReuse has each response from now on say that its connection is closed after it, so that
+// fewer connections are idle, and may just be used again, when Drain is called.
+func (l *Listener) EndReuse() { l.reuseEnded.Store(true) }
+
 // Drain ends the wait for connections and, on each connection, the wait for the next
 // request. What has arrived by then is still accepted, read and answered; the server closes
 // a connection after that, or if nothing has arrived.
 func (l *Listener) Drain() {
+	l.EndReuse()
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/node/closing_test.go
+++ b/gateway/node/closing_test.go
@@ -219,6 +219,27 @@
 	running.Wait()
 }
 
+// Guards against requests without an answer: a caller that was answered after the process was
+// asked to stop used its connection again at the moment at which it was closed.
+func TestResponseAfterTheRequestToStopSaysThatItsConnectionIsClosed(t *testing.T) {
+	h := newHarness(t)
+	h.register(sitetest.NewEndpoint(t, "e1", nil), "plain", "")
+	h.run()
+	h.waitUntilServing(oncePath)
+	kept := h.dial()
+	response := kept.exchange(0, piecesOf(0, "before")...)
+	require.False(t, response.Close)
+	_, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	h.stop()
+	time.Sleep(closingTime / 5)
+	for name, c := range map[string]*keptConn{"kept": kept, "new": h.dial()} {
+		response := c.exchange(0, piecesOf(0, name)...)
+		require.Equal(t, http.StatusOK, response.StatusCode, name)
+		require.True(t, response.Close, name)
+	}
+}
+
 // exchange sends a request in pieces and returns the header of the response.
 func (c *keptConn) exchange(pause time.Duration, pieces ...string) *http.Response {
 	response, err := c.start(pause, pieces...)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -270,6 +270,7 @@
 	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
 	grace := max(n.bounds.Load().StopGracePeriod-stopMargin, loadBalancerDelay)
 	deadline := time.Now().Add(grace)
+	s.callerListener.EndReuse()
 	time.Sleep(min(loadBalancerDelay, grace))
 	if err := s.drain(deadline); err != nil {
 		log.Error(err, "The process closes the connections of its callers.", "vm", n.settings.NodeName)
