--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -27,11 +27,14 @@
 	// bodyReadMargin is added to the header timeout to get the timeout for the body.
 	bodyReadMargin      = 5 * time.Second
 	defaultMaxBodyBytes = 4 << 20
+	// maxDiscardedBytes bounds what is read of the body of a request that was refused.
+	maxDiscardedBytes = defaultMaxBodyBytes
 	// notReadyRetryAfter is the Retry-After time of a process without a
 	// configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// writeMargin is how long after its deadline a response may still be written, so
-	// that a slow client cannot occupy the request for longer.
+	// writeMargin is how long after its deadline, or after the request was read if that was
+	// later, a response may still be written, so that a slow client cannot occupy the
+	// request for longer.
 	writeMargin = 3 * time.Second
 )
 
@@ -68,14 +71,15 @@
 func (h *Handler) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // Clears the deadline of the connection's previous request.
+	out := closingWriter{ResponseWriter: w, ctx: r.Context()}
 	current := h.Config.Current()
 	if current == nil {
-		h.refuse(w, r, arrived, refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryIn: notReadyRetryAfter})
+		h.refuse(out, r, arrived, refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryIn: notReadyRetryAfter})
 		return
 	}
 	job, refused := h.admit(w, r, current, arrived)
 	if refused.status != 0 {
-		h.refuse(w, r, arrived, refused)
+		h.refuse(out, r, arrived, refused)
 		return
 	}
 	if connClosed(r.Context()) {
@@ -83,7 +87,7 @@
 		h.Log.Refused(job.Caller.ID, refusal{reason: "connection_closed"}, current.Version, time.Since(arrived))
 		panic(http.ErrAbortHandler)
 	}
-	h.serve(r.Context(), w, job)
+	h.serve(r.Context(), out, job)
 }
 
 // refusal is the response to a request that is not passed to the relay.
@@ -210,10 +214,28 @@
 	http.Error(w, refused.reason, refused.status)
 	h.Meter.Count("request", "refused", refused.reason)
 	h.Log.Refused(caller.ID, refused, h.Config.Version(), time.Since(arrived))
+	if refused.status != http.StatusRequestTimeout {
+		discardBody(w, r)
+	}
+}
+
+// discardBody sends the response and reads what is left of the body. The system resets a
+// connection that is closed before that, so that a caller which sends its whole request
+// before it reads would get no response.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyReadMargin)) // Server connections support deadlines.
+	_ = controller.Flush()                                         // An error ends the connection.
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)         // What is not read then is not waited for.
+	_ = controller.SetReadDeadline(time.Time{})
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
-	_ = http.NewResponseController(w).SetWriteDeadline(job.Deadline.Add(writeMargin)) // Server connections support deadlines.
+	writeBy := later(job.Deadline, time.Now()).Add(writeMargin)
+	_ = http.NewResponseController(w).SetWriteDeadline(writeBy) // Server connections support deadlines.
 	outcome := h.Relay.Serve(ctx, w, job)
 	duration := time.Since(job.Arrived)
 	h.recordMetrics(job, outcome, duration)
