Fake engines of the relay's and the node's tests answer as the protocol says

A stream's answer has the content type text/event-stream, and a take-up's request to an engine carries the caller's Last-Event-Id. Some fake engines left the content type to net/http, which guesses text/plain; two tests set the ID in the decoded request but not in its headers, so that the fake engine began again with event 1. They speak the protocol now; no check is changed.

--- a/gateway/node/everykind_test.go
+++ b/gateway/node/everykind_test.go
@@ -69,6 +69,9 @@
 // silentInEach is silent for a time in each answer; a stream is silent after its first event.
 func silentInEach(w http.ResponseWriter, r *http.Request) {
 	from := r.Header.Get(sitetest.HeaderLastEventID)
+	if isStream(r.RequestURI) {
+		sitetest.BeginStream(w)
+	}
 	if isStream(r.RequestURI) && from == "" {
 		fmt.Fprint(w, "id: 1\ndata: piece 1\n\n")
 		_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
--- a/gateway/node/silentendpoint_test.go
+++ b/gateway/node/silentendpoint_test.go
@@ -35,6 +35,7 @@
 func silentOnce(w http.ResponseWriter, r *http.Request) {
 	stream := strings.HasPrefix(r.URL.Path, "/stream/")
 	if stream {
+		sitetest.BeginStream(w)
 		fmt.Fprint(w, "id: 1\ndata: piece 1\n\n")
 		_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
 	}
--- a/gateway/node/stalerefusal_test.go
+++ b/gateway/node/stalerefusal_test.go
@@ -79,6 +79,7 @@
 			h.register(newRefusingTwice(t, "a-model", &runs, staleID).Endpoint(), "model", "decode")
 			sound := func(w http.ResponseWriter, r *http.Request) {
 				runs.add(r.Header.Get(sitetest.HeaderRequestID))
+				sitetest.BeginStream(w)
 				_, _ = io.WriteString(w, "id: 1\ndata: own\n\n") // The client sees a truncated response.
 			}
 			h.register(sitetest.NewEndpoint(t, "b-plain", sound), "plain", "")
--- a/gateway/relay/endless_test.go
+++ b/gateway/relay/endless_test.go
@@ -78,6 +78,7 @@
 // dripHandler returns a handler that sends one event and then text every 50 ms.
 func dripHandler(text string) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
+		sitetest.BeginStream(w)
 		control := http.NewResponseController(w)
 		_, err := w.Write([]byte("id: 1\ndata: piece 1\n\n"))
 		for err == nil {
@@ -123,6 +124,7 @@
 func TestSlowStreamIsNotCancelled(t *testing.T) {
 	t.Parallel()
 	slow := sitetest.NewEndpoint(t, "slow", func(w http.ResponseWriter, _ *http.Request) {
+		sitetest.BeginStream(w)
 		control := http.NewResponseController(w)
 		for _, text := range []string{"id: 1\n", "data: a\n\n", "id: 2\n", "data: b\n\n", "id: 3\n", "data: c\n\n"} {
 			time.Sleep(350 * time.Millisecond)
--- a/gateway/relay/service_test.go
+++ b/gateway/relay/service_test.go
@@ -8,6 +8,7 @@
 
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
+	"flamingospar.org/platform/site/sitetest"
 )
 
 // A take-up went to the service that was drawn for it, which may not have begun the stream. It
@@ -21,6 +22,7 @@
 			job.Service = c.drawn
 			job.Route.Targets = []site.Target{{Service: "other", Weight: 1}, {Service: "model", Weight: 1}}
 			job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "x"
+			job.Header.Set(sitetest.HeaderLastEventID, "3")
 			outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
 			require.Equal(t, relay.ReasonNone, outcome.Reason)
 			require.Len(t, e.Requests(), 1)
--- a/gateway/relay/silent_test.go
+++ b/gateway/relay/silent_test.go
@@ -25,6 +25,7 @@
 // after the event silentAfter. Like an engine, it ends when its connection closes.
 func silentEvents(last, silentAfter int) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
+		sitetest.BeginStream(w)
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 for a new stream.
 		for id := from; id <= last; id++ {
 			if id > from {
--- a/gateway/relay/slowcaller_test.go
+++ b/gateway/relay/slowcaller_test.go
@@ -36,6 +36,7 @@
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			steady := func(w http.ResponseWriter, _ *http.Request) {
+				sitetest.BeginStream(w)
 				for id := 1; id <= 20; id++ {
 					fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
 					_ = http.NewResponseController(w).Flush()
@@ -67,6 +68,7 @@
 	r, _, _ := newPair(t, first.serve, func(w http.ResponseWriter, r *http.Request) {
 		// The header arrives while the stream is being written to.
 		other.began.Store(int64(time.Since(first.start)))
+		sitetest.BeginStream(w)
 		w.WriteHeader(http.StatusOK)
 		time.Sleep(silence + 2*time.Millisecond - time.Since(first.start))
 		_ = http.NewResponseController(w).Flush()
--- a/gateway/relay/standby_test.go
+++ b/gateway/relay/standby_test.go
@@ -34,6 +34,7 @@
 func (h *hold) serve(w http.ResponseWriter, r *http.Request) {
 	h.began.Store(int64(time.Since(h.start)))
 	if h.first != "" {
+		sitetest.BeginStream(w)
 		fmt.Fprint(w, h.first)
 		_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
 	}
--- a/gateway/relay/standbyhead_test.go
+++ b/gateway/relay/standbyhead_test.go
@@ -9,12 +9,14 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/platform/site/sitetest"
 )
 
 // Guards against a stream that is cut although its engine was only silent: a standby that
 // sent only the header of its answer ended the silent call, and then broke off or fell silent.
 func TestStandbyTakesOverOnlyWithAnEvent(t *testing.T) {
 	header := func(w http.ResponseWriter) {
+		sitetest.BeginStream(w)
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/gateway/relay/standbyversion_test.go
+++ b/gateway/relay/standbyversion_test.go
@@ -21,6 +21,7 @@
 	commented, answered := make(chan struct{}), make(chan struct{})
 	first := sitetest.NewEndpoint(t, "first", func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(silence)
+		sitetest.BeginStream(w)
 		fmt.Fprint(w, ": comment\n\n")
 		_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
 		close(commented)
--- a/gateway/relay/takeover_test.go
+++ b/gateway/relay/takeover_test.go
@@ -43,6 +43,7 @@
 	t.Parallel()
 	goOn := make(chan struct{})
 	e := sitetest.NewEndpoint(t, "e-1", func(w http.ResponseWriter, _ *http.Request) {
+		sitetest.BeginStream(w)
 		_ = http.NewResponseController(w).Flush() // An error shows in the test.
 		<-goOn
 		_, _ = w.Write([]byte("id: 1\ndata: late\n\n"))
--- a/gateway/relay/unframed_test.go
+++ b/gateway/relay/unframed_test.go
@@ -89,6 +89,7 @@
 // A stream that ends inside an event has been broken off, also where its chunks are whole.
 func TestFramedStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
 	cut := sitetest.NewEndpoint(t, "cut", func(w http.ResponseWriter, _ *http.Request) {
+		sitetest.BeginStream(w)
 		_, _ = w.Write([]byte(pieces(2) + "id: 3\nda")) // The recorder shows what came.
 	})
 	r := newRelay()
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -85,6 +85,7 @@
 			r, e := newVersionedRelay(t, versions)
 			job := newModelJob()
 			job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", resumed
+			job.Header.Set(sitetest.HeaderLastEventID, "3")
 			w := httptest.NewRecorder()
 			outcome := r.Serve(t.Context(), w, job)
 			require.Equal(t, want, outcome.Reason)
