Events whose lines end with a carriage return are forwarded as they arrive

What callers saw: of a resumable stream whose engine ends lines with CRLF, as the format allows, nothing came until the stream ended. If the engine broke off, all its events were dropped and the next engine began anew.

Cause: eventBuffer looked for two newlines in a row to find the end of an event. The gap meter counted events the same way.

Change: eventBuffer goes line by line and knows both endings, as eventCounter does. Whole comments between events are forwarded at once. The gap meter is told the number of events.

Before: TestEventsWithCarriageReturnsAreForwardedAsTheyArrive: "the first event came only with the second"; TestSoundStreamsGoOn fails in its five cases after events with "\r\n": the next engine was not asked to go on after event 3. After: gateway/relay passes (-race -cpu 1).

--- a/gateway/relay/eventbuffer.go
+++ b/gateway/relay/eventbuffer.go
@@ -10,39 +10,70 @@
 // that continues on another endpoint does so after a whole event.
 type eventBuffer struct {
 	partial []byte // Of an event that has not ended.
+	scanned int    // Length of the whole lines of partial.
+	inEvent bool   // These have a line that is not a comment.
+	isEvent bool   // These have data or an ID.
+	id      string // The last ID in these.
 	lastID  string // ID of the last whole event that has one.
 	count   int    // Number of whole events.
 }
 
-var eventSeparator = []byte("\n\n")
-
-// add appends data and returns the whole events in the buffer, which are removed from
-// it. The result is valid until the next call.
+// add appends data and returns the whole events and comments in the buffer, which are
+// removed from it. The result is valid until the next call.
 func (b *eventBuffer) add(data []byte) []byte {
 	b.partial = append(b.partial, data...)
-	end := bytes.LastIndex(b.partial, eventSeparator)
-	if end < 0 {
-		return nil
+	whole := 0
+	for {
+		length := bytes.IndexByte(b.partial[b.scanned:], '\n')
+		if length < 0 {
+			break
+		}
+		line := bytes.TrimSuffix(b.partial[b.scanned:b.scanned+length], []byte("\r"))
+		b.scanned += length + 1
+		b.endLine(line)
+		if !b.inEvent {
+			whole = b.scanned
+		}
 	}
-	complete := b.partial[:end+len(eventSeparator)]
-	b.scan(complete)
-	rest := b.partial[end+len(eventSeparator):]
-	b.partial = append([]byte(nil), rest...)
+	complete := b.partial[:whole]
+	b.partial = append([]byte(nil), b.partial[whole:]...)
+	b.scanned -= whole
 	return complete
 }
 
-// scan counts whole events and records the ID of the last one that has one.
-func (b *eventBuffer) scan(complete []byte) {
-	b.count += bytes.Count(complete, eventSeparator)
-	for line := range bytes.SplitSeq(complete, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			b.lastID = string(bytes.TrimSpace(id))
+// endLine processes a whole line.
+func (b *eventBuffer) endLine(line []byte) {
+	switch {
+	case len(line) == 0 && b.inEvent:
+		b.endEvent()
+	case len(line) == 0 || line[0] == ':':
+	default:
+		b.inEvent = true
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			b.isEvent, b.id = true, string(bytes.TrimSpace(value))
+		case "data":
+			b.isEvent = true
 		}
 	}
 }
 
+// endEvent counts an event and records its ID if it has one.
+func (b *eventBuffer) endEvent() {
+	if b.isEvent {
+		b.count++
+	}
+	b.inEvent, b.isEvent = false, false
+	if b.id != "" {
+		b.lastID, b.id = b.id, ""
+	}
+}
+
 // remainder returns the data after the last whole event.
 func (b *eventBuffer) remainder() []byte { return b.partial }
 
 // discardPartial drops the data after the last whole event.
-func (b *eventBuffer) discardPartial() { b.partial = nil }
+func (b *eventBuffer) discardPartial() {
+	b.partial, b.scanned, b.inEvent, b.isEvent, b.id = nil, 0, false, false, ""
+}
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -41,7 +41,7 @@
 				w.progress()
 				s.recordAnswer()
 			}
-			gaps.observe(buffer[:n])
+			gaps.observe(events)
 			if first {
 				first = false
 				s.recordFirstEvent(c.assignment, start)
--- a/gateway/relay/gapmeter.go
+++ b/gateway/relay/gapmeter.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"time"
 
 	"flamingospar.org/gateway/engines"
@@ -15,9 +14,8 @@
 	lastAt   time.Time
 }
 
-// observe records data that was just received.
-func (m *gapMeter) observe(data []byte) {
-	events := bytes.Count(data, eventSeparator)
+// observe records events that were just received.
+func (m *gapMeter) observe(events int) {
 	if events == 0 {
 		return
 	}
