What is no part of a stream is not forwarded in it

Cause: any answer with status 200 was taken for the stream. A blank line that ends with CRLF ends an event, so a head passed as one.

Change: an answer of another content type is refused; one that goes on for a caller that has a part already needs the content type and a seal, since it is read under the header and the seal of another answer. A line that is neither a comment nor a field id, data, event or retry breaks the answer off. Only whole events and comments are written, on all routes. A stream of which the caller has got comments alone may be begun anew elsewhere. Such answers count as failures of their endpoint; the log line has the result no_stream and an err that quotes what came.

Why it works: whatever reaches the caller has passed the line check and ended with a blank line before; a fault found later drops the rest of the event. Parameters of the content type, comments, retry, CRLF and events of several lines pass (TestSoundStreamsGoOn).

The cases that passed before (other statuses, a head that is cut) are kept as they are.

--- a/gateway/relay/eventbuffer.go
+++ b/gateway/relay/eventbuffer.go
@@ -70,9 +70,6 @@
 	}
 }
 
-// remainder returns the data after the last whole event.
-func (b *eventBuffer) remainder() []byte { return b.partial }
-
 // discardPartial drops the data after the last whole event.
 func (b *eventBuffer) discardPartial() {
 	b.partial, b.scanned, b.inEvent, b.isEvent, b.id = nil, 0, false, false, ""
--- a/gateway/relay/eventcounter.go
+++ b/gateway/relay/eventcounter.go
@@ -7,25 +7,38 @@
 	"flamingospar.org/gateway/transport"
 )
 
-// eventCounter counts the events in a stream of server-sent events. Received bytes
-// alone are no progress: a stalled endpoint may still send comments or an event that
-// never ends.
+// maxQuotedBytes is the length up to which errors quote what an endpoint has sent.
+const maxQuotedBytes = 40
+
+// eventCounter counts the events in a stream of server-sent events and finds what is no
+// part of one. Received bytes alone are no progress: a stalled endpoint may still send
+// comments or an event that never ends.
 type eventCounter struct {
-	eventBytes int  // Size of the unfinished event.
-	hasField   bool // The unfinished event has a line that is not a comment.
-	midLine    bool // The last line is unfinished.
+	eventBytes int    // Size of the unfinished event.
+	hasField   bool   // The unfinished event has a line that is not a comment.
+	isEvent    bool   // The unfinished event has data or an ID.
+	line       []byte // The unfinished line.
 }
 
-// add returns the number of events with at least one field that end in data. The
-// error wraps transport.ErrResponseTooLarge if an event exceeds maxEventBytes.
+// add returns the number of events that end in data. The error wraps
+// transport.ErrResponseTooLarge if an event exceeds maxEventBytes, and errNoStream if a
+// line is no part of a stream of events.
 func (c *eventCounter) add(data []byte) (ended int, err error) {
 	for len(data) > 0 {
 		line, rest, complete := bytes.Cut(data, []byte("\n"))
 		c.eventBytes += len(data) - len(rest)
-		if c.addLine(line, complete) {
+		c.line = append(c.line, line...)
+		data = rest
+		if !complete {
+			break
+		}
+		event, err := c.endLine()
+		if err != nil {
+			return ended, err
+		}
+		if event {
 			ended++
 		}
-		data = rest
 	}
 	if c.eventBytes > maxEventBytes {
 		return ended, fmt.Errorf("%w: an event of more than %d bytes", transport.ErrResponseTooLarge, maxEventBytes)
@@ -33,22 +46,32 @@
 	return ended, nil
 }
 
-// insideEvent reports whether an event has begun and not ended.
-func (c *eventCounter) insideEvent() bool { return c.hasField || c.midLine }
+// insideEvent reports whether an event has begun and not ended. A carriage return alone
+// may be the start of an empty line.
+func (c *eventCounter) insideEvent() bool {
+	return c.hasField || len(bytes.TrimSuffix(c.line, []byte("\r"))) > 0
+}
 
-// addLine processes a line, or part of one if complete is false, and reports whether it
-// ends an event with at least one field.
-func (c *eventCounter) addLine(line []byte, complete bool) bool {
-	line = bytes.TrimSuffix(line, []byte("\r"))
-	if !c.midLine && len(line) > 0 && line[0] != ':' {
-		c.hasField = true
+// endLine processes the line that has ended, and reports whether it ends an event.
+func (c *eventCounter) endLine() (event bool, err error) {
+	line := bytes.TrimSuffix(c.line, []byte("\r"))
+	c.line = c.line[:0]
+	if len(line) == 0 {
+		event = c.isEvent
+		c.eventBytes, c.hasField, c.isEvent = 0, false, false
+		return event, nil
+	}
+	if line[0] == ':' { // A comment.
+		return false, nil
 	}
-	empty := !c.midLine && len(line) == 0
-	c.midLine = !complete && (c.midLine || len(line) > 0) // A carriage return alone may be the start of an empty line.
-	if !complete || !empty {
-		return false
+	c.hasField = true
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data", "id":
+		c.isEvent = true
+	case "event", "retry":
+	default:
+		return false, fmt.Errorf("%w: a line %q", errNoStream, line[:min(len(line), maxQuotedBytes)])
 	}
-	hadField := c.hasField
-	c.eventBytes, c.hasField = 0, false
-	return hadField
+	return false, nil
 }
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -31,9 +30,9 @@
 		if w.replaced() {
 			return s.endReplaced(c, w, received)
 		}
-		events, sizeErr := counter.add(buffer[:n])
-		if sizeErr != nil {
-			n, err = 0, sizeErr
+		events, eventErr := counter.add(buffer[:n])
+		if eventErr != nil {
+			n, events, err = 0, 0, eventErr
 		}
 		received += events
 		if n > 0 {
@@ -58,7 +57,7 @@
 		}
 		ended := errors.Is(err, io.EOF)
 		if ended {
-			err = brokenOff(response, &counter, received)
+			err = c.checkEnd(&counter, received)
 		}
 		if ended && err == nil {
 			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
@@ -68,28 +67,20 @@
 			return s.finish(endpoint, response)
 		}
 		if err != nil {
-			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(c.ctx, err), received)
-			s.recordFailure(c.ctx, endpoint, false, err)
-			s.events.discardPartial()
-			if !s.headerSent && !s.job.Repeatable() {
-				return attemptResult{sent: true}
-			}
-			return s.afterBrokenResponse()
+			return s.endBroken(c, err, received)
 		}
 	}
 }
 
-// brokenOff returns an error if a response that has ended was broken off: inside an
-// event, or before the first one if nothing but the end of its connection says that it
-// is complete.
-func brokenOff(response *transport.Response, counter *eventCounter, received int) error {
-	if counter.insideEvent() {
-		return fmt.Errorf("%w: the stream ended inside an event", transport.ErrIncomplete)
-	}
-	if received == 0 && !response.Framed {
-		return fmt.Errorf("%w: the connection ended before the first event", transport.ErrIncomplete)
+// endBroken ends a call whose response failed with err after a number of events.
+func (s *stream) endBroken(c *streamCall, err error, received int) attemptResult {
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, resultOfError(c.ctx, err), received)
+	s.recordFailure(c.ctx, c.endpoint, false, err)
+	s.events.discardPartial()
+	if !s.headerSent && !s.job.Repeatable() {
+		return attemptResult{sent: true}
 	}
-	return nil
+	return s.afterBrokenResponse()
 }
 
 // recordFirstEvent records the time to the first event from an endpoint.
@@ -136,7 +127,7 @@
 // continuable reports whether another endpoint can go on after what the caller has
 // received.
 func (s *stream) continuable() bool {
-	return s.job.Route.Resumable && (s.events.lastID != "" || !s.headerSent)
+	return s.job.Route.Resumable && (s.events.lastID != "" || s.events.count == 0)
 }
 
 func (s *stream) endCallerLeft() attemptResult {
@@ -147,14 +138,12 @@
 	return attemptResult{finished: true, sent: true}
 }
 
-// writeEvents sends data to the caller. For a resumable stream it sends whole events
-// only, since the stream may continue on another endpoint.
+// writeEvents sends the whole events to the caller that data completes: what has not ended
+// may turn out to be no event, and the stream may continue on another endpoint.
 func (s *stream) writeEvents(endpoint site.Endpoint, response *transport.Response, data []byte) error {
-	if s.job.Route.Resumable {
-		data = s.events.add(data)
-		if len(data) == 0 {
-			return nil
-		}
+	data = s.events.add(data)
+	if len(data) == 0 {
+		return nil
 	}
 	if err := s.fixVersion(endpoint); err != nil {
 		return err
@@ -187,10 +176,5 @@
 		return s.endCallerLeft()
 	}
 	s.writeHeader(response)
-	if remainder := s.events.remainder(); len(remainder) > 0 {
-		if _, err := s.w.Write(remainder); err != nil {
-			return s.endCallerLeft()
-		}
-	}
 	return attemptResult{finished: true, sent: true}
 }
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -50,6 +50,7 @@
 	ResultPassedOver Result = "passed_over" // Not sent: the endpoint had just said that it wants no request.
 	ResultNotSent    Result = "not_sent"    // The request can't have reached the endpoint.
 	ResultBroken     Result = "broken"      // The connection was lost or timed out.
+	ResultNoStream   Result = "no_stream"   // The endpoint responded with something else than the stream asked for.
 	ResultSilent     Result = "silent"      // This process ended the call after a silence of the endpoint.
 	ResultOutrun     Result = "outrun"      // Another call of the same request went on.
 	ResultCallerLeft Result = "left"        // The caller disconnected during the call.
@@ -96,6 +97,8 @@
 		return ResultPassedOver
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
+	case errors.Is(err, errNoStream):
+		return ResultNoStream
 	case errors.Is(context.Cause(ctx), errOutrun):
 		return ResultOutrun
 	case errors.Is(context.Cause(ctx), errSilent):
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -28,6 +28,8 @@
 	done     chan struct{}
 	response *transport.Response
 	err      error
+	// goesOn reports whether the caller has a part of the stream already.
+	goesOn bool
 	// head is what was read of the response of a standby, up to its first event at least.
 	head []byte
 }
@@ -37,6 +39,7 @@
 	endpoint := placed.DecodeEndpoint
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
+	c.goesOn = s.headerSent || s.takesUp()
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
 		c.assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
@@ -70,19 +73,22 @@
 	if !c.begun() {
 		return
 	}
+	if c.err = c.checkHead(); c.err != nil {
+		return
+	}
 	var counter eventCounter
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := c.response.Read(buffer)
 		c.head = append(c.head, buffer[:n]...)
-		events, sizeErr := counter.add(buffer[:n])
+		events, eventErr := counter.add(buffer[:n])
 		switch {
+		case eventErr != nil:
+			c.err = eventErr
 		case events > 0:
 			return
-		case sizeErr != nil:
-			c.err = sizeErr
 		case errors.Is(err, io.EOF):
-			c.err = brokenOff(c.response, &counter, 0)
+			c.err = c.checkEnd(&counter, 0)
 		case err != nil:
 			c.err = err
 		case len(c.head) > maxEventBytes:
@@ -184,6 +190,11 @@
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
 		return s.handleDecodeFailure(c, w)
 	}
+	if err := c.checkHead(); err != nil {
+		s.progress.runs++
+		s.progress.MayHaveRun = true
+		return s.endBroken(c, err, 0)
+	}
 	return s.forward(c, w)
 }
 
