A stream doesn't end with an answer that has no event

Where the first engine sent nothing, the caller got an empty 200.

Cause: an answer without an event counted as complete if its length or chunks said that it was whole. A standby with such an answer replaced an engine that was only silent.

Change: to a new stream an answer without an event is none: another attempt follows if it may be repeated, else 502. To one that goes on after an event it may be right: the engine before may have broken off between its last event and the end. No field says how many events there are, so the end is believed once two answers, each with content type, seal, and length or chunks, say so after the same event. The second comes from another engine, or from the same one if there is no other and none else was tried in the request; it doesn't count among the runs of the route, as no token came. Without a second the stream ends broken, and a take-up begins anew.

Why it works: for an incomplete stream to look complete, two answers in a row have to be whole, sealed, empty and wrong. A caller that has the last event gets the end at the latest with its next take-up while engines answer and retries are allowed (TestTakeUpAfterTheLastEvent...).

Health: one such answer that an event of another engine refutes counts as failed, one that is confirmed as served. The log line has the result "empty".

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -39,6 +39,7 @@
 			if events > 0 {
 				w.progress()
 				s.recordAnswer()
+				s.recordEventLeft()
 			}
 			gaps.observe(events)
 			if first {
@@ -59,6 +60,9 @@
 		if ended {
 			err = c.checkEnd(&counter, received)
 		}
+		if errors.Is(err, errNothingLeft) {
+			return s.endWithoutEvent(c)
+		}
 		if ended && err == nil {
 			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
 			if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
@@ -72,6 +76,21 @@
 	}
 }
 
+// endWithoutEvent ends a call whose endpoint says that no event is left after the last one,
+// which may be a fault: the stream is complete once a second answer says so too. Without a
+// token the request has not begun to run.
+func (s *stream) endWithoutEvent(c *streamCall) attemptResult {
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultEmpty, 0)
+	if first := s.saidNothingLeft; first != "" {
+		s.relay.Selector.RecordResult(first, engines.RequestSucceeded)
+		return s.finish(c.endpoint, c.response)
+	}
+	s.saidNothingLeft = c.endpoint.ID
+	s.progress.Err = errNothingLeft
+	s.progress.runs--
+	return s.afterBrokenResponse()
+}
+
 // endBroken ends a call whose response failed with err after a number of events.
 func (s *stream) endBroken(c *streamCall, err error, received int) attemptResult {
 	s.progress.recordStreamCall(c.endpoint.ID, c.start, resultOfError(c.ctx, err), received)
@@ -101,6 +120,14 @@
 	}
 }
 
+// recordEventLeft records that an event came although an endpoint had said that none is left.
+func (s *stream) recordEventLeft() {
+	if s.saidNothingLeft != "" {
+		s.relay.Selector.RecordResult(s.saidNothingLeft, engines.RequestFailed)
+		s.saidNothingLeft = ""
+	}
+}
+
 func (s *stream) recordPrefill(assignment *engines.PromptAssignment, took time.Duration) {
 	s.progress.Timing.setPrefill(assignment.Predicted(), took)
 	s.relay.OnPrefillDone(assignment.Predicted(), took)
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -46,6 +46,19 @@
 	return placed
 }
 
+// placeNext places the next attempt. If there is no endpoint but the one that said that no
+// event is left, it is asked once more: otherwise a stream whose last event has come could
+// never end.
+func (s *stream) placeNext(ctx context.Context) engines.Placement {
+	placed := s.place(ctx)
+	alone := len(s.progress.excluded) == 1 && s.progress.excluded[s.saidNothingLeft] && placed.PassedOver.Count == 0
+	if placed.Verdict != placement.NoEngine || !alone {
+		return placed
+	}
+	delete(s.progress.excluded, s.saidNothingLeft)
+	return s.place(ctx)
+}
+
 // reserveDecode takes the permit for the decode engine before a prefill elsewhere, so
 // that no prefill is wasted on a stream that may not go on. It reports false if the
 // engine's rate limit is used up.
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -51,6 +51,7 @@
 	ResultNotSent    Result = "not_sent"    // The request can't have reached the endpoint.
 	ResultBroken     Result = "broken"      // The connection was lost or timed out.
 	ResultNoStream   Result = "no_stream"   // The endpoint responded with something else than the stream asked for.
+	ResultEmpty      Result = "empty"       // The endpoint said that no event is left.
 	ResultSilent     Result = "silent"      // This process ended the call after a silence of the endpoint.
 	ResultOutrun     Result = "outrun"      // Another call of the same request went on.
 	ResultCallerLeft Result = "left"        // The caller disconnected during the call.
@@ -99,6 +100,8 @@
 		return ResultNotSent
 	case errors.Is(err, errNoStream):
 		return ResultNoStream
+	case errors.Is(err, errNothingLeft):
+		return ResultEmpty
 	case errors.Is(context.Cause(ctx), errOutrun):
 		return ResultOutrun
 	case errors.Is(context.Cause(ctx), errSilent):
--- a/gateway/relay/rawanswer_test.go
+++ b/gateway/relay/rawanswer_test.go
@@ -64,6 +64,14 @@
 	}
 }
 
+func results(calls []relay.Call) []relay.Result {
+	var all []relay.Result
+	for _, call := range calls {
+		all = append(all, call.Result)
+	}
+	return all
+}
+
 // newTakeUpJob returns a job that takes a stream up after an event.
 func newTakeUpJob(lastEventID string) *relay.Job {
 	job := newStreamJob()
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -145,7 +145,7 @@
 	}
 	if c.begun() && !w.stream.mayGoOnAt(c.endpoint) {
 		c.cancel(errOutrun)
-	} else if c.begun() && w.pair.Began() {
+	} else if w.stream.mayReplace(c) && w.pair.Began() {
 		w.stream.relay.Meter.Count("standby", "took_over")
 		w.first.cancel(errSilent)
 		return
@@ -157,6 +157,12 @@
 	w.stall.again()
 }
 
+// mayReplace reports whether the answer of a standby may replace the first call: one without
+// an event only if another endpoint said before that no event is left.
+func (s *stream) mayReplace(c *streamCall) bool {
+	return c.begun() && (!c.nothingLeft || s.saidNothingLeft != "")
+}
+
 // recordStandby records a standby that does not go on.
 func (s *stream) recordStandby(c *streamCall) {
 	switch {
@@ -177,6 +183,10 @@
 			s.countPossibleRun()
 		}
 		s.recordFailure(c.ctx, c.endpoint, false, c.err)
+	case c.nothingLeft:
+		s.progress.sends++
+		s.progress.recordCall(c.endpoint.ID, c.start, ResultEmpty)
+		s.saidNothingLeft = c.endpoint.ID
 	default:
 		s.countPossibleRun()
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -57,6 +57,9 @@
 	// unread is the placement of the last attempt if its prefill engine was silent: the
 	// decode engine can still read the prompt itself.
 	unread *engines.Placement
+	// saidNothingLeft is the endpoint that said that no event is left after the last one, if
+	// any.
+	saidNothingLeft string
 	// panicked is a panic while a standby was made, if any.
 	panicked *caughtPanic
 	// retryAfter is the time after which the last placement expected room.
@@ -125,7 +128,7 @@
 		s.unread = nil
 		return s.attempt(ctx, *unread), false
 	}
-	placed := s.place(ctx)
+	placed := s.placeNext(ctx)
 	s.retryAfter = placed.RetryAfter
 	if placed.Verdict == placement.Refused || placed.Verdict == placement.NoEngine {
 		s.progress.Outcome = s.endUnplaced(ctx, placed)
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,8 +29,13 @@
 	done     chan struct{}
 	response *transport.Response
 	err      error
+	// lastEventID is the ID of the event after which the response goes on; empty for a new
+	// stream.
+	lastEventID string
 	// goesOn reports whether the caller has a part of the stream already.
 	goesOn bool
+	// nothingLeft reports whether the endpoint of a standby said that no event is left.
+	nothingLeft bool
 	// head is what was read of the response of a standby, up to its first event at least.
 	head []byte
 }
@@ -40,6 +46,7 @@
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
 	c.goesOn = s.headerSent || s.takesUp()
+	c.lastEventID = cmp.Or(run.LastEventID, s.job.Caller.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
 		c.assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
@@ -89,6 +96,9 @@
 			return
 		case errors.Is(err, io.EOF):
 			c.err = c.checkEnd(&counter, 0)
+			if c.nothingLeft = errors.Is(c.err, errNothingLeft); c.nothingLeft {
+				c.err = nil
+			}
 		case err != nil:
 			c.err = err
 		case len(c.head) > maxEventBytes:
