Events that go on at another engine have IDs after the last one

What callers saw: where the engine at which a stream went on began with an event that the caller had, it came twice; where it left one out, it was missing; an error's text that the engine had put into a data line without an ID was taken for an event of the stream. In each case the stream ended as complete.

Cause: nothing compared the IDs of an answer with the one after which it was to go on.

Change: within an answer IDs, where there are any, have to increase. Where it goes on, its first event has to have an ID after the last one delivered, and the very next number if all IDs of this response before increased by one each time: the protocol says only that IDs increase, so a gap is taken for a fault only on that evidence, and not in a take-up, whose caller names one ID. IDs that are no numbers must differ only. Otherwise the answer counts as broken off there and as a failure of its endpoint, and the stream goes on elsewhere after the last event that was in order.

Why it works: a call is checked against the ID that was sent with it, or that of the caller, for standbys before they take over as well.

--- a/gateway/relay/answercheck.go
+++ b/gateway/relay/answercheck.go
@@ -43,7 +43,7 @@
 		return nil
 	case !c.response.Framed:
 		return fmt.Errorf("%w: the connection ended before the first event", transport.ErrIncomplete)
-	case c.lastEventID != "":
+	case c.order.goesOn:
 		return errNothingLeft
 	default:
 		return fmt.Errorf("%w: it has ended without an event", errNoStream)
--- a/gateway/relay/eventbuffer.go
+++ b/gateway/relay/eventbuffer.go
@@ -16,6 +16,8 @@
 	id      string // The last ID in these.
 	lastID  string // ID of the last whole event that has one.
 	count   int    // Number of whole events.
+	steps   int    // Number of IDs that were the number after the one before.
+	gaps    int    // Number of other IDs but the first.
 }
 
 // add appends data and returns the whole events and comments in the buffer, which are
@@ -65,11 +67,20 @@
 		b.count++
 	}
 	b.inEvent, b.isEvent = false, false
-	if b.id != "" {
-		b.lastID, b.id = b.id, ""
+	if b.id == "" {
+		return
 	}
+	if followsAtOnce(b.lastID, b.id) {
+		b.steps++
+	} else if b.lastID != "" {
+		b.gaps++
+	}
+	b.lastID, b.id = b.id, ""
 }
 
+// consecutive reports whether the IDs have increased by one each time.
+func (b *eventBuffer) consecutive() bool { return b.steps > 0 && b.gaps == 0 }
+
 // discardPartial drops the data after the last whole event.
 func (b *eventBuffer) discardPartial() {
 	b.partial, b.scanned, b.inEvent, b.isEvent, b.id = nil, 0, false, false, ""
--- a/gateway/relay/eventcounter.go
+++ b/gateway/relay/eventcounter.go
@@ -14,15 +14,17 @@
 // part of one. Received bytes alone are no progress: a stalled endpoint may still send
 // comments or an event that never ends.
 type eventCounter struct {
+	order      eventOrder
 	eventBytes int    // Size of the unfinished event.
 	hasField   bool   // The unfinished event has a line that is not a comment.
 	isEvent    bool   // The unfinished event has data or an ID.
+	id         string // Of the unfinished event.
 	line       []byte // The unfinished line.
 }
 
 // add returns the number of events that end in data. The error wraps
 // transport.ErrResponseTooLarge if an event exceeds maxEventBytes, and errNoStream if a
-// line is no part of a stream of events.
+// line is no part of a stream of events or the order of events is wrong.
 func (c *eventCounter) add(data []byte) (ended int, err error) {
 	for len(data) > 0 {
 		line, rest, complete := bytes.Cut(data, []byte("\n"))
@@ -57,21 +59,31 @@
 	line := bytes.TrimSuffix(c.line, []byte("\r"))
 	c.line = c.line[:0]
 	if len(line) == 0 {
-		event = c.isEvent
-		c.eventBytes, c.hasField, c.isEvent = 0, false, false
-		return event, nil
+		return c.endEvent()
 	}
 	if line[0] == ':' { // A comment.
 		return false, nil
 	}
 	c.hasField = true
-	name, _, _ := bytes.Cut(line, []byte(":"))
+	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
-	case "data", "id":
+	case "data":
 		c.isEvent = true
+	case "id":
+		c.isEvent = true
+		c.id = string(bytes.TrimSpace(value))
 	case "event", "retry":
 	default:
 		return false, fmt.Errorf("%w: a line %q", errNoStream, line[:min(len(line), maxQuotedBytes)])
 	}
 	return false, nil
 }
+
+func (c *eventCounter) endEvent() (event bool, err error) {
+	event, id := c.isEvent, c.id
+	c.eventBytes, c.hasField, c.isEvent, c.id = 0, false, false, ""
+	if event {
+		err = c.order.add(id)
+	}
+	return event, err
+}
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -20,7 +20,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	first := true
 	gaps := gapMeter{selector: s.relay.Selector, endpoint: endpoint.ID}
-	var counter eventCounter
+	counter := eventCounter{order: c.order}
 	received := 0
 	for {
 		var n int
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,9 +28,8 @@
 	done     chan struct{}
 	response *transport.Response
 	err      error
-	// lastEventID is the ID of the event after which the response goes on; empty for a new
-	// stream.
-	lastEventID string
+	// order is that which the events of the response must have.
+	order eventOrder
 	// goesOn reports whether the caller has a part of the stream already.
 	goesOn bool
 	// nothingLeft reports whether the endpoint of a standby said that no event is left.
@@ -46,7 +44,7 @@
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
 	c.goesOn = s.headerSent || s.takesUp()
-	c.lastEventID = cmp.Or(run.LastEventID, s.job.Caller.LastEventID)
+	c.order = s.orderAfter(run.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
 		c.assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
@@ -56,6 +54,15 @@
 	return c
 }
 
+// orderAfter returns the order for the events of a call that goes on after the event with
+// an ID, or after that which the caller has if it is empty.
+func (s *stream) orderAfter(lastID string) eventOrder {
+	if lastID == "" {
+		lastID = s.job.Caller.LastEventID
+	}
+	return eventOrder{lastID: lastID, goesOn: lastID != "", consecutive: s.events.consecutive()}
+}
+
 // send sends the call and waits for the header of its response.
 func (c *streamCall) send(r *Relay) {
 	if c.permitted {
@@ -83,7 +90,7 @@
 	if c.err = c.checkHead(); c.err != nil {
 		return
 	}
-	var counter eventCounter
+	counter := eventCounter{order: c.order}
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := c.response.Read(buffer)
