--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
@@ -22,7 +21,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	first := true
 	gaps := gapMeter{selector: s.relay.Selector, endpoint: endpoint.ID}
-	var counter eventCounter
+	counter := eventCounter{order: c.order}
 	received := 0
 	for {
 		var n int
@@ -32,17 +31,18 @@
 		if w.replaced() {
 			return s.endReplaced(c, w, received)
 		}
-		events, sizeErr := counter.add(buffer[:n])
-		if sizeErr != nil {
-			n, err = 0, sizeErr
+		events, eventErr := counter.add(buffer[:n])
+		if eventErr != nil {
+			n, events, err = 0, 0, eventErr
 		}
 		received += events
 		if n > 0 {
 			if events > 0 {
 				w.progress()
 				s.recordAnswer()
+				s.recordEventLeft()
 			}
-			gaps.observe(buffer[:n])
+			gaps.observe(events)
 			if first {
 				first = false
 				s.recordFirstEvent(c.assignment, start)
@@ -62,7 +62,10 @@
 		}
 		ended := errors.Is(err, io.EOF)
 		if ended {
-			err = brokenOff(response, &counter, received)
+			err = c.checkEnd(&counter, received)
+		}
+		if errors.Is(err, errNothingLeft) {
+			return s.endWithoutEvent(c)
 		}
 		if ended && err == nil {
 			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
@@ -72,28 +75,35 @@
 			return s.finish(endpoint, response)
 		}
 		if err != nil {
-			s.progress.recordStreamCall(endpoint.ID, start, resultOfError(c.ctx, err), received)
-			s.recordFailure(c.ctx, endpoint, false, err)
-			s.events.discardPartial()
-			if !s.headerSent && !s.job.Repeatable() {
-				return attemptResult{sent: true}
-			}
-			return s.afterBrokenResponse()
+			return s.endBroken(c, err, received)
 		}
 	}
 }
 
-// brokenOff returns an error if a response that has ended was broken off: inside an
-// event, or before the first one if nothing but the end of its connection says that it
-// is complete.
-func brokenOff(response *transport.Response, counter *eventCounter, received int) error {
-	if counter.insideEvent() {
-		return fmt.Errorf("%w: the stream ended inside an event", transport.ErrIncomplete)
+// endWithoutEvent ends a call whose endpoint says that no event is left after the last one,
+// which may be a fault: the stream is complete once a second answer says so too. Without a
+// token the request has not begun to run.
+func (s *stream) endWithoutEvent(c *streamCall) attemptResult {
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultEmpty, 0)
+	if first := s.saidNothingLeft; first != "" {
+		s.relay.Selector.RecordResult(first, engines.RequestSucceeded)
+		return s.finish(c.endpoint, c.response)
 	}
-	if received == 0 && !response.Framed {
-		return fmt.Errorf("%w: the connection ended before the first event", transport.ErrIncomplete)
+	s.saidNothingLeft = c.endpoint.ID
+	s.progress.Err = errNothingLeft
+	s.progress.runs--
+	return s.afterBrokenResponse()
+}
+
+// endBroken ends a call whose response failed with err after a number of events.
+func (s *stream) endBroken(c *streamCall, err error, received int) attemptResult {
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, resultOfError(c.ctx, err), received)
+	s.recordFailure(c.ctx, c.endpoint, false, err)
+	s.events.discardPartial()
+	if !s.headerSent && !s.job.Repeatable() {
+		return attemptResult{sent: true}
 	}
-	return nil
+	return s.afterBrokenResponse()
 }
 
 // recordFirstEvent records the time to the first event from an endpoint.
@@ -114,6 +124,14 @@
 	}
 }
 
+// recordEventLeft records that an event came although an endpoint had said that none is left.
+func (s *stream) recordEventLeft() {
+	if s.saidNothingLeft != "" {
+		s.relay.Selector.RecordResult(s.saidNothingLeft, engines.RequestFailed)
+		s.saidNothingLeft = ""
+	}
+}
+
 func (s *stream) recordPrefill(assignment *engines.PromptAssignment, took time.Duration) {
 	s.progress.Timing.setPrefill(assignment.Predicted(), took)
 	s.relay.OnPrefillDone(assignment.Predicted(), took)
@@ -140,7 +158,7 @@
 // continuable reports whether another endpoint can go on after what the caller has
 // received.
 func (s *stream) continuable() bool {
-	return s.job.Route.Resumable && (s.events.lastID != "" || !s.headerSent)
+	return s.job.Route.Resumable && (s.events.lastID != "" || s.events.count == 0)
 }
 
 func (s *stream) endCallerLeft() attemptResult {
@@ -151,17 +169,15 @@
 	return attemptResult{finished: true, sent: true}
 }
 
-// writeEvents sends data to the caller. For a resumable stream it sends whole events
-// only, since the stream may continue on another endpoint.
+// writeEvents sends the whole events to the caller that data completes: what has not ended
+// may turn out to be no event, and the stream may continue on another endpoint.
 func (s *stream) writeEvents(endpoint site.Endpoint, response *transport.Response, data []byte) error {
 	if s.startedAgain(endpoint) {
 		return errStartedAgain
 	}
-	if s.job.Route.Resumable {
-		data = s.events.add(data)
-		if len(data) == 0 {
-			return nil
-		}
+	data = s.events.add(data)
+	if len(data) == 0 {
+		return nil
 	}
 	if err := s.fixVersion(endpoint); err != nil {
 		return err
@@ -195,10 +211,5 @@
 		return s.endCallerLeft()
 	}
 	s.writeHeader(response)
-	if remainder := s.events.remainder(); len(remainder) > 0 {
-		if _, err := s.w.Write(remainder); err != nil {
-			return s.endCallerLeft()
-		}
-	}
 	return attemptResult{finished: true, sent: true}
 }
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -28,6 +28,12 @@
 	done     chan struct{}
 	response *transport.Response
 	err      error
+	// order is that which the events of the response must have.
+	order eventOrder
+	// goesOn reports whether the caller has a part of the stream already.
+	goesOn bool
+	// nothingLeft reports whether the endpoint of a standby said that no event is left.
+	nothingLeft bool
 	// head is what was read of the response of a standby, up to its first event at least.
 	head []byte
 }
@@ -37,6 +43,8 @@
 	endpoint := placed.DecodeEndpoint
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
+	c.goesOn = s.headerSent || s.takesUp()
+	c.order = s.orderAfter(run.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
 		c.assignment = s.relay.Selector.Send(endpoint.ID, s.prompt, placed.Level, placed.Fetched)
@@ -46,6 +54,15 @@
 	return c
 }
 
+// orderAfter returns the order for the events of a call that goes on after the event with
+// an ID, or after that which the caller has if it is empty.
+func (s *stream) orderAfter(lastID string) eventOrder {
+	if lastID == "" {
+		lastID = s.job.Caller.LastEventID
+	}
+	return eventOrder{lastID: lastID, goesOn: lastID != "", consecutive: s.events.consecutive()}
+}
+
 // send sends the call and waits for the header of its response.
 func (c *streamCall) send(r *Relay) {
 	if c.permitted {
@@ -70,19 +87,25 @@
 	if !c.begun() {
 		return
 	}
-	var counter eventCounter
+	if c.err = c.checkHead(); c.err != nil {
+		return
+	}
+	counter := eventCounter{order: c.order}
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := c.response.Read(buffer)
 		c.head = append(c.head, buffer[:n]...)
-		events, sizeErr := counter.add(buffer[:n])
+		events, eventErr := counter.add(buffer[:n])
 		switch {
+		case eventErr != nil:
+			c.err = eventErr
 		case events > 0:
 			return
-		case sizeErr != nil:
-			c.err = sizeErr
 		case errors.Is(err, io.EOF):
-			c.err = brokenOff(c.response, &counter, 0)
+			c.err = c.checkEnd(&counter, 0)
+			if c.nothingLeft = errors.Is(c.err, errNothingLeft); c.nothingLeft {
+				c.err = nil
+			}
 		case err != nil:
 			c.err = err
 		case len(c.head) > maxEventBytes:
@@ -184,6 +207,11 @@
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
 		return s.handleDecodeFailure(c, w)
 	}
+	if err := c.checkHead(); err != nil {
+		s.progress.runs++
+		s.progress.MayHaveRun = true
+		return s.endBroken(c, err, 0)
+	}
 	return s.forward(c, w)
 }
 
