An event that states the version of the weights is part of a stream

Callers would have lost their streams: an engine whose weights change midway says so in the first line of an event, which the check of lines took for no part of a stream. The case 'other weights' of TestSoundStreamsGoOn fails without the change, after events with either line ending, and passes with it.

--- a/gateway/relay/carriagereturn_test.go
+++ b/gateway/relay/carriagereturn_test.go
@@ -24,6 +24,7 @@
 		"carriage returns":           {streamHead, chunked(streamHead, crlf(rest))},
 		"comments and retry times":   {streamHead, chunked(streamHead, ": a\n\nretry: 10\n\nid: 4\n: b\ndata: piece 4\n\n: c\n"+strings.TrimPrefix(rest, "id: 4\ndata: piece 4\n\n"))},
 		"several lines, other names": {streamHead, chunked(streamHead, "event: more\ndata: a\ndata\ndata:b\nid:4\n\nid: 5\ndata\n\nevent: end\ndata: x\n\n")},
+		"other weights":              {streamHead, chunked(streamHead, "x-weight-versions: 2\n"+rest)},
 		"no length or chunks":        {streamHead, streamHead + "\r\n" + rest},
 	}
 	for name, answer := range answers {
--- a/gateway/relay/eventcounter.go
+++ b/gateway/relay/eventcounter.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"flamingospar.org/gateway/transport"
+	"flamingospar.org/platform/site"
 )
 
 // maxQuotedBytes is the length up to which errors quote what an endpoint has sent.
@@ -72,7 +73,7 @@
 	case "id":
 		c.isEvent = true
 		c.id = string(bytes.TrimSpace(value))
-	case "event", "retry":
+	case "event", "retry", site.EventFieldWeightVersion:
 	default:
 		return false, fmt.Errorf("%w: a line %q", errNoStream, line[:min(len(line), maxQuotedBytes)])
 	}
