--- a/agent/execute/stopped_test.go
+++ b/agent/execute/stopped_test.go
@@ -39,7 +39,7 @@
 // Guards against: a run whose endpoint stopped within its answer was reported as ended.
 func TestRunWhoseAnswerStopsHasNoKnownOutcome(t *testing.T) {
 	// enough is the part of the body that tells that a generation has ended.
-	const enough, rest = "data: {\"choices\":[{\"text\":\"one\"}]}\n\ndata: [DONE]", "\n\n"
+	const enough, rest = "data: {\"choices\":[{\"text\":\"one\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]", "\n\n"
 	for framing, parts := range map[string][2]string{
 		"length": {fmt.Sprintf("Content-Length: %d\r\n\r\n", len(enough+rest)), ""},
 		"chunks": {fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(enough+rest)), "\r\n0\r\n\r\n"},
--- a/gateway/relay/startedagain_test.go
+++ b/gateway/relay/startedagain_test.go
@@ -35,6 +35,7 @@
 			}
 			events := func(id string) func(http.ResponseWriter, *http.Request) {
 				return func(w http.ResponseWriter, _ *http.Request) {
+					sitetest.BeginStream(w)
 					fmt.Fprintf(w, "id: 4\ndata: of %s\n\n", id) // An error shows in what the caller receives.
 				}
 			}
