Streams go on with a current list of endpoints only

Callers saw pieces of two software versions in one stream. An entry process was frozen while an engine started again under its ID with other software.

A stream whose version is fixed now goes on (take-up, further attempt, decode after a prefill, standby) only if the list is as recent as that of a process which the store answers, or was so when the store was lost. Otherwise it waits 300 ms for a newer one, and is refused or ends. While the store is away for all, nothing changes.

Before: TestStreamDoesNotGoOnAtAnEngineThatStartedAgainWhileTheProcessWasFrozen fails in 3 of 3 runs ("expected: v1, actual: v2"). After: passes in 6 of 6. TestStreamGoesOnWithACurrentList... fails for "taken up" and "in one response" with the check taken out. gateway/relay and the tests of take-ups in gateway/node pass with -race.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -32,6 +32,10 @@
 	pollerAgeShare = 0.3
 	minAgeShare    = 0.42
 	maxAgeShare    = 0.52
+	// currentAgeMargin is how much older than maxAgeShare allows the fleet may be for it to count
+	// as current, and lostCallTime the time until a call of the fleet counts as not answered.
+	currentAgeMargin = 400 * time.Millisecond
+	lostCallTime     = 1 * time.Second
 	// fleetPollers is the number of processes that poll for all.
 	fleetPollers = 1
 	// minFleetInterval is the minimum time between two calls for the fleet.
@@ -189,6 +193,16 @@
 	}
 }
 
+// fleetIsCurrent reports whether the fleet is as recent as that of a process which the store
+// answers, or was when the store was lost.
+func (n *Node) fleetIsCurrent() bool {
+	age := n.fleet.Age()
+	if lost := n.storeWatch.LostFor(); lost > 0 {
+		age -= lost + lostCallTime
+	}
+	return age < time.Duration(maxAgeShare*float64(n.settings.Bounds.DrainTimeout))+currentAgeMargin
+}
+
 func (n *Node) membersFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList,
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -14,6 +14,7 @@
 
 	mu               sync.Mutex
 	lost             bool
+	lostAt           time.Time
 	availableToPeers bool      // The store has answered another process since it was lost here.
 	availableSince   time.Time // Start of the current period without failed calls.
 	changed          chan struct{}
@@ -56,7 +57,7 @@
 	if w.lost {
 		return
 	}
-	w.lost = true
+	w.lost, w.lostAt = true, time.Now()
 	w.signalChange()
 	w.availableToPeers = false
 	w.fleet.DeferRemovals(time.Now().Add(maxStoreOutage))
@@ -112,6 +113,16 @@
 	return w.lost
 }
 
+// LostFor returns how long the store has not answered this process, 0 if it does.
+func (w *storeWatch) LostFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.lost {
+		return 0
+	}
+	return time.Since(w.lostAt)
+}
+
 // AvailableFor returns how long the store has answered this process without a
 // failed call, or 0 during an outage.
 func (w *storeWatch) AvailableFor() time.Duration {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -59,6 +59,9 @@
 	RetryBudgets *RetryBudgets
 	Crashes      *crashes.Tracker
 	Versions     StreamVersions
+	// ListIsCurrent reports whether the list of endpoints is as recent as that of a process which
+	// the store answers, or was when the store was lost. It may be nil.
+	ListIsCurrent func() bool
 	// MaxIdleConns returns the number of idle connections to keep to each endpoint of a
 	// service, 0 for no limit of its own.
 	MaxIdleConns func(service string) int
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -96,7 +96,7 @@
 	if w.call != nil || !w.attempts().MayBegin() || s.job.Trial {
 		return nil
 	}
-	if s.inDoubt() {
+	if s.inDoubt() || !s.listIsCurrent() {
 		return nil
 	}
 	if decision := s.relay.Crashes.Decide(s.job.Identity); decision.Refused || decision.Trial {
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -123,6 +123,10 @@
 			return attemptResult{}, true
 		}
 	}
+	if !s.awaitCurrentList(ctx) {
+		s.progress.Outcome = s.giveUp(ctx, ReasonVersionUnknown, oldListRetryAfter)
+		return attemptResult{}, true
+	}
 	if unread := s.unread; unread != nil {
 		s.unread = nil
 		return s.attempt(ctx, *unread), false
@@ -226,7 +230,7 @@
 		result.unasked = true
 		return result
 	}
-	if s.relay.decide(s.job).Refused {
+	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) {
 		return attemptResult{sent: true}
 	}
 	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
