A version is not inferred by an old configuration

Callers saw pieces of two software versions in one stream. A route was moved to a service whose engines had another version while an entry process was frozen. Streams that the new service had begun through other processes broke and were taken up there as soon as it ran again, before it had read the configuration: of the service before, one version alone had been in use, so the streams went on at it. The same may happen at any process that reads the configuration later than others.

The registers of all services in the store are fresh then. Where those of other services name another version, the others are now asked for the stream first, and the version is inferred from the services of the route only if the store has no newer configuration than the one that admitted the take-up. That is one more read for such a take-up; with one version in use nothing changes.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -22,6 +22,8 @@
 	// receive it from it.
 	configPollWait       = 10 * time.Second
 	pollerConfigPollWait = 500 * time.Millisecond
+	// configReadTimeout bounds a read of the configuration for a stream that is taken up.
+	configReadTimeout = 600 * time.Millisecond
 	// configPollers is the number of processes that poll for configurations often.
 	configPollers = 1
 	// The fleet poller calls the store for changes of the fleet once its data is
@@ -148,6 +150,21 @@
 	}
 }
 
+// configurationIsCurrent reports whether the store has no newer configuration than one with a
+// version. A newer one is applied.
+func (n *Node) configurationIsCurrent(ctx context.Context, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+	defer cancel()
+	page, err := n.store.Range(ctx, site.TableOperator, site.KeyConfiguration, site.KeyConfiguration+"\x00")
+	if err != nil {
+		return false
+	}
+	for _, row := range page.Rows {
+		n.applyConfig(row.Value, "store")
+	}
+	return n.config.Version() == version
+}
+
 func (n *Node) configPollWait() time.Duration {
 	if n.cluster.AmongFirst(configPollers) {
 		return pollerConfigPollWait
--- a/gateway/node/frozen_test.go
+++ b/gateway/node/frozen_test.go
@@ -38,9 +38,9 @@
 }
 
 // startFreezable starts an entry process as a process of the operating system.
-func (f *versionedFleet) startFreezable() *freezable {
+func (f *versionedFleet) startFreezable(vm string) *freezable {
 	f.t.Helper()
-	p := &entryProcess{vm: sitetest.NewVM(f.t, "vm-frozen", "dc", f.store.Address, f.duties.Address), done: make(chan error, 1)}
+	p := &entryProcess{vm: sitetest.NewVM(f.t, vm, "dc", f.store.Address, f.duties.Address), done: make(chan error, 1)}
 	command := exec.Command(os.Args[0], "-test.run=^TestEntryProcess$") //nolint:gosec // This test binary.
 	command.Env = append(os.Environ(), settingsVariable+"="+p.vm.SettingsPath)
 	require.NoError(f.t, command.Start())
@@ -98,7 +98,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newVersionedFleet(t, 2)
-			p := f.startFreezable()
+			p := f.startFreezable("vm-p")
 			old := f.addEngines("v1", 2)
 			for _, q := range append(f.processes, p.entryProcess) {
 				f.awaitVersion(q, "v1")
--- a/gateway/node/startedwhilefrozen_test.go
+++ b/gateway/node/startedwhilefrozen_test.go
@@ -15,7 +15,7 @@
 // process ran again, before it had read the new entry.
 func TestStreamDoesNotGoOnAtAnEngineThatStartedAgainWhileTheProcessWasFrozen(t *testing.T) {
 	f := newVersionedFleet(t, 0)
-	p := f.startFreezable()
+	p := f.startFreezable("vm-p")
 	breaking := f.addEngines("v1", 1)
 	f.awaitVersion(p.entryProcess, "v1")
 	breakAll(breaking, true)
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -36,7 +36,7 @@
 // is not known.
 func (s *stream) findVersion(ctx context.Context) bool {
 	begun, ok := s.relay.Versions.Find(ctx, streamversions.TakeUp{
-		Service: s.job.Service, Services: s.job.Route.Services(), FormerServices: s.job.FormerServices,
+		Service: s.job.Service, Services: s.job.Route.Services(), FormerServices: s.job.FormerServices, Configuration: s.job.ConfigVersion,
 		RequestID: s.job.Caller.ID, ResumedRequestID: s.job.Caller.ResumedRequestID,
 	})
 	s.version = begun.Version
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -50,6 +50,7 @@
 	SourceMemory  Source = "memory"  // This process has begun the stream or taken it up.
 	SourceStore   Source = "store"   // Another process has written it down.
 	SourceSingle  Source = "single"  // No other version can have begun it.
+	SourceRoute   Source = "route"   // No other version of the services of its route can have begun it.
 	SourcePeer    Source = "peer"    // Another process has begun it or taken it up.
 	SourceUnknown Source = "unknown" // The version is not known.
 	// SourceDoubt: this process began it at an endpoint that had started again with other
@@ -64,6 +65,7 @@
 	Service          string
 	Services         []string // All to which its route may send it, Service included.
 	FormerServices   []string // Those to which its route may have led when it began.
+	Configuration    int64    // The version of the configuration that says so.
 	RequestID        string
 	ResumedRequestID string // The request that brought the first event; empty if unknown.
 }
@@ -95,11 +97,14 @@
 func (t *Tracker) Find(ctx context.Context, taken TakeUp) (ServiceVersion, bool) {
 	start := clock.Now()
 	begun, source, err := t.findHere(ctx, taken)
-	if source == SourceUnknown && taken.ResumedRequestID != "" && ctx.Err() == nil {
+	if (source == SourceUnknown || source == SourceRoute) && taken.ResumedRequestID != "" && ctx.Err() == nil {
 		if found, ok := t.fleet.FindStream(ctx, uint64(streamversion.IDOf(taken.ResumedRequestID))); ok {
 			begun, source = ServiceVersion{Version: found}, SourcePeer
 		}
 	}
+	if source == SourceRoute && !t.ConfigurationIsCurrent(ctx, taken.Configuration) {
+		begun, source = ServiceVersion{}, SourceUnknown // The route may have led elsewhere.
+	}
 	if source.known() && taken.ResumedRequestID != "" {
 		t.RecordStream(cmp.Or(begun.Service, taken.Service), taken.ResumedRequestID, begun.Version)
 	}
@@ -132,7 +137,7 @@
 	}
 	now := streamversion.Moment{Era: t.store.Era(), NowMS: t.table.nowMS}
 	if version, ok := t.singleOf(taken, now); ok && t.table.era == now.Era {
-		return ServiceVersion{Version: version}, SourceSingle, nil
+		return ServiceVersion{Version: version}, t.sourceOfSingle(now), nil
 	}
 	return ServiceVersion{}, SourceUnknown, nil
 }
@@ -147,6 +152,19 @@
 	return streamversion.SingleOf(now, registers...)
 }
 
+// sourceOfSingle returns how certain the single version of some services is: the configuration
+// that names them matters only if others have another version. t.mu must be held.
+func (t *Tracker) sourceOfSingle(now streamversion.Moment) Source {
+	var registers []streamversion.Register
+	for _, r := range t.table.registers {
+		registers = append(registers, r.Register)
+	}
+	if _, ok := streamversion.SingleOf(now, registers...); ok {
+		return SourceSingle
+	}
+	return SourceRoute
+}
+
 // Remembered returns the version that began a stream which this process has begun or taken
 // up.
 func (t *Tracker) Remembered(id uint64) (string, bool) {
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -50,6 +50,9 @@
 	StoreLost func() bool
 	// Sharing returns the services that share a route with a service.
 	Sharing func(service string) []string
+	// ConfigurationIsCurrent reports whether the store has no newer configuration than one with
+	// a version. It is asked where streams of another service may have begun at another version.
+	ConfigurationIsCurrent func(ctx context.Context, version int64) bool
 
 	store    Store
 	fleet    Fleet
@@ -100,7 +103,7 @@
 // New returns the tracker of the process named instance.
 func New(store Store, fleet Fleet, instance string, metrics *meter.Registry) *Tracker {
 	return &Tracker{
-		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, store: store, fleet: fleet, instance: instance, meter: metrics, startedAt: clock.Now(), wake: make(chan struct{}, 1),
+		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, ConfigurationIsCurrent: func(context.Context, int64) bool { return true }, store: store, fleet: fleet, instance: instance, meter: metrics, startedAt: clock.Now(), wake: make(chan struct{}, 1),
 		table: newTableCopy(), endpoints: make(map[string]listedEngine), services: make(map[string]*service),
 	}
 }
