--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -22,6 +22,8 @@
 	// receive it from it.
 	configPollWait       = 10 * time.Second
 	pollerConfigPollWait = 500 * time.Millisecond
+	// configReadTimeout bounds a read of the configuration for a stream that is taken up.
+	configReadTimeout = 600 * time.Millisecond
 	// configPollers is the number of processes that poll for configurations often.
 	configPollers = 1
 	// The fleet poller calls the store for changes of the fleet once its data is
@@ -32,6 +34,10 @@
 	pollerAgeShare = 0.3
 	minAgeShare    = 0.42
 	maxAgeShare    = 0.52
+	// currentAgeMargin is how much older than maxAgeShare allows the fleet may be for it to count
+	// as current, and lostCallTime the time until a call of the fleet counts as not answered.
+	currentAgeMargin = 400 * time.Millisecond
+	lostCallTime     = 1 * time.Second
 	// fleetPollers is the number of processes that poll for all.
 	fleetPollers = 1
 	// minFleetInterval is the minimum time between two calls for the fleet.
@@ -144,6 +150,21 @@
 	}
 }
 
+// configurationIsCurrent reports whether the store has no newer configuration than one with a
+// version. A newer one is applied.
+func (n *Node) configurationIsCurrent(ctx context.Context, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
+	defer cancel()
+	page, err := n.store.Range(ctx, site.TableOperator, site.KeyConfiguration, site.KeyConfiguration+"\x00")
+	if err != nil {
+		return false
+	}
+	for _, row := range page.Rows {
+		n.applyConfig(row.Value, "store")
+	}
+	return n.config.Version() == version
+}
+
 func (n *Node) configPollWait() time.Duration {
 	if n.cluster.AmongFirst(configPollers) {
 		return pollerConfigPollWait
@@ -189,6 +210,16 @@
 	}
 }
 
+// fleetIsCurrent reports whether the fleet is as recent as that of a process which the store
+// answers, or was when the store was lost.
+func (n *Node) fleetIsCurrent() bool {
+	age := n.fleet.Age()
+	if lost := n.storeWatch.LostFor(); lost > 0 {
+		age -= lost + lostCallTime
+	}
+	return age < time.Duration(maxAgeShare*float64(n.settings.Bounds.DrainTimeout))+currentAgeMargin
+}
+
 func (n *Node) membersFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList,
