--- a/gateway/relay/currentlist_test.go
+++ b/gateway/relay/currentlist_test.go
@@ -37,6 +37,7 @@
 			other := sitetest.NewVersionedEngine(t, "e-2", "v1")
 			if c.takesUp {
 				job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "of-v1"
+				job.Header.Set(sitetest.HeaderLastEventID, "3")
 			}
 			// It has one slot, so that the first one is tried first.
 			r.Selector.EndpointChanged(site.Endpoint{ID: other.ID, Service: "model", Address: other.Address, DataCentre: "dc-2", Slots: 1, StartedMS: 1, Stage: site.Decode, SoftwareVersion: "v1"})
