A stream begun with an old list of endpoints is in doubt if its engine returns with other software

Callers saw pieces of two software versions in one stream. A process that was cut off began a stream at an engine which had started again under its ID with other software. Afterwards it read that the engine's entry was removed, and then the new one. Only an entry that is replaced put the engine's streams in doubt, so this one counted as of the version before.

Streams that begin while the list of endpoints is older than at a process which the store answers are noted as such, and are in doubt once their engine is listed anew with other software. Streams that begin with a recent list stay certain: an engine that stops and starts again in order is refused no more than before.

Before: TestStreamIsInDoubtAlsoIfTheEntryOfItsEngineWasRemovedInBetween fails ("Should be true"). After: passes.

--- a/core/streamversion/memory.go
+++ b/core/streamversion/memory.go
@@ -24,6 +24,8 @@
 	ID       StreamID
 	Version  string
 	Endpoint string // The endpoint that began it; empty if it is not known.
+	// OldList is set if the list of endpoints was out of date when it began.
+	OldList bool
 }
 
 // Doubtful stands for the version of a stream of which an endpoint that had started again
@@ -73,6 +75,16 @@
 	}
 }
 
+// DoubtOldList is Doubt for the streams that began while the list of endpoints was out of date.
+// The endpoint is found to run a version after it was removed from the list.
+func (m *Memory) DoubtOldList(endpoint, version string, now time.Time) {
+	for _, r := range m.records {
+		if r.Endpoint == endpoint && r.OldList && r.Version != version {
+			m.Add(Record{ID: r.ID, Version: Doubtful}, now)
+		}
+	}
+}
+
 // Find returns the version that began a stream, and false if it is not known.
 func (m *Memory) Find(id StreamID) (string, bool) {
 	known, ok := m.byID[id]
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -217,7 +217,13 @@
 	if lost := n.storeWatch.LostFor(); lost > 0 {
 		age -= lost + lostCallTime
 	}
-	return age < time.Duration(maxAgeShare*float64(n.settings.Bounds.DrainTimeout))+currentAgeMargin
+	return age < n.maxFleetAge()
+}
+
+// maxFleetAge returns the age below which the fleet is as recent as that of a process which the
+// store answers.
+func (n *Node) maxFleetAge() time.Duration {
+	return time.Duration(maxAgeShare*float64(n.settings.Bounds.DrainTimeout)) + currentAgeMargin
 }
 
 func (n *Node) membersFollower() *follow.Follower {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -187,6 +187,7 @@
 	tracker := streamversions.New(n.store, n.cluster, n.instance, n.meter)
 	tracker.StoreLost = n.storeWatch.IsLost
 	tracker.Sharing = n.servicesSharing
+	tracker.ListIsRecent = func() bool { return n.fleet.Age() < n.maxFleetAge() }
 	tracker.ConfigurationIsCurrent = n.configurationIsCurrent
 	return tracker
 }
--- a/gateway/streamversions/find.go
+++ b/gateway/streamversions/find.go
@@ -79,6 +79,7 @@
 // RecordStreamAt is RecordStream for a stream that an endpoint begins, given as it was listed
 // when it was called. If it is listed with other software now, the version is in doubt.
 func (t *Tracker) RecordStreamAt(serviceName, requestID string, endpoint site.Endpoint) {
+	oldList := endpoint.ID != "" && !t.ListIsRecent() // Not with t.mu: the list notifies this tracker.
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(serviceName)
@@ -86,7 +87,7 @@
 	if listed, ok := t.endpoints[endpoint.ID]; ok && listed.version != version {
 		version = streamversion.Doubtful
 	}
-	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: version, Endpoint: endpoint.ID}, clock.Now())
+	s.memory.Add(streamversion.Record{ID: streamversion.IDOf(requestID), Version: version, Endpoint: endpoint.ID, OldList: oldList}, clock.Now())
 	if s.recording {
 		t.signal()
 	}
--- a/gateway/streamversions/tracker.go
+++ b/gateway/streamversions/tracker.go
@@ -50,6 +50,8 @@
 	StoreLost func() bool
 	// Sharing returns the services that share a route with a service.
 	Sharing func(service string) []string
+	// ListIsRecent reports whether the store has confirmed the list of endpoints lately.
+	ListIsRecent func() bool
 	// ConfigurationIsCurrent reports whether the store has no newer configuration than one with
 	// a version. It is asked where streams of another service may have begun at another version.
 	ConfigurationIsCurrent func(ctx context.Context, version int64) bool
@@ -103,7 +105,7 @@
 // New returns the tracker of the process named instance.
 func New(store Store, fleet Fleet, instance string, metrics *meter.Registry) *Tracker {
 	return &Tracker{
-		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, ConfigurationIsCurrent: func(context.Context, int64) bool { return true }, store: store, fleet: fleet, instance: instance, meter: metrics, startedAt: clock.Now(), wake: make(chan struct{}, 1),
+		StoreLost: func() bool { return false }, Sharing: func(string) []string { return nil }, ListIsRecent: func() bool { return true }, ConfigurationIsCurrent: func(context.Context, int64) bool { return true }, store: store, fleet: fleet, instance: instance, meter: metrics, startedAt: clock.Now(), wake: make(chan struct{}, 1),
 		table: newTableCopy(), endpoints: make(map[string]listedEngine), services: make(map[string]*service),
 	}
 }
@@ -129,6 +131,9 @@
 	if ok && known.service == endpoint.Service && known.version != endpoint.SoftwareVersion {
 		t.services[known.service].memory.Doubt(endpoint.ID, clock.Now())
 	}
+	if s, known := t.services[endpoint.Service]; known && !ok {
+		s.memory.DoubtOldList(endpoint.ID, endpoint.SoftwareVersion, clock.Now())
+	}
 	t.unlist(endpoint.ID)
 	if endpoint.Stage != "" && len(endpoint.Service) <= maxServiceBytes { // Plain services have no streams to go on with.
 		t.endpoints[endpoint.ID] = engine
