A process that is cut off from the store and all others does not send streams on by its old list

Callers saw pieces of two software versions in one stream. While a process was cut off from the store and from the other processes, an engine started again under its ID with other software. The process took the cut for an outage of the store, in which nobody has a newer list of endpoints, and sent the engine take-ups of the version before.

A process that has started in the outage has what the others have.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -38,6 +38,9 @@
 	// as current, and lostCallTime the time until a call of the fleet counts as not answered.
 	currentAgeMargin = 400 * time.Millisecond
 	lostCallTime     = 1 * time.Second
+	// startOutageTime is the time after its start within which a process that loses the store
+	// counts as started in an outage.
+	startOutageTime = 3 * time.Second
 	// fleetPollers is the number of processes that poll for all.
 	fleetPollers = 1
 	// minFleetInterval is the minimum time between two calls for the fleet.
@@ -211,11 +214,15 @@
 }
 
 // fleetIsCurrent reports whether the fleet is as recent as that of a process which the store
-// answers, or was when the store was lost.
+// answers. In an outage of the store it must have been when the store was lost, and other
+// processes must have been heard since: this one may be cut off alone.
 func (n *Node) fleetIsCurrent() bool {
 	age := n.fleet.Age()
-	if lost := n.storeWatch.LostFor(); lost > 0 {
-		age -= lost + lostCallTime
+	if since, lost := n.storeWatch.LostSince(); lost && n.cluster.InContactSince(since) {
+		if since.Sub(n.startedAt) < startOutageTime {
+			return true // It has started in the outage, and has what the others have.
+		}
+		age -= time.Since(since) + lostCallTime
 	}
 	return age < n.maxFleetAge()
 }
--- a/gateway/node/ratelimit_test.go
+++ b/gateway/node/ratelimit_test.go
@@ -70,9 +70,15 @@
 
 // startProcess starts another entry process and waits until it is ready.
 func (f *limitedFleet) startProcess() *entryProcess {
+	f.t.Helper()
+	return f.startProcessAt(f.store.Address)
+}
+
+// startProcessAt is startProcess with another address of the store.
+func (f *limitedFleet) startProcessAt(store string) *entryProcess {
 	f.t.Helper()
 	name := fmt.Sprintf("vm-%d", len(f.processes))
-	p := &entryProcess{vm: sitetest.NewVM(f.t, name, "dc", f.store.Address, f.duties.Address), done: make(chan error, 1)}
+	p := &entryProcess{vm: sitetest.NewVM(f.t, name, "dc", store, f.duties.Address), done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	options := node.Options{SettingsPath: p.vm.SettingsPath}
--- a/gateway/node/startedwhilefrozen_test.go
+++ b/gateway/node/startedwhilefrozen_test.go
@@ -20,24 +20,11 @@
 	f.awaitVersion(p.entryProcess, "v1")
 	breakAll(breaking, true)
 	begun := f.begin(p.entryProcess, 12)
-	before, after := sitetest.NewVersionedEngine(t, "again", "v1"), sitetest.NewVersionedEngine(t, "again", "v2")
-	var started atomic.Bool
-	again := sitetest.NewEndpoint(t, "again", func(w http.ResponseWriter, r *http.Request) {
-		if started.Load() {
-			after.Serve(w, r)
-			return
-		}
-		before.Serve(w, r)
-	})
-	row := again.Row("model", "dc", "ready", "decode")
-	row["version"] = "v1"
-	f.store.Put(site.TableEndpoints, again.ID, row)
+	again, started := f.addRestarting("again")
 	f.store.Delete(site.TableEndpoints, breaking[0].ID)
 	f.awaitServed(p.entryProcess, again)
 	p.freeze()
-	started.Store(true)
-	sitetest.StartedAgain(row, "v2")
-	f.store.Put(site.TableEndpoints, again.ID, row)
+	started()
 	f.store.SetSilent(true) // Until a moment after the process runs again.
 	time.Sleep(2 * settleTime)
 	time.AfterFunc(settleTime/2, func() { f.store.SetSilent(false) })
@@ -55,3 +42,51 @@
 		return len(e.Requests()) > before
 	})
 }
+
+// addRestarting lists an engine of v1 that becomes one of v2, under its ID, once start is called.
+func (f *versionedFleet) addRestarting(id string) (e *sitetest.Endpoint, start func()) {
+	before, after := sitetest.NewVersionedEngine(f.t, id, "v1"), sitetest.NewVersionedEngine(f.t, id, "v2")
+	var started atomic.Bool
+	e = sitetest.NewEndpoint(f.t, id, func(w http.ResponseWriter, r *http.Request) {
+		if started.Load() {
+			after.Serve(w, r)
+			return
+		}
+		before.Serve(w, r)
+	})
+	row := e.Row("model", "dc", "ready", "decode")
+	row["version"] = "v1"
+	f.store.Put(site.TableEndpoints, id, row)
+	return e, func() {
+		started.Store(true)
+		sitetest.StartedAgain(row, "v2")
+		f.store.Put(site.TableEndpoints, id, row)
+	}
+}
+
+// Guards against joined streams: an engine started again under its ID with other software while a
+// process was cut off from the store and from the others. The process sent it streams of the
+// version before, as in an outage of the store.
+func TestStreamDoesNotGoOnAtAnEngineThatStartedAgainWhileTheProcessWasCutOff(t *testing.T) {
+	f := newVersionedFleet(t, 0)
+	link := newStoreLink(t, f.store.Address)
+	other := f.startFreezable("vm-other")
+	p := f.startProcessAt(link.address)
+	breaking := f.addEngines("v1", 1)
+	f.awaitVersion(p, "v1")
+	breakAll(breaking, true)
+	begun := f.begin(p, 6)
+	again, start := f.addRestarting("again")
+	f.store.Delete(site.TableEndpoints, breaking[0].ID)
+	f.awaitServed(p, again)
+	link.cut.Store(true)
+	other.freeze() // Nobody else is left to talk to.
+	f.store.LoseHeldCalls()
+	start()
+	time.Sleep(3 * settleTime)
+	f.takeUpAll(p, begun)
+	f.list(sitetest.NewVersionedEngine(t, "stays", "v1"))
+	other.thaw()
+	link.cut.Store(false)
+	f.eventually(func() bool { return f.takeUpAll(p, begun) == len(begun) })
+}
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -113,14 +113,12 @@
 	return w.lost
 }
 
-// LostFor returns how long the store has not answered this process, 0 if it does.
-func (w *storeWatch) LostFor() time.Duration {
+// LostSince returns since when the store has not answered this process. lost is false if it
+// does.
+func (w *storeWatch) LostSince() (at time.Time, lost bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.lost {
-		return 0
-	}
-	return time.Since(w.lostAt)
+	return w.lostAt, w.lost
 }
 
 // AvailableFor returns how long the store has answered this process without a
--- a/gateway/peers/exchange.go
+++ b/gateway/peers/exchange.go
@@ -27,6 +27,7 @@
 func (c *Cluster) observePeer(called *peer, state *wirev1.PeerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteHeard()
 	p, ok := c.members[state.GetVm()]
 	if ok && p == called && p.Instance != state.GetInstance() {
 		delete(c.endedInstances, state.GetInstance())
@@ -110,6 +111,7 @@
 	state := request.GetState()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteHeard()
 	if request.GetAddress() == "" || c.mayBeLate(state.GetInstance()) {
 		return
 	}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -125,6 +125,9 @@
 	generation uint64          // Changes with the VMs and instances of members.
 	watched    map[string]bool // VMs that are called in any case.
 	resumedAt  time.Time       // When this process last ran again after a pause.
+	heardAt    time.Time       // When another process was last heard.
+	// silentUntil is when the last time ended in which none was heard.
+	silentUntil time.Time
 	// listLoaded is set once the complete list has been read from the store.
 	listLoaded       bool
 	seedsContactedAt time.Time
