Take-ups are not refused while an outage of the store begins

With the check of the age of the list of endpoints, callers whose streams were taken up between the last answer of a store that falls silent and the end of the next call were refused: the list counted as out of date before the store counted as lost.

The list may now be older by as much as a call takes until it counts as not answered, less what a stream waits.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -36,7 +36,8 @@
 	maxAgeShare    = 0.52
 	// currentAgeMargin is how much older than maxAgeShare allows the fleet may be for it to count
 	// as current, and lostCallTime the time until a call of the fleet counts as not answered.
-	currentAgeMargin = 400 * time.Millisecond
+	// Streams wait for the difference, so none is refused as an outage of the store begins.
+	currentAgeMargin = 800 * time.Millisecond
 	lostCallTime     = 1 * time.Second
 	// startOutageTime is the time after its start within which a process that loses the store
 	// counts as started in an outage.
--- a/gateway/node/startedwhilefrozen_test.go
+++ b/gateway/node/startedwhilefrozen_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"flamingospar.org/platform/site"
 	"flamingospar.org/platform/site/sitetest"
 )
@@ -90,3 +93,31 @@
 	link.cut.Store(false)
 	f.eventually(func() bool { return f.takeUpAll(p, begun) == len(begun) })
 }
+
+// Guards against refused take-ups: a list of endpoints that grows old as an outage of the store
+// begins is no sign that this process was frozen.
+func TestStreamsGoOnWhileAnOutageOfTheStoreBegins(t *testing.T) {
+	f := newVersionedFleet(t, 2)
+	engines := f.addEngines("v1", 2)
+	p := f.processes[0]
+	f.awaitVersion(p, "v1")
+	breakAll(engines, true)
+	begun := f.begin(p, 4)
+	breakAll(engines, false)
+	time.Sleep(3 * settleTime) // The process has not started in the outage.
+	f.store.SetSilent(true)
+	const takeUps = 60
+	var wentOn atomic.Int64
+	var callers sync.WaitGroup
+	for i := range takeUps {
+		callers.Go(func() {
+			if f.takeUp(p, begun[i%len(begun)]).status == http.StatusOK {
+				wentOn.Add(1)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	callers.Wait()
+	require.GreaterOrEqual(t, wentOn.Load(), int64(takeUps*19/20), "of %d", takeUps)
+	t.Log(wentOn.Load(), "of", takeUps)
+}
