A request whose body stops is refused, and holds no stop

Callers saw: a request whose body stopped before its end got neither an answer nor a refusal, although the log says that it was refused with 408. A refusal for the header of a request ended only after the body, or after 5 s. A caller that sent no more of a body after its refusal, or waited for 100 Continue, held its connection without a limit, and a stop until its deadline.

Cause: before it sends the header of a response, net/http reads up to 256 KB of the body, and after the response again. The handler had cleared the read deadline by then. A refusal that is flushed early had no length, so it was sent in chunks whose end came with the return of the handler. A request with Expect was not read at all.

Evidence, gateway/ingress with -race -cpu 1, on: TestRequestWhoseBodyStopsIsRefused ("length stated") "i/o timeout" after 9 s; TestCallerThatSendsNoBodyAfterItsRefusal... in both cases "Condition never satisfied" after 9 s. TestRefusalIsWholeBeforeTheBodyHasArrived: "i/o timeout" after 3 s. All pass now (-count 2), as do the tests of refusals, slow callers and late bodies of gateway/node. TestRequestWhoseBodyGoesOnAfterItsTimeIsRefused was not run before; it guards what this change could have broken.

Why it works: the read deadline stays in force after a body that was not read; net/http clears it when a body ends. Refusals state their length. A 408 states Connection: close, so that it is sent before the rest of the body is read, and that is read for 5 s at most.

Other refusals of a body under 256 KB are still sent when it has arrived, or after 5 s, so that the connection can be kept.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -193,7 +194,6 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(limits.HeaderTimeout + bodyReadMargin)) // Server connections support deadlines.
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -201,6 +201,7 @@
 	case err != nil:
 		return nil, refusal{status: http.StatusRequestTimeout, reason: "body_not_read"}
 	default:
+		_ = controller.SetReadDeadline(time.Time{})
 		return body, refusal{}
 	}
 }
@@ -211,26 +212,41 @@
 	if refused.status == http.StatusServiceUnavailable {
 		site.SetRetryAfter(w.Header(), refused.retryIn)
 	}
-	http.Error(w, refused.reason, refused.status)
+	if refused.status == http.StatusRequestTimeout {
+		w.Header().Set("Connection", "close") // Otherwise the server reads the body before it sends the header.
+	}
+	writeRefusal(w, refused)
 	h.Meter.Count("request", "refused", refused.reason)
 	h.Log.Refused(caller.ID, refused, h.Config.Version(), time.Since(arrived))
-	if refused.status != http.StatusRequestTimeout {
-		discardBody(w, r)
-	}
+	discardBody(w, r)
+}
+
+// writeRefusal writes what http.Error does, and the length, so that the response is whole for
+// its caller before the body of the request is read.
+func writeRefusal(w http.ResponseWriter, refused refusal) {
+	text := refused.reason + "\n"
+	header := w.Header()
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(refused.status)
+	_, _ = io.WriteString(w, text) // An error ends the connection.
 }
 
 // discardBody sends the response and reads what is left of the body. The system resets a
 // connection that is closed before that, so that a caller which sends its whole request
-// before it reads would get no response.
+// before it reads would get no response. A caller that waits for 100 Continue is not asked
+// for its body any more.
 func discardBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+	if r.ContentLength == 0 {
 		return
 	}
 	controller := http.NewResponseController(w)
+	// The deadline stays in force, since the server reads too, until the body has ended or
+	// the connection is closed.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadMargin)) // Server connections support deadlines.
 	_ = controller.Flush()                                         // An error ends the connection.
 	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)         // What is not read then is not waited for.
-	_ = controller.SetReadDeadline(time.Time{})
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, job *relay.Job) {
