Answer a request that arrived before the idle time of its connection ended

Callers saw: a whole request on a kept connection was met with "connection reset by peer", though no process was stopping, if the server got to read it only after the idle time of the connection (180 s), for example as the process was frozen.

Cause: a read whose deadline has passed fails without looking at what the system holds, and the server then closes the connection. A drain looked once more; the idle time did not.

Evidence: TestRequestThatArrivedBeforeTheIdleTimeIsAnswered holds the read of the server past an idle time of 200 ms.

Why it works: the read looks once more at what the system holds, also without a drain, but only for the first bytes of a request. TestHeaderThatGoesOnAfterItsTimeIsNotWaitedFor fails if it did so for the rest of a header too.

Not shown: that users met this; it takes a freeze across the end of the idle time.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -59,12 +59,14 @@
 	return n, err
 }
 
-// extendForArrived moves the read deadline of a connection that drains, if bytes have
-// arrived that were not read. It reports whether it did.
+// extendForArrived moves a read deadline that has passed, if bytes have arrived that were not
+// read. It reports whether it did. Unless the listener drains, it does so for the first bytes
+// of a request only, so that a caller can't send the rest of the header without a limit.
 func (c *trackedConn) extendForArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || c.drainedFrom.IsZero() || !readable(c.Conn) {
+	headerUnderWay := c.drainedFrom.IsZero() && !c.begun.IsZero()
+	if c.active || headerUnderWay || !readable(c.Conn) {
 		return false
 	}
 	return c.Conn.SetReadDeadline(time.Now().Add(maxReadTime)) == nil
--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -227,3 +228,42 @@
 	c.requireAnswer()
 	d.requireDrained()
 }
+
+// Guards against requests without an answer: an idle connection was closed at its idle time
+// though its next request had arrived, which a process that was frozen meets.
+func TestRequestThatArrivedBeforeTheIdleTimeIsAnswered(t *testing.T) {
+	const idleTime = 200 * time.Millisecond
+	d := newDrainable(t, answerOK)
+	d.server.IdleTimeout = idleTime
+	held := &hold{reached: make(chan struct{}), release: make(chan struct{})}
+	d.onIdle = func() { d.sockets.next.Store(held) }
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	c.requireAnswer()
+	<-held.reached
+	c.write(postRequest)
+	time.Sleep(idleTime + arrivalTime) // The idle time ends before the server reads.
+	close(held.release)
+	c.requireAnswer()
+}
+
+// Guards against callers that hold a connection: the time for a header ends although more of
+// it has arrived.
+func TestHeaderThatGoesOnAfterItsTimeIsNotWaitedFor(t *testing.T) {
+	const headerTime, closeTime = 200 * time.Millisecond, time.Second
+	d := newDrainable(t, answerOK)
+	d.server.ReadHeaderTimeout = headerTime
+	held := &hold{afterCall: true, reached: make(chan struct{}), release: make(chan struct{})}
+	d.sockets.next.Store(held)
+	d.serve()
+	c := d.dial()
+	c.write("GET /")
+	<-held.reached
+	c.write("x")
+	time.Sleep(headerTime + arrivalTime)
+	close(held.release)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(closeTime)))
+	_, err := io.Copy(io.Discard, c)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must be closed")
+}
