The refusal of a header that is too large ends whole

Callers saw: the response 431 broke off with "connection reset by peer".

Cause: net/http ends what it sends before it closes a connection of which it has not read everything, and waits 0.5 s, but only if the connection has CloseWrite. trackedConn hid it.

Evidence: TestRefusalOfALargeHeaderIsWhole (-race -cpu 1) fails on: "read: connection reset by peer". It passes now (-count 3). Why it works: trackedConn has CloseWrite.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -132,6 +132,15 @@
 	return b
 }
 
+// CloseWrite ends what is sent. The server does so before it closes a connection of which it
+// has not read everything, since the system resets that.
+func (c *trackedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *trackedConn) Close() error {
 	c.mu.Lock()
--- a/gateway/ingress/stalledbody_test.go
+++ b/gateway/ingress/stalledbody_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +107,37 @@
 	c.write("rest")
 	requireStatus(t, c, http.StatusRequestTimeout, bodyTime)
 }
+
+// Guards against refusals that end with a reset: the server closed the connection of a request
+// whose header was too large with the rest of it unread.
+func TestRefusalOfALargeHeaderIsWhole(t *testing.T) {
+	t.Parallel()
+	d := newDrainable(t, answerOK)
+	d.server.MaxHeaderBytes = 1 << 10
+	d.serve()
+	c := d.dial()
+	c.write("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n")
+	requireStatus(t, c, http.StatusRequestHeaderFieldsTooLarge, bodyTime)
+}
+
+// Guards against refusals that are lost: a caller that was told to go on with its body sends
+// all of it before it reads that it is too large.
+func TestBodyThatIsFoundTooLargeMayBeSentWhole(t *testing.T) {
+	for name, expect := range map[string]string{"chunked": "", "chunked, told to go on": "Expect: 100-continue\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const chunk, chunks = 100 << 10, 80
+			c := newRefusing(t).dial()
+			c.write("POST /p/x HTTP/1.1\r\nHost: h.example\r\n" + requestID + expect + "Transfer-Encoding: chunked\r\n\r\n")
+			if expect != "" {
+				requireStatus(t, c, http.StatusContinue, bodyTime)
+			}
+			for range chunks {
+				c.write(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk)))
+				time.Sleep(10 * time.Millisecond)
+			}
+			c.write("0\r\n\r\n")
+			requireStatus(t, c, http.StatusRequestEntityTooLarge, bodyTime)
+		})
+	}
+}
