A panic ends the connection of a request whose body has not arrived

Callers saw: a request whose handling panicked before its body was read, and whose caller waited for 100 Continue or for more of its answer, got neither; its connection stayed open.

Cause: after an aborted handler net/http reads up to 256 KB of the body before it closes the connection, without a deadline.

Evidence: TestPanicBeforeTheBodyIsReadEndsTheConnection (-race -cpu 1) fails without the change ("i/o timeout" after 3 s) and passes with it (-count 2). Why it works: the read deadline has passed by then. No panic of this kind is known; the test makes one.

--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -61,6 +61,8 @@
 			h.Meter.Count("panic", "request")
 			h.Log.Panicked(site.ParseCallerRequest(r.Header).ID, recovered)
 		}
+		// Otherwise the server would wait for a body that was not read before it closes.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 		if !r.ProtoAtLeast(1, 1) {
 			resetOnClose(r.Context()) // Nothing else shows that the response is not complete.
 		}
--- a/gateway/ingress/stalledbody_test.go
+++ b/gateway/ingress/stalledbody_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -141,3 +142,18 @@
 		})
 	}
 }
+
+// Guards against requests without an answer: a panic ends the connection of a request, also if
+// its body has not arrived.
+func TestPanicBeforeTheBodyIsReadEndsTheConnection(t *testing.T) {
+	t.Parallel()
+	handler := &ingress.Handler{Meter: meter.NewRegistry(), Log: &ingress.RequestLog{}} // It panics without a configuration holder.
+	d := newDrainable(t, handler.ServeHTTP)
+	d.serve()
+	c := d.dial()
+	c.write("POST /p/x HTTP/1.1\r\nHost: h.example\r\n" + requestID + "Content-Length: 100\r\nExpect: 100-continue\r\n\r\n")
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(drainTime)))
+	_, err := io.Copy(io.Discard, c)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must be closed")
+	require.EqualValues(t, 1, handler.Meter.Counter("panic", "request"))
+}
