Stop of a process: a request whose first byte is read early has begun

Callers saw: a request on a kept connection whose first byte was sent before the response to the one before had ended, and the rest over 0.1 s later, got neither an answer nor a refusal when the process stopped meanwhile.

Cause: the background read of net/http had read that byte while the connection was active, so it did not count as the begin of a request, and the drain waited for 0.1 s in place of 1.5 s.

Evidence: TestRequestThatBeginsBeforeTheEndOfAResponseIsAnswered (-race -cpu 1) fails without the change ("unexpected EOF") and passes with it (-count 3), as does gateway/ingress (-count 2).

Why it works: the background read is the only read of one byte; the byte is remembered until the connection is idle. A read that was taken for one wrongly would only let the drain wait for 1.5 s on its connection. The handler of two tests stands once.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -32,6 +32,7 @@
 
 	mu             sync.Mutex
 	active         bool      // A request was read up to its body, and is not answered yet.
+	nextBegun      bool      // The background read has read the first byte of the next request.
 	begun          time.Time // When bytes of the next request were first read.
 	waitUntil      time.Time // Until when they are waited for while the listener drains.
 	drainedFrom    time.Time
@@ -54,7 +55,7 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.recordRead()
+		c.recordRead(len(p))
 	}
 	return n, err
 }
@@ -72,10 +73,16 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(maxReadTime)) == nil
 }
 
-func (c *trackedConn) recordRead() {
+// backgroundReadSize is the size of the read with which net/http notices, while a request is
+// answered, that its caller has left. No other read is so small.
+const backgroundReadSize = 1
+
+// recordRead records a read of up to size bytes that has brought some.
+func (c *trackedConn) recordRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active {
+		c.nextBegun = c.nextBegun || size == backgroundReadSize
 		return
 	}
 	if c.begun.IsZero() {
@@ -157,6 +164,10 @@
 	c.active = state == http.StateActive
 	if state == http.StateIdle {
 		c.begun = time.Time{}
+		if c.nextBegun {
+			c.begun = time.Now()
+		}
+		c.nextBegun = false
 		c.waitUntil = time.Now().Add(reuseTime)
 	}
 	c.applyDrain()
--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -206,17 +206,23 @@
 	}, drainTime, 20*time.Millisecond, "the listener must be closed")
 }
 
-// Guards against requests without an answer: a response that began before the drain does not
-// say that its connection is closed, so that its caller may use it again at once.
-func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
-	began, end := make(chan struct{}, 2), make(chan struct{})
-	d := newDrainable(t, func(w http.ResponseWriter, _ *http.Request) {
+// answerInParts returns a handler that sends a part of its response, reports it, and sends the
+// rest once end is closed.
+func answerInParts(began chan<- struct{}, end <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "o")             // An error shows at the caller.
 		_ = http.NewResponseController(w).Flush() // The same.
 		began <- struct{}{}
 		<-end
 		_, _ = io.WriteString(w, "k") // The same.
-	})
+	}
+}
+
+// Guards against requests without an answer: a response that began before the drain does not
+// say that its connection is closed, so that its caller may use it again at once.
+func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	d := newDrainable(t, answerInParts(began, end))
 	d.serve()
 	c := d.dial()
 	c.write(postRequest)
@@ -267,3 +273,25 @@
 	_, err := io.Copy(io.Discard, c)
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must be closed")
 }
+
+// Guards against requests without an answer: the first byte of a request, read before the
+// response to the one before had ended, did not count as its beginning.
+func TestRequestThatBeginsBeforeTheEndOfAResponseIsAnswered(t *testing.T) {
+	// pause is longer than a connection is read again for after a response.
+	const pause = 400 * time.Millisecond
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	d := newDrainable(t, answerInParts(began, end))
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	<-began
+	c.write(postRequest[:1])
+	time.Sleep(arrivalTime)
+	d.listener.Drain()
+	close(end)
+	c.requireAnswer()
+	time.Sleep(pause)
+	c.write(postRequest[1:])
+	c.requireAnswer()
+	d.requireDrained()
+}
