--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -18,8 +18,8 @@
 	// reuseTime is how long the next request is waited for after a response that did not
 	// say that the connection is closed after it.
 	reuseTime = 100 * time.Millisecond
-	// maxReadTime is how long the header of a request is read. What comes may be less than
-	// a request, such as an empty line.
+	// maxReadTime is how long the header of a request is read, from its first byte or from
+	// the begin of the drain. What comes may be less than a request, such as an empty line.
 	maxReadTime = 1500 * time.Millisecond
 )
 
@@ -35,7 +35,7 @@
 	nextBegun      bool      // The background read has read the first byte of the next request.
 	begun          time.Time // When bytes of the next request were first read.
 	waitUntil      time.Time // Until when they are waited for while the listener drains.
-	drainedFrom    time.Time
+	drainedFrom    time.Time // When the drain of the listener began.
 	serverDeadline time.Time // The read deadline that the server has set.
 	closed         bool
 }
--- a/gateway/ingress/conn_test.go
+++ b/gateway/ingress/conn_test.go
@@ -18,9 +18,8 @@
 	"flamingospar.org/platform/site/sitetest"
 )
 
-// A server that shuts down closes an idle connection while a request is in flight on
-// it. The request is still read but must not be run, since its caller gets no
-// response.
+// A server closes the connections that are left at the deadline of a stop. A request that is
+// read then must not be run, since its caller gets no response.
 func TestRequestOnAClosedConnectionIsNotRun(t *testing.T) {
 	holder := &config.Holder{}
 	holder.UpdateIfNewer(sitetest.Manifest(3, nil, sitetest.Route{Name: "p", Kind: "idempotent", Service: "plain", Public: true}), "test")
