--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -295,3 +295,31 @@
 	c.requireAnswer()
 	d.requireDrained()
 }
+
+// A caller that leaves is noticed at once while the listener drains, and not before it leaves.
+func TestCallerThatLeavesDuringADrainIsNoticed(t *testing.T) {
+	const stay = 2 * time.Second // Longer than each wait of a drain for a request that has begun.
+	began, left := make(chan struct{}), make(chan struct{})
+	d := newDrainable(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(left)
+	})
+	d.serve()
+	c := d.dial()
+	c.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-began
+	d.listener.Drain()
+	select {
+	case <-left:
+		require.Fail(t, "the drain ended a request")
+	case <-time.After(stay):
+	}
+	require.NoError(t, c.Close())
+	select {
+	case <-left:
+	case <-time.After(drainTime):
+		require.Fail(t, "the handler did not learn that its caller has left")
+	}
+	d.requireDrained()
+}
