--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -18,8 +18,8 @@
 	// reuseTime is how long the next request is waited for after a response that did not
 	// say that the connection is closed after it.
 	reuseTime = 100 * time.Millisecond
-	// maxReadTime is how long the header of a request is read. What comes may be less than
-	// a request, such as an empty line.
+	// maxReadTime is how long the header of a request is read, from its first byte or from
+	// the begin of the drain. What comes may be less than a request, such as an empty line.
 	maxReadTime = 1500 * time.Millisecond
 )
 
@@ -32,9 +32,10 @@
 
 	mu             sync.Mutex
 	active         bool      // A request was read up to its body, and is not answered yet.
+	nextBegun      bool      // The background read has read the first byte of the next request.
 	begun          time.Time // When bytes of the next request were first read.
 	waitUntil      time.Time // Until when they are waited for while the listener drains.
-	drainedFrom    time.Time
+	drainedFrom    time.Time // When the drain of the listener began.
 	serverDeadline time.Time // The read deadline that the server has set.
 	closed         bool
 }
@@ -54,26 +55,34 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.recordRead()
+		c.recordRead(len(p))
 	}
 	return n, err
 }
 
-// extendForArrived moves the read deadline of a connection that drains, if bytes have
-// arrived that were not read. It reports whether it did.
+// extendForArrived moves a read deadline that has passed, if bytes have arrived that were not
+// read. It reports whether it did. Unless the listener drains, it does so for the first bytes
+// of a request only, so that a caller can't send the rest of the header without a limit.
 func (c *trackedConn) extendForArrived() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || c.drainedFrom.IsZero() || !readable(c.Conn) {
+	headerUnderWay := c.drainedFrom.IsZero() && !c.begun.IsZero()
+	if c.active || headerUnderWay || !readable(c.Conn) {
 		return false
 	}
 	return c.Conn.SetReadDeadline(time.Now().Add(maxReadTime)) == nil
 }
 
-func (c *trackedConn) recordRead() {
+// backgroundReadSize is the size of the read with which net/http notices, while a request is
+// answered, that its caller has left. No other read is so small.
+const backgroundReadSize = 1
+
+// recordRead records a read of up to size bytes that has brought some.
+func (c *trackedConn) recordRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active {
+		c.nextBegun = c.nextBegun || size == backgroundReadSize
 		return
 	}
 	if c.begun.IsZero() {
@@ -130,6 +139,15 @@
 	return b
 }
 
+// CloseWrite ends what is sent. The server does so before it closes a connection of which it
+// has not read everything, since the system resets that.
+func (c *trackedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *trackedConn) Close() error {
 	c.mu.Lock()
@@ -146,6 +164,10 @@
 	c.active = state == http.StateActive
 	if state == http.StateIdle {
 		c.begun = time.Time{}
+		if c.nextBegun {
+			c.begun = time.Now()
+		}
+		c.nextBegun = false
 		c.waitUntil = time.Now().Add(reuseTime)
 	}
 	c.applyDrain()
--- a/gateway/ingress/drain_test.go
+++ b/gateway/ingress/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -205,17 +206,23 @@
 	}, drainTime, 20*time.Millisecond, "the listener must be closed")
 }
 
-// Guards against requests without an answer: a response that began before the drain does not
-// say that its connection is closed, so that its caller may use it again at once.
-func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
-	began, end := make(chan struct{}, 2), make(chan struct{})
-	d := newDrainable(t, func(w http.ResponseWriter, _ *http.Request) {
+// answerInParts returns a handler that sends a part of its response, reports it, and sends the
+// rest once end is closed.
+func answerInParts(began chan<- struct{}, end <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "o")             // An error shows at the caller.
 		_ = http.NewResponseController(w).Flush() // The same.
 		began <- struct{}{}
 		<-end
 		_, _ = io.WriteString(w, "k") // The same.
-	})
+	}
+}
+
+// Guards against requests without an answer: a response that began before the drain does not
+// say that its connection is closed, so that its caller may use it again at once.
+func TestConnectionUsedAgainAfterAResponseThatBeganBeforeTheDrainIsAnswered(t *testing.T) {
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	d := newDrainable(t, answerInParts(began, end))
 	d.serve()
 	c := d.dial()
 	c.write(postRequest)
@@ -227,3 +234,92 @@
 	c.requireAnswer()
 	d.requireDrained()
 }
+
+// Guards against requests without an answer: an idle connection was closed at its idle time
+// though its next request had arrived, which a process that was frozen meets.
+func TestRequestThatArrivedBeforeTheIdleTimeIsAnswered(t *testing.T) {
+	const idleTime = 200 * time.Millisecond
+	d := newDrainable(t, answerOK)
+	d.server.IdleTimeout = idleTime
+	held := &hold{reached: make(chan struct{}), release: make(chan struct{})}
+	d.onIdle = func() { d.sockets.next.Store(held) }
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	c.requireAnswer()
+	<-held.reached
+	c.write(postRequest)
+	time.Sleep(idleTime + arrivalTime) // The idle time ends before the server reads.
+	close(held.release)
+	c.requireAnswer()
+}
+
+// Guards against callers that hold a connection: the time for a header ends although more of
+// it has arrived.
+func TestHeaderThatGoesOnAfterItsTimeIsNotWaitedFor(t *testing.T) {
+	const headerTime, closeTime = time.Second, time.Second
+	d := newDrainable(t, answerOK)
+	d.server.ReadHeaderTimeout = headerTime
+	held := &hold{afterCall: true, reached: make(chan struct{}), release: make(chan struct{})}
+	d.sockets.next.Store(held)
+	d.serve()
+	c := d.dial()
+	c.write("GET /")
+	<-held.reached
+	c.write("x")
+	time.Sleep(headerTime + arrivalTime)
+	close(held.release)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(closeTime)))
+	_, err := io.Copy(io.Discard, c)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection must be closed")
+}
+
+// Guards against requests without an answer: the first byte of a request, read before the
+// response to the one before had ended, did not count as its beginning.
+func TestRequestThatBeginsBeforeTheEndOfAResponseIsAnswered(t *testing.T) {
+	// pause is longer than a connection is read again for after a response.
+	const pause = 400 * time.Millisecond
+	began, end := make(chan struct{}, 2), make(chan struct{})
+	d := newDrainable(t, answerInParts(began, end))
+	d.serve()
+	c := d.dial()
+	c.write(postRequest)
+	<-began
+	c.write(postRequest[:1])
+	time.Sleep(arrivalTime)
+	d.listener.Drain()
+	close(end)
+	c.requireAnswer()
+	time.Sleep(pause)
+	c.write(postRequest[1:])
+	c.requireAnswer()
+	d.requireDrained()
+}
+
+// A caller that leaves is noticed at once while the listener drains, and not before it leaves.
+func TestCallerThatLeavesDuringADrainIsNoticed(t *testing.T) {
+	const stay = 2 * time.Second // Longer than each wait of a drain for a request that has begun.
+	began, left := make(chan struct{}), make(chan struct{})
+	d := newDrainable(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(left)
+	})
+	d.serve()
+	c := d.dial()
+	c.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-began
+	d.listener.Drain()
+	select {
+	case <-left:
+		require.Fail(t, "the drain ended a request")
+	case <-time.After(stay):
+	}
+	require.NoError(t, c.Close())
+	select {
+	case <-left:
+	case <-time.After(drainTime):
+		require.Fail(t, "the handler did not learn that its caller has left")
+	}
+	d.requireDrained()
+}
