Whole events before a fault in an answer are forwarded

Callers of a route whose streams are not resumable got status 502 without any event, or lost the last events, if an engine's answer held something that is no part of a stream in the same read as whole events. What arrived in an earlier read was forwarded: it depended on how the answer was split. docs/decisions/stream-answers.md says that the event with the fault and all after it are not forwarded.

Cause: an error of eventCounter dropped all that was read with it. The counter now says up to where the data holds whole events and comments, and that part is forwarded before the answer counts as broken off.

Before: TestEventsBeforeAFaultAreForwarded fails for "a line of an error", "an event with the error" and "an event again" (status 502 in place of three events).

--- a/gateway/relay/eventcounter.go
+++ b/gateway/relay/eventcounter.go
@@ -21,12 +21,15 @@
 	isEvent    bool   // The unfinished event has data or an ID.
 	id         string // Of the unfinished event.
 	line       []byte // The unfinished line.
+	whole      int    // Length of the part of the last data up to the end of its last whole event or comment.
 }
 
 // add returns the number of events that end in data. The error wraps
 // transport.ErrResponseTooLarge if an event exceeds maxEventBytes, and errNoStream if a
 // line is no part of a stream of events or the order of events is wrong.
 func (c *eventCounter) add(data []byte) (ended int, err error) {
+	c.whole = 0
+	size := len(data)
 	for len(data) > 0 {
 		line, rest, complete := bytes.Cut(data, []byte("\n"))
 		c.eventBytes += len(data) - len(rest)
@@ -42,6 +45,9 @@
 		if event {
 			ended++
 		}
+		if !c.hasField {
+			c.whole = size - len(data)
+		}
 	}
 	if c.eventBytes > maxEventBytes {
 		return ended, fmt.Errorf("%w: an event of more than %d bytes", transport.ErrResponseTooLarge, maxEventBytes)
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -33,7 +33,7 @@
 		}
 		events, eventErr := counter.add(buffer[:n])
 		if eventErr != nil {
-			n, events, err = 0, 0, eventErr
+			n, err = counter.whole, eventErr
 		}
 		received += events
 		if n > 0 {
