A stream that can't be resumed may begin anew for a caller that names its last event

Callers of a route whose streams are not resumable got status 502 each time they connected again with Last-Event-Id, as clients for server-sent events do by themselves, if the engine began the stream anew with event 1. The engine, which was right, counted as failed ("no_stream").

Cause: the answer to a caller that names its last event was checked as one that goes on after this event, also where streams can't be resumed and engines need not know the header. The check now applies to resumable routes only; there nothing changes.

Before: TestStreamThatCannotBeResumedMayBeginAnew fails ("expected: , actual: may_have_run").

--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -43,7 +43,7 @@
 	endpoint := placed.DecodeEndpoint
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
-	c.goesOn = s.headerSent || s.takesUp()
+	c.goesOn = s.headerSent || s.resumes()
 	c.order = s.orderAfter(run.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
 	if run.KVSource == "" {
@@ -57,7 +57,7 @@
 // orderAfter returns the order for the events of a call that goes on after the event with
 // an ID, or after that which the caller has if it is empty.
 func (s *stream) orderAfter(lastID string) eventOrder {
-	if lastID == "" {
+	if lastID == "" && s.resumes() {
 		lastID = s.job.Caller.LastEventID
 	}
 	return eventOrder{lastID: lastID, goesOn: lastID != "", consecutive: s.events.consecutive()}
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -31,6 +31,10 @@
 // takesUp reports whether the caller takes up a stream that another request began.
 func (s *stream) takesUp() bool { return s.job.Caller.LastEventID != "" }
 
+// resumes reports whether the answer has to go on after the last event of the caller: where
+// streams can't be resumed, engines may begin anew.
+func (s *stream) resumes() bool { return s.takesUp() && s.job.Route.Resumable }
+
 // findVersion finds the version at which a stream that is taken up has to go on, and sends it
 // to the service that began it if its route still leads there. It reports false if the version
 // is not known.
