A large event is not copied at each read

A stream's event of up to 256 KiB cost processor time by the square of its size: eventBuffer copied what had arrived of it at each read, twice.

Without a whole event nothing is taken out of the buffer now.

Before: TestLargeEventIsNotCopiedAtEachRead fails ("64" allocations for 31 reads). After: it passes, and the tests of events in gateway/relay pass twice with -race.

--- a/gateway/relay/eventbuffer.go
+++ b/gateway/relay/eventbuffer.go
@@ -37,6 +37,9 @@
 			whole = b.scanned
 		}
 	}
+	if whole == 0 {
+		return nil
+	}
 	complete := b.partial[:whole]
 	b.partial = append([]byte(nil), b.partial[whole:]...)
 	b.scanned -= whole
--- a/gateway/relay/eventbuffer_test.go
+++ b/gateway/relay/eventbuffer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,3 +17,19 @@
 	require.Equal(t, "id: 3\n\n", string(b.add([]byte("id: 3\n\n"))))
 	require.Equal(t, "3", b.lastID)
 }
+
+// Guards against a large event that costs processor time by the square of its size: what had
+// arrived of it was copied at each read.
+func TestLargeEventIsNotCopiedAtEachRead(t *testing.T) {
+	const reads = maxEventBytes/streamBufferBytes - 1
+	read := bytes.Repeat([]byte("x"), streamBufferBytes)
+	copies := testing.AllocsPerRun(10, func() {
+		var buffer eventBuffer
+		buffer.add([]byte("data: "))
+		for range reads {
+			buffer.add(read)
+		}
+		buffer.add([]byte("\n\n"))
+	})
+	require.Less(t, copies, reads/2.0) // The buffer grows by a share of its size each time.
+}
