A decode engine that was not asked is not excluded after a wait for a newer list

A caller that took a stream up got status 503 ("version_gone") although the only decode engine of its version was free and had not been asked: after the prefill on another engine the list of endpoints was out of date for a moment longer than the wait of 300 ms.

Cause: the attempt ended as if the decode engine had been asked, so it was excluded from the next attempt. It is no longer.

Before: TestDecodeEngineStaysEligibleIfTheListIsOldAfterThePrefill fails ("expected: , actual: version_gone"). After: 3 of 3 runs pass, and the tests of gateway/relay about prefills, decodes, crashes and the list pass with -race.

--- a/gateway/relay/currentlist_test.go
+++ b/gateway/relay/currentlist_test.go
@@ -4,6 +4,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -54,3 +55,30 @@
 		})
 	}
 }
+
+// Guards against a stream that is refused although its only decode engine was never asked: the
+// list of endpoints was out of date for a moment after the prefill elsewhere.
+func TestDecodeEngineStaysEligibleIfTheListIsOldAfterThePrefill(t *testing.T) {
+	r, decode := newVersionedRelay(t, &fakeVersions{known: map[string]string{"of-v1": "v1"}, recorded: make(map[string]string)})
+	prefill := sitetest.NewEndpoint(t, "prefill", sitetest.WithPrefill("h", nil))
+	r.Selector.EndpointChanged(site.Endpoint{ID: "prefill", Service: "model", Address: prefill.Address, DataCentre: "dc-1", Slots: 8, Stage: site.Prefill, StartedMS: 1, SoftwareVersion: "v1"})
+	var oldSince atomic.Pointer[time.Time]
+	r.ListIsCurrent = func() bool {
+		if len(prefill.Requests()) == 0 {
+			return true
+		}
+		now := time.Now()
+		oldSince.CompareAndSwap(nil, &now)
+		return time.Since(*oldSince.Load()) > 400*time.Millisecond
+	}
+	job := newModelJob()
+	job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "of-v1"
+	job.Header.Set(sitetest.HeaderLastEventID, "3")
+	job.Route.MaxAttempts = 3
+	job.Caller.Prompt = site.Prompt{InputTokens: 4000, Parts: []site.PromptPart{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 3990}}}
+	recorder := httptest.NewRecorder()
+	outcome := r.Serve(t.Context(), recorder, job)
+	require.NotEmpty(t, prefill.Requests())
+	require.Equal(t, relay.ReasonNone, outcome.Reason, "calls: %+v", outcome.Calls)
+	require.NotEmpty(t, decode.Requests())
+}
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -150,7 +150,7 @@
 type attemptResult struct {
 	finished bool // The job has ended; no attempt may follow.
 	sent     bool // The request may have reached the endpoint.
-	unasked  bool // The decode engine was not asked: the prefill elsewhere failed.
+	unasked  bool // The decode engine was not asked after a prefill elsewhere.
 }
 
 // healthResult returns the result to record for an endpoint whose response failed
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -234,7 +234,7 @@
 		return result
 	}
 	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) {
-		return attemptResult{sent: true}
+		return attemptResult{sent: true, unasked: true}
 	}
 	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
 		s.reserved = ""
