A stream does not end with the answer of an engine of other software

A caller's take-up looked complete (status 200) although the second answer that said that no event is left came from an engine that had started again under its ID with other software, whose stream may be shorter. Its events would not have been forwarded; its answer without any counted.

Cause: whether an engine is listed with other software was looked at only where events are written. It now is for such an answer too; the stream goes on elsewhere or ends broken.

Before: TestStreamDoesNotEndWithTheAnswerOfOtherSoftware fails ("Should not be: ", status 200).

--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -84,6 +84,9 @@
 // which may be a fault: the stream is complete once a second answer says so too. Without a
 // token the request has not begun to run.
 func (s *stream) endWithoutEvent(c *streamCall) attemptResult {
+	if s.startedAgain(c.endpoint) {
+		return s.endBroken(c, errStartedAgain, 0)
+	}
 	s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultEmpty, 0)
 	s.events.discardPartial()
 	if first := s.saidNothingLeft; first != "" {
