--- a/gateway/relay/eventbuffer.go
+++ b/gateway/relay/eventbuffer.go
@@ -9,11 +9,11 @@
 // eventBuffer splits a stream of server-sent events into whole events, so that a stream
 // that continues on another endpoint does so after a whole event.
 type eventBuffer struct {
-	partial []byte // Of an event that has not ended.
-	scanned int    // Length of the whole lines of partial.
-	inEvent bool   // These have a line that is not a comment.
-	isEvent bool   // These have data or an ID.
-	id      string // The last ID in these.
+	partial []byte // What has arrived of an event that has not ended.
+	scanned int    // Length of the whole lines in partial.
+	inEvent bool   // The whole lines in partial have one that is not a comment.
+	isEvent bool   // The whole lines in partial have data or an ID.
+	id      string // The last ID in the whole lines in partial.
 	lastID  string // ID of the last whole event that has one.
 	count   int    // Number of whole events.
 	steps   int    // Number of IDs that were the number after the one before.
