--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -10,76 +10,107 @@
 	"flamingospar.org/platform/site"
 )
 
+// forwarding is the state of a response that is forwarded to the caller.
+type forwarding struct {
+	stream   *stream
+	call     *streamCall
+	watch    *watch
+	counter  eventCounter
+	gaps     gapMeter
+	received int // Number of events.
+	// streamEnded records the end of the stream at the selector; nil before the first bytes.
+	streamEnded func()
+}
+
 // forward sends the events of a response to the caller as they arrive.
 func (s *stream) forward(c *streamCall, w *watch) attemptResult {
-	endpoint, response, start := c.endpoint, c.response, c.start
 	s.progress.runs++
 	s.progress.MayHaveRun = true
 	s.callWritten = false
-	streamEnded := func() {}
-	defer func() { streamEnded() }()
+	f := &forwarding{
+		stream: s, call: c, watch: w, counter: eventCounter{order: c.order},
+		gaps: gapMeter{selector: s.relay.Selector, endpoint: c.endpoint.ID},
+	}
+	defer f.close()
 	buffer := make([]byte, streamBufferBytes)
-	first := true
-	gaps := gapMeter{selector: s.relay.Selector, endpoint: endpoint.ID}
-	counter := eventCounter{order: c.order}
-	received := 0
 	for {
 		var n int
 		var err error
 		s.wait(func() { n, err = c.read(buffer) })
 		s.raise()
 		if w.replaced() {
-			return s.endReplaced(c, w, received)
+			return s.endReplaced(c, w, f.received)
 		}
-		events, eventErr := counter.add(buffer[:n])
+		events, eventErr := f.counter.add(buffer[:n])
 		if eventErr != nil {
-			n, err = counter.whole, eventErr
-		}
-		received += events
-		if n > 0 {
-			if events > 0 {
-				w.progress()
-				s.recordAnswer()
-				s.recordEventLeft()
-			}
-			gaps.observe(events)
-			if first {
-				first = false
-				s.recordFirstEvent(c.assignment, start)
-				streamEnded = s.relay.Selector.StreamStarted(endpoint.ID)
-				s.countRunStart()
-			}
-			writeErr := s.writeEvents(endpoint, response, buffer[:n])
-			if errors.Is(writeErr, errStartedAgain) {
-				err = writeErr
-			} else if writeErr != nil {
-				s.progress.recordStreamCall(endpoint.ID, start, ResultCallerLeft, received)
-				return s.endCallerLeft()
-			}
-			if events > 0 {
-				w.wrote()
-			}
-		}
-		ended := errors.Is(err, io.EOF)
-		if ended {
-			err = c.checkEnd(&counter, received)
-		}
-		if errors.Is(err, errNothingLeft) {
-			return s.endWithoutEvent(c)
+			n, err = f.counter.whole, eventErr
 		}
-		if ended && err == nil {
-			s.progress.recordStreamCall(endpoint.ID, start, ResultAnswered, received)
-			if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
-				s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, gaps.events)
-			}
-			return s.finish(endpoint, response)
+		f.received += events
+		writeErr := f.deliver(buffer[:n], events)
+		if errors.Is(writeErr, errStartedAgain) {
+			err = writeErr
+		} else if writeErr != nil {
+			s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultCallerLeft, f.received)
+			return s.endCallerLeft()
 		}
 		if err != nil {
-			return s.endBroken(c, err, received)
+			return f.end(err)
 		}
 	}
 }
 
+// close records the end of the stream at the selector.
+func (f *forwarding) close() {
+	if f.streamEnded != nil {
+		f.streamEnded()
+	}
+}
+
+// deliver sends data, in which a number of events end, to the caller and records the progress
+// of the endpoint.
+func (f *forwarding) deliver(data []byte, events int) error {
+	if len(data) == 0 {
+		return nil
+	}
+	s := f.stream
+	if events > 0 {
+		f.watch.progress()
+		s.recordAnswer()
+		s.recordEventLeft()
+	}
+	f.gaps.observe(events)
+	if f.streamEnded == nil {
+		s.recordFirstEvent(f.call.assignment, f.call.start)
+		f.streamEnded = s.relay.Selector.StreamStarted(f.call.endpoint.ID)
+		s.countRunStart()
+	}
+	err := s.writeEvents(f.call.endpoint, f.call.response, data)
+	if err == nil && events > 0 {
+		f.watch.wrote()
+	}
+	return err
+}
+
+// end ends a call whose response has ended or failed with err.
+func (f *forwarding) end(err error) attemptResult {
+	s, c := f.stream, f.call
+	if !errors.Is(err, io.EOF) {
+		return s.endBroken(c, err, f.received)
+	}
+	err = c.checkEnd(&f.counter, f.received)
+	if errors.Is(err, errNothingLeft) {
+		return s.endWithoutEvent(c)
+	}
+	if err != nil {
+		return s.endBroken(c, err, f.received)
+	}
+	s.progress.recordStreamCall(c.endpoint.ID, c.start, ResultAnswered, f.received)
+	if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
+		s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, f.gaps.events)
+	}
+	return s.finish(c.endpoint, c.response)
+}
+
 // endWithoutEvent ends a call whose endpoint says that no event is left after the last one,
 // which may be a fault: the stream is complete once a second answer says so too. Without a
 // token the request has not begun to run.
