--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"flamingospar.org/base/clock"
@@ -75,6 +76,17 @@
 	backoff   time.Duration
 	partial   bool      // The last answer may have held only the first of the changes.
 	recentAt  time.Time // When the last answer was asked for that held all changes.
+
+	calledAt atomic.Pointer[time.Time] // Of the call that is under way; nil if none is.
+}
+
+// CalledAt returns when the call that is under way was sent, and false if none is. It is safe
+// for concurrent use.
+func (f *Follower) CalledAt() (at time.Time, called bool) {
+	if calledAt := f.calledAt.Load(); calledAt != nil {
+		return *calledAt, true
+	}
+	return time.Time{}, false
 }
 
 // Run follows the table until ctx ends.
@@ -93,6 +105,8 @@
 	start := time.Now()
 	callCtx, cancel := f.untilStateChange(ctx)
 	defer cancel()
+	f.calledAt.Store(&start)
+	defer f.calledAt.Store(nil)
 	err := f.fetch(callCtx)
 	if ctx.Err() != nil {
 		return
@@ -108,6 +122,7 @@
 	if err != nil {
 		wait = f.recordFailure(err)
 	}
+	f.calledAt.Store(nil)
 	clock.Sleep(callCtx, wait)
 }
 
--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -87,7 +87,7 @@
 	}
 	tasks := []task{
 		{"configuration", n.configFollower().Run},
-		{"fleet", n.fleetFollower().Run},
+		{"fleet", n.fleetFollower.Run},
 		{"members", n.membersFollower().Run},
 		{"crash_marks", n.crashTracker.Run},
 		{"crash_parts", n.crashBackup.Run},
@@ -189,7 +189,7 @@
 	}
 }
 
-func (n *Node) fleetFollower() *follow.Follower {
+func (n *Node) newFleetFollower() *follow.Follower {
 	drainTimeout := float64(n.settings.Bounds.DrainTimeout)
 	pollerMaxAge := time.Duration(pollerAgeShare * drainTimeout)
 	otherMaxAge := time.Duration((minAgeShare + (maxAgeShare-minAgeShare)*rand.Float64()) * drainTimeout)
@@ -218,14 +218,7 @@
 // answers. In an outage of the store it must have been when the store was lost, and other
 // processes must have been heard since: this one may be cut off alone.
 func (n *Node) fleetIsCurrent() bool {
-	age := n.fleet.Age()
-	if since, lost := n.storeWatch.LostSince(); lost && n.cluster.InContactSince(since) {
-		if since.Sub(n.startedAt) < startOutageTime {
-			return true // It has started in the outage, and has what the others have.
-		}
-		age -= time.Since(since) + lostCallTime
-	}
-	return age < n.maxFleetAge()
+	return n.fleet.Age()-n.fleetUnanswered() < n.maxFleetAge()
 }
 
 // maxFleetAge returns the age below which the fleet is as recent as that of a process which the
@@ -234,6 +227,27 @@
 	return time.Duration(maxAgeShare*float64(n.settings.Bounds.DrainTimeout)) + currentAgeMargin
 }
 
+// fleetUnanswered returns how long the store has not answered calls for the fleet while other
+// processes were heard. A call that is under way counts for as long as one may take: the rest of
+// the time is no silence of the store, as this process may have been frozen.
+func (n *Node) fleetUnanswered() time.Duration {
+	since, lost := n.storeWatch.LostSince()
+	if !lost {
+		calledAt, called := n.fleetFollower.CalledAt()
+		if !called || !n.cluster.InContactSince(calledAt) {
+			return 0
+		}
+		return min(time.Since(calledAt), lostCallTime)
+	}
+	if !n.cluster.InContactSince(since) {
+		return 0
+	}
+	if since.Sub(n.startedAt) < startOutageTime {
+		return n.fleet.Age() // It has started in the outage, and has what the others have.
+	}
+	return time.Since(since) + lostCallTime
+}
+
 func (n *Node) membersFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: n.store, Table: peers.TableVMs, LongPollWait: func() time.Duration { return membersPollWait }, MinInterval: n.membersInterval, Apply: n.cluster.ApplyList,
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -31,6 +31,7 @@
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/fleet"
+	"flamingospar.org/gateway/follow"
 	"flamingospar.org/gateway/ingress"
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/peers"
@@ -118,6 +119,7 @@
 	lease         *leasekeeper.Keeper         // The duty lease.
 	bounds        atomic.Pointer[site.Bounds] // From the latest settings.
 	storeWatch    *storeWatch
+	fleetFollower *follow.Follower
 	supervisor    supervise.Supervisor
 	stopping      atomic.Bool
 	stopRequested chan struct{} // Closed when the process is asked to stop.
@@ -165,6 +167,7 @@
 	n.fleet.AddListener(n.versions)
 	n.fleet.AddListener(n.limiter)
 	n.fleet.AddListener(n.selector)
+	n.fleetFollower = n.newFleetFollower()
 	n.crashBackup = crashes.NewBackup(n.store, n.crashTracker, func() bool { return n.cluster.AmongFirst(crashPartWriters) })
 	n.lease = leasekeeper.New(n.store.Tables(), "duties", n.instance)
 	n.lease.SetTerm(dutyLeaseTerm)
