A process that ran again after a freeze does not take its list for that of an outage

A call that was under way at the freeze fails as the process runs again, so the store counts as lost. Within 3 s of the start the list then counted as current whatever its age; later, up to 0.8 s and the 1 s of a call were taken off.

A process counts as started in an outage if the store has never answered it, in place of a time since its start.

--- a/gateway/node/duties.go
+++ b/gateway/node/duties.go
@@ -36,12 +36,8 @@
 	maxAgeShare    = 0.52
 	// currentAgeMargin is how much older than maxAgeShare allows the fleet may be for it to count
 	// as current, and lostCallTime the time until a call of the fleet counts as not answered.
-	// Streams wait for the difference, so none is refused as an outage of the store begins.
-	currentAgeMargin = 800 * time.Millisecond
+	currentAgeMargin = 400 * time.Millisecond
 	lostCallTime     = 1 * time.Second
-	// startOutageTime is the time after its start within which a process that loses the store
-	// counts as started in an outage.
-	startOutageTime = 3 * time.Second
 	// fleetPollers is the number of processes that poll for all.
 	fleetPollers = 1
 	// minFleetInterval is the minimum time between two calls for the fleet.
@@ -204,6 +200,7 @@
 			return position.Era, position.Version
 		},
 		Apply: func(page site.Page, snapshot bool) {
+			n.storeWatch.MarkAnswered()
 			rows := make([]fleet.Row, 0, len(page.Rows))
 			for _, row := range page.Rows {
 				rows = append(rows, fleet.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
@@ -242,8 +239,8 @@
 	if !n.cluster.InContactSince(since) {
 		return 0
 	}
-	if since.Sub(n.startedAt) < startOutageTime {
-		return n.fleet.Age() // It has started in the outage, and has what the others have.
+	if !n.storeWatch.HasAnswered() {
+		return n.fleet.Age() // This process has started in the outage, and has what the others have.
 	}
 	return time.Since(since) + lostCallTime
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -114,7 +114,6 @@
 	crashTracker  *crashes.Tracker
 	crashBackup   *crashes.Backup
 	versions      *streamversions.Tracker
-	startedAt     time.Time
 	cluster       *peers.Cluster
 	lease         *leasekeeper.Keeper         // The duty lease.
 	bounds        atomic.Pointer[site.Bounds] // From the latest settings.
@@ -141,7 +140,7 @@
 func build(settings site.Settings, options Options) *Node {
 	client := platformClient()
 	n := &Node{
-		startedAt: time.Now(), settings: settings, options: options, instance: settings.NodeName + "/" + uuid.NewString()[:8],
+		settings: settings, options: options, instance: settings.NodeName + "/" + uuid.NewString()[:8],
 		stopRequested: make(chan struct{}), clockLost: make(chan struct{}, 1), meter: meter.NewRegistry(), httpClient: client, config: &config.Holder{}, pool: transport.NewPool(),
 		store: site.NewStore(settings.Store.Address, client), dutyClient: site.NewDutyClient(settings.Duties.Address, client),
 	}
--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -13,6 +13,7 @@
 	fleet *fleet.Fleet
 
 	mu               sync.Mutex
+	answered         bool // The store has answered this process.
 	lost             bool
 	lostAt           time.Time
 	availableToPeers bool      // The store has answered another process since it was lost here.
@@ -106,6 +107,20 @@
 	}
 }
 
+// MarkAnswered records that the store has answered this process.
+func (w *storeWatch) MarkAnswered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered = true
+}
+
+// HasAnswered reports whether the store has answered this process since it started.
+func (w *storeWatch) HasAnswered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered
+}
+
 // IsLost reports whether the store does not answer this process.
 func (w *storeWatch) IsLost() bool {
 	w.mu.Lock()
