--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -64,7 +64,10 @@
 	if method != "GET" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
 	}
-	b.WriteString("\r\n" + r.body)
+	b.WriteString("\r\n")
+	if method != "GET" {
+		b.WriteString(r.body)
+	}
 	return b.String()
 }
 
@@ -84,6 +87,9 @@
 		return out
 	}
 	out.status, out.header = response.StatusCode, response.Header
+	if response.Close {
+		out.header.Set("Connection", "close")
+	}
 	body, err := io.ReadAll(response.Body)
 	out.body, out.err, out.complete = string(body), err, err == nil
 	for _, event := range strings.Split(out.body, "\n\n") {
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -24,9 +24,9 @@
 	serveRun          func(e *engine, w http.ResponseWriter, r *http.Request, run runInfo)
 	// prefillTime is how long a prefill takes.
 	prefillTime time.Duration
-	// answerHeader is added to each answer.
+
 	mu        sync.Mutex
-	header    map[string]string
+	header    map[string]string // Added to each answer.
 	version   string
 	stage     string
 	state     string
@@ -39,6 +39,7 @@
 	ctx       context.Context
 	handles   map[string]bool
 	runs      map[string]int // By request ID.
+	began     []time.Time    // Of each run.
 	fence     int64
 }
 
@@ -135,6 +136,17 @@
 	return e.register()
 }
 
+// setHeader adds a header to each answer from now on, or no longer if the value is empty.
+func (e *engine) setHeader(name, value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if value == "" {
+		delete(e.header, name)
+		return
+	}
+	e.header[name] = value
+}
+
 func (e *engine) handle(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	for name, value := range e.header {
@@ -188,6 +200,7 @@
 	}
 	e.mu.Lock()
 	e.runs[id]++
+	e.began = append(e.began, time.Now())
 	run := runInfo{id: id, version: version, n: e.runs[id]}
 	e.mu.Unlock()
 	e.record.add("run", "request", id, "engine", e.id, "software", version, "after", r.Header.Get("Last-Event-Id"))
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,13 +38,25 @@
 	return strings.Fields(match[1])
 }
 
+// Ports of the processes are below the range from which outgoing connections take theirs.
+const (
+	minPort = 12_000
+	maxPort = 32_000
+)
+
+var nextPort = minPort + rand.IntN(maxPort-minPort)
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("%v", err)
+	for range 1000 {
+		nextPort = minPort + (nextPort+1-minPort)%(maxPort-minPort)
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // settingsFormat has the bounds of a small deployment.
@@ -189,10 +202,19 @@
 					break
 				}
 			}
-			if time.Now().After(deadline) {
+			if g.hasEnded() || time.Now().After(deadline) {
 				cannotRun("%s is not ready", g.name)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
 }
+
+func (g *gateway) hasEnded() bool {
+	select {
+	case <-g.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/review/standin/versioncase.go
+++ b/review/standin/versioncase.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"sync"
 	"time"
 )
@@ -51,7 +50,7 @@
 		time.Sleep(950 * time.Millisecond)
 		first.restart("v2")
 		p.record.add("an engine has started again and registered", "engine", first.id, "software", "v2")
-		time.Sleep(restartGap())
+		time.Sleep(200 * time.Millisecond)
 		p.record.add("an engine ends", "engine", second.id, "software", "v1")
 		second.crash()
 		time.Sleep(950 * time.Millisecond)
@@ -62,12 +61,3 @@
 	p.record.add("result", "streams_of_two_versions", joined)
 	return joined > 2
 }
-
-// restartGap is the time from the registration of the first engine to the end of the second.
-func restartGap() time.Duration {
-	gap, err := time.ParseDuration(os.Getenv("GAP"))
-	if err != nil {
-		return 200 * time.Millisecond
-	}
-	return gap
-}
