--- a/review/standin/takeupcase.go
+++ b/review/standin/takeupcase.go
@@ -41,7 +41,7 @@
 
 	t := &takeUps{}
 	var wait sync.WaitGroup
-	for i := range 60 {
+	for i := range 72 {
 		wait.Go(func() { p.follow(t, gateways, i) })
 		time.Sleep(15 * time.Millisecond)
 	}
