--- a/review/standin/versioncase.go
+++ b/review/standin/versioncase.go
@@ -8,56 +8,79 @@
 
 func init() { cases["restart-with-new-software"] = restartWithNewSoftware }
 
-// restartWithNewSoftware restarts two engines of a service under their IDs, one second apart, with
-// new software. The rule ORDER is broken if more than two streams hold events of two software
+// Figures of the releases.
+const (
+	pairs         = 4 // Of releases.
+	streamsInPair = 48
+	downTime         = 950 * time.Millisecond
+	// nextAfter is the time from the registration of an engine to the end of the next one.
+	nextAfter = 100 * time.Millisecond
+	// maxJoined is the number of streams of two versions up to which the rule ORDER holds.
+	maxJoined = 2
+)
+
+// releasePlay is a play of the case in which engines start again with new software.
+type releasePlay struct {
+	*play
+	gateways []*gateway
+
+	mu     sync.Mutex
+	joined int
+}
+
+// restartWithNewSoftware plays releases in pairs: two of four decode engines of a service start
+// again under their IDs with new software while no stream runs, and then the two others while
+// streams run. The rule ORDER is broken if more than two streams hold events of two software
 // versions.
 func restartWithNewSoftware(p *play) bool {
 	streamEvents, streamPause = 25, 200*time.Millisecond
 	newEngine(p.store, p.record, "i-p1", "model", "perth-a", "prefill", "v1")
-	newEngine(p.store, p.record, "i-p2", "model", "perth-b", "prefill", "v2")
-	newEngine(p.store, p.record, "i-new1", "model", "perth-a", "decode", "v2")
-	newEngine(p.store, p.record, "i-new2", "model", "perth-b", "decode", "v2")
-	first := newEngine(p.store, p.record, "i-old1", "model", "perth-a", "decode", "v1")
-	second := newEngine(p.store, p.record, "i-old2", "model", "perth-b", "decode", "v1")
+	newEngine(p.store, p.record, "i-p2", "model", "perth-b", "prefill", "v1")
+	firstHalf := []*engine{newEngine(p.store, p.record, "i-a1", "model", "perth-a", "decode", "v1"), newEngine(p.store, p.record, "i-a2", "model", "perth-b", "decode", "v1")}
+	lastHalf := []*engine{newEngine(p.store, p.record, "i-b1", "model", "perth-a", "decode", "v1"), newEngine(p.store, p.record, "i-b2", "model", "perth-b", "decode", "v1")}
 	p.store.put("op", "config", manifest(7, route{name: "brief", kind: "stream", service: "model", timeoutMS: 8000, goalMS: 300, attempts: 2, resumable: true}))
-	gateways := newGateways(p.dir, 2, p.store.address, p.duty.address)
-	awaitReady(gateways)
+	r := &releasePlay{play: p, gateways: newGateways(p.dir, 2, p.store.address, p.duty.address)}
+	awaitReady(r.gateways)
 	time.Sleep(4 * time.Second)
 
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	joined := 0
-	for i := range 48 {
-		wait.Go(func() {
-			r := request{id: fmt.Sprintf("r%d-%d", i, time.Now().UnixNano()), route: "brief", deadline: 8 * time.Second, body: "x", header: map[string]string{
-				"X-Model": "m", "X-Token-Count": "628,29", "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:128,%x:500", 0xabc0+i),
-			}}
-			p.record.add("sent", "request", r.id)
-			out := sendOnce(gateways[i%2].front, r)
-			p.record.add("answered", "request", r.id, "status", out.status, "complete", out.complete, "last_event", out.lastID, "engines", out.engines, "software", out.software, "err", out.err)
-			mu.Lock()
-			defer mu.Unlock()
-			if len(out.software) > 1 {
-				joined++
-			}
-		})
-		time.Sleep(15 * time.Millisecond)
+	for n := range pairs {
+		software := fmt.Sprintf("v%d", n+2)
+		r.restart(firstHalf, software)
+		time.Sleep(1500 * time.Millisecond)
+		var wait sync.WaitGroup
+		for i := range streamsInPair {
+			wait.Go(func() { r.stream(i) })
+			time.Sleep(15 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		r.restart(lastHalf, software)
+		wait.Wait()
 	}
-	time.Sleep(500 * time.Millisecond)
-	if p.trouble {
-		p.record.add("an engine ends", "engine", first.id, "software", "v1")
-		first.crash()
-		time.Sleep(950 * time.Millisecond)
-		first.restart("v2")
-		p.record.add("an engine has started again and registered", "engine", first.id, "software", "v2")
-		time.Sleep(200 * time.Millisecond)
-		p.record.add("an engine ends", "engine", second.id, "software", "v1")
-		second.crash()
-		time.Sleep(950 * time.Millisecond)
-		second.restart("v2")
-		p.record.add("an engine has started again and registered", "engine", second.id, "software", "v2")
+	p.record.add("result", "streams_of_two_versions", r.joined)
+	return r.joined > maxJoined
+}
+
+// restart lets engines end and start again with new software, one after the other.
+func (r *releasePlay) restart(engines []*engine, software string) {
+	if !r.trouble {
+		return
+	}
+	for _, e := range engines {
+		r.record.add("an engine ends", "engine", e.id)
+		e.crash()
+		time.Sleep(downTime)
+		e.restart(software)
+		r.record.add("the engine has started again and registered", "engine", e.id, "software", software)
+		time.Sleep(nextAfter)
+	}
+}
+
+// stream sends one stream and notes whether its answer holds events of two versions.
+func (r *releasePlay) stream(client int) {
+	out := r.send(r.gateways[client%2], briefRequest(fmt.Sprintf("r%d-%d", client, time.Now().UnixNano()), client, timeLimit))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(out.software) > 1 {
+		r.joined++
 	}
-	wait.Wait()
-	p.record.add("result", "streams_of_two_versions", joined)
-	return joined > 2
 }
