--- a/review/standin/versioncase.go
+++ b/review/standin/versioncase.go
@@ -12,7 +12,7 @@
 const (
 	pairs         = 4 // Of releases.
 	streamsInPair = 48
-	downTime         = 950 * time.Millisecond
+	downTime      = 950 * time.Millisecond
 	// nextAfter is the time from the registration of an engine to the end of the next one.
 	nextAfter = 100 * time.Millisecond
 	// maxJoined is the number of streams of two versions up to which the rule ORDER holds.
