--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -18,6 +18,7 @@
 type request struct {
 	id, route, method string
 	deadline          time.Duration
+	gap               time.Duration // The longest gap in a stream for which it waits; 0 for any.
 	header            map[string]string
 	body              string
 }
@@ -41,6 +42,18 @@
 type channel struct {
 	net.Conn
 	reader *bufio.Reader
+	gap    time.Duration // After which nothing more is waited for; 0 for no such limit.
+	until  time.Time     // When the answer is waited for no longer.
+}
+
+// Read implements io.Reader.
+func (c *channel) Read(p []byte) (int, error) {
+	until := c.until
+	if c.gap > 0 && time.Now().Add(c.gap).Before(until) {
+		until = time.Now().Add(c.gap)
+	}
+	_ = c.SetReadDeadline(until)
+	return c.Conn.Read(p)
 }
 
 func open(address string) (*channel, error) {
@@ -48,7 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &channel{Conn: conn, reader: bufio.NewReader(conn)}, nil
+	c := &channel{Conn: conn}
+	c.reader = bufio.NewReader(c)
+	return c, nil
 }
 
 func (r request) text() string {
@@ -77,7 +92,8 @@
 func (c *channel) send(r request) (out outcome) {
 	start := time.Now()
 	defer func() { out.took = time.Since(start) }()
-	_ = c.SetDeadline(start.Add(r.deadline + 2*time.Second))
+	c.until, c.gap = start.Add(r.deadline+2*time.Second), r.gap
+	_ = c.SetWriteDeadline(c.until)
 	if _, out.err = io.WriteString(c, r.text()); out.err != nil {
 		return out
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -35,6 +35,8 @@
 	orders    int
 	busyUntil time.Time
 	server    *http.Server
+	listener  net.Listener
+	dark      chan struct{} // Closed when the incarnation goes dark.
 	cancel    context.CancelFunc
 	ctx       context.Context
 	handles   map[string]bool
@@ -48,6 +50,7 @@
 	id      string
 	version string
 	n       int // How often this engine has begun the request.
+	dark    <-chan struct{}
 }
 
 func newEngine(s *store, rec *record, id, service, zone, stage, version string) *engine {
@@ -68,7 +71,8 @@
 	e.handles = map[string]bool{}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	ctx := e.ctx
-	e.server = &http.Server{Handler: http.HandlerFunc(e.handle), BaseContext: func(net.Listener) context.Context { return ctx }}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.handle)}
+	e.listener, e.dark = listener, make(chan struct{})
 	server := e.server
 	e.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
@@ -110,6 +114,15 @@
 	_ = server.Close()
 }
 
+// goDark ends the incarnation as a loss of power does: its connections stay open and silent.
+func (e *engine) goDark() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.dark)
+	e.cancel()
+	_ = e.listener.Close()
+}
+
 // restart starts the engine again under its ID and address, with a software version.
 func (e *engine) restart(version string) {
 	var listener net.Listener
@@ -201,7 +214,7 @@
 	e.mu.Lock()
 	e.runs[id]++
 	e.began = append(e.began, time.Now())
-	run := runInfo{id: id, version: version, n: e.runs[id]}
+	run := runInfo{id: id, version: version, n: e.runs[id], dark: e.dark}
 	e.mu.Unlock()
 	e.record.add("run", "request", id, "engine", e.id, "software", version, "after", r.Header.Get("Last-Event-Id"))
 	w.Header().Set("X-Engine-Seal", e.id+"."+id)
@@ -277,6 +290,9 @@
 	for i := from + 1; i <= streamEvents; i++ {
 		if i > from+1 {
 			select {
+			case <-run.dark:
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
 			case <-r.Context().Done():
 				e.record.add("run ended early", "request", run.id, "engine", e.id, "events", i-1)
 				panic(http.ErrAbortHandler)
--- a/review/standin/takeupcase.go
+++ b/review/standin/takeupcase.go
@@ -12,8 +12,9 @@
 const (
 	// timeLimit is that of the requesters.
 	timeLimit = 8 * time.Second
-	// takeUpPause is how long a requester waits before it takes a broken stream up.
-	takeUpPause = 1500 * time.Millisecond
+	// maxGap is the gap after which requesters abandon a stream: the longest of two seconds, four
+	// times the objective (300 ms) and eight times the longest pause on time (300 ms).
+	maxGap = 2400 * time.Millisecond
 	// minTakenUp is the number of streams from which on the rule LOST counts.
 	minTakenUp = 12
 )
@@ -47,9 +48,9 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if p.trouble {
-		p.record.add("an engine ends", "engine", restarted.id, "software", "v1")
-		restarted.crash()
-		time.Sleep(500 * time.Millisecond)
+		p.record.add("an engine goes dark", "engine", restarted.id, "software", "v1")
+		restarted.goDark()
+		time.Sleep(time.Second)
 		restarted.restart("v2")
 		p.record.add("the engine has started again and registered", "engine", restarted.id, "software", "v2")
 	}
@@ -75,7 +76,7 @@
 }
 
 func briefRequest(id string, prompt int, limit time.Duration) request {
-	return request{id: id, route: "brief", deadline: limit, body: "x", header: map[string]string{
+	return request{id: id, route: "brief", deadline: limit, gap: maxGap, body: "x", header: map[string]string{
 		"X-Model": "m", "X-Token-Count": "628,29", "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:128,%x:500", 0xabc0+prompt),
 	}}
 }
@@ -90,7 +91,6 @@
 		return
 	}
 	lastID, wentOn := out.lastID, false
-	time.Sleep(takeUpPause)
 	for try := 1; !wentOn && time.Until(deadline) > 200*time.Millisecond; try++ {
 		r := briefRequest(fmt.Sprintf("r%d-%d", client, time.Now().UnixNano()), client, time.Until(deadline))
 		r.header["Last-Event-Id"], r.header["Resumes"] = lastID, began
