Refuse what can't end before a process that stops

Cause: a stop ended the wait for further requests, but whatever was still read was sent to an endpoint, however little time was left until all answers are cut.

Change: core/worktime keeps the longest requests of each route of the last 30 to 60 s; gateway/stopping takes a request only if its time limit ends in time or twice (three times, if it may not be repeated) the longest one fits, and else refuses it before its body is read, as not run, with a Retry-After of some ms. It is asked again before further attempts and after a prefill. What has no answer at the end is told 502 or 503 instead of being cut. Waits for first requests and bodies end before the answers do.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -21,6 +21,9 @@
 	// maxReadTime is how long the header of a request is read, from its first byte or from
 	// the begin of the drain. What comes may be less than a request, such as an empty line.
 	maxReadTime = 1500 * time.Millisecond
+	// bodyMargin is how long before the end of all answers a body is read at the latest: its
+	// request is refused then.
+	bodyMargin = 500 * time.Millisecond
 )
 
 // trackedConn is a connection of a caller. While its listener drains, only reads end: the
@@ -36,16 +39,19 @@
 	begun          time.Time // When bytes of the next request were first read.
 	waitUntil      time.Time // Until when they are waited for while the listener drains.
 	drainedFrom    time.Time // When the drain of the listener began.
+	answersBy      time.Time // When all answers end; set while the listener drains.
 	serverDeadline time.Time // The read deadline that the server has set.
 	closed         bool
 }
 
-func newTrackedConn(conn net.Conn, listener *Listener, drainedFrom time.Time) *trackedConn {
-	wait := firstRequestTime
-	if !drainedFrom.IsZero() {
-		wait = maxReadTime
-	}
-	return &trackedConn{Conn: conn, listener: listener, drainedFrom: drainedFrom, waitUntil: time.Now().Add(wait)}
+func newTrackedConn(conn net.Conn, listener *Listener) *trackedConn {
+	return &trackedConn{Conn: conn, listener: listener, waitUntil: time.Now().Add(firstRequestTime)}
+}
+
+// startDrained is drain for a connection that is accepted while its listener drains already.
+func (c *trackedConn) startDrained(from, answersBy time.Time) {
+	c.waitUntil = time.Now().Add(maxReadTime)
+	c.drain(from, answersBy)
 }
 
 // Read reads from the connection and records that a request has begun.
@@ -101,10 +107,10 @@
 }
 
 // drain ends the wait for the next request.
-func (c *trackedConn) drain(now time.Time) {
+func (c *trackedConn) drain(now, answersBy time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drainedFrom = now
+	c.drainedFrom, c.answersBy = now, answersBy
 	c.applyDrain()
 }
 
@@ -119,19 +125,31 @@
 // so that no order of a drain and of deadlines of the server lets a wait go on. c.mu must be
 // held.
 func (c *trackedConn) readDeadline() time.Time {
-	if c.active || c.drainedFrom.IsZero() {
+	if c.drainedFrom.IsZero() {
 		return c.serverDeadline
 	}
-	deadline := c.waitUntil
+	if c.active {
+		return c.bodyDeadline()
+	}
+	deadline := earlier(c.waitUntil, c.answersBy.Add(-maxReadTime))
 	if !c.begun.IsZero() {
-		deadline = later(deadline, later(c.begun, c.drainedFrom).Add(maxReadTime))
+		deadline = earlier(later(deadline, later(c.begun, c.drainedFrom).Add(maxReadTime)), c.answersBy)
 	}
-	if !c.serverDeadline.IsZero() && c.serverDeadline.Before(deadline) {
-		return c.serverDeadline
+	if !c.serverDeadline.IsZero() {
+		deadline = earlier(deadline, c.serverDeadline)
 	}
 	return deadline
 }
 
+// bodyDeadline returns the read deadline while a request is answered and the listener drains. The
+// server sets one only while it reads the body. c.mu must be held.
+func (c *trackedConn) bodyDeadline() time.Time {
+	if c.serverDeadline.IsZero() {
+		return c.serverDeadline
+	}
+	return earlier(c.serverDeadline, c.answersBy.Add(-bodyMargin))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -139,6 +157,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // CloseWrite ends what is sent. The server does so before it closes a connection of which it
 // has not read everything, since the system resets that.
 func (c *trackedConn) CloseWrite() error {
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"flamingospar.org/gateway/config"
 	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/gateway/stopping"
 	"flamingospar.org/platform/site"
 )
 
@@ -47,6 +48,8 @@
 	Log    *RequestLog
 	// Crashes knows the requests that are refused because they crash endpoints.
 	Crashes *crashes.Tracker
+	// Stopping knows which requests are still taken while this process stops; it may be nil.
+	Stopping *stopping.Gate
 }
 
 // ServeHTTP serves one request. A panic ends only this request: its effects are
@@ -120,20 +123,24 @@
 	if caller.ID == "" {
 		return nil, refusal{status: http.StatusBadRequest, reason: "no_request_id"}
 	}
-	body, refused := readBody(w, r, current.CallerLimits)
+	job := &relay.Job{
+		Caller: caller, Method: r.Method, Target: target, Host: r.Host, Header: site.ForwardHeaders(r.Header),
+		Route: route, Service: pickService(route), Team: team.Name, Priority: route.Priority, Arrived: arrived,
+		Deadline: deadline(caller, route, arrived), ConfigVersion: current.Version,
+	}
+	if !h.Stopping.MayBegin(job.StopRequest()) {
+		return nil, refusal{status: http.StatusServiceUnavailable, reason: string(relay.ReasonStopping), retryIn: stopping.RetryAfter()}
+	}
+	job.Body, refused = readBody(w, r, current.CallerLimits)
 	if refused.status != 0 {
 		return nil, refused
 	}
-	identity := crashes.Request{Team: team.Name, Path: path, Body: body, Parts: caller.Prompt.SharedParts()}
+	identity := crashes.Request{Team: team.Name, Path: path, Body: job.Body, Parts: caller.Prompt.SharedParts()}
 	decision := h.Crashes.Decide(identity)
 	if decision.Refused {
 		return nil, refusal{status: http.StatusServiceUnavailable, reason: "crashes_endpoints", retryIn: decision.RetryIn, part: decision.Part}
 	}
-	job := &relay.Job{
-		Caller: caller, Method: r.Method, Target: target, Host: r.Host, Header: site.ForwardHeaders(r.Header), Body: body,
-		Route: route, Service: pickService(route), Team: team.Name, Identity: identity, Trial: decision.Trial, Priority: route.Priority, Arrived: arrived,
-		Deadline: deadline(caller, route, arrived), ConfigVersion: current.Version,
-	}
+	job.Identity, job.Trial = identity, decision.Trial
 	if caller.LastEventID != "" {
 		job.FormerServices = h.Config.FormerServices(r.Host, path)
 	}
--- a/gateway/ingress/listener.go
+++ b/gateway/ingress/listener.go
@@ -16,6 +16,7 @@
 	reuseEnded  atomic.Bool // Responses say that their connection is closed.
 	mu          sync.Mutex
 	drainedFrom time.Time // When Drain was called.
+	answersBy   time.Time // When all answers end; set by Drain.
 	closed      bool      // No further connection is accepted.
 	conns       map[*trackedConn]struct{}
 }
@@ -72,7 +73,10 @@
 func (l *Listener) track(conn net.Conn) net.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := newTrackedConn(conn, l, l.drainedFrom)
+	c := newTrackedConn(conn, l)
+	if !l.drainedFrom.IsZero() {
+		c.startDrained(l.drainedFrom, l.answersBy)
+	}
 	l.conns[c] = struct{}{}
 	return c
 }
@@ -89,8 +93,9 @@
 
 // Drain ends the wait for connections and, on each connection, the wait for the next
 // request. What has arrived by then is still accepted, read and answered; the server closes
-// a connection after that, or if nothing has arrived.
-func (l *Listener) Drain() {
+// a connection after that, or if nothing has arrived. All answers end at answersBy: a request
+// is read only as long as it can still be answered then.
+func (l *Listener) Drain(answersBy time.Time) {
 	l.EndReuse()
 	now := time.Now()
 	l.mu.Lock()
@@ -98,9 +103,9 @@
 	if !l.drainedFrom.IsZero() {
 		return
 	}
-	l.drainedFrom = now
+	l.drainedFrom, l.answersBy = now, answersBy
 	for c := range l.conns {
-		c.drain(now)
+		c.drain(now, answersBy)
 	}
 	if !setAcceptDeadline(l.Listener, now) {
 		_ = l.Listener.Close() // It is not used again.
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -36,6 +36,7 @@
 	"flamingospar.org/gateway/limits"
 	"flamingospar.org/gateway/peers"
 	"flamingospar.org/gateway/relay"
+	"flamingospar.org/gateway/stopping"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
@@ -49,11 +50,13 @@
 	// loadBalancerDelay is how long the load balancer may keep sending
 	// connections after the process reported that it is not ready.
 	loadBalancerDelay = 2500 * time.Millisecond
-	// stopMargin is the part of the stop grace period kept for the last writes,
-	// and exitMargin the part of that kept for the exit itself. The platform
-	// kills the process at the end of the grace period.
-	stopMargin = 900 * time.Millisecond
-	exitMargin = 200 * time.Millisecond
+	// answersMargin is how long before the end of the stop grace period all answers
+	// end, closeMargin how long before it the connections of callers are closed, and
+	// exitMargin the part of that kept for the exit itself. What is between serves the
+	// last writes. The platform kills the process at the end of the grace period.
+	answersMargin = 1000 * time.Millisecond
+	closeMargin   = 900 * time.Millisecond
+	exitMargin    = 200 * time.Millisecond
 	// dutyLeaseTerm is how long the duty lease is valid after a renewal.
 	dutyLeaseTerm = 5 * time.Second
 	// dutyCandidates is how many processes check the duty lease often, so that
@@ -101,6 +104,7 @@
 	fleet         *fleet.Fleet
 	selector      *engines.Selector
 	limiter       *limits.Limiter
+	stopGate      *stopping.Gate
 	pool          *transport.Pool
 	retryBudgets  *relay.RetryBudgets
 	httpClient    *http.Client
@@ -141,7 +145,7 @@
 	client := platformClient()
 	n := &Node{
 		settings: settings, options: options, instance: settings.NodeName + "/" + uuid.NewString()[:8],
-		stopRequested: make(chan struct{}), clockLost: make(chan struct{}, 1), meter: meter.NewRegistry(), httpClient: client, config: &config.Holder{}, pool: transport.NewPool(),
+		stopRequested: make(chan struct{}), clockLost: make(chan struct{}, 1), meter: meter.NewRegistry(), httpClient: client, config: &config.Holder{}, pool: transport.NewPool(), stopGate: stopping.NewGate(),
 		store: site.NewStore(settings.Store.Address, client), dutyClient: site.NewDutyClient(settings.Duties.Address, client),
 	}
 	n.supervisor.OnPanic = func(part string) { n.meter.Count("panic", part) }
@@ -273,11 +277,14 @@
 	n.stopping.Store(true)
 	close(n.stopRequested)
 	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
-	grace := max(n.bounds.Load().StopGracePeriod-stopMargin, loadBalancerDelay)
-	deadline := time.Now().Add(grace)
+	now := time.Now()
+	grace := n.bounds.Load().StopGracePeriod
+	answersBy, closeBy := now.Add(max(grace-answersMargin, loadBalancerDelay)), now.Add(max(grace-closeMargin, loadBalancerDelay))
+	n.stopGate.Stop(answersBy)
 	s.callerListener.EndReuse()
-	time.Sleep(min(loadBalancerDelay, grace))
-	if err := s.drain(deadline); err != nil {
+	time.Sleep(min(loadBalancerDelay, time.Until(answersBy)))
+	s.callerListener.Drain(answersBy)
+	if err := s.awaitDrained(closeBy); err != nil {
 		log.Error(err, "The process closes the connections of its callers.", "vm", n.settings.NodeName)
 	}
 }
--- a/gateway/node/servers.go
+++ b/gateway/node/servers.go
@@ -25,11 +25,10 @@
 // errStillRunning is returned when requests were not finished within the stop grace period.
 var errStillRunning = errors.New("requests are still running at the end of the stop grace period; remedy: lengthen the period if requests may take longer")
 
-// drain closes the connections of callers, each when what has arrived on it is answered. At
-// the deadline it closes those that are left. http.Server.Shutdown would drop requests that
-// it finishes reading later, and those of which it has read nothing yet.
-func (s servers) drain(deadline time.Time) error {
-	s.callerListener.Drain()
+// awaitDrained waits until all connections of callers are closed. At the deadline it closes those
+// that are left. http.Server.Shutdown would drop requests that it finishes reading later, and
+// those of which it has read nothing yet.
+func (s servers) awaitDrained(deadline time.Time) error {
 	for time.Now().Before(deadline) {
 		if s.callerListener.Drained() {
 			return nil
@@ -55,9 +54,9 @@
 		return servers{}, fmt.Errorf("%w; remedy: free the control address that the settings name", err)
 	}
 	handler := &ingress.Handler{
-		Config: n.config, Meter: n.meter, Crashes: n.crashTracker,
+		Config: n.config, Meter: n.meter, Crashes: n.crashTracker, Stopping: n.stopGate,
 		Log:   &ingress.RequestLog{Endpoints: n.endpointsState},
-		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, Versions: n.versions, ListIsCurrent: n.fleetIsCurrent, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
+		Relay: &relay.Relay{Pool: n.pool, Selector: n.selector, Limits: n.limiter, Meter: n.meter, OnRunStart: n.tally.CountStart, RetryBudgets: n.retryBudgets, Crashes: n.crashTracker, Versions: n.versions, Stopping: n.stopGate, ListIsCurrent: n.fleetIsCurrent, MaxIdleConns: n.maxIdleConns, OnPrefillDone: n.recordPrefillTime},
 	}
 	s := servers{callers: newServer(handler), callerListener: ingress.NewListener(callers), internal: newServer(n.internalHandler())}
 	s.callers.ConnContext, s.callers.ConnState = ingress.ConnContext, ingress.ConnState
--- a/gateway/relay/job.go
+++ b/gateway/relay/job.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"flamingospar.org/core/placement"
+	"flamingospar.org/core/worktime"
 	"flamingospar.org/gateway/crashes"
+	"flamingospar.org/gateway/stopping"
 	"flamingospar.org/platform/site"
 )
 
@@ -36,6 +38,16 @@
 	return j.Route.Kind == site.Idempotent || (j.Route.Kind == site.Stream && j.Route.Resumable)
 }
 
+// workKind returns the kind of requests that are expected to last as long as this one.
+func (j *Job) workKind() worktime.Kind {
+	return worktime.Kind{Service: j.Service, Route: j.Route.Name}
+}
+
+// StopRequest returns what decides whether the request is still taken while its process stops.
+func (j *Job) StopRequest() stopping.Request {
+	return stopping.Request{ID: j.Caller.ID, Kind: j.workKind(), Repeatable: j.Repeatable(), Deadline: j.Deadline}
+}
+
 func (j *Job) prompt() placement.Prompt {
 	prompt := placement.Prompt{Tokens: j.Caller.Prompt.InputTokens}
 	for _, part := range j.Caller.Prompt.Parts {
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -26,6 +26,7 @@
 	ReasonMayHaveRun    Reason = "may_have_run"      // It was sent and is not retried.
 	ReasonAttempts      Reason = "attempts"          // The attempts are used up.
 	ReasonDeadline      Reason = "deadline"
+	ReasonStopping      Reason = "stopping" // This process stops before it could have the whole answer.
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonBroken        Reason = "broken_midway" // The response had begun.
 	// ReasonVersionUnknown: it takes up a stream of which the version of the engines that
@@ -54,6 +55,7 @@
 	ResultEmpty      Result = "empty"       // The endpoint said that no event is left.
 	ResultSilent     Result = "silent"      // This process ended the call after a silence of the endpoint.
 	ResultOutrun     Result = "outrun"      // Another call of the same request went on.
+	ResultStopped    Result = "stopped"     // This process stopped during the call.
 	ResultCallerLeft Result = "left"        // The caller disconnected during the call.
 )
 
@@ -106,6 +108,8 @@
 		return ResultOutrun
 	case errors.Is(context.Cause(ctx), errSilent):
 		return ResultSilent
+	case answersEnded(ctx):
+		return ResultStopped
 	case errors.Is(ctx.Err(), context.Canceled):
 		return ResultCallerLeft
 	default:
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -161,7 +161,7 @@
 	if p.failed != nil && p.failed != last && p.ctx.Err() == nil {
 		return p.forward(p.failed), true
 	}
-	if p.ctx.Err() != nil || !p.relay.mayRetry(p.job, p.progress, sent) {
+	if p.ctx.Err() != nil || !p.relay.Stopping.MayGoOn(p.job.StopRequest()) || !p.relay.mayRetry(p.job, p.progress, sent) {
 		return p.endWith(ReasonEndpointsFull, p.relay.retryIn(p.job.Service)), true
 	}
 	if decision := p.relay.decide(p.job); decision.Refused {
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -18,6 +18,7 @@
 	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/limits"
+	"flamingospar.org/gateway/stopping"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
 )
@@ -59,6 +60,8 @@
 	RetryBudgets *RetryBudgets
 	Crashes      *crashes.Tracker
 	Versions     StreamVersions
+	// Stopping knows when all answers end; it may be nil.
+	Stopping *stopping.Gate
 	// ListIsCurrent reports whether the list of endpoints is as recent as that of a process which
 	// the store answers, or was when the store was lost. It may be nil.
 	ListIsCurrent func() bool
@@ -72,9 +75,22 @@
 
 // Serve runs a job on endpoints and responds to its caller.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
+	if !r.Stopping.MayBegin(job.StopRequest()) {
+		return respondNotRun(w, job, ReasonStopping, stopping.RetryAfter())
+	}
 	r.RetryBudgets.addRequest(job.Service)
+	ctx, release := r.Stopping.Context(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
+	outcome := r.serve(ctx, w, job)
+	if outcome.Attempts > 0 {
+		r.Stopping.Record(job.workKind(), time.Since(job.Arrived))
+	}
+	return outcome
+}
+
+func (r *Relay) serve(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	if job.Route.Kind == site.Stream {
 		return r.serveStream(ctx, w, job)
 	}
@@ -132,7 +148,11 @@
 	var outcome Outcome
 	r.countUnreplaced(p)
 	switch {
-	case ctx.Err() != nil && time.Now().Before(job.Deadline):
+	case answersEnded(ctx) && p.MayHaveRun:
+		outcome = respondMayHaveRun(w, job, ReasonStopping)
+	case answersEnded(ctx):
+		outcome = respondNotRun(w, job, ReasonStopping, stopping.RetryAfter())
+	case callerLeft(ctx, job):
 		outcome = Outcome{Reason: ReasonCallerLeft, MayHaveRun: p.MayHaveRun}
 	case !p.MayHaveRun:
 		outcome = respondNotRun(w, job, reason, retryAfter(atLeast))
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -101,7 +101,7 @@
 // anotherAttempt reports whether another attempt follows one that did not finish.
 func (s *stream) anotherAttempt(ctx context.Context, result attemptResult) bool {
 	switch {
-	case ctx.Err() != nil, s.inDoubt():
+	case ctx.Err() != nil, s.inDoubt(), !s.mayBeginRun():
 		return false
 	case s.next != nil:
 		return true
@@ -196,7 +196,7 @@
 	}
 	s.progress.Reason = ReasonBroken
 	s.relay.countUnreplaced(s.progress)
-	if ctx.Err() != nil && time.Now().Before(s.job.Deadline) {
+	if callerLeft(ctx, s.job) {
 		s.progress.Reason = ReasonCallerLeft
 	}
 	s.progress.Attempts = s.progress.sends
@@ -233,7 +233,7 @@
 		result.unasked = true
 		return result
 	}
-	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) {
+	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) || !s.mayBeginRun() {
 		return attemptResult{sent: true, unasked: true}
 	}
 	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
