Ask whether an endpoint still serves right before each request

Cause: the question right before a request is sent knew what endpoints say in answers, and not what the list says of them. The same held for plain endpoints that leave while a connection is opened.

Change: Selector.serves is the one answer, by list and start; Take and Allows ask it, so every way to an endpoint does. A permit of a rate limit that was taken for a request that is not sent is given back.

Of the eight cases of TestDecodeEngineThatLeavesDuringThePrefillIsNotSentTheStream four fail before, as does the test of a plain endpoint; all pass. go test -race -cpu 1 of gateway/relay, limits, engines and core/ratelimit passes.

--- a/core/ratelimit/ledger.go
+++ b/core/ratelimit/ledger.go
@@ -78,6 +78,12 @@
 	return true
 }
 
+// GiveBack gives back a request that was granted and not sent.
+func (l *Ledger) GiveBack(now time.Time) {
+	l.refill(now)
+	l.tokens = min(l.tokens+1, l.burst())
+}
+
 func (l *Ledger) noteAsked(now time.Time, vm string) {
 	if l.askedAt == nil {
 		l.askedAt = make(map[string]time.Time)
--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -95,16 +95,21 @@
 	log.Info("An endpoint is passed over.", append(fields, "lines_omitted", omitted)...)
 }
 
-// Take reports whether an endpoint allows a request now, as far as it has said itself, and
-// records that the request is sent. It is asked right before each request to an endpoint:
-// another answer may have arrived since the endpoint was chosen.
+// Take reports whether an endpoint may be sent a request now, by the list and by what it has
+// said itself, and records that the request is sent. It is asked right before each request to
+// an endpoint: the list may have changed, or another answer arrived, since it was chosen.
 func (s *Selector) Take(to site.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if current, ok := s.endpoints[to.ID]; ok && (current.StartedMS != to.StartedMS || current.SoftwareVersion != to.SoftwareVersion) {
-		return false // It has started again since it was chosen.
-	}
-	return s.statements.Take(s.now(), processOf(to))
+	return s.serves(to) && s.statements.Take(s.now(), processOf(to))
+}
+
+// serves reports whether an endpoint is listed as it was when it was chosen: it is neither gone
+// nor draining, and has not started again or moved since. s.mu must be held.
+func (s *Selector) serves(chosen site.Endpoint) bool {
+	listed, ok := s.endpoints[chosen.ID]
+	return ok && !listed.Draining && listed.StartedMS == chosen.StartedMS && listed.SoftwareVersion == chosen.SoftwareVersion &&
+		listed.Service == chosen.Service && listed.Address == chosen.Address
 }
 
 // HasSoftware reports whether an endpoint is not listed with other software than when it was
@@ -116,12 +121,12 @@
 	return !ok || current.SoftwareVersion == called.SoftwareVersion
 }
 
-// Allows reports whether an endpoint allows a request now.
+// Allows reports what Take does, and records nothing.
 func (s *Selector) Allows(to site.Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := availability.State{Statement: s.statements.Of(processOf(to))}
-	return state.PassOver(s.now(), false).Reason == availability.None
+	return s.serves(to) && state.PassOver(s.now(), false).Reason == availability.None
 }
 
 // IsLeaving reports whether an endpoint said that it leaves.
--- a/gateway/limits/acquire.go
+++ b/gateway/limits/acquire.go
@@ -56,23 +56,51 @@
 
 // Take reports whether a request may be sent to an endpoint now, and if so counts it.
 func (l *Limiter) Take(id string) bool {
+	_, ok := l.Reserve(id)
+	return ok
+}
+
+// Reserve is Take for a request that may not be sent in the end: giveBack must be called then,
+// so that another request can be sent in its place.
+func (l *Limiter) Reserve(id string) (giveBack func(), ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.limited[id]
-	if !ok {
-		return true
+	e, limited := l.limited[id]
+	if !limited {
+		return func() {}, true
 	}
 	now := l.now()
 	if !l.available(e, now) {
 		l.meter.Count("limit", "exceeded")
-		return false
+		return nil, false
 	}
-	l.meter.Count("limit", "sent")
-	if len(e.permits) > 0 {
-		e.permits = e.permits[1:]
-		return true
+	if len(e.permits) == 0 {
+		ok = e.ledger.Take(now, l.vm)
+		return func() { l.giveBack(e, func() { e.ledger.GiveBack(l.now()) }) }, l.counted(ok)
+	}
+	expiry := e.permits[0]
+	e.permits = e.permits[1:]
+	return func() { l.giveBack(e, func() { e.permits = slices.Insert(e.permits, 0, expiry) }) }, l.counted(true)
+}
+
+// counted counts a request that is sent to an endpoint with a limit, if it is, and returns ok.
+func (l *Limiter) counted(ok bool) bool {
+	if ok {
+		l.meter.Count("limit", "sent")
+	}
+	return ok
+}
+
+// giveBack gives back what a request to an endpoint took that was not sent, unless the endpoint
+// limits its requests no longer or has started again.
+func (l *Limiter) giveBack(e *endpoint, restore func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limited[e.id] != e {
+		return
 	}
-	return e.ledger.Take(now, l.vm)
+	l.meter.Count("limit", "given_back")
+	restore()
 }
 
 // MayAsk reports whether Acquire may lead to a permit for a blocked endpoint.
--- a/gateway/relay/availability.go
+++ b/gateway/relay/availability.go
@@ -13,9 +13,9 @@
 // which the callers that are refused meanwhile are asked to return after it.
 const retrySpreadShare = 0.5
 
-// errPassedOver means that an endpoint said between its selection and the sending of the
-// request that it wants none.
-var errPassedOver = fmt.Errorf("%w: it leaves or has asked to be sent nothing for a time", transport.ErrNotSent)
+// errPassedOver means that an endpoint was found between its selection and the sending of the
+// request to want none.
+var errPassedOver = fmt.Errorf("%w: it leaves, is gone, has started again or has asked to be sent nothing for a time", transport.ErrNotSent)
 
 // heldBack reports whether a request was not sent because the endpoint wants none now.
 func heldBack(err error) bool {
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -59,29 +59,43 @@
 	return s.place(ctx)
 }
 
+// permit is a request that the rate limit of an endpoint allows.
+type permit struct {
+	endpoint string // Its ID.
+	giveBack func() // To be called if the request is not sent.
+}
+
 // reserveDecode takes the permit for the decode engine before a prefill elsewhere, so
 // that no prefill is wasted on a stream that may not go on. It reports false if the
 // engine's rate limit is used up.
 func (s *stream) reserveDecode(id string) bool {
-	s.reserved = ""
 	if !s.relay.Selector.Limits.Limited(id) {
 		return true
 	}
-	if !s.relay.Limits.Take(id) {
+	giveBack, ok := s.relay.Limits.Reserve(id)
+	if !ok {
 		return false
 	}
-	s.reserved = id
+	s.reserved = &permit{endpoint: id, giveBack: giveBack}
 	return true
 }
 
-// takeReserved reports whether the permit for an endpoint was taken in advance, and uses
-// it up.
-func (s *stream) takeReserved(id string) bool {
-	if s.reserved != id {
-		return false
+// takeReserved returns the permit for an endpoint if it was taken in advance, otherwise nil.
+func (s *stream) takeReserved(id string) *permit {
+	if s.reserved == nil || s.reserved.endpoint != id {
+		return nil
+	}
+	taken := s.reserved
+	s.reserved = nil
+	return taken
+}
+
+// dropReserved gives the permit back that was taken in advance, if it was not used.
+func (s *stream) dropReserved() {
+	if s.reserved != nil {
+		s.reserved.giveBack()
+		s.reserved = nil
 	}
-	s.reserved = ""
-	return true
 }
 
 // reasonUnplaced returns why no endpoint was selected.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -198,15 +198,21 @@
 // send sends a request to an endpoint, unless its rate limit is used up. All requests
 // to endpoints pass through it or have a permit.
 func (r *Relay) send(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
-	if !r.Limits.Take(endpoint.ID) {
+	giveBack, ok := r.Limits.Reserve(endpoint.ID)
+	if !ok {
 		return nil, errRateLimited
 	}
-	return r.sendPermitted(ctx, endpoint, request)
+	return r.sendPermitted(ctx, endpoint, request, giveBack)
 }
 
-// sendPermitted sends a request for which a permit was taken, unless the endpoint said
-// meanwhile, or says while a connection is opened, that it wants none.
-func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request) (*transport.Response, error) {
+// sendPermitted sends a request for which a permit was taken, unless the endpoint serves no
+// longer, or no longer does once a connection is opened. A permit that is not used is given back.
+func (r *Relay) sendPermitted(ctx context.Context, endpoint site.Endpoint, request transport.Request, giveBack func()) (_ *transport.Response, err error) {
+	defer func() {
+		if errors.Is(err, transport.ErrNotSent) {
+			giveBack()
+		}
+	}()
 	if !r.Selector.Allows(endpoint) {
 		return nil, errPassedOver
 	}
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -51,9 +51,9 @@
 	version string
 	// callWritten is set once events of the current call were written.
 	callWritten bool
-	// reserved is the limited decode engine for which a permit was taken before the
-	// prefill, if any.
-	reserved string
+	// reserved is the permit for a limited decode engine that was taken before the prefill,
+	// nil if there is none.
+	reserved *permit
 	// next is a standby that has become the next attempt, if any.
 	next *streamCall
 	// unread is the placement of the last attempt if its prefill engine was silent: the
@@ -221,6 +221,7 @@
 	if !s.reserveDecode(placed.DecodeEndpoint.ID) {
 		return attemptResult{}
 	}
+	defer s.dropReserved()
 	s.progress.PrefillEndpoint = placed.PrefillEndpoint.ID
 	handle, result, ok := s.prefill(ctx, placed, run)
 	if !ok {
@@ -236,8 +237,8 @@
 	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) || !s.mayBeginRun() {
 		return attemptResult{sent: true, unasked: true}
 	}
-	if s.reserved == "" || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
-		s.reserved = ""
+	if s.reserved == nil || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
+		s.dropReserved()
 		request := s.placementRequest()
 		request.Version = placed.PrefillEndpoint.SoftwareVersion
 		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, request)
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -19,7 +19,7 @@
 	run        site.RunHeaders
 	placed     engines.Placement
 	request    transport.Request
-	permitted  bool // The permit of the endpoint's rate limit was taken in advance.
+	permit     *permit // Of the endpoint's rate limit, if it was taken in advance.
 	assignment *engines.PromptAssignment
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
@@ -42,7 +42,7 @@
 func (s *stream) newCall(ctx context.Context, placed engines.Placement, run site.RunHeaders) *streamCall {
 	endpoint := placed.DecodeEndpoint
 	s.progress.noteSoftware(endpoint)
-	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permitted: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
+	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permit: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
 	c.goesOn = s.headerSent || s.resumes()
 	c.order = s.orderAfter(run.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
@@ -65,8 +65,8 @@
 
 // send sends the call and waits for the header of its response.
 func (c *streamCall) send(r *Relay) {
-	if c.permitted {
-		c.response, c.err = r.sendPermitted(c.ctx, c.endpoint, c.request)
+	if c.permit != nil {
+		c.response, c.err = r.sendPermitted(c.ctx, c.endpoint, c.request, c.permit.giveBack)
 		return
 	}
 	c.response, c.err = r.send(c.ctx, c.endpoint, c.request)
