Know which start of an engine began a stream

Cause: an entry is that of one start, and nothing told which start gave an answer. When an entry with other software was read, all streams that the engine had begun within 60 s were in doubt.

Change: before its first request a new connection for streams that can be taken up is asked for the engine's report, which states the start; a connection doesn't outlive one. A stream that begins at the listed start has a version that is certain and is never doubted. A connection to another start is not used. Odd, late or missing reports leave the start unknown, as before.

Tests: the stand-ins of engines answer reports, as PROTOCOL has them do, and end their connections when they start again. In three tests an engine has started again and its entry or its connections don't show it: two of them now state no start in their reports, so that they test what they did; in the third it starts again as engines do.

TestStreamsThatAnEngineBeganBeforeItStartedAgainWithOtherSoftwareGoOn fails before and passes.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -184,6 +184,8 @@
 	n.store.OnCall = n.recordStoreCall
 	n.store.OnEra = n.storeRestored
 	n.pool.OnDial = func() { n.meter.Count("endpoint", "connections") }
+	n.pool.OnAsked = func() { n.meter.Count("endpoint", "start_asked") }
+	n.pool.OnUnanswered = func() { n.meter.Count("endpoint", "start_unanswered") }
 	n.pool.OnStray = func() { n.meter.Count("endpoint", "stray_responses") }
 	return n
 }
--- a/gateway/node/startedagain_test.go
+++ b/gateway/node/startedagain_test.go
@@ -18,6 +18,7 @@
 	f := newVersionedFleet(t, 1)
 	p := f.processes[0]
 	e := sitetest.NewVersionedEngine(t, "x", "v2") // Has started again; its row still is that of v1.
+	e.StartedMS.Store(0)                           // Its reports don't say so.
 	row := e.Row("model", "dc", "ready", "decode")
 	row["version"] = "v1"
 	f.store.Put(site.TableEndpoints, e.ID, row)
--- a/gateway/node/startedbefore_test.go
+++ b/gateway/node/startedbefore_test.go
@@ -18,7 +18,9 @@
 	p := f.processes[0]
 	old := f.addEngines("v1", 1)[0]
 	row := old.Row("model", "dc", "ready", "decode")
-	row["born"], row["seq"] = time.Now().Add(-time.Minute).UnixMilli(), 50
+	former := time.Now().Add(-time.Minute).UnixMilli()
+	row["born"], row["seq"] = former, 50
+	old.StartedMS.Store(former)
 	f.store.Put(site.TableEndpoints, old.ID, row)
 	f.awaitVersion(p, "v1")
 	old.Breaks.Store(true)
@@ -29,7 +31,9 @@
 		f.list(sitetest.NewVersionedEngine(t, id, "v1"))
 	}
 	f.awaitVersion(f.processes[1], "v1")
-	row["version"], row["born"], row["seq"] = "v2", time.Now().UnixMilli(), 1 // It has started again.
+	again := time.Now().UnixMilli()
+	old.StartAgain(again)
+	row["version"], row["born"], row["seq"] = "v2", again, 1
 	f.store.Put(site.TableEndpoints, old.ID, row)
 	time.Sleep(settleTime)
 	wentOn := f.takeUpAll(f.processes[1], begun) + f.takeUpAll(p, begun)
--- a/gateway/node/startedwhilefrozen_test.go
+++ b/gateway/node/startedwhilefrozen_test.go
@@ -62,6 +62,7 @@
 	f.store.Put(site.TableEndpoints, id, row)
 	return e, func() {
 		started.Store(true)
+		e.StartAgain(sitetest.NextStartMS)
 		sitetest.StartedAgain(row, "v2")
 		f.store.Put(site.TableEndpoints, id, row)
 	}
--- a/gateway/node/underway_test.go
+++ b/gateway/node/underway_test.go
@@ -27,6 +27,7 @@
 		<-breaks
 		panic(http.ErrAbortHandler)
 	})
+	e.StartedMS.Store(0) // Its reports don't say when it started.
 	row := e.Row("model", "dc", "ready", "decode")
 	f.store.Put(site.TableEndpoints, e.ID, row)
 	got := make(chan result)
--- a/gateway/relay/availability.go
+++ b/gateway/relay/availability.go
@@ -19,7 +19,7 @@
 
 // heldBack reports whether a request was not sent because the endpoint wants none now.
 func heldBack(err error) bool {
-	return errors.Is(err, errRateLimited) || errors.Is(err, errPassedOver)
+	return errors.Is(err, errRateLimited) || errors.Is(err, errPassedOver) || errors.Is(err, errOtherStart) || errors.Is(err, errStartNotSaid)
 }
 
 // retryIn returns the time after which a refused caller should retry because all endpoints
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -84,7 +84,7 @@
 		f.streamEnded = s.relay.Selector.StreamStarted(f.call.endpoint.ID)
 		s.countRunStart()
 	}
-	err := s.writeEvents(f.call.endpoint, f.call.response, data)
+	err := s.writeEvents(f.call, data)
 	if err == nil && events > 0 {
 		f.watch.wrote()
 	}
@@ -108,7 +108,7 @@
 	if s.progress.sends == 1 { // Otherwise the events are those of a part of the response.
 		s.relay.Selector.ObserveResponse(s.job.Service, s.job.Caller.Prompt.OutputTokensHint, f.gaps.events)
 	}
-	return s.finish(c.endpoint, c.response)
+	return s.finish(c)
 }
 
 // endWithoutEvent ends a call whose endpoint says that no event is left after the last one,
@@ -122,7 +122,7 @@
 	s.events.discardPartial()
 	if first := s.saidNothingLeft; first != "" {
 		s.relay.Selector.RecordResult(first, engines.RequestSucceeded)
-		return s.finish(c.endpoint, c.response)
+		return s.finish(c)
 	}
 	s.saidNothingLeft = c.endpoint.ID
 	s.progress.Err = errNothingLeft
@@ -206,19 +206,19 @@
 
 // writeEvents sends the whole events to the caller that data completes: what has not ended
 // may turn out to be no event, and the stream may continue on another endpoint.
-func (s *stream) writeEvents(endpoint site.Endpoint, response *transport.Response, data []byte) error {
-	if s.startedAgain(endpoint) {
+func (s *stream) writeEvents(c *streamCall, data []byte) error {
+	if s.startedAgain(c.endpoint) {
 		return errStartedAgain
 	}
 	data = s.events.add(data)
 	if len(data) == 0 {
 		return nil
 	}
-	if err := s.fixVersion(endpoint); err != nil {
+	if err := s.fixVersion(c); err != nil {
 		return err
 	}
 	s.callWritten = true
-	s.writeHeader(response)
+	s.writeHeader(c.response)
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
@@ -239,12 +239,12 @@
 }
 
 // finish ends a stream after the endpoint has ended its response.
-func (s *stream) finish(endpoint site.Endpoint, response *transport.Response) attemptResult {
-	s.relay.Selector.RecordResult(endpoint.ID, engines.RequestSucceeded)
+func (s *stream) finish(c *streamCall) attemptResult {
+	s.relay.Selector.RecordResult(c.endpoint.ID, engines.RequestSucceeded)
 	s.relay.Crashes.RecordComplete(s.job.Identity)
-	if s.fixVersion(endpoint) != nil {
+	if s.fixVersion(c) != nil {
 		return s.endCallerLeft()
 	}
-	s.writeHeader(response)
+	s.writeHeader(c.response)
 	return attemptResult{finished: true, sent: true}
 }
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -96,7 +96,7 @@
 	switch {
 	case errors.Is(err, errRateLimited):
 		return ResultLimited
-	case errors.Is(err, errPassedOver):
+	case heldBack(err):
 		return ResultPassedOver
 	case errors.Is(err, transport.ErrNotSent):
 		return ResultNotSent
--- a/gateway/relay/relay_test.go
+++ b/gateway/relay/relay_test.go
@@ -39,6 +39,7 @@
 func (oneVersion) InDoubt(string) bool                          { return false }
 func (oneVersion) RetryAfterUnknown() time.Duration             { return time.Second }
 func (oneVersion) RecordStreamAt(string, string, site.Endpoint) {}
+func (oneVersion) RecordStream(string, string, string)          {}
 func (oneVersion) Find(context.Context, streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
 	return streamversions.ServiceVersion{Version: softwareVersion}, true
 }
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -143,7 +143,7 @@
 	if w.replaced() {
 		return // The first call failed meanwhile: the stream waits for this one.
 	}
-	if c.begun() && !w.stream.mayGoOnAt(c.endpoint) {
+	if c.begun() && !w.stream.mayJoin(c) {
 		c.cancel(errOutrun)
 	} else if w.stream.mayReplace(c) && w.pair.Began() {
 		w.stream.relay.Meter.Count("standby", "took_over")
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -49,6 +49,8 @@
 	// version is the version of the engines' software at which the stream has to go on;
 	// empty until the caller is about to get the first event.
 	version string
+	// versionFrom is the call that fixed the version; nil if another request did.
+	versionFrom *streamCall
 	// callWritten is set once events of the current call were written.
 	callWritten bool
 	// reserved is the permit for a limited decode engine that was taken before the prefill,
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -43,6 +43,9 @@
 	endpoint := placed.DecodeEndpoint
 	s.progress.noteSoftware(endpoint)
 	c := &streamCall{endpoint: endpoint, run: run, placed: placed, request: s.relay.newRequest(s.job, run, s.job.Body), permit: s.takeReserved(endpoint.ID), start: time.Now(), done: make(chan struct{})}
+	if s.job.Route.Resumable {
+		c.request.Start = s.startQuestion(endpoint)
+	}
 	c.goesOn = s.headerSent || s.resumes()
 	c.order = s.orderAfter(run.LastEventID)
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
@@ -207,7 +210,11 @@
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultFailed)
 		return s.handleDecodeFailure(c, w)
 	}
-	if err := c.checkHead(); err != nil {
+	err := c.checkHead()
+	if err == nil && !s.mayJoin(c) {
+		err = errStartNotProven
+	}
+	if err != nil {
 		s.progress.runs++
 		s.progress.MayHaveRun = true
 		return s.endBroken(c, err, 0)
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -18,6 +18,8 @@
 type StreamVersions interface {
 	// RecordStreamAt records that a stream begins at an endpoint.
 	RecordStreamAt(service, requestID string, endpoint site.Endpoint)
+	// RecordStream records that a stream begins at a version that is certain.
+	RecordStream(service, requestID, version string)
 	// Find returns the version, and the service if it is known, that began a stream that is
 	// taken up, and false if the version can't be known.
 	Find(ctx context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool)
@@ -63,18 +65,25 @@
 	return s.relay.Versions.InDoubt(id)
 }
 
-// mayGoOnAt reports whether an endpoint has the version at which the stream has to go on. A
-// standby may have begun before the version was fixed.
+// mayGoOnAt reports whether an endpoint is listed with the version at which the stream has to go
+// on. A standby may have begun before the version was fixed.
 func (s *stream) mayGoOnAt(endpoint site.Endpoint) bool {
 	return s.version == "" || endpoint.SoftwareVersion == s.version && !s.inDoubt()
 }
 
+// mayJoin reports whether the answer to a call may go on with the stream: its endpoint has the
+// stream's version, and was proved to be the one that is listed.
+func (s *stream) mayJoin(c *streamCall) bool {
+	return s.mayGoOnAt(c.endpoint)
+}
+
 // errOtherVersion means that events can't be joined with those that the caller has.
 var errOtherVersion = errors.New("the events are of another software version than those before; remedy: report it, it is a bug in this program")
 
 // fixVersion keeps the stream at the version of the endpoint whose event the caller is about
-// to get first. It returns an error for events of another version.
-func (s *stream) fixVersion(endpoint site.Endpoint) error {
+// to get first. It returns an error for events of another version, or of one that is not proved.
+func (s *stream) fixVersion(c *streamCall) error {
+	endpoint := c.endpoint
 	if s.version != "" && s.version != endpoint.SoftwareVersion {
 		s.progress.Err = errOtherVersion
 		s.relay.Meter.Count("stream_versions", "not_joined")
@@ -83,8 +92,12 @@
 	if s.version != "" {
 		return nil
 	}
-	s.version = endpoint.SoftwareVersion
-	if s.job.Route.Resumable {
+	s.version, s.versionFrom = endpoint.SoftwareVersion, c
+	switch {
+	case !s.job.Route.Resumable:
+	case c.proven():
+		s.relay.Versions.RecordStream(s.job.Service, s.job.Caller.ID, s.version)
+	default:
 		s.relay.Versions.RecordStreamAt(s.job.Service, s.job.Caller.ID, endpoint)
 	}
 	return nil
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -26,6 +26,8 @@
 	f.recorded[requestID] = endpoint.SoftwareVersion
 }
 
+func (f *fakeVersions) RecordStream(_, requestID, version string) { f.recorded[requestID] = version }
+
 func (f *fakeVersions) Find(_ context.Context, taken streamversions.TakeUp) (streamversions.ServiceVersion, bool) {
 	version, ok := f.known[taken.ResumedRequestID]
 	return streamversions.ServiceVersion{Service: f.service, Version: version}, ok
--- a/gateway/transport/pool.go
+++ b/gateway/transport/pool.go
@@ -23,14 +23,18 @@
 	// OnStray, if set, is called for each connection on which a response came that can't be
 	// told to be that to the request. The connection is not used again.
 	OnStray func()
+	// OnAsked and OnUnanswered, if set, are called for each endpoint that is asked for its start, and
+	// for each that does not answer.
+	OnAsked, OnUnanswered func()
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu          sync.Mutex
+	idle        map[string][]*conn
+	unanswering map[string]time.Time // Until when endpoints are not asked for their start, by address.
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: make(map[string][]*conn)}
+	p := &Pool{idle: make(map[string][]*conn), unanswering: make(map[string]time.Time)}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -51,7 +55,7 @@
 // get returns an idle connection that can be reused for a request, or a new one.
 func (p *Pool) get(ctx context.Context, address string, request Request) (*conn, error) {
 	for {
-		c := p.popIdle(address, request.ID)
+		c := p.popIdle(address, request)
 		if c == nil {
 			break
 		}
@@ -61,6 +65,11 @@
 		}
 		c.Close()
 	}
+	return p.dialFor(ctx, address, request)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -73,13 +82,15 @@
 }
 
 // popIdle takes the idle connection that was used last and has not carried a request with
-// the same ID: a response that bears the ID might be that to the earlier request.
-func (p *Pool) popIdle(address, id string) *conn {
+// the same ID: a response that bears the ID might be that to the earlier request. A request with a
+// question takes one on which it was answered, unless the endpoint does not answer it.
+func (p *Pool) popIdle(address string, request Request) *conn {
+	answered := request.Start != nil && !p.isUnanswering(address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if c := idle[i]; !c.carried.has(id) {
+		if c := idle[i]; !c.carried.has(request.ID) && (!answered || c.asked) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return c
 		}
--- a/gateway/transport/transport.go
+++ b/gateway/transport/transport.go
@@ -72,6 +72,8 @@
 	// written: opening a connection takes time. Its error, which wraps ErrNotSent, ends the
 	// call.
 	MaySend func() error
+	// Start, if set, is asked on each new connection.
+	Start *StartQuestion
 	// OnAnswer, if set, is called with the header of each answer that the endpoint gives on
 	// the connection, also one to another request.
 	OnAnswer func(site.EndpointResponse)
@@ -101,6 +103,8 @@
 	answers   int        // Number of final responses received, to any request.
 	strays    int        // Those that can't be told to be the answer to the request.
 	sending   *sendWatch // While a long request is sent.
+	asked     bool       // A StartQuestion was answered, be it with nothing.
+	startedMS int64      // The start of the endpoint that accepted it, as Unix milliseconds; 0 if it is not known.
 }
 
 // Response is the header of an endpoint's response, whose body is read with Read.
@@ -111,6 +115,9 @@
 	Meta   site.EndpointResponse
 	// ContentLength is -1 if the endpoint did not state the length of the body.
 	ContentLength int64
+	// StartedMS is the start of the endpoint that answers, as Unix milliseconds, if it was asked;
+	// 0 if it is not known.
+	StartedMS int64
 	// Framed is false if only the end of the connection ends the body.
 	Framed bool
 
@@ -130,6 +137,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := request.checkStart(c); err != nil {
+		c.Close()
+		return nil, err
+	}
 	if err := request.maySend(); err != nil {
 		c.Close()
 		return nil, err
@@ -153,7 +164,7 @@
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Meta: site.ParseEndpointResponse(httpResponse.StatusCode, httpResponse.Header),
-		ContentLength: httpResponse.ContentLength, Framed: isFramed(httpResponse), pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel, maxIdleConns: request.MaxIdleConns,
+		ContentLength: httpResponse.ContentLength, StartedMS: c.startedMS, Framed: isFramed(httpResponse), pool: p, conn: c, httpResponse: httpResponse, writeResult: writeResult, stopCancel: stopCancel, maxIdleConns: request.MaxIdleConns,
 	}, nil
 }
 
