Go on with a stream only where the engine's start is certain

Cause: an engine counted as what its entry said, and the entry was that of a start that had ended.

Change: a stream that others began is sent only on a connection whose engine stated the listed start; with none stated it is refused there, as not sent. A standby that was sent before the version was fixed goes on only if its start is certain.

--- a/gateway/relay/start.go
+++ b/gateway/relay/start.go
@@ -22,9 +22,12 @@
 // startQuestion returns the question which start of an endpoint a connection leads to: its entry
 // tells the software of one start. A stream that others began goes on only if it is certain.
 func (s *stream) startQuestion(endpoint site.Endpoint) *transport.StartQuestion {
-	relay := s.relay
+	goesOn, relay := s.version != "", s.relay
 	return &transport.StartQuestion{Endpoint: endpoint.ID, Check: func(startedMS int64) error {
 		switch {
+		case startedMS == 0 && goesOn:
+			relay.Meter.Count("stream_versions", "start_unknown")
+			return errStartNotSaid
 		case startedMS != 0 && startedMS != endpoint.StartedMS:
 			relay.Meter.Count("stream_versions", "other_start")
 			relay.Selector.RecordResult(endpoint.ID, engines.Busy)
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -74,7 +74,7 @@
 // mayJoin reports whether the answer to a call may go on with the stream: its endpoint has the
 // stream's version, and was proved to be the one that is listed.
 func (s *stream) mayJoin(c *streamCall) bool {
-	return s.mayGoOnAt(c.endpoint)
+	return s.version == "" || c == s.versionFrom || s.mayGoOnAt(c.endpoint) && (c.proven() || !s.job.Route.Resumable)
 }
 
 // errOtherVersion means that events can't be joined with those that the caller has.
@@ -84,7 +84,7 @@
 // to get first. It returns an error for events of another version, or of one that is not proved.
 func (s *stream) fixVersion(c *streamCall) error {
 	endpoint := c.endpoint
-	if s.version != "" && s.version != endpoint.SoftwareVersion {
+	if s.version != "" && (s.version != endpoint.SoftwareVersion || c != s.versionFrom && s.job.Route.Resumable && !c.proven()) {
 		s.progress.Err = errOtherVersion
 		s.relay.Meter.Count("stream_versions", "not_joined")
 		return errOtherVersion
