--- a/gateway/soak/harness_test.go
+++ b/gateway/soak/harness_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -79,8 +80,9 @@
 	seq         int
 	faultsEnded *atomic.Bool // Shared with the harness.
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu    sync.Mutex
+	runs  map[string]int
+	ended map[string]time.Time // When the last run of a request ended.
 }
 
 // recordRun counts a run of a request and returns how often this endpoint has run it.
@@ -91,6 +93,12 @@
 	return e.runs[id]
 }
 
+func (e *endpoint) recordEnd(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended[id] = time.Now()
+}
+
 // totalRuns returns the number of runs of all requests at this endpoint.
 func (e *endpoint) totalRuns() int {
 	e.mu.Lock()
@@ -110,7 +118,7 @@
 	return binary
 }
 
-func newHarness(t *testing.T, binary string, seed int64) *harness {
+func newHarness(t *testing.T, binary string, seed int64, processes int) *harness {
 	h := &harness{t: t, binary: binary, store: sitetest.NewStore(t), dutyServer: sitetest.NewDutyServer(t), keys: []string{"key0"}}
 	h.logDir = filepath.Join(os.TempDir(), fmt.Sprintf("flamingospar-soak-%d", seed))
 	require.NoError(t, os.MkdirAll(h.logDir, 0o700))
@@ -125,7 +133,7 @@
 		}
 		h.addEndpoint(fmt.Sprintf("m%d", i), "model", stage, serveStream)
 	}
-	for i := range processCount {
+	for i := range processes {
 		storeProxy := newProxy(t, h.store.Address)
 		vm := sitetest.NewVM(t, fmt.Sprintf("vm%d", i), fmt.Sprintf("dc%d", i%2), storeProxy.address, h.dutyServer.Address)
 		h.processes = append(h.processes, &process{vm: vm, storeProxy: storeProxy})
@@ -152,10 +160,11 @@
 
 func servePlain(e *endpoint, w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(sitetest.HeaderRequestID)
+	defer e.recordEnd(id)
 	if e.recordRun(id) == 1 && e.cutsResponse(id) {
 		sitetest.TruncatedResponse(w, r)
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(pauseOf(r, 5*time.Millisecond))
 	fmt.Fprint(w, "of "+id)
 }
 
@@ -166,20 +175,37 @@
 			eventsBeforeCut = eventsPerStream / 2
 		}
 		w.Header().Set("Content-Type", "text/event-stream")
+		defer e.recordEnd(id)
 	}
 	sitetest.WithPrefill("h"+r.Header.Get(sitetest.HeaderRequestID), func(w http.ResponseWriter, r *http.Request) {
-		sitetest.Events(eventsPerStream, eventsBeforeCut)(slowWriter{w}, r)
+		sitetest.Events(eventsPerStream, eventsBeforeCut)(slowWriter{w, pauseOf(r, 4*time.Millisecond)}, r)
 	})(w, r)
 }
 
+// headerPause is the header in which a caller states the pause of an endpoint, in milliseconds:
+// before each event of a stream, or before another answer.
+const headerPause = "X-Test-Pause-Ms"
+
+// pauseOf returns the pause that a request states, or another one if it states none.
+func pauseOf(r *http.Request, otherwise time.Duration) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(headerPause))
+	if err != nil {
+		return otherwise
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // slowWriter delays each event of a stream.
-type slowWriter struct{ http.ResponseWriter }
+type slowWriter struct {
+	http.ResponseWriter
+	pause time.Duration
+}
 
 // Unwrap lets http.ResponseController flush the events.
 func (s slowWriter) Unwrap() http.ResponseWriter { return s.ResponseWriter }
 
 func (s slowWriter) Write(p []byte) (int, error) {
-	time.Sleep(4 * time.Millisecond)
+	time.Sleep(s.pause)
 	return s.ResponseWriter.Write(p)
 }
 
@@ -193,7 +219,7 @@
 }
 
 func (h *harness) addEndpoint(id, service, stage string, serve func(*endpoint, http.ResponseWriter, *http.Request)) {
-	e := &endpoint{service: service, stage: stage, seq: 1, faultsEnded: &h.faultsEnded, runs: make(map[string]int)}
+	e := &endpoint{service: service, stage: stage, seq: 1, faultsEnded: &h.faultsEnded, runs: make(map[string]int), ended: make(map[string]time.Time)}
 	e.limits = sitetest.NewRateLimited(0, func(rw http.ResponseWriter, r *http.Request) { serve(e, rw, r) })
 	e.Endpoint = sitetest.NewEndpoint(h.t, id, e.limits.Serve)
 	e.proxy = newProxy(h.t, e.Address)
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -64,7 +64,7 @@
 }
 
 func runSeed(t *testing.T, binary string, seed int64, summary *report) {
-	h := newHarness(t, binary, seed)
+	h := newHarness(t, binary, seed, processCount)
 	h.report = summary
 	h.waitUntilServing("start")
 	c := h.newCallers()
