Test of exchanged marks: hold the port that refuses connections

Its crashed endpoints have an address that refuses connections: a port that was free a moment before, and that any other process may get. If one does, the endpoints count as healthy and no part is blamed, as the test waits for.

The port is now held by a socket that is bound and doesn't listen. What is checked is unchanged.

--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/platform/site"
@@ -38,12 +39,17 @@
 	return endpoint
 }
 
-func freeAddress(t *testing.T) string {
+// refusingAddress returns an address that refuses connections until the test ends: a socket that
+// doesn't listen is bound to it, so that no other process can listen there.
+func refusingAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(socket) }) // The test is over.
+	require.NoError(t, unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(socket)
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
 }
 
 // harness is a tracker that runs.
@@ -57,7 +63,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, fleet: &fakeFleet{listed: make(map[string]site.Endpoint)}, gone: freeAddress(t)}
+	h := &harness{t: t, fleet: &fakeFleet{listed: make(map[string]site.Endpoint)}, gone: refusingAddress(t)}
 	h.tracker = crashes.New(h.fleet)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
