Reports: read 64 KB of one at the most

Many connections may be asked for the start of their endpoint at once, and a faulty endpoint may send without end: 300 reports of 1 MB exceed the memory of a VM (284 MB). A report with the runs of 64 slots has some KB.

--- a/gateway/transport/start.go
+++ b/gateway/transport/start.go
@@ -17,7 +17,8 @@
 	startTimeout = 250 * time.Millisecond
 	// unansweredPause is how long an endpoint that did not answer is not asked again.
 	unansweredPause = 5 * time.Second
-	maxReportBytes  = 1 << 20
+	// maxReportBytes bounds a report. It is small since many connections may be asked at once.
+	maxReportBytes = 64 << 10
 )
 
 // errStartUnknown means that an endpoint did not say which of its starts a connection leads to.
