End answers in the last sixth of any stop grace period

Cause: the margins of a stop were those of the users' 8 s, and the wait for the load balancer had precedence over the period.

Change: margins shrink in proportion below 8 s.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -57,6 +57,9 @@
 	answersMargin = 1000 * time.Millisecond
 	closeMargin   = 900 * time.Millisecond
 	exitMargin    = 200 * time.Millisecond
+	// fullMarginsFrom is the stop grace period from which on these margins apply; shorter ones
+	// have shorter margins, so that answers end in the last sixth of each.
+	fullMarginsFrom = 8 * answersMargin
 	// dutyLeaseTerm is how long the duty lease is valid after a renewal.
 	dutyLeaseTerm = 5 * time.Second
 	// dutyCandidates is how many processes check the duty lease often, so that
@@ -225,8 +228,7 @@
 		tasks.Go(func() { n.supervisor.Run(taskCtx, task.name, task.run) })
 	}
 	<-ctx.Done()
-	exitBy := time.Now().Add(n.bounds.Load().StopGracePeriod - exitMargin)
-	n.stop(servers)
+	exitBy := n.stop(servers)
 	stopTasks()
 	n.awaitTasks(&tasks, exitBy)
 	_ = servers.internal.Close() // The process ends, so an error has no consequence.
@@ -273,22 +275,32 @@
 	return max(slices.Index(ranking, f.node.settings.NodeName), 0)
 }
 
+// stopTimes are the times of a stop.
+type stopTimes struct{ answersBy, closeBy, exitBy time.Time }
+
+func newStopTimes(now time.Time, grace time.Duration) stopTimes {
+	before := func(margin time.Duration) time.Time {
+		share := min(1, float64(grace)/float64(fullMarginsFrom))
+		return now.Add(grace - time.Duration(share*float64(margin)))
+	}
+	return stopTimes{answersBy: before(answersMargin), closeBy: before(closeMargin), exitBy: before(exitMargin)}
+}
+
 // stop gives the load balancer time to send callers elsewhere and waits for
-// running requests.
-func (n *Node) stop(s servers) {
+// running requests. It returns when the process has to exit.
+func (n *Node) stop(s servers) time.Time {
 	n.stopping.Store(true)
 	close(n.stopRequested)
 	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
-	now := time.Now()
-	grace := n.bounds.Load().StopGracePeriod
-	answersBy, closeBy := now.Add(max(grace-answersMargin, loadBalancerDelay)), now.Add(max(grace-closeMargin, loadBalancerDelay))
-	n.stopGate.Stop(answersBy)
+	times := newStopTimes(time.Now(), n.bounds.Load().StopGracePeriod)
+	n.stopGate.Stop(times.answersBy)
 	s.callerListener.EndReuse()
-	time.Sleep(min(loadBalancerDelay, time.Until(answersBy)))
-	s.callerListener.Drain(answersBy)
-	if err := s.awaitDrained(closeBy); err != nil {
+	time.Sleep(min(loadBalancerDelay, time.Until(times.answersBy)))
+	s.callerListener.Drain(times.answersBy)
+	if err := s.awaitDrained(times.closeBy); err != nil {
 		log.Error(err, "The process closes the connections of its callers.", "vm", n.settings.NodeName)
 	}
+	return times.exitBy
 }
 
 // platformClient returns the HTTP client for the store and the operator's API. A
