Stops and attempts of streams in files of their own

The stop of a process moves to gateway/node/stop.go, the attempt to gateway/relay/streamattempt.go, where the prefill on an engine of its own is a function, and what follows a failed one and the choice after it two more.

Nothing else changes.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -47,19 +46,6 @@
 	// maxStoreOutage is how long endpoints stay in use while the store does not
 	// answer.
 	maxStoreOutage = 24 * time.Hour
-	// loadBalancerDelay is how long the load balancer may keep sending
-	// connections after the process reported that it is not ready.
-	loadBalancerDelay = 2500 * time.Millisecond
-	// answersMargin is how long before the end of the stop grace period all answers
-	// end, closeMargin how long before it the connections of callers are closed, and
-	// exitMargin the part of that kept for the exit itself. What is between serves the
-	// last writes. The platform kills the process at the end of the grace period.
-	answersMargin = 1000 * time.Millisecond
-	closeMargin   = 900 * time.Millisecond
-	exitMargin    = 200 * time.Millisecond
-	// fullMarginsFrom is the stop grace period from which on these margins apply; shorter ones
-	// have shorter margins, so that answers end in the last sixth of each.
-	fullMarginsFrom = 8 * answersMargin
 	// dutyLeaseTerm is how long the duty lease is valid after a renewal.
 	dutyLeaseTerm = 5 * time.Second
 	// dutyCandidates is how many processes check the duty lease often, so that
@@ -76,10 +62,6 @@
 
 var log = logging.For("gateway/node")
 
-// errWritesUnfinished is logged when the last writes were not finished within
-// the stop grace period.
-var errWritesUnfinished = errors.New("the last writes were not finished within the stop grace period; remedy: check the store; other processes hold copies of the usage counts")
-
 // Options are the options of the process beside the settings of its VM.
 type Options struct {
 	SettingsPath string
@@ -236,22 +218,6 @@
 	return nil
 }
 
-// awaitTasks waits until the background tasks have ended, but at most until the
-// deadline: a store that does not answer must not delay the exit until the
-// platform kills the process.
-func (n *Node) awaitTasks(tasks *sync.WaitGroup, deadline time.Time) {
-	ended := make(chan struct{})
-	go func() {
-		tasks.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-time.After(time.Until(deadline)):
-		log.Error(errWritesUnfinished, "The process stops without them.", "vm", n.settings.NodeName)
-	}
-}
-
 // endpointsState returns the state of the list of endpoints for the request log.
 func (n *Node) endpointsState() ingress.EndpointsState {
 	position := n.fleet.Position()
@@ -275,34 +241,6 @@
 	return max(slices.Index(ranking, f.node.settings.NodeName), 0)
 }
 
-// stopTimes are the times of a stop.
-type stopTimes struct{ answersBy, closeBy, exitBy time.Time }
-
-func newStopTimes(now time.Time, grace time.Duration) stopTimes {
-	before := func(margin time.Duration) time.Time {
-		share := min(1, float64(grace)/float64(fullMarginsFrom))
-		return now.Add(grace - time.Duration(share*float64(margin)))
-	}
-	return stopTimes{answersBy: before(answersMargin), closeBy: before(closeMargin), exitBy: before(exitMargin)}
-}
-
-// stop gives the load balancer time to send callers elsewhere and waits for
-// running requests. It returns when the process has to exit.
-func (n *Node) stop(s servers) time.Time {
-	n.stopping.Store(true)
-	close(n.stopRequested)
-	log.Info("The process was asked to stop and finishes its running requests.", "vm", n.settings.NodeName)
-	times := newStopTimes(time.Now(), n.bounds.Load().StopGracePeriod)
-	n.stopGate.Stop(times.answersBy)
-	s.callerListener.EndReuse()
-	time.Sleep(min(loadBalancerDelay, time.Until(times.answersBy)))
-	s.callerListener.Drain(times.answersBy)
-	if err := s.awaitDrained(times.closeBy); err != nil {
-		log.Error(err, "The process closes the connections of its callers.", "vm", n.settings.NodeName)
-	}
-	return times.exitBy
-}
-
 // platformClient returns the HTTP client for the store and the operator's API. A
 // connection without response is closed by TCP keep-alive or by the timeout of
 // the call, and is not reused.
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -168,29 +168,6 @@
 	return "in_time"
 }
 
-// priorityLevel returns the level at which a priority of a route or team is placed. A priority
-// that has no level gets the first or the last one.
-func priorityLevel(priority int) int {
-	return min(max(priority, 0), maxLevel/levelsPerPriority) * levelsPerPriority
-}
-
-func (s *stream) placementRequest() placement.Request {
-	waited := time.Since(s.job.Arrived)
-	return placement.Request{
-		Prompt:         s.prompt,
-		Level:          priorityLevel(s.job.Priority),
-		Budget:         s.job.Route.LatencyObjective - waited,
-		MaxWait:        min(s.job.maxEventWait()-waited, s.job.remaining(time.Now())),
-		ExpectedEvents: s.relay.Selector.ExpectedEvents(s.job.Service, s.job.Caller.Prompt.OutputTokensHint),
-		Deadline:       s.job.remaining(time.Now()),
-		MaxEventGap:    s.job.Route.MaxEventGap,
-		RemoteCost:     time.Duration(remoteCostShare * float64(s.job.Route.LatencyObjective)),
-		Exclude:        s.progress.excluded,
-		MustServe:      s.headerSent,
-		Version:        s.version,
-	}
-}
-
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
@@ -205,68 +182,6 @@
 	return s.progress.Outcome
 }
 
-// attempt makes one attempt: prefill on one engine and decode on another, or both on
-// the decode engine.
-func (s *stream) attempt(ctx context.Context, placed engines.Placement) attemptResult {
-	run := s.runHeaders(placed)
-	s.progress.noteSoftware(placed.DecodeEndpoint, placed.PrefillEndpoint)
-	s.progress.Endpoint = placed.DecodeEndpoint.ID
-	s.progress.PrefillEndpoint = ""
-	s.progress.Level = placed.Level
-	s.progress.FetchedTokens = fetchedTokens(placed)
-	if placed.Prefill == nil {
-		return s.decode(ctx, placed, run)
-	}
-	if s.job.Trial || !s.mayPrefill() {
-		return s.decode(ctx, placed, run)
-	}
-	if !s.reserveDecode(placed.DecodeEndpoint.ID) {
-		return attemptResult{}
-	}
-	defer s.dropReserved()
-	s.progress.PrefillEndpoint = placed.PrefillEndpoint.ID
-	handle, result, ok := s.prefill(ctx, placed, run)
-	if !ok {
-		s.prefillFailed = true
-		s.progress.excluded[placed.PrefillEndpoint.ID] = true
-		if s.progress.endedSilent() {
-			placed.Prefill = nil
-			s.unread = &placed
-		}
-		result.unasked = true
-		return result
-	}
-	if s.relay.decide(s.job).Refused || !s.awaitCurrentList(ctx) || !s.mayBeginRun() {
-		return attemptResult{sent: true, unasked: true}
-	}
-	if s.reserved == nil || !s.relay.Selector.Allows(placed.DecodeEndpoint) {
-		s.dropReserved()
-		request := s.placementRequest()
-		request.Version = placed.PrefillEndpoint.SoftwareVersion
-		next, ok := s.relay.Selector.ChooseDecode(s.job.Service, request)
-		if !ok {
-			return attemptResult{sent: true}
-		}
-		placed.DecodeEndpoint = next
-		s.progress.noteSoftware(next)
-	}
-	s.progress.Endpoint = placed.DecodeEndpoint.ID
-	run.EndpointID = placed.DecodeEndpoint.ID
-	run.KVSource = handle
-	run.KVFetch = ""
-	run.Remaining = s.job.remaining(time.Now())
-	return s.decode(ctx, placed, run)
-}
-
-// fetchedTokens returns the tokens known to be cached at the engine to fetch from; -1 if
-// their number is unknown.
-func fetchedTokens(placed engines.Placement) int {
-	if placed.FetchAddress != "" && placed.Fetched == 0 {
-		return -1
-	}
-	return placed.Fetched
-}
-
 func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
 	s.progress.Err = err
 	if heldBack(err) || errors.Is(err, errStartedAgain) {
