Take signals to reload before anything else of a start

A process that had just been started ended when its settings changed: SIGHUP ends a program that has not asked for it, and the gateway asked after its settings were read and its parts were built.

Change: the command asks for the signal first.

--- a/flamingospar/command/command.go
+++ b/flamingospar/command/command.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -56,9 +57,15 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if slices.Contains(args, gatewayCommand) {
+		signal.Notify(reloadRequests, syscall.SIGHUP) // Before anything else: the signal would end the process.
+	}
 	return RunOn(ctx, netx.TCP{}, args, stdout, stderr)
 }
 
+// reloadRequests receives the signals to the gateway to read its settings again.
+var reloadRequests = make(chan os.Signal, 1)
+
 // RunOn is like Run, but uses the given network and stops when ctx ends.
 func RunOn(ctx context.Context, network netx.Network, args []string, stdout, stderr io.Writer) int {
 	return newApp(stdout, stderr, network).execute(ctx, args)
--- a/flamingospar/command/gateway.go
+++ b/flamingospar/command/gateway.go
@@ -21,9 +21,12 @@
 
 var errNoSettingsFile = errors.New("no settings file is given; remedy: set " + site.SettingsVariable + " or give --settings")
 
+// gatewayCommand is the name of the command that runs an entry process of the users' VMs.
+const gatewayCommand = "gateway"
+
 func (a *app) addGateway() {
-	options := node.Options{SettingsPath: os.Getenv(site.SettingsVariable), MetricsPort: defaultMetricsPort}
-	sub := addCommand(a.parser, "gateway", "Run the entry process of one of the users' VMs.", "FLAMINGOSPAR_NODE_FILE=settings.toml flamingospar gateway")
+	options := node.Options{SettingsPath: os.Getenv(site.SettingsVariable), MetricsPort: defaultMetricsPort, Reload: reloadRequests}
+	sub := addCommand(a.parser, gatewayCommand, "Run the entry process of one of the users' VMs.", "FLAMINGOSPAR_NODE_FILE=settings.toml flamingospar gateway")
 	sub.String(&options.SettingsPath, "s", "settings", "settings file of the VM; "+site.SettingsVariable+" sets the default")
 	check, deploy := false, ""
 	sub.Bool(&check, "", "check", "check the settings file and exit")
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -66,6 +66,9 @@
 type Options struct {
 	SettingsPath string
 	MetricsPort  int // Port for metrics on the VM's address; 0 for none.
+	// Reload receives the signals to read the settings again. If it is nil, the process asks for
+	// them when it runs; one that comes before ends the process.
+	Reload chan os.Signal
 	// Now is the clock of the rate limits of endpoints and of the exchange with other
 	// processes, which decides who shares them out; time.Now if nil.
 	Now func() time.Time
@@ -195,9 +198,11 @@
 }
 
 func (n *Node) run(ctx context.Context) error {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-
+	reload := n.options.Reload
+	if reload == nil {
+		reload = make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
+	}
 	servers, err := n.openServers(ctx)
 	if err != nil {
 		return err
--- a/gateway/relay/start.go
+++ b/gateway/relay/start.go
@@ -23,7 +23,8 @@
 // tells the software of one start. A stream that others began goes on only if it is certain.
 func (s *stream) startQuestion(endpoint site.Endpoint) *transport.StartQuestion {
 	goesOn, relay := s.version != "", s.relay
-	return &transport.StartQuestion{Endpoint: endpoint.ID, Check: func(startedMS int64) error {
+	mayAsk := func() bool { return relay.Limits.Take(endpoint.ID) } // A question counts as a request.
+	return &transport.StartQuestion{Endpoint: endpoint.ID, MayAsk: mayAsk, Check: func(startedMS int64) error {
 		switch {
 		case startedMS == 0 && goesOn:
 			relay.Meter.Count("stream_versions", "start_unknown")
--- a/gateway/soak/harness_test.go
+++ b/gateway/soak/harness_test.go
@@ -64,6 +64,9 @@
 	storeProxy *proxy
 
 	restarting sync.Mutex
+	// up is set while the process answers checks. One that has just been started ends by any
+	// signal, before it can ask for it.
+	up atomic.Bool
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -270,6 +273,7 @@
 	cmd, log := p.cmd, p.log
 	p.mu.Unlock()
 	_ = cmd.Wait() // Reports the signal as an error.
+	p.up.Store(false)
 	startedProcesses.remove(cmd.Process)
 	log.Close()
 }
--- a/gateway/transport/pool.go
+++ b/gateway/transport/pool.go
@@ -85,12 +85,24 @@
 // the same ID: a response that bears the ID might be that to the earlier request. A request with a
 // question takes one on which it was answered, unless the endpoint does not answer it.
 func (p *Pool) popIdle(address string, request Request) *conn {
-	answered := request.Start != nil && !p.isUnanswering(address)
+	usable := func(c *conn) bool { return !c.carried.has(request.ID) }
+	if request.Start == nil {
+		return p.popLast(address, usable)
+	}
+	c := p.popLast(address, func(c *conn) bool { return usable(c) && c.asked })
+	if c == nil && p.isUnanswering(address) {
+		c = p.popLast(address, usable)
+	}
+	return c
+}
+
+// popLast takes the idle connection that was used last among those that fit, or returns nil.
+func (p *Pool) popLast(address string, fits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	for i := len(idle) - 1; i >= 0; i-- {
-		if c := idle[i]; !c.carried.has(request.ID) && (!answered || c.asked) {
+		if c := idle[i]; fits(c) {
 			p.idle[address] = slices.Delete(idle, i, i+1)
 			return c
 		}
--- a/gateway/transport/start.go
+++ b/gateway/transport/start.go
@@ -28,6 +28,8 @@
 // outlive the process that accepted it, so it is asked once on each, before the first request.
 type StartQuestion struct {
 	Endpoint string // Its ID.
+	// MayAsk, if set, reports whether the endpoint may be sent the question.
+	MayAsk func() bool
 	// Check decides whether the request may be sent to the start at the given Unix millisecond,
 	// 0 if it is not known. Its error, which wraps ErrNotSent, ends the call.
 	Check func(startedMS int64) error
@@ -45,7 +47,7 @@
 // does not answer it is connected to without it.
 func (p *Pool) dialFor(ctx context.Context, address string, request Request) (*conn, error) {
 	c, err := p.dial(ctx, address)
-	if err != nil || request.Start == nil || p.isUnanswering(address) {
+	if err != nil || request.Start == nil || p.isUnanswering(address) || !request.Start.mayAsk() {
 		return c, err
 	}
 	if p.OnAsked != nil {
@@ -57,10 +59,15 @@
 		return c, nil
 	}
 	c.Close()
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // The caller has left; the endpoint may have answered.
+	}
 	p.noteUnanswering(address)
 	return p.dial(ctx, address)
 }
 
+func (q *StartQuestion) mayAsk() bool { return q.MayAsk == nil || q.MayAsk() }
+
 // askStart reads the report of the endpoint that a new connection leads to. The connection can be
 // used after it if the error is nil or errStartUnknown.
 func (c *conn) askStart(ctx context.Context, request Request) error {
--- a/gateway/transport/start_test.go
+++ b/gateway/transport/start_test.go
@@ -147,3 +147,47 @@
 		}()
 	}
 }
+
+// Guards against an endpoint that is taken for one that does not answer since the caller of a request
+// left while it was asked.
+func TestEndpointIsAskedAgainAfterACallerHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() }) // The test is over.
+	go serveReports(listener, "", false)
+	pool := transport.NewPool()
+	asked, unanswered := 0, 0
+	pool.OnAsked, pool.OnUnanswered = func() { asked++ }, func() { unanswered++ }
+	var told []int64
+	for i := range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err = pool.Send(ctx, listener.Addr().String(), asking(fmt.Sprint(i), &told, nil))
+		cancel()
+		require.ErrorIs(t, err, transport.ErrNotSent)
+	}
+	require.Equal(t, 2, asked)
+	require.Zero(t, unanswered)
+	require.Empty(t, told)
+}
+
+// Guards against a connection whose start is known that is left idle, since its endpoint did not
+// answer on another one.
+func TestConnectionWhoseStartIsKnownIsUsedFirst(t *testing.T) {
+	e := sitetest.NewEndpoint(t, "e", nil)
+	pool := transport.NewPool()
+	var told []int64
+	known, err := pool.Send(t.Context(), e.Address, asking("known", &told, nil))
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, known)
+	require.NoError(t, err)
+	plain := asking("plain", &told, nil)
+	plain.Start = nil
+	unknown, err := pool.Send(t.Context(), e.Address, plain)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, unknown)
+	require.NoError(t, err)
+	known.Close()
+	unknown.Close() // It was used last.
+	require.EqualValues(t, 1, sendAll(t, pool, e.Address, asking("next", &told, nil)).StartedMS)
+	require.Len(t, told, 2)
+}
