--- a/core/worktime/worktime.go
+++ b/core/worktime/worktime.go
@@ -1,5 +1,5 @@
-// Package worktime keeps how long requests lasted of late, and decides whether another one
-// like them can be expected to end by a given time.
+// Package worktime keeps how long the longest requests of each kind lasted of late, from which it
+// can be told whether another one may end by a given time.
 package worktime
 
 import "time"
