Stops: the longest of few requests says little of the next

Cause: their processes had started some seconds before and had seen few streams, short ones, and the longest of these was taken for a measure of all.

Change: the longest of n requests counts 1 + 30/n times, beside the factor for what may be repeated or not. Lines of gateway/stopping state how many requests are known (requests_known in place of longest_known).

The tests of gateway/node on stops pass, -race -cpu 1.

--- a/core/worktime/worktime.go
+++ b/core/worktime/worktime.go
@@ -11,33 +11,40 @@
 // Kind is a kind of requests that are expected to last alike.
 type Kind struct{ Service, Route string }
 
+// Lasted is how long requests of a kind lasted of late. The zero Lasted tells of none.
+type Lasted struct {
+	Longest time.Duration
+	Count   int // Of requests.
+}
+
+func (l Lasted) add(other Lasted) Lasted {
+	return Lasted{Longest: max(l.Longest, other.Longest), Count: l.Count + other.Count}
+}
+
 // Times holds the longest requests of each kind. The zero Times knows none. It is not safe for
 // concurrent use.
 type Times struct {
 	begun           time.Time // When the current window began.
-	current, former map[Kind]time.Duration
+	current, former map[Kind]Lasted
 }
 
 // Record records a request that lasted for a time.
 func (t *Times) Record(now time.Time, kind Kind, lasted time.Duration) {
 	t.turn(now)
 	for _, k := range []Kind{kind, ofService(kind)} {
-		t.current[k] = max(t.current[k], lasted)
+		t.current[k] = t.current[k].add(Lasted{Longest: lasted, Count: 1})
 	}
 }
 
-// Longest returns how long the longest request of a kind lasted of late, or that of its service
-// if there was none of the kind. ok is false if there was none at all.
-func (t *Times) Longest(now time.Time, kind Kind) (lasted time.Duration, ok bool) {
+// Of returns how long the requests of a kind lasted of late, or those of its service if there were
+// none of the kind.
+func (t *Times) Of(now time.Time, kind Kind) Lasted {
 	t.turn(now)
-	for _, k := range []Kind{kind, ofService(kind)} {
-		current, inCurrent := t.current[k]
-		former, inFormer := t.former[k]
-		if inCurrent || inFormer {
-			return max(current, former), true
-		}
+	if own := t.current[kind].add(t.former[kind]); own.Count > 0 {
+		return own
 	}
-	return 0, false
+	service := ofService(kind)
+	return t.current[service].add(t.former[service])
 }
 
 // ofService returns the kind that stands for all routes of a service.
@@ -53,5 +60,5 @@
 	if age >= 2*window {
 		t.former = nil
 	}
-	t.begun, t.current = now, make(map[Kind]time.Duration)
+	t.begun, t.current = now, make(map[Kind]Lasted)
 }
--- a/core/worktime/worktime_test.go
+++ b/core/worktime/worktime_test.go
@@ -19,18 +19,14 @@
 // kind of request would be taken to last as long as the longest one of its service.
 func TestLongestOfTheRouteCountsBeforeThatOfTheService(t *testing.T) {
 	var times worktime.Times
-	_, ok := times.Longest(start, long)
-	require.False(t, ok)
+	require.Zero(t, times.Of(start, long))
 	times.Record(start, long, 3*time.Second)
 	times.Record(start, long, time.Second)
 	times.Record(start, short, 20*time.Millisecond)
-	for route, want := range map[string]time.Duration{"long": 3 * time.Second, "short": 20 * time.Millisecond, "other": 3 * time.Second} {
-		got, ok := times.Longest(start, worktime.Kind{Service: "model", Route: route})
-		require.True(t, ok, route)
-		require.Equal(t, want, got, route)
+	for route, want := range map[string]worktime.Lasted{"long": {Longest: 3 * time.Second, Count: 2}, "short": {Longest: 20 * time.Millisecond, Count: 1}, "other": {Longest: 3 * time.Second, Count: 3}} {
+		require.Equal(t, want, times.Of(start, worktime.Kind{Service: "model", Route: route}), route)
 	}
-	_, ok = times.Longest(start, worktime.Kind{Service: "other", Route: "long"})
-	require.False(t, ok)
+	require.Zero(t, times.Of(start, worktime.Kind{Service: "other", Route: "long"}))
 }
 
 // A long request counts for 30 to 60 s: one that was long in an overload must not count for ever.
@@ -39,12 +35,9 @@
 	times.Record(start, long, 3*time.Second)
 	for after, want := range map[time.Duration]bool{29 * time.Second: true, 59 * time.Second: true, 61 * time.Second: false} {
 		aged := times
-		_, ok := aged.Longest(start.Add(after), long)
-		require.Equal(t, want, ok, after)
+		require.Equal(t, want, aged.Of(start.Add(after), long).Count > 0, after)
 	}
 	times.Record(start.Add(31*time.Second), long, time.Second)
-	got, _ := times.Longest(start.Add(59*time.Second), long)
-	require.Equal(t, 3*time.Second, got)
-	got, _ = times.Longest(start.Add(61*time.Second), long)
-	require.Equal(t, time.Second, got)
+	require.Equal(t, worktime.Lasted{Longest: 3 * time.Second, Count: 2}, times.Of(start.Add(59*time.Second), long))
+	require.Equal(t, worktime.Lasted{Longest: time.Second, Count: 1}, times.Of(start.Add(61*time.Second), long))
 }
--- a/gateway/stopping/stopping.go
+++ b/gateway/stopping/stopping.go
@@ -28,8 +28,17 @@
 const (
 	repeatableFactor    = 2
 	nonRepeatableFactor = 3
+	// fewRequests is the number of requests whose longest one counts twice: fewer say little about
+	// how long the next one may last, and the longest of them counts for more.
+	fewRequests = 30
 )
 
+// mayLast returns how long a request may last, by those like it.
+func mayLast(like worktime.Lasted, factor int) time.Duration {
+	unsure := 1 + float64(fewRequests)/float64(like.Count)
+	return time.Duration(float64(factor) * unsure * float64(like.Longest))
+}
+
 // Times of a caller that is refused: other processes can take its request at once.
 const (
 	minRetryAfter    = 10 * time.Millisecond
@@ -101,7 +110,7 @@
 // MayBegin reports whether a request that has just arrived can be expected to have its whole
 // answer before all answers end.
 func (g *Gate) MayBegin(r Request) bool {
-	factor := time.Duration(nonRepeatableFactor)
+	factor := nonRepeatableFactor
 	if r.Repeatable {
 		factor = repeatableFactor
 	}
@@ -113,7 +122,7 @@
 func (g *Gate) MayGoOn(r Request) bool { return g.decide(r, 1) }
 
 // decide reports whether a request may last for the factor times the longest one of its kind.
-func (g *Gate) decide(r Request, factor time.Duration) bool {
+func (g *Gate) decide(r Request, factor int) bool {
 	if g == nil {
 		return true
 	}
@@ -124,14 +133,14 @@
 		return true
 	}
 	now := time.Now()
-	longest, known := g.times.Longest(now, r.Kind)
+	like := g.times.Of(now, r.Kind)
 	g.mu.Unlock()
-	if known && !now.Add(factor*longest).After(answersBy) {
+	if like.Count > 0 && !now.Add(mayLast(like, factor)).After(answersBy) {
 		return true
 	}
 	if ok, omitted := g.lines.Allow("", maxLinesPerSec); ok {
 		log.Info("A request may outlast this process, which stops, and is not sent.", "request", r.ID, "service", r.Kind.Service, "route", r.Kind.Route, "repeatable", r.Repeatable,
-			"answers_end_in_ms", answersBy.Sub(now).Milliseconds(), "time_limit_in_ms", r.Deadline.Sub(now).Milliseconds(), "longest_known", known, "longest_ms", longest.Milliseconds(), "factor", int64(factor), "lines_omitted", omitted)
+			"answers_end_in_ms", answersBy.Sub(now).Milliseconds(), "time_limit_in_ms", r.Deadline.Sub(now).Milliseconds(), "requests_known", like.Count, "longest_ms", like.Longest.Milliseconds(), "factor", factor, "lines_omitted", omitted)
 	}
 	return false
 }
