Tests of orders: their engines answer reports themselves

Since the stand-ins of engines answer reports, those of the stage planner's tests no longer gave the ones that the tests are about, and five tests of gateway/duties failed. They say now that they answer reports themselves; what is checked is as before.

Measured: the five tests fail without and pass with it, go test -race -cpu 1 ./gateway/duties.

--- a/gateway/duties/stages_test.go
+++ b/gateway/duties/stages_test.go
@@ -46,6 +46,7 @@
 		w.WriteHeader(e.orderStatus)
 	}
 	e.endpoint = sitetest.NewEndpoint(t, id, sitetest.NewRateLimited(limit, serve).Serve)
+	e.endpoint.OwnReports.Store(true)
 	return e
 }
 
--- a/gateway/duties/statements_test.go
+++ b/gateway/duties/statements_test.go
@@ -20,7 +20,9 @@
 		}
 		w.WriteHeader(http.StatusAccepted)
 	})
-	return &prefillEngine{endpoint: sitetest.NewEndpoint(t, id, s.Serve), orderStatus: http.StatusAccepted}, s
+	e := &prefillEngine{endpoint: sitetest.NewEndpoint(t, id, s.Serve), orderStatus: http.StatusAccepted}
+	e.endpoint.OwnReports.Store(true)
+	return e, s
 }
 
 // plannerThatObserves is like planner and applies what engines say of themselves.
