--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -56,6 +56,9 @@
 	return e
 }
 
+// wrapListener, if set, stands between an engine and its connections.
+var wrapListener func(e *engine, inner net.Listener) net.Listener
+
 // begin starts a new incarnation.
 func (e *engine) begin() {
 	e.born = time.Now().UnixMilli()
@@ -63,6 +66,9 @@
 	if err != nil {
 		fail("engine %s: %v", e.id, err)
 	}
+	if wrapListener != nil {
+		listener = wrapListener(e, listener)
+	}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -60,6 +60,8 @@
 // cases are the cases by name.
 var cases = map[string]func(dir string, r *recorder, trouble bool) int{
 	"manyparts": runManyParts,
+	"sameparts": runSameParts,
+	"spoiled":   runSpoiled,
 }
 
 func main() {
--- a/review/standin-2/manyparts.go
+++ b/review/standin-2/manyparts.go
@@ -15,7 +15,6 @@
 const (
 	manyPartsTime    = 100 * time.Second
 	ordinaryCallers  = 12
-	troubleCallers   = 32
 	maxHeaderBytes   = 16384
 	headerLeftOver   = 700 // For the other fields of the header.
 	partEntryBytes   = len("123456:1,")
@@ -117,9 +116,26 @@
 	return text.String(), count
 }
 
-// runManyParts sends requests within all limits of the pages whose prompts have many small
-// parts. Rule Fault: processes end by themselves, memory over the limit included.
+// samePrefix returns a prompt prefix of the same part of one token many times over, and a last
+// part of its own.
+func samePrefix(number int64) (prefix string, tokens int) {
+	count := (maxHeaderBytes - headerLeftOver) / len("a:1,")
+	return strings.Repeat("a:1,", count-1) + fmt.Sprintf("%x:1", number), count
+}
+
+// runManyParts sends prompts of many small parts that no other prompt has.
 func runManyParts(dir string, r *recorder, trouble bool) int {
+	return runParts(dir, r, trouble, finePrefix, 32)
+}
+
+// runSameParts sends prompts of the same small part many times over.
+func runSameParts(dir string, r *recorder, trouble bool) int {
+	return runParts(dir, r, trouble, samePrefix, 256)
+}
+
+// runParts sends requests within all limits of the pages whose prompts have many small
+// parts. Rule Fault: processes end by themselves, memory over the limit included.
+func runParts(dir string, r *recorder, trouble bool, prefixOf func(int64) (string, int), troubleCallers int) int {
 	_, _, engines, gateways := smallSite(dir, answerStream(5, 30*time.Millisecond, 10*time.Millisecond), answerPlain(20*time.Millisecond))
 	ctx, cancel := context.WithTimeout(context.Background(), manyPartsTime)
 	defer cancel()
@@ -150,7 +166,7 @@
 			wait.Go(func() {
 				client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 				for ctx.Err() == nil {
-					prefix, tokens := finePrefix(fine.Add(1))
+					prefix, tokens := prefixOf(fine.Add(1))
 					status, _ := send(client, gateways[i%len(gateways)], http.MethodPost, "/code/x", "prompt", map[string]string{
 						"X-Api-Key": "3fexd9dnn2ctnfzs989a", "X-Deadline-Ms": "10000", "X-Model": "m", "X-Token-Count": fmt.Sprintf("%d,38", tokens), "X-Prompt-Prefix": prefix,
 					})
