--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -38,7 +38,10 @@
 	store                             *store
 	born                              int64
 	state                             string
-	seq                               int
+	seq                               int // Of the entry.
+	changing                          bool
+	orders                            int // Accepted since the start.
+	fence                             int64
 	handler                           func(e *engine, w http.ResponseWriter, r *http.Request) // Answers requests.
 	server                            *http.Server
 	stopBeats                         context.CancelFunc
@@ -73,7 +76,9 @@
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stopBeats = cancel
-	e.seq = 0
+	e.mu.Lock()
+	e.seq, e.orders, e.fence, e.changing = 0, 0, 0, false
+	e.mu.Unlock()
 	e.writeEntry()
 	go func() {
 		for {
@@ -122,7 +127,7 @@
 		w.Header().Set("X-Instance-Id", e.id)
 		w.WriteHeader(http.StatusOK)
 	case r.Method == http.MethodPost && r.URL.Path == "/order":
-		w.WriteHeader(http.StatusAccepted)
+		e.serveOrder(w, r)
 	case strings.HasPrefix(r.URL.Path, "/kv-"):
 		w.WriteHeader(http.StatusOK)
 	default:
@@ -130,10 +135,55 @@
 	}
 }
 
+// swap is the time that a change of the stage takes.
+const swap = 3 * time.Second
+
+// serveOrder carries out an order to change the stage.
+func (e *engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Op           string `json:"op"`
+		Stage        string `json:"stage"`
+		Holder       string `json:"holder"`
+		Fence        int64  `json:"fence"`
+		Precondition *int   `json:"precondition"`
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Op != "stage" || order.Holder == "" || order.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case order.Fence < e.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case e.changing || order.Precondition != nil && *order.Precondition != e.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.fence = order.Fence
+	if order.Stage == e.stage {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	e.changing = true
+	e.orders++
+	time.AfterFunc(swap, func() {
+		e.mu.Lock()
+		e.changing, e.stage = false, order.Stage
+		e.seq++
+		e.mu.Unlock()
+		e.writeEntry()
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
 func (e *engine) serveReport(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"stage": e.stage, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "seq": 0, "waiting": 0, "running": 0,
+		"stage": e.stage, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": e.changing, "seq": e.orders, "waiting": 0, "running": 0,
 		"kv_used": 0, "kv_total": 524759, "kv_handles": 0, "born": e.born,
 	})
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -62,6 +62,7 @@
 	"manyparts": runManyParts,
 	"sameparts": runSameParts,
 	"spoiled":   runSpoiled,
+	"lasttwo":   runLastTwo,
 }
 
 func main() {
