--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -16,6 +16,9 @@
 // beat is the interval at which engines write their entry.
 const beat = 1200 * time.Millisecond
 
+// missedBeats is the number of intervals of silence after which an entry is removed.
+const missedBeats = 3
+
 // arrival is a request that an engine received.
 type arrival struct {
 	at      time.Time
@@ -39,6 +42,7 @@
 	born                              int64
 	state                             string
 	seq                               int // Of the entry.
+	lastBeat                          time.Time
 	changing                          bool
 	orders                            int // Accepted since the start.
 	fence                             int64
@@ -64,7 +68,9 @@
 
 // begin starts a new incarnation.
 func (e *engine) begin() {
+	e.mu.Lock()
 	e.born = time.Now().UnixMilli()
+	e.mu.Unlock()
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		fail("engine %s: %v", e.id, err)
@@ -99,10 +105,25 @@
 func (e *engine) crash() {
 	e.stopBeats()
 	_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	born := e.born
+	time.AfterFunc(time.Until(e.lastBeat.Add(missedBeats*beat)), func() { e.lapse(born) })
+}
+
+// lapse drops the entry of an incarnation that has been silent, unless another has begun.
+func (e *engine) lapse(born int64) {
+	e.mu.Lock()
+	silent := e.born == born
+	e.mu.Unlock()
+	if silent {
+		e.store.drop("servers", e.id)
+	}
 }
 
 func (e *engine) writeEntry() {
 	e.mu.Lock()
+	e.lastBeat = time.Now()
 	entry := map[string]any{
 		"service": e.service, "addr": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": e.state, "cold_left_ms": 0, "seq": e.seq, "born": e.born,
 	}
--- a/review/standin-2/lasttwo.go
+++ b/review/standin-2/lasttwo.go
@@ -187,7 +187,13 @@
 	wait.Wait()
 	for _, e := range engines {
 		e.mu.Lock()
-		r.line("engine %s (%s, %s) got %d requests", e.id, e.version, e.stage, len(e.arrivals))
+		meanwhile := 0
+		for _, a := range e.arrivals {
+			if after := a.at.Sub(time.UnixMilli(crashedAt.Load())); after > 0 && after < lastTwoRetryTime {
+				meanwhile++
+			}
+		}
+		r.line("engine %s (%s, %s) got %d requests, %d while streams were taken up", e.id, e.version, e.stage, len(e.arrivals), meanwhile)
 		e.mu.Unlock()
 	}
 	share := float64(wentOn.Load()) / float64(max(takenUp.Load(), 1))
