Refused take-ups: count the engines of the version that is gone

Cause: the line of a request refused as version_gone named no version and no engines. A version whose engines are all lost looked like one of which engines serve that can't go on with a stream.

Change: the line has the version and the number of its engines that generate tokens, of those that are ejected, and of those that only run prefill. The counters version_gone prefill_left and no_engine_left tell both cases apart.

--- a/gateway/engines/versions.go
+++ b/gateway/engines/versions.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"flamingospar.org/core/availability"
+	"flamingospar.org/core/placement"
 )
 
 // StreamVersions knows the software versions at which streams may begin.
@@ -36,3 +37,32 @@
 	}
 	return marked
 }
+
+// VersionEngines counts the engines of one software version of a service that are listed and
+// don't leave.
+type VersionEngines struct {
+	Decode  int // Generate tokens.
+	Ejected int // Of these: failed requests or can't be reached.
+	Prefill int // Run prefill only.
+}
+
+// EnginesOfVersion counts the engines of a software version of a service.
+func (s *Selector) EnginesOfVersion(service, version string) VersionEngines {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var count VersionEngines
+	for _, engine := range s.enginesByService[service] {
+		switch {
+		case engine.Version != version || engine.PassOver(now, false).Reason == availability.Leaving:
+		case engine.Stage == placement.Prefill:
+			count.Prefill++
+		default:
+			count.Decode++
+			if engine.Health.Ejected(now) {
+				count.Ejected++
+			}
+		}
+	}
+	return count
+}
--- a/gateway/ingress/log.go
+++ b/gateway/ingress/log.go
@@ -101,6 +101,9 @@
 	if job.Caller.LastEventID != "" {
 		fields = append(fields, "last_event", job.Caller.LastEventID[:min(len(job.Caller.LastEventID), maxLoggedIDBytes)], "resumed_request", job.Caller.ResumedRequestID)
 	}
+	if gone := outcome.VersionGone; gone != nil {
+		fields = append(fields, "software", gone.Version, "software_decode", gone.Engines.Decode, "software_ejected", gone.Engines.Ejected, "software_prefill", gone.Engines.Prefill)
+	}
 	if outcome.RetryAfter > 0 {
 		fields = append(fields, "retry_in_ms", outcome.RetryAfter.Milliseconds())
 	}
--- a/gateway/relay/limits.go
+++ b/gateway/relay/limits.go
@@ -129,7 +129,7 @@
 		return s.giveUp(ctx, ReasonTooLate, placed.RetryAfter)
 	}
 	if s.version != "" && s.progress.sends == 0 && s.progress.PassedOver.Count == 0 {
-		return s.giveUp(ctx, ReasonVersionGone, max(placed.RetryAfter, goneVersionRetryAfter))
+		return s.endVersionGone(ctx, placed)
 	}
 	return s.giveUp(ctx, s.progress.reasonUnplaced(), max(placed.RetryAfter, s.relay.limitRetryAfter(s.progress)))
 }
--- a/gateway/relay/outcome.go
+++ b/gateway/relay/outcome.go
@@ -132,11 +132,20 @@
 	Level           int                // Priority level sent to the endpoint.
 	FetchedTokens   int                // Prompt tokens known to be cached at the engine to fetch from; -1 if their number is unknown.
 	PassedOver      engines.PassedOver // By the last selection.
+	// VersionGone describes the engines of the version at which the stream had to go on, if
+	// none of them could.
+	VersionGone *VersionGone
 	Timing
 
 	software map[string]string // Versions of the software of the endpoints selected, by ID.
 }
 
+// VersionGone is a software version of which no engine could go on with a stream.
+type VersionGone struct {
+	Version string
+	Engines engines.VersionEngines
+}
+
 // Timing holds the predicted and measured times of a prompt.
 type Timing struct {
 	PredictedPrefill time.Duration
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -165,7 +165,7 @@
 		outcome = respondMayHaveRun(w, job, ReasonMayHaveRun)
 	}
 	outcome.Attempts, outcome.Endpoint, outcome.PrefillEndpoint, outcome.Err = p.sends, p.Endpoint, p.PrefillEndpoint, p.Err
-	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing, outcome.PassedOver = p.Calls, p.Level, p.FetchedTokens, p.Timing, p.PassedOver
+	outcome.Calls, outcome.Level, outcome.FetchedTokens, outcome.Timing, outcome.PassedOver, outcome.VersionGone = p.Calls, p.Level, p.FetchedTokens, p.Timing, p.PassedOver, p.VersionGone
 	return outcome
 }
 
--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 )
@@ -65,6 +66,18 @@
 	return s.relay.Versions.InDoubt(id)
 }
 
+// endVersionGone ends a stream that no endpoint of its version can continue.
+func (s *stream) endVersionGone(ctx context.Context, placed engines.Placement) Outcome {
+	left := s.relay.Selector.EnginesOfVersion(s.job.Service, s.version)
+	s.progress.VersionGone = &VersionGone{Version: s.version, Engines: left}
+	stagesLeft := "no_engine_left"
+	if left.Prefill > 0 {
+		stagesLeft = "prefill_left"
+	}
+	s.relay.Meter.Count("version_gone", stagesLeft)
+	return s.giveUp(ctx, ReasonVersionGone, max(placed.RetryAfter, goneVersionRetryAfter))
+}
+
 // mayGoOnAt reports whether an endpoint is listed with the version at which the stream has to go
 // on. A standby may have begun before the version was fixed.
 func (s *stream) mayGoOnAt(endpoint site.Endpoint) bool {
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
@@ -126,3 +127,17 @@
 	require.Equal(t, "d-1", outcome.Endpoint)
 	require.Empty(t, engines["d-2"].Requests())
 }
+
+// The line of a refused take-up did not tell a version whose engines are all lost from one of which
+// engines serve that can't go on with it.
+func TestRefusedTakeUpCountsTheEnginesOfItsVersion(t *testing.T) {
+	r, _ := newVersionedRelay(t, &fakeVersions{known: map[string]string{"of-v2": "v2"}, recorded: make(map[string]string)})
+	for id, stage := range map[string]site.Stage{"d-2": site.Decode, "p-2": site.Prefill} {
+		r.Selector.EndpointChanged(site.Endpoint{ID: id, Service: "model", Address: unreachable, DataCentre: "dc-1", Slots: 8, StartedMS: 1, Stage: stage, SoftwareVersion: "v2"})
+	}
+	job := newModelJob()
+	job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "of-v2"
+	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
+	require.Equal(t, relay.ReasonVersionGone, outcome.Reason)
+	require.Equal(t, &relay.VersionGone{Version: "v2", Engines: engines.VersionEngines{Decode: 1, Ejected: 1, Prefill: 1}}, outcome.VersionGone)
+}
