Stages: each software version keeps room for its streams

What callers saw: with engines of two software versions in service, the two decode engines of one of them crashed.

Cause: the stage planner counted the engines of a service, not those of each version, so a version could be left with two decode engines, or none, and nothing was ordered as long as another version had some. A prefill engine can't go on with a stream until its stage has changed, seconds later.

Change: while a service has several versions, a version has three decode engines before it keeps a second prefill engine, ordered once its engines have been the same for 2 s. If all its decode engines fail, a prefill engine is ordered at once. Orders by load take no engine from a version that has three decode engines or less. With a single version nothing changes. The line of an order has its reason and the counts.

--- a/core/stages/stages.go
+++ b/core/stages/stages.go
@@ -6,20 +6,26 @@
 // A change takes an engine out of service for seconds, and the load shifts faster
 // than that. So engines change only while few slots are in use, a few at a time,
 // and only as many as leave enough decode engines for a shift to long answers.
+//
+// It also keeps the streams of each software version going while engines of several
+// versions serve side by side: see PlanVersions.
 package stages
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// Engine is an engine that may change its stage.
+// Engine is an engine of a service.
 type Engine struct {
 	ID         string
 	DataCentre string
-	Prefill    bool // It runs prefill only.
-	Load       int  // Number of prompts and streams known to be at the engine.
+	Version    string // Of its software.
+	Prefill    bool   // It runs prefill only, or will once it has changed its stage.
+	Load       int    // Number of prompts and streams known to be at the engine.
+	Down       bool   // It failed requests or can't be reached.
+	Changing   bool   // It was ordered to change its stage a moment ago.
+	NoOrders   bool   // It may not be sent an order now.
 }
 
 // View is a snapshot of the load on the engines of a service.
@@ -29,6 +35,7 @@
 	DecodeSlots    int           // Slots of all decode engines.
 	Streams        float64       // Running at the decode engines.
 	PrefillWait    time.Duration // Mean time until a prefill engine has processed its queue.
+	Versions       []VersionView // Of the engines' software.
 }
 
 // idle reports whether no stream runs and no prompt waits.
@@ -44,13 +51,30 @@
 	return v.Streams / max(slots, 1)
 }
 
+// Reason says why engines are ordered to change their stage.
+type Reason string
+
+// The reasons.
+const (
+	NoDecodeEngine Reason = "no_decode_engine" // The service has none left.
+	Idle           Reason = "idle"             // The service prepares for load.
+	Load           Reason = "load"             // Prompts wait, or slots are scarce.
+	// VersionLostDecode: all decode engines of a software version have failed.
+	VersionLostDecode Reason = "version_lost_decode"
+	// VersionShortOfDecode: a software version has few decode engines and could spare some of the
+	// others.
+	VersionShortOfDecode Reason = "version_short_of_decode"
+)
+
 // Order is a change of stage for a number of engines, with the measurements behind
 // it.
 type Order struct {
+	Reason      Reason
 	ToPrefill   bool
 	Count       int
 	PrefillWait time.Duration // Mean over the window.
 	SlotUse     float64       // Share of decode slots in use.
+	Version     VersionView   // The version whose engines change; zero if any may.
 }
 
 // Parameters of the decisions.
@@ -124,7 +148,7 @@
 	latest := p.samples[len(p.samples)-1]
 	view := latest.view
 	if view.DecodeEngines == 0 && view.PrefillEngines > 0 {
-		return Order{Count: share(recoveryShare, view.PrefillEngines)}, true
+		return Order{Reason: NoDecodeEngine, Count: share(recoveryShare, view.PrefillEngines)}, true
 	}
 	span := latest.at.Sub(p.samples[0].at)
 	if span >= idleWindow && p.allIdle() {
@@ -153,7 +177,7 @@
 		return Order{}, false
 	}
 	p.idleChanges += count
-	return Order{ToPrefill: true, Count: count}, true
+	return Order{Reason: Idle, ToPrefill: true, Count: count}, true
 }
 
 func (p *Planner) planToPrefill(latest sample) (Order, bool) {
@@ -163,14 +187,14 @@
 	if count < 1 {
 		return Order{}, false
 	}
-	order := Order{ToPrefill: true, Count: count, PrefillWait: p.meanPrefillWait(latest.at), SlotUse: p.peakSlotUse(count)}
+	order := Order{Reason: Load, ToPrefill: true, Count: count, PrefillWait: p.meanPrefillWait(latest.at), SlotUse: p.peakSlotUse(count)}
 	return order, order.PrefillWait >= minPrefillWait && order.SlotUse <= maxUseToPrefill
 }
 
 func (p *Planner) planToDecode(latest sample) (Order, bool) {
 	view := latest.view
 	spare := view.PrefillEngines - int(keptPrefillShare*float64(view.PrefillEngines+view.DecodeEngines)+1)
-	order := Order{Count: min(share(stepShare, view.PrefillEngines), spare), SlotUse: p.minSlotUse(latest.at)}
+	order := Order{Reason: Load, Count: min(share(stepShare, view.PrefillEngines), spare), SlotUse: p.minSlotUse(latest.at)}
 	return order, order.Count >= 1 && order.SlotUse >= minUseToDecode
 }
 
@@ -205,29 +229,3 @@
 
 // share returns the given part of n, but at least 1.
 func share(part float64, n int) int { return max(int(part*float64(n)), 1) }
-
-// Choose returns the engines that carry out an order. It prefers data centres with
-// the largest surplus of engines in the stage to leave, and within them the least
-// loaded engines.
-func Choose(order Order, engines []Engine) []Engine {
-	surplus := make(map[string]int)
-	var candidates []Engine
-	for _, engine := range engines {
-		if engine.Prefill == order.ToPrefill {
-			surplus[engine.DataCentre]--
-			continue
-		}
-		surplus[engine.DataCentre]++
-		candidates = append(candidates, engine)
-	}
-	var chosen []Engine
-	for range min(order.Count, len(candidates)) {
-		best := slices.MinFunc(candidates, func(a, b Engine) int {
-			return cmp.Or(cmp.Compare(surplus[b.DataCentre], surplus[a.DataCentre]), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
-		})
-		chosen = append(chosen, best)
-		surplus[best.DataCentre] -= 2 // One engine less in the old stage, one more in the new one.
-		candidates = slices.DeleteFunc(candidates, func(e Engine) bool { return e.ID == best.ID })
-	}
-	return chosen
-}
--- a/gateway/duties/stages.go
+++ b/gateway/duties/stages.go
@@ -57,8 +57,9 @@
 	Handover        *HandoverGuard
 
 	planners         map[string]*stages.Planner
-	serviceNotBefore map[string]time.Time // Time of the next possible order, by service.
-	engineNotBefore  map[string]time.Time // Time of the next possible order, by engine.
+	serviceNotBefore map[string]time.Time  // Time of the next possible order, by service.
+	engineNotBefore  map[string]time.Time  // Time of the next possible order, by engine.
+	orderedStages    map[string]site.Stage // Of the last order, by engine.
 	// fencedEpoch is the newest epoch in which an engine refused an order because
 	// another holder had sent it one with a higher fencing token.
 	fencedEpoch int64
@@ -78,6 +79,7 @@
 		p.planners = make(map[string]*stages.Planner)
 		p.serviceNotBefore = make(map[string]time.Time)
 		p.engineNotBefore = make(map[string]time.Time)
+		p.orderedStages = make(map[string]site.Stage)
 	}
 	if p.planners[service] == nil {
 		p.planners[service] = &stages.Planner{}
@@ -87,24 +89,41 @@
 
 func (p *StagePlanner) step(ctx context.Context, service string) {
 	planner := p.planner(service)
-	view, list := p.Balancer.StageView(service)
+	view, _ := p.Balancer.StageView(service)
+	list := p.Balancer.StageEngines(service)
 	now := time.Now()
+	p.markOrdered(now, list)
+	view.Versions = stages.CountVersions(list)
 	planner.Observe(now, view)
 	fence, held := p.Lease.Fence()
 	epoch := int64(fence.Term.Row.Epoch)
 	if !held || epoch <= p.fencedEpoch || !p.Handover.MayAct(epoch) || now.Before(p.serviceNotBefore[service]) || p.FleetAge() > maxFleetAge {
 		return
 	}
-	order, ok := planner.Plan()
-	if !ok {
+	orders := plan(planner)
+	if len(orders) == 0 {
 		return
 	}
 	downtime := p.downtime(service)
 	p.serviceNotBefore[service] = now.Add(downtime)
 	planner.DropSamples()
-	for _, engine := range stages.Choose(order, p.available(now, list)) {
-		p.sendOrder(ctx, engine.ID, order, downtime, fence)
+	for _, order := range orders {
+		for _, engine := range stages.Choose(order, list) {
+			p.sendOrder(ctx, engine.ID, order, downtime, fence)
+		}
+	}
+}
+
+// plan returns the changes that a planner calls for. Those that keep the streams of software
+// versions going come before those that follow the load.
+func plan(planner *stages.Planner) []stages.Order {
+	if orders := planner.PlanVersions(); len(orders) > 0 {
+		return orders
+	}
+	if order, ok := planner.Plan(); ok {
+		return []stages.Order{order}
 	}
+	return nil
 }
 
 // downtime returns how long an engine is unavailable while it changes its stage.
@@ -116,15 +135,22 @@
 	return change + stageDrainTime
 }
 
-// available returns the engines to which an order may be sent now.
-func (p *StagePlanner) available(now time.Time, list []stages.Engine) []stages.Engine {
-	available := make([]stages.Engine, 0, len(list))
-	for _, engine := range list {
+// markOrdered marks the engines that were ordered a moment ago: they get no other order. Their
+// entries state the former stage until the change is complete.
+func (p *StagePlanner) markOrdered(now time.Time, list []stages.Engine) {
+	for i := range list {
+		engine := &list[i]
 		if !now.Before(p.engineNotBefore[engine.ID]) {
-			available = append(available, engine)
+			delete(p.orderedStages, engine.ID)
+			continue
+		}
+		engine.NoOrders = true
+		if ordered, ok := p.orderedStages[engine.ID]; ok {
+			ordersPrefill := ordered == site.Prefill
+			engine.Changing = engine.Prefill != ordersPrefill
+			engine.Prefill = ordersPrefill
 		}
 	}
-	return available
 }
 
 // sendOrder orders one engine to change its stage. The number of orders that the
@@ -168,11 +194,15 @@
 	}
 	epoch := int64(fence.Term.Row.Epoch)
 	p.Handover.RecordAction(epoch)
+	p.orderedStages[id] = stage
 	err = p.Endpoints.SetStage(ctx, endpoint, stage, site.DutyHolder{VM: p.Holder, FencingToken: epoch}, report.AcceptedOrders)
 	fields := []any{
-		"endpoint", id, "stage", string(stage), "epoch", epoch, "orders_before", report.AcceptedOrders,
+		"endpoint", id, "stage", string(stage), "reason", string(order.Reason), "epoch", epoch, "orders_before", report.AcceptedOrders,
 		"wait_ms", order.PrefillWait.Milliseconds(), "slots_in_use", order.SlotUse, "fleet_age_ms", p.FleetAge().Milliseconds(),
 	}
+	if order.Version.Version != "" {
+		fields = append(fields, "software", order.Version.Version, "software_decode", order.Version.DecodeEngines, "software_decode_up", order.Version.DecodeUp, "software_prefill", order.Version.PrefillEngines)
+	}
 	p.recordOrderResult(id, epoch, err)
 	if err != nil {
 		stageLog.Error(err, "Could not confirm that an engine accepted the order to change its stage.", fields...)
--- a/gateway/duties/stages_test.go
+++ b/gateway/duties/stages_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,9 @@
 	endpoint *sitetest.Endpoint
 
 	orderStatus int // HTTP status of the response to an order.
+	// reportsChange has the engine report that an order is in progress once it has got one.
+	reportsChange bool
+	changing      atomic.Bool
 }
 
 func newPrefillEngine(t *testing.T, id string) *prefillEngine { return newLimitedEngine(t, id, 0) }
@@ -40,9 +44,10 @@
 	e := &prefillEngine{orderStatus: http.StatusAccepted}
 	serve := func(w http.ResponseWriter, request *http.Request) {
 		if strings.HasSuffix(request.URL.Path, "/report") {
-			fmt.Fprint(w, `{"stage":"prefill","busy":false,"seq":2,"waiting":0,"running":0}`)
+			fmt.Fprintf(w, `{"stage":"prefill","busy":%t,"seq":2,"waiting":0,"running":0}`, e.changing.Load())
 			return
 		}
+		e.changing.Store(e.reportsChange)
 		w.WriteHeader(e.orderStatus)
 	}
 	e.endpoint = sitetest.NewEndpoint(t, id, sitetest.NewRateLimited(limit, serve).Serve)
--- /dev/null
+++ b/gateway/duties/versionreserve_test.go
@@ -0,0 +1,99 @@
+package duties
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingospar.org/gateway/engines"
+	"flamingospar.org/platform/site"
+)
+
+// reserveTime is the time in which a version has its reserve ordered, with a margin.
+const reserveTime = 4 * time.Second
+
+// listEngine adds an engine of a software version to a planner's list.
+func listEngine(p *StagePlanner, id, address, version string, stage site.Stage) {
+	p.Balancer.EndpointChanged(site.Endpoint{ID: id, Service: "model", Address: address, DataCentre: "dc-1", Slots: 8, Stage: stage, StartedMS: 1, SoftwareVersion: version})
+}
+
+// plannerOfTwoVersions returns the planner of a fleet of nine engines. Version v1 has two decode
+// engines and, as given, two prefill engines.
+func (f *fixture) plannerOfTwoVersions(holder string, prefillEngines ...*prefillEngine) *StagePlanner {
+	p := f.planner(holder)
+	for _, e := range prefillEngines {
+		listEngine(p, e.endpoint.ID, e.endpoint.Address, "v1", site.Prefill)
+	}
+	for id, version := range map[string]string{"d1": "v1", "d2": "v1", "d3": "v2", "d4": "v2", "d5": "v2"} {
+		listEngine(p, id, "127.0.0.1:1", version, site.Decode)
+	}
+	for _, id := range []string{"p3", "p4"} {
+		listEngine(p, id, "127.0.0.1:1", "v2", site.Prefill)
+	}
+	return p
+}
+
+// stepFor runs steps of planners for a time, or until an order has arrived.
+func stepFor(t *testing.T, span time.Duration, arrived func() bool, planners ...*StagePlanner) {
+	for end := time.Now().Add(span); time.Now().Before(end) && !arrived(); {
+		for _, p := range planners {
+			p.step(t.Context(), "model")
+		}
+		time.Sleep(sampleInterval)
+	}
+}
+
+// A software version had two decode engines and two prefill engines. When the former two crashed, its
+// streams were refused wherever they were taken up: no order had made room for that before.
+func TestVersionWithTwoDecodeEnginesGetsAThird(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	orders := func() []stageOrder { return append(e1.receivedOrders(t), e2.receivedOrders(t)...) }
+	stepFor(t, reserveTime, func() bool { return len(orders()) > 0 }, p)
+	require.Equal(t, []stageOrder{{Op: "stage", Stage: "decode", Holder: "vm-1", Fence: 1, Precondition: 2}}, orders())
+	stepFor(t, time.Second, func() bool { return len(orders()) > 1 }, p)
+	require.Len(t, orders(), 1, "a second order was sent during the stage change")
+}
+
+// All decode engines of a version crash. One of its prefill engines is ordered at once, though the
+// other version serves.
+func TestVersionWithoutDecodeEnginesGetsOneAtOnce(t *testing.T) {
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	p.step(t.Context(), "model")
+	for _, id := range []string{"d1", "d2"} {
+		p.Balancer.RecordResult(id, engines.Unreachable)
+	}
+	p.step(t.Context(), "model")
+	orders := append(e1.receivedOrders(t), e2.receivedOrders(t)...)
+	require.Len(t, orders, 1)
+	require.Equal(t, "decode", orders[0].Stage)
+}
+
+// The holder of the lease stopped after its order, and so did the next one: the third ordered another
+// engine of the version while the first still changed its stage.
+func TestHoldersOneAfterTheOtherOrderOneEngine(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	e1.reportsChange, e2.reportsChange = true, true
+	var planners []*StagePlanner
+	for _, holder := range []string{"vm-1", "vm-2", "vm-3"} {
+		planners = append(planners, f.plannerOfTwoVersions(holder, e1, e2))
+	}
+	orders := func() []stageOrder { return append(e1.receivedOrders(t), e2.receivedOrders(t)...) }
+	stepFor(t, reserveTime, func() bool { return len(orders()) > 0 }, planners...)
+	require.Len(t, orders(), 1)
+	for i, p := range planners[1:] {
+		planners[i].Lease.Release(t.Context())
+		p.Lease.Step(t.Context())
+		_, held := p.Lease.Fence()
+		require.True(t, held)
+		p.step(t.Context(), "model")
+		require.Len(t, orders(), 1, p.Holder)
+	}
+}
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -43,7 +43,7 @@
 		}
 		isPrefill := engine.Stage == placement.Prefill
 		if !passedOver.Binding() {
-			list = append(list, stages.Engine{ID: engine.ID, DataCentre: engine.DataCentre, Prefill: isPrefill, Load: engine.Running() + engine.PendingCount()})
+			list = append(list, stageEngine(engine))
 		}
 		if isPrefill {
 			view.PrefillEngines++
@@ -60,6 +60,32 @@
 	return view, list
 }
 
+func stageEngine(engine *placement.Engine) stages.Engine {
+	return stages.Engine{
+		ID: engine.ID, DataCentre: engine.DataCentre, Version: engine.Version, Prefill: engine.Stage == placement.Prefill, Load: engine.Running() + engine.PendingCount(),
+	}
+}
+
+// StageEngines returns the engines of a service that don't leave. Those that are down or
+// passed over for a time that they state themselves get no orders.
+func (s *Selector) StageEngines(service string) []stages.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	list := make([]stages.Engine, 0, len(s.enginesByService[service]))
+	for _, engine := range s.enginesByService[service] {
+		passedOver := engine.PassOver(now, s.Limits.Limited(engine.ID)).Reason
+		if passedOver == availability.Leaving {
+			continue
+		}
+		listed := stageEngine(engine)
+		listed.Down = engine.Health.Ejected(now)
+		listed.NoOrders = listed.Down || passedOver.Binding()
+		list = append(list, listed)
+	}
+	return list
+}
+
 // peerLoadFactor returns the factor from the known loads to those of all processes,
 // on the assumption that the processes without a recent report send as much as the
 // others. In a large fleet a process receives reports from some of its peers only.
