Stages: a single failure of each decode engine orders no replacement

Cause: a version counted as having lost its decode engines as soon as all were ejected, which a single failure does for 0.5 s.

Change: the order waits until none has answered for 0.75 s.

--- a/core/stages/versions.go
+++ b/core/stages/versions.go
@@ -21,6 +21,9 @@
 	// versionWindow is how long the engines of a version must have been the same before some
 	// change their stage. While a release goes on, the next engine may make up for what is missing.
 	versionWindow = 2 * time.Second
+	// lostDecodeWindow is how long no decode engine of a version must have answered before a prefill
+	// engine takes its place. It is longer than an endpoint is ejected after a single failure.
+	lostDecodeWindow = 750 * time.Millisecond
 )
 
 // VersionView counts the engines of one software version of a service.
@@ -87,23 +90,23 @@
 	for _, version := range versions {
 		switch {
 		case version.PrefillEngines == 0:
-		case version.lostDecode():
+		case version.lostDecode() && p.held(lostDecodeWindow, version.Version, VersionView.lostDecode):
 			orders = append(orders, Order{Reason: VersionLostDecode, Version: version, Count: share(recoveryShare, version.PrefillEngines)})
-		case version.missingDecode() > 0 && p.unchanged(version):
+		case version.missingDecode() > 0 && p.held(versionWindow, version.Version, version.sameEngines):
 			orders = append(orders, Order{Reason: VersionShortOfDecode, Version: version, Count: version.missingDecode()})
 		}
 	}
 	return orders
 }
 
-// unchanged reports whether a version has had the same engines for versionWindow.
-func (p *Planner) unchanged(version VersionView) bool {
+// held reports whether a condition has held for a version throughout a window.
+func (p *Planner) held(window time.Duration, version string, condition func(VersionView) bool) bool {
 	latest := p.samples[len(p.samples)-1].at
-	if latest.Sub(p.samples[0].at) < versionWindow {
+	if latest.Sub(p.samples[0].at) < window {
 		return false
 	}
 	return !slices.ContainsFunc(p.samples, func(s sample) bool {
-		return latest.Sub(s.at) <= versionWindow && !slices.ContainsFunc(s.view.Versions, version.sameEngines)
+		return latest.Sub(s.at) <= window && !slices.ContainsFunc(s.view.Versions, func(v VersionView) bool { return v.Version == version && condition(v) })
 	})
 }
 
