Take-ups of a version that is gone: return when an engine may be back

What callers saw: a take-up that no engine of its version could go on with was refused with a Retry-After of 0.7 to 1.0 s, while engines that crash are away for two seconds and more. A caller that returns once was refused twice.

Cause: a fixed time, which the time left to the caller did not enter.

Change: a third of the time left, which is as long as callers wait, 0.7 s at least and 4 s at most (core/outage, without a network).

Result: TestCallersOfACrashedVersionAreNotToldToReturnBeforeItIsBack failed before (843 ms where 2 s are needed). Where the room that each version keeps is enough, no caller gets this answer; no play has measured it.

--- a/gateway/relay/version.go
+++ b/gateway/relay/version.go
@@ -6,15 +6,12 @@
 	"slices"
 	"time"
 
+	"flamingospar.org/core/outage"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/streamversions"
 	"flamingospar.org/platform/site"
 )
 
-// goneVersionRetryAfter is the least Retry-After time of a caller for whose stream no endpoint
-// of its version is left: one may start again.
-const goneVersionRetryAfter = 700 * time.Millisecond
-
 // StreamVersions knows the versions of the engines' software that began streams.
 type StreamVersions interface {
 	// RecordStreamAt records that a stream begins at an endpoint.
@@ -75,7 +72,8 @@
 		stagesLeft = "prefill_left"
 	}
 	s.relay.Meter.Count("version_gone", stagesLeft)
-	return s.giveUp(ctx, ReasonVersionGone, max(placed.RetryAfter, goneVersionRetryAfter))
+	retryAfter := outage.RetryAfterCrash(s.job.remaining(time.Now()), retryAfterJitter)
+	return s.giveUp(ctx, ReasonVersionGone, max(placed.RetryAfter, retryAfter))
 }
 
 // mayGoOnAt reports whether an endpoint is listed with the version at which the stream has to go
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -128,16 +128,33 @@
 	require.Empty(t, engines["d-2"].Requests())
 }
 
-// The line of a refused take-up did not tell a version whose engines are all lost from one of which
-// engines serve that can't go on with it.
-func TestRefusedTakeUpCountsTheEnginesOfItsVersion(t *testing.T) {
+// newStrandedTakeUp returns a relay and a job that takes up a stream of a version whose decode engine
+// can't be reached and whose prefill engine is listed.
+func newStrandedTakeUp(t *testing.T) (*relay.Relay, *relay.Job) {
 	r, _ := newVersionedRelay(t, &fakeVersions{known: map[string]string{"of-v2": "v2"}, recorded: make(map[string]string)})
 	for id, stage := range map[string]site.Stage{"d-2": site.Decode, "p-2": site.Prefill} {
 		r.Selector.EndpointChanged(site.Endpoint{ID: id, Service: "model", Address: unreachable, DataCentre: "dc-1", Slots: 8, StartedMS: 1, Stage: stage, SoftwareVersion: "v2"})
 	}
 	job := newModelJob()
 	job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "of-v2"
+	return r, job
+}
+
+// The line of a refused take-up did not tell a version whose engines are all lost from one of which
+// engines serve that can't go on with it.
+func TestRefusedTakeUpCountsTheEnginesOfItsVersion(t *testing.T) {
+	r, job := newStrandedTakeUp(t)
 	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
 	require.Equal(t, relay.ReasonVersionGone, outcome.Reason)
 	require.Equal(t, &relay.VersionGone{Version: "v2", Engines: engines.VersionEngines{Decode: 1, Ejected: 1, Prefill: 1}}, outcome.VersionGone)
 }
+
+// Callers whose stream no engine could go on with were told to return within a second. Engines that
+// crash are away for longer, and most callers return only once.
+func TestCallersOfACrashedVersionAreNotToldToReturnBeforeItIsBack(t *testing.T) {
+	r, job := newStrandedTakeUp(t)
+	job.Deadline = time.Now().Add(8 * time.Second)
+	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
+	require.Equal(t, relay.ReasonVersionGone, outcome.Reason)
+	require.GreaterOrEqual(t, outcome.RetryAfter, 2*time.Second)
+}
