Stages: one list of engines for orders, and a version that can't be ordered

Cause: a version that is short of decode engines and whose prefill engines may get no orders (they are down, or want no requests for a time) came first at each step, so that orders by load were never given. Seen in reading the change. Beside it, two lists of engines stood side by side.

Change: changes for versions count only if an engine can carry them out. StageView returns the load, StageEngines the engines, stages.Orderable those that may get an order; tests that looked at the list of StageView look at Orderable(StageEngines), which holds the same engines. The test of an entry that lacks its stage looks at StageEngines, which holds more: as strict or stricter. A refused order no longer counts as a change under way.

--- a/core/stages/choose.go
+++ b/core/stages/choose.go
@@ -5,6 +5,17 @@
 	"slices"
 )
 
+// Orderable returns the engines that may be sent an order now.
+func Orderable(engines []Engine) []Engine {
+	orderable := make([]Engine, 0, len(engines))
+	for _, engine := range engines {
+		if !engine.NoOrders {
+			orderable = append(orderable, engine)
+		}
+	}
+	return orderable
+}
+
 // Choose returns the engines that carry out an order. It prefers data centres with
 // the largest surplus of engines in the stage to leave, and within them the least
 // loaded engines. It leaves each software version its reserve of decode engines.
@@ -12,9 +23,9 @@
 	versions := CountVersions(engines)
 	surplus := make(map[string]int)
 	var candidates []Engine
-	for _, engine := range engines {
+	for _, engine := range Orderable(engines) {
 		switch {
-		case engine.NoOrders || order.Version.Version != "" && engine.Version != order.Version.Version:
+		case order.Version.Version != "" && engine.Version != order.Version.Version:
 		case engine.Prefill == order.ToPrefill:
 			surplus[engine.DataCentre]--
 		default:
--- a/core/stages/versions.go
+++ b/core/stages/versions.go
@@ -43,7 +43,8 @@
 // lostDecode reports whether all decode engines of the version have failed.
 func (v VersionView) lostDecode() bool { return v.DecodeEngines > 0 && v.DecodeUp == 0 }
 
-// missingDecode returns how many prefill engines should move to decode.
+// missingDecode returns how many prefill engines should move to decode. A version without decode
+// engines gets one, even if that takes its only prefill engine: this one is of no use alone.
 func (v VersionView) missingDecode() int {
 	if v.DecodeEngines == 0 {
 		return min(max(v.PrefillEngines-keptVersionPrefill, 1), minVersionDecode, v.PrefillEngines)
@@ -90,17 +91,17 @@
 	for _, version := range versions {
 		switch {
 		case version.PrefillEngines == 0:
-		case version.lostDecode() && p.held(lostDecodeWindow, version.Version, VersionView.lostDecode):
+		case version.lostDecode() && p.holdsFor(lostDecodeWindow, version.Version, VersionView.lostDecode):
 			orders = append(orders, Order{Reason: VersionLostDecode, Version: version, Count: share(recoveryShare, version.PrefillEngines)})
-		case version.missingDecode() > 0 && p.held(versionWindow, version.Version, version.sameEngines):
+		case version.missingDecode() > 0 && p.holdsFor(versionWindow, version.Version, version.sameEngines):
 			orders = append(orders, Order{Reason: VersionShortOfDecode, Version: version, Count: version.missingDecode()})
 		}
 	}
 	return orders
 }
 
-// held reports whether a condition has held for a version throughout a window.
-func (p *Planner) held(window time.Duration, version string, condition func(VersionView) bool) bool {
+// holdsFor reports whether a condition has held for a version throughout a window.
+func (p *Planner) holdsFor(window time.Duration, version string, condition func(VersionView) bool) bool {
 	latest := p.samples[len(p.samples)-1].at
 	if latest.Sub(p.samples[0].at) < window {
 		return false
@@ -110,8 +111,8 @@
 	})
 }
 
-// mayLeaveDecode reports whether a decode engine of a version may move to prefill: another version
-// serves the service too, and this one would have too few decode engines.
+// mayLeaveDecode reports whether a decode engine of a version may move to prefill. A service with a
+// single version has no reserve to keep.
 func mayLeaveDecode(versions []VersionView, version string) bool {
 	if len(versions) < 2 {
 		return true
--- a/gateway/duties/stages.go
+++ b/gateway/duties/stages.go
@@ -89,8 +89,7 @@
 
 func (p *StagePlanner) step(ctx context.Context, service string) {
 	planner := p.planner(service)
-	view, _ := p.Balancer.StageView(service)
-	list := p.Balancer.StageEngines(service)
+	view, list := p.Balancer.StageView(service), p.Balancer.StageEngines(service)
 	now := time.Now()
 	p.markOrdered(now, list)
 	view.Versions = stages.CountVersions(list)
@@ -100,28 +99,40 @@
 	if !held || epoch <= p.fencedEpoch || !p.Handover.MayAct(epoch) || now.Before(p.serviceNotBefore[service]) || p.FleetAge() > maxFleetAge {
 		return
 	}
-	orders := plan(planner)
-	if len(orders) == 0 {
+	changes := plan(planner, list)
+	if len(changes) == 0 {
 		return
 	}
 	downtime := p.downtime(service)
 	p.serviceNotBefore[service] = now.Add(downtime)
 	planner.DropSamples()
-	for _, order := range orders {
-		for _, engine := range stages.Choose(order, list) {
-			p.sendOrder(ctx, engine.ID, order, downtime, fence)
+	for _, change := range changes {
+		for _, engine := range change.engines {
+			p.sendOrder(ctx, engine.ID, change.order, downtime, fence)
 		}
 	}
 }
 
+// stageChange is an order and the engines that get it.
+type stageChange struct {
+	order   stages.Order
+	engines []stages.Engine
+}
+
 // plan returns the changes that a planner calls for. Those that keep the streams of software
-// versions going come before those that follow the load.
-func plan(planner *stages.Planner) []stages.Order {
-	if orders := planner.PlanVersions(); len(orders) > 0 {
-		return orders
+// versions going come before those that follow the load, unless no engine may be ordered for them.
+func plan(planner *stages.Planner, list []stages.Engine) []stageChange {
+	var changes []stageChange
+	for _, order := range planner.PlanVersions() {
+		if chosen := stages.Choose(order, list); len(chosen) > 0 {
+			changes = append(changes, stageChange{order, chosen})
+		}
+	}
+	if len(changes) > 0 {
+		return changes
 	}
 	if order, ok := planner.Plan(); ok {
-		return []stages.Order{order}
+		return []stageChange{{order, stages.Choose(order, list)}}
 	}
 	return nil
 }
@@ -236,4 +247,7 @@
 	case errors.Is(err, site.ErrOutcomeUnknown):
 		p.engineNotBefore[id] = time.Now().Add(lostResponseBackoff)
 	}
+	if err != nil && !errors.Is(err, site.ErrOutcomeUnknown) {
+		delete(p.orderedStages, id) // Refused: it keeps its stage.
+	}
 }
--- a/gateway/duties/statements_test.go
+++ b/gateway/duties/statements_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/stages"
 	"flamingospar.org/platform/site/sitetest"
 )
 
@@ -51,7 +52,7 @@
 	stepThrice(t, p)
 	require.Empty(t, e.receivedOrders(t))
 	require.Equal(t, 1, s.Arrivals())
-	view, list := p.Balancer.StageView("model")
+	view, list := p.Balancer.StageView("model"), stages.Orderable(p.Balancer.StageEngines("model"))
 	require.Empty(t, list)
 	require.Zero(t, view.PrefillEngines)
 }
@@ -66,7 +67,7 @@
 	stepThrice(t, p)
 	require.Empty(t, e.receivedOrders(t))
 	require.Equal(t, 1, s.Arrivals())
-	view, list := p.Balancer.StageView("model")
+	view, list := p.Balancer.StageView("model"), stages.Orderable(p.Balancer.StageEngines("model"))
 	require.Empty(t, list)
 	require.Equal(t, 1, view.PrefillEngines)
 }
--- a/gateway/duties/versionreserve_test.go
+++ b/gateway/duties/versionreserve_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/stages"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/platform/site"
 )
@@ -99,3 +100,22 @@
 		require.Len(t, orders(), 1, p.Holder)
 	}
 }
+
+// The prefill engines of a version that is short of decode engines want no requests. The service
+// changed no other engine's stage meanwhile, whatever its load.
+func TestVersionThatMayNotBeOrderedHoldsUpNoOrderByLoad(t *testing.T) {
+	list := []stages.Engine{{ID: "d1", Version: "v1"}, {ID: "p1", Version: "v1", Prefill: true, NoOrders: true}, {ID: "p2", Version: "v1", Prefill: true, NoOrders: true}}
+	for _, id := range []string{"d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9", "d10"} {
+		list = append(list, stages.Engine{ID: id, Version: "v2"})
+	}
+	planner := &stages.Planner{}
+	for age := 4 * time.Second; age >= 0; age -= sampleInterval {
+		view := stages.View{PrefillEngines: 2, DecodeEngines: 10, DecodeSlots: 640, Streams: 1, PrefillWait: time.Second, Versions: stages.CountVersions(list)}
+		planner.Observe(time.Now().Add(-age), view)
+	}
+	require.NotEmpty(t, planner.PlanVersions())
+	changes := plan(planner, list)
+	require.Len(t, changes, 1)
+	require.Equal(t, stages.Load, changes[0].order.Reason)
+	require.NotEmpty(t, changes[0].engines)
+}
--- a/gateway/engines/engines_test.go
+++ b/gateway/engines/engines_test.go
@@ -8,6 +8,7 @@
 
 	"flamingospar.org/core/balance"
 	"flamingospar.org/core/placement"
+	"flamingospar.org/core/stages"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/platform/site"
 )
@@ -31,7 +32,7 @@
 	s, now := newSelector()
 	s.SetProcesses(4)
 	s.SetPeerLoads("vm-2", []engines.Load{{Endpoint: "decode-1", Streams: placement.Streams{Running: 6}}, {Endpoint: "prefill-1", Pending: []placement.PendingPrompt{{Level: 2, Work: 6000, Remaining: 6000}}}})
-	view, list := s.StageView("model")
+	view, list := s.StageView("model"), stages.Orderable(s.StageEngines("model"))
 	require.Len(t, list, 3)
 	require.Equal(t, 1, view.PrefillEngines)
 	require.Equal(t, 2, view.DecodeEngines)
@@ -42,7 +43,7 @@
 	*now = now.Add(10 * time.Second)
 	require.Zero(t, s.ActivePeers())
 	s.DropPeer("vm-2")
-	view, _ = s.StageView("model")
+	view = s.StageView("model")
 	require.Zero(t, view.Streams)
 	require.Zero(t, view.PrefillWait)
 }
@@ -55,7 +56,7 @@
 	for range 5 {
 		s.RecordResult("decode-2", engines.Unreachable)
 	}
-	view, list := s.StageView("model")
+	view, list := s.StageView("model"), stages.Orderable(s.StageEngines("model"))
 	require.Zero(t, view.DecodeEngines)
 	require.Len(t, list, 1)
 	require.Equal(t, []string{"model"}, s.ModelServices())
--- a/gateway/engines/limits_test.go
+++ b/gateway/engines/limits_test.go
@@ -8,6 +8,7 @@
 
 	"flamingospar.org/core/availability"
 	"flamingospar.org/core/placement"
+	"flamingospar.org/core/stages"
 	"flamingospar.org/platform/site"
 )
 
@@ -98,7 +99,7 @@
 func TestLimitedEnginesKeepTheirStageAndCountInIt(t *testing.T) {
 	s := newLimitedSelector(fakeLimits{"e-1": true}, site.Decode, "e-1")
 	s.EndpointChanged(site.Endpoint{ID: "e-2", Service: "s", DataCentre: "dc-1", Slots: 8, Stage: site.Prefill, StartedMS: 1})
-	view, list := s.StageView("s")
+	view, list := s.StageView("s"), stages.Orderable(s.StageEngines("s"))
 	require.Equal(t, 1, view.PrefillEngines)
 	require.Equal(t, 1, view.DecodeEngines)
 	require.Len(t, list, 1)
--- a/gateway/engines/losesstage_test.go
+++ b/gateway/engines/losesstage_test.go
@@ -18,7 +18,7 @@
 	}
 	placed := s.Place("model", placement.Request{Prompt: placement.Prompt{}})
 	require.Equal(t, "", placed.DecodeEndpoint.ID, "at %s", placed.DecodeEndpoint.Address)
-	_, list := s.StageView("model")
+	list := s.StageEngines("model")
 	for _, engine := range list {
 		require.NotContains(t, []string{"decode-1", "decode-2"}, engine.ID, "an order may be sent to it")
 	}
--- a/gateway/engines/stages.go
+++ b/gateway/engines/stages.go
@@ -26,26 +26,19 @@
 	return services
 }
 
-// StageView returns a snapshot of the load on a service's engines, and the engines
-// that may change their stage: those that are not passed over. Engines that are
+// StageView returns a snapshot of the load on a service's engines. Engines that are
 // passed over for a time that they state themselves count in their stage.
-func (s *Selector) StageView(service string) (stages.View, []stages.Engine) {
+func (s *Selector) StageView(service string) stages.View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	var view stages.View
 	var wait time.Duration
-	list := make([]stages.Engine, 0, len(s.enginesByService[service]))
 	for _, engine := range s.enginesByService[service] {
-		passedOver := engine.PassOver(now, s.Limits.Limited(engine.ID)).Reason
-		if passedOver == availability.Leaving || engine.Health.Ejected(now) {
+		if engine.PassOver(now, false).Reason == availability.Leaving || engine.Health.Ejected(now) {
 			continue
 		}
-		isPrefill := engine.Stage == placement.Prefill
-		if !passedOver.Binding() {
-			list = append(list, stageEngine(engine))
-		}
-		if isPrefill {
+		if engine.Stage == placement.Prefill {
 			view.PrefillEngines++
 			wait += engine.QueueTime(now)
 			continue
@@ -57,13 +50,7 @@
 	factor := s.peerLoadFactor(now)
 	view.Streams *= factor
 	view.PrefillWait = time.Duration(factor * float64(wait) / float64(max(view.PrefillEngines, 1)))
-	return view, list
-}
-
-func stageEngine(engine *placement.Engine) stages.Engine {
-	return stages.Engine{
-		ID: engine.ID, DataCentre: engine.DataCentre, Version: engine.Version, Prefill: engine.Stage == placement.Prefill, Load: engine.Running() + engine.PendingCount(),
-	}
+	return view
 }
 
 // StageEngines returns the engines of a service that don't leave. Those that are down or
@@ -78,10 +65,11 @@
 		if passedOver == availability.Leaving {
 			continue
 		}
-		listed := stageEngine(engine)
-		listed.Down = engine.Health.Ejected(now)
-		listed.NoOrders = listed.Down || passedOver.Binding()
-		list = append(list, listed)
+		down := engine.Health.Ejected(now)
+		list = append(list, stages.Engine{
+			ID: engine.ID, DataCentre: engine.DataCentre, Version: engine.Version, Prefill: engine.Stage == placement.Prefill,
+			Load: engine.Running() + engine.PendingCount(), Down: down, NoOrders: down || passedOver.Binding(),
+		})
 	}
 	return list
 }
