Tests of endpoints that leave: several callers until it has said so

Traced: endpoint a answered its first request after 306 ms, 229 were predicted; b answered sooner, so that all 83 requests of the next 20 s, sent one after another, went to b, and a was never asked to say that it leaves. The product does what it should; the test relied on equal speeds.

Change: five callers send until the endpoint has said so, in the three tests that wait for it so. What the tests require afterwards is unchanged.

--- a/gateway/node/cutoff_test.go
+++ b/gateway/node/cutoff_test.go
@@ -88,10 +88,7 @@
 			leaves := f.inUse(c.path, endpoints)
 			f.link.cut.Store(true)
 			leaves.SetLeaving(true)
-			f.eventually(func() bool {
-				f.sendLong(c.path)
-				return leaves.SaidLeaving()
-			})
+			f.awaitSaidLeaving(c.path, leaves)
 			f.requireNoRequests(c.path, leaves, "while the process was cut off")
 			for sequence := range 4 {
 				f.store.Put(site.TableEndpoints, leaves.ID, leaves.row(2+sequence, 1))
--- a/gateway/node/leaving_test.go
+++ b/gateway/node/leaving_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -97,6 +98,18 @@
 	}},
 }
 
+// awaitSaidLeaving sends requests until an endpoint has said that it leaves. Several callers send them:
+// one after another, they all go to the endpoint that has answered sooner.
+func (h *harness) awaitSaidLeaving(path string, e *statingEngine) {
+	h.t.Helper()
+	ctx, cancel := context.WithCancel(h.t.Context())
+	defer cancel()
+	senders := h.callers(ctx, 5, path, func(result, time.Duration) {})
+	h.eventually(e.SaidLeaving)
+	cancel()
+	senders.Wait()
+}
+
 // requireNoRequests sends requests and requires that none reaches an endpoint.
 func (h *harness) requireNoRequests(path string, e *statingEngine, after string) {
 	h.t.Helper()
@@ -119,10 +132,7 @@
 			older := h.store.Copy()
 			h.store.SetSilent(true)
 			leaves.SetLeaving(true)
-			h.eventually(func() bool {
-				h.sendLong(c.path)
-				return leaves.SaidLeaving()
-			})
+			h.awaitSaidLeaving(c.path, leaves)
 			h.requireNoRequests(c.path, leaves, "while the store was silent")
 
 			h.store.SetSilent(false)
@@ -154,10 +164,7 @@
 			h.store.SetSilent(true)
 			leaves.SetLeaving(true)
 			leaves.Refuse(1, "0")
-			h.eventually(func() bool {
-				h.sendLong(c.path)
-				return leaves.SaidLeaving()
-			})
+			h.awaitSaidLeaving(c.path, leaves)
 			time.Sleep(500 * time.Millisecond) // Longer than an endpoint is spared after any refusal.
 			h.requireNoRequests(c.path, leaves, "after its refusal")
 		})
