--- a/gateway/node/storewatch.go
+++ b/gateway/node/storewatch.go
@@ -12,6 +12,11 @@
 type storeWatch struct {
 	fleet *fleet.Fleet
 
+	// marking is held while the state changes and removals are deferred accordingly, so that both
+	// change in the same order. mu is never held then: listeners of the list of endpoints, which
+	// are told while its lock is held, ask for the state.
+	marking sync.Mutex
+
 	mu               sync.Mutex
 	answered         bool // The store has answered this process.
 	lost             bool
@@ -53,34 +58,51 @@
 
 // MarkLost records that a call was not answered.
 func (w *storeWatch) MarkLost() {
+	w.marking.Lock()
+	defer w.marking.Unlock()
+	if w.setLost() {
+		w.fleet.DeferRemovals(time.Now().Add(maxStoreOutage))
+	}
+}
+
+// setLost reports whether the store was not lost before.
+func (w *storeWatch) setLost() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.lost {
-		return
+		return false
 	}
 	w.lost, w.lostAt = true, time.Now()
 	w.signalChange()
 	w.availableToPeers = false
-	w.fleet.DeferRemovals(time.Now().Add(maxStoreOutage))
+	return true
 }
 
 // MarkRecovered records the first answer after an outage. If only this process
 // had lost the store, other endpoints could renew their rows meanwhile; missing
 // rows were deleted on purpose and are removed without delay.
 func (w *storeWatch) MarkRecovered() {
+	w.marking.Lock()
+	defer w.marking.Unlock()
+	if delay, recovered := w.setRecovered(); recovered {
+		w.fleet.DeferRemovals(time.Now().Add(delay))
+	}
+}
+
+// setRecovered reports whether the store was lost before, and for how long missing rows are kept.
+func (w *storeWatch) setRecovered() (delay time.Duration, recovered bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.lost {
-		return
+		return 0, false
 	}
 	w.lost = false
 	w.signalChange()
 	w.availableSince = time.Now()
-	delay := fleet.ReregistrationTimeout
 	if w.availableToPeers {
-		delay = 0
+		return 0, true
 	}
-	w.fleet.DeferRemovals(time.Now().Add(delay))
+	return fleet.ReregistrationTimeout, true
 }
 
 // signalChange wakes the waiters of StateChanged. The caller holds mu.
@@ -99,12 +121,22 @@
 
 // MarkAvailableToPeers records that the store answers another process.
 func (w *storeWatch) MarkAvailableToPeers() {
+	w.marking.Lock()
+	defer w.marking.Unlock()
+	if w.setAvailableToPeers() {
+		w.fleet.DeferRemovals(time.Now())
+	}
+}
+
+// setAvailableToPeers reports whether that was not known in this outage.
+func (w *storeWatch) setAvailableToPeers() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.lost && !w.availableToPeers {
-		w.availableToPeers = true
-		w.fleet.DeferRemovals(time.Now())
+	if !w.lost || w.availableToPeers {
+		return false
 	}
+	w.availableToPeers = true
+	return true
 }
 
 // MarkAnswered records that the store has answered this process.
