Take-ups: limits and waits of engines of other versions don't count

What callers saw: a take-up that no engine of its version could go on with was refused as asked_to_wait or rate_limited, and told to return when an engine of another version accepts requests again, where it was refused once more. One whose only engine had asked to wait 5 s was told to return in 0.6 s, since engines of other versions had not asked.

Cause: the endpoints passed over, and the time until one accepts requests again, were those of the service, whatever their version.

Change: for a stream of a version only engines of that version count in both.

Result: TestWaitOfAnotherVersionSaysNothingOfAStream (asked_to_wait before) and TestCallerOfAVersionThatAskedToWaitReturnsAfterIt (569 ms before, 4.9 s wanted) were red and are green; core/placement, gateway/engines and gateway/relay pass with -race.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -57,7 +57,7 @@
 	canDecode := false
 	for _, engine := range engines {
 		passedOver := engine.PassOver(now, false)
-		if passedOver.Reason.Binding() || request.Exclude[engine.ID] || request.Version != "" && engine.Version != request.Version {
+		if passedOver.Reason.Binding() || request.Exclude[engine.ID] || !request.Allows(engine.Version) {
 			continue
 		}
 		allowed = append(allowed, engine)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -47,6 +47,9 @@
 	affinity *affinity // Found among all engines, if only a sample is evaluated.
 }
 
+// Allows reports whether engines of a software version may serve the request.
+func (r Request) Allows(version string) bool { return r.Version == "" || r.Version == version }
+
 func (r Request) random() float64 {
 	if r.Random == nil {
 		return 0
--- a/gateway/engines/availability.go
+++ b/gateway/engines/availability.go
@@ -152,7 +152,10 @@
 // RetryIn returns the time until the first endpoint of a service may be sent a request
 // again, if all that could serve one have asked to wait. It is 0 if one may be sent now, or
 // if there is none.
-func (s *Selector) RetryIn(service string) time.Duration {
+func (s *Selector) RetryIn(service string) time.Duration { return s.RetryInAt(service, "") }
+
+// RetryInAt is RetryIn for a request that only engines of a software version may serve.
+func (s *Selector) RetryInAt(service, version string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -160,7 +163,7 @@
 		return 0
 	}
 	first := time.Time{}
-	for _, state := range s.servingStates(service) {
+	for _, state := range s.servingStates(service, version) {
 		excluded := state.PassOver(now, false)
 		switch {
 		case excluded.Reason == availability.Leaving:
--- a/gateway/engines/engines.go
+++ b/gateway/engines/engines.go
@@ -199,7 +199,7 @@
 	allowed := request
 	allowed.Exclude = s.unavailable(request.Exclude, blocked, false)
 	decision := s.fleet(service).Decide(s.now(), allowed)
-	placed := Placement{Decision: decision, PassedOver: s.passedEngines(service, request.Exclude, blocked)}
+	placed := Placement{Decision: decision, PassedOver: s.passedEngines(service, request, blocked)}
 	placed.PassedOver.Unregistered = unregistered
 	if placed.PassedOver.Count > 0 && decision.Verdict != placement.InTime {
 		placed.PassedOver.Ask = s.engineToAsk(service, request, blocked, decision.Verdict)
@@ -314,11 +314,11 @@
 }
 
 // servingStates returns the availability of the endpoints of a service that can serve a
-// request alone. s.mu must be held.
-func (s *Selector) servingStates(service string) []*availability.State {
+// request alone, of engines those of a software version, or all if it is empty. s.mu must be held.
+func (s *Selector) servingStates(service, version string) []*availability.State {
 	var states []*availability.State
 	for _, engine := range s.enginesByService[service] {
-		if engine.Stage == placement.Decode {
+		if engine.Stage == placement.Decode && (version == "" || engine.Version == version) {
 			states = append(states, &engine.State)
 		}
 	}
--- a/gateway/engines/limits.go
+++ b/gateway/engines/limits.go
@@ -46,16 +46,16 @@
 	p.Any, p.Reason = id, excluded.Reason
 }
 
-// passedEngines describes the engines of a service that are passed over and not excluded
-// anyway. s.mu must be held.
-func (s *Selector) passedEngines(service string, exclude, blocked map[string]bool) PassedOver {
+// passedEngines describes the engines of a service that are passed over, have the version that a
+// request needs and are not excluded anyway. s.mu must be held.
+func (s *Selector) passedEngines(service string, request placement.Request, blocked map[string]bool) PassedOver {
 	var passed PassedOver
 	now := s.now()
 	if len(blocked) == 0 && !s.statements.AnyWaits(now) {
 		return passed
 	}
 	for _, engine := range s.enginesByService[service] {
-		if !exclude[engine.ID] {
+		if !request.Exclude[engine.ID] && request.Allows(engine.Version) {
 			passed.add(engine.ID, engine.PassOver(now, blocked[engine.ID]))
 		}
 	}
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -163,7 +163,7 @@
 		return p.forward(p.failed), true
 	}
 	if p.ctx.Err() != nil || !p.relay.Stopping.MayGoOn(p.job.StopRequest()) || !p.relay.mayRetry(p.job, p.progress, sent) {
-		return p.endWith(ReasonEndpointsFull, p.relay.retryIn(p.job.Service)), true
+		return p.endWith(ReasonEndpointsFull, p.relay.retryIn(p.job.Service, anyVersion)), true
 	}
 	if decision := p.relay.decide(p.job); decision.Refused {
 		return p.endWith(ReasonCrashes, decision.RetryIn), true
@@ -178,7 +178,7 @@
 
 // endUnplaced ends a request for which there is no endpoint.
 func (p *plainRun) endUnplaced() Outcome {
-	return p.endWith(p.reasonUnplaced(), max(p.relay.limitRetryAfter(p.progress), p.relay.retryIn(p.job.Service)))
+	return p.endWith(p.reasonUnplaced(), max(p.relay.limitRetryAfter(p.progress), p.relay.retryIn(p.job.Service, anyVersion)))
 }
 
 // endWith ends a request that no endpoint has answered with success.
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -177,7 +177,7 @@
 // giveUp ends a stream that no endpoint can start or continue.
 func (s *stream) giveUp(ctx context.Context, reason Reason, atLeast time.Duration) Outcome {
 	if !s.headerSent {
-		return s.relay.endUnanswered(ctx, s.w, s.progress, s.job, reason, max(atLeast, s.relay.retryIn(s.job.Service)))
+		return s.relay.endUnanswered(ctx, s.w, s.progress, s.job, reason, max(atLeast, s.relay.retryIn(s.job.Service, s.version)))
 	}
 	s.progress.Reason = ReasonBroken
 	s.relay.countUnreplaced(s.progress)
--- a/gateway/relay/version_test.go
+++ b/gateway/relay/version_test.go
@@ -158,3 +158,35 @@
 	require.Equal(t, relay.ReasonVersionGone, outcome.Reason)
 	require.GreaterOrEqual(t, outcome.RetryAfter, 2*time.Second)
 }
+
+// askToWait has an endpoint of a relay say that it wants no request for a time.
+func askToWait(t *testing.T, r *relay.Relay, id string, wait time.Duration) {
+	endpoint, ok := r.Selector.Endpoint(id)
+	require.True(t, ok)
+	r.Selector.Observe(endpoint, site.EndpointResponse{RetryAfter: site.RetryAfter{Stated: true, Wait: wait}})
+}
+
+// No engine of its version could go on with a stream. An engine of another version had asked to wait, so
+// the caller was told to return when that one accepts requests again, and was refused once more.
+func TestWaitOfAnotherVersionSaysNothingOfAStream(t *testing.T) {
+	r, job := newStrandedTakeUp(t)
+	job.Deadline = time.Now().Add(8 * time.Second)
+	askToWait(t, r, "e-1", 300*time.Millisecond)
+	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
+	require.Equal(t, relay.ReasonVersionGone, outcome.Reason)
+	require.GreaterOrEqual(t, outcome.RetryAfter, 2*time.Second)
+}
+
+// The only engine of a stream's version had asked to wait. Since engines of other versions had not, the
+// caller was told to return at once.
+func TestCallerOfAVersionThatAskedToWaitReturnsAfterIt(t *testing.T) {
+	const wait = 5 * time.Second
+	r, _ := newVersionedRelay(t, &fakeVersions{known: map[string]string{"of-v2": "v2"}, recorded: make(map[string]string)})
+	r.Selector.EndpointChanged(site.Endpoint{ID: "d-2", Service: "model", Address: unreachable, DataCentre: "dc-1", Slots: 8, StartedMS: 1, Stage: site.Decode, SoftwareVersion: "v2"})
+	askToWait(t, r, "d-2", wait)
+	job := newModelJob()
+	job.Caller.LastEventID, job.Caller.ResumedRequestID = "3", "of-v2"
+	outcome := r.Serve(t.Context(), httptest.NewRecorder(), job)
+	require.Equal(t, relay.ReasonAskedToWait, outcome.Reason)
+	require.GreaterOrEqual(t, outcome.RetryAfter, wait-100*time.Millisecond)
+}
