--- a/gateway/duties/stages_test.go
+++ b/gateway/duties/stages_test.go
@@ -31,7 +31,9 @@
 type prefillEngine struct {
 	endpoint *sitetest.Endpoint
 
-	orderStatus int // HTTP status of the response to an order.
+	orderStatus int // HTTP status of the response to an order; 0 if the response is lost.
+	// hidesReport has the engine fail requests for its report.
+	hidesReport bool
 	// reportsChange has the engine report that an order is in progress once it has got one.
 	reportsChange bool
 	changing      atomic.Bool
@@ -44,10 +46,17 @@
 	e := &prefillEngine{orderStatus: http.StatusAccepted}
 	serve := func(w http.ResponseWriter, request *http.Request) {
 		if strings.HasSuffix(request.URL.Path, "/report") {
+			if e.hidesReport {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
 			fmt.Fprintf(w, `{"stage":"prefill","busy":%t,"seq":2,"waiting":0,"running":0}`, e.changing.Load())
 			return
 		}
 		e.changing.Store(e.reportsChange)
+		if e.orderStatus == 0 {
+			panic(http.ErrAbortHandler)
+		}
 		w.WriteHeader(e.orderStatus)
 	}
 	e.endpoint = sitetest.NewEndpoint(t, id, sitetest.NewRateLimited(limit, serve).Serve)
--- a/gateway/duties/versionreserve_test.go
+++ b/gateway/duties/versionreserve_test.go
@@ -1,6 +1,7 @@
 package duties
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -119,3 +120,68 @@
 	require.Equal(t, stages.Load, changes[0].order.Reason)
 	require.NotEmpty(t, changes[0].engines)
 }
+
+// requireNextOrder fails unless the next order, once the service may get one again, goes to the engine
+// that got none before, or to none if want is 0.
+func requireNextOrder(t *testing.T, p *StagePlanner, e1, e2 *prefillEngine, want int) {
+	t.Helper()
+	other := func() int { return len(e2.receivedOrders(t)) }
+	require.Zero(t, other())
+	clear(p.serviceNotBefore)
+	stepFor(t, reserveTime, func() bool { return other() > 0 }, p)
+	require.Equal(t, want, other())
+	require.LessOrEqual(t, len(e1.receivedOrders(t)), 1, "an engine was ordered twice")
+}
+
+// The answer to an order was lost, and the engine may carry it out for seconds. The other prefill engine of
+// the version was ordered beside it.
+func TestNoSecondOrderWhileTheFirstMayBeCarriedOut(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	e1.orderStatus = 0
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	stepFor(t, reserveTime, func() bool { return len(e1.receivedOrders(t)) > 0 }, p)
+	requireNextOrder(t, p, e1, e2, 0)
+}
+
+// An engine refused its order, so that it keeps its stage. It counted as changed, and the version stayed short of
+// decode engines.
+func TestAnotherEngineIsOrderedAfterARefusal(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	e1.orderStatus = http.StatusConflict
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	stepFor(t, reserveTime, func() bool { return len(e1.receivedOrders(t)) > 0 }, p)
+	requireNextOrder(t, p, e1, e2, 1)
+}
+
+// An engine did not say its state, so that it got no order. It was asked again each time in place of the other
+// one.
+func TestAnotherEngineIsOrderedIfOneHidesItsReport(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	e1.hidesReport = true
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	stepFor(t, reserveTime, func() bool { return len(e1.endpoint.Requests()) > 0 }, p)
+	require.Empty(t, e1.receivedOrders(t))
+	requireNextOrder(t, p, e1, e2, 1)
+}
+
+// Decode engines of a version leave, planned as they are. They counted as decode engines of it until they were
+// gone, and the order that their streams need came too late.
+func TestDecodeEnginesThatLeaveAreReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	e1, e2 := newPrefillEngine(t, "e1"), newPrefillEngine(t, "e2")
+	p := f.plannerOfTwoVersions("vm-1", e1, e2)
+	listEngine(p, "d0", "127.0.0.1:1", "v1", site.Decode)
+	orders := func() []stageOrder { return append(e1.receivedOrders(t), e2.receivedOrders(t)...) }
+	stepFor(t, reserveTime, func() bool { return len(orders()) > 0 }, p)
+	require.Empty(t, orders(), "three decode engines are enough")
+	p.Balancer.EndpointChanged(site.Endpoint{ID: "d0", Service: "model", Address: "127.0.0.1:1", DataCentre: "dc-1", Slots: 8, Stage: site.Decode, StartedMS: 1, SoftwareVersion: "v1", Draining: true})
+	stepFor(t, reserveTime, func() bool { return len(orders()) > 0 }, p)
+	require.Len(t, orders(), 1)
+}
