--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -20,6 +20,9 @@
 // program is the program that the deploy file runs on each entry machine.
 const program = "target/flamingospar"
 
+// contact is contact_ms of the settings.
+const contact = 3 * time.Second
+
 // deployment is a small deployment on loopback addresses: stand-ins of the platform and of
 // the endpoints, and entry processes as the deploy file runs them.
 type deployment struct {
