--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -177,12 +177,16 @@
 	maxPort = 32_000
 )
 
-// freeAddress returns an address on the loopback interface that nothing listens on.
+// reserved holds the listeners of addresses that were chosen and are not used yet, by address.
+var reserved = make(map[string]net.Listener)
+
+// freeAddress chooses an address on the loopback interface and keeps it from others until
+// release is called.
 func freeAddress() string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
 		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
+			reserved[address] = listener
 			return address
 		}
 	}
@@ -190,21 +194,45 @@
 	return ""
 }
 
+// release frees an address that is about to be used.
+func release(address string) {
+	_ = reserved[address].Close()
+	delete(reserved, address)
+}
+
+// maxStarts is how often an entry process is started whose addresses another program took.
+const maxStarts = 4
+
 // startGateways starts entry processes and waits until they are ready.
 func (d *deployment) startGateways(n int) {
 	for i := range n {
 		d.gateways = append(d.gateways, &gateway{name: fmt.Sprintf("front-%d", i+1), callers: freeAddress(), ready: freeAddress(), control: freeAddress()})
 	}
 	for i, g := range d.gateways {
-		g.settings = filepath.Join(d.dir, g.name+".toml")
-		if err := os.WriteFile(g.settings, []byte(d.settingsText(g, fmt.Sprintf("127.0.0.%d", 11+i), "zone-a")), 0o600); err != nil {
-			cantRun("writing settings: %v", err)
+		d.startNew(g, i)
+	}
+	for i, g := range d.gateways {
+		for range maxStarts {
+			if g.awaitReady() {
+				break
+			}
+			note("%s has ended before it was ready: another program took its addresses", g.name)
+			g.callers, g.ready, g.control = freeAddress(), freeAddress(), freeAddress()
+			d.startNew(g, i)
 		}
-		d.start(g)
 	}
-	for _, g := range d.gateways {
-		g.awaitReady()
+}
+
+// startNew writes the settings of an entry process and starts it.
+func (d *deployment) startNew(g *gateway, index int) {
+	g.settings = filepath.Join(d.dir, g.name+".toml")
+	if err := os.WriteFile(g.settings, []byte(d.settingsText(g, fmt.Sprintf("127.0.0.%d", 11+index), "zone-a")), 0o600); err != nil {
+		cantRun("writing settings: %v", err)
+	}
+	for _, address := range []string{g.callers, g.ready, g.control} {
+		release(address)
 	}
+	d.start(g)
 }
 
 // start starts an entry process with the command of the deploy file.
@@ -265,14 +293,23 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (g *gateway) awaitReady() {
+// awaitReady waits until the process is ready. It reports false if the process ends because an
+// address is in use.
+func (g *gateway) awaitReady() bool {
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		if g.isReady() {
-			return
+			return true
+		}
+		if !g.running() {
+			break
 		}
 	}
 	text, _ := os.ReadFile(g.log.Name())
-	cantRun("%s is not ready after 15 s, running: %v; its log ends: %s", g.name, g.running(), text[max(len(text)-4000, 0):])
+	if !g.running() && strings.Contains(string(text), "address already in use") {
+		return false
+	}
+	cantRun("%s is not ready, running: %v; its log ends: %s", g.name, g.running(), text[max(len(text)-4000, 0):])
+	return false
 }
 
 // memoryMB returns the resident memory of the process, and the largest so far.
