--- a/review/standin-3/trickle.go
+++ b/review/standin-3/trickle.go
@@ -12,7 +12,7 @@
 
 // Sizes of the case of an engine that sends an event without end.
 const (
-	trickleCallers = 400
+	trickleCallers = 400 // Of each entry process.
 	trickleRAM     = 284
 	trickleTime    = 80 * time.Second
 	// trickleBytes is sent each trickleInterval on each connection.
@@ -22,6 +22,8 @@
 
 func init() { cases["endless-event"] = endlessEventCase }
 
+// endlessEventCase has engines answer each stream with a whole event and one that does not end,
+// for as many streams at once as two entry processes are sent.
 func endlessEventCase() bool {
 	d := newDeployment(trickleRAM)
 	cleanup = d.stopAll
@@ -47,7 +49,7 @@
 				default:
 				}
 				got := send(g.callers, request{method: "POST", path: "/brief/x", id: nextID("prompt"), deadlineMS: 8000, body: []byte("prompt"),
-					headers: []string{"X-Model: m", "X-Token-Count: 300,20", fmt.Sprintf("X-Prompt-Prefix: %x:200,%x:100", 7, partNumber.Add(1))}}, 10*time.Second)
+					headers: []string{"X-Model: m", "X-Token-Count: 300,20", fmt.Sprintf("X-Prompt-Prefix: 5c1e:200,%x:100", requestIDs.Load())}}, 10*time.Second)
 				mu.Lock()
 				results[fmt.Sprintf("%d %v", got.status, got.err != nil)]++
 				mu.Unlock()
