--- a/review/standin-3/lookups.go
+++ b/review/standin-3/lookups.go
@@ -11,11 +11,12 @@
 
 // Figures of the case of lookups that were under way when endpoints crashed.
 const (
-	lookupInterval = 15 * time.Millisecond // Of each tenant.
+	lookupInterval = 8 * time.Millisecond // Of the tenant that names states in the query.
+	otherInterval  = 3 * lookupInterval   // Of the other tenant.
 	lookupWork     = 60 * time.Millisecond
-	lookupCalm     = 4 * time.Second
+	lookupCalm     = 3 * time.Second
 	lookupDowntime = 2 * time.Second
-	lookupTime     = 80 * time.Second
+	lookupTime     = 92 * time.Second
 )
 
 func init() { cases["same-lookups"] = sameLookupsCase }
@@ -134,13 +135,13 @@
 	var afterFrom atomic.Int64 // Unix nanoseconds; 0 before the crash.
 	same, different := newTally(), newTally()
 	var callers sync.WaitGroup
-	run := func(t *tally, apiKey string, path func(n int) string) {
+	run := func(t *tally, interval time.Duration, apiKey string, path func(n int) string) {
 		callers.Go(func() {
 			for n := 0; ; n++ {
 				select {
 				case <-stop:
 					return
-				case <-time.After(lookupInterval):
+				case <-time.After(interval):
 				}
 				callers.Go(func() {
 					from := afterFrom.Load()
@@ -158,8 +159,8 @@
 			}
 		})
 	}
-	run(same, key, func(n int) string { return fmt.Sprintf("/lookup/serial?number=%d", n) })
-	run(different, "other-key", func(n int) string { return fmt.Sprintf("/lookup/serial/%d", n) })
+	run(same, lookupInterval, key, func(n int) string { return fmt.Sprintf("/lookup/serial?number=%d", n) })
+	run(different, otherInterval, "other-key", func(n int) string { return fmt.Sprintf("/lookup/serial/%d", n) })
 	time.Sleep(lookupCalm)
 	note("before: %d of %d lookups by query served, %d of %d by path", same.served.Load(), same.sent.Load(), different.served.Load(), different.sent.Load())
 	if trouble {
