Crash lines name the age of each run; refused requests name their crashes

A crash line named the requests that ran there, but not whether their engine could have begun, or for how long it had been answering; a request refused for its crashes left no line that named these.

"A request is refused" names the crashes with their times.

--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -34,6 +34,10 @@
 	Endpoint  site.Endpoint
 	Prefill   bool // Only the prompt was read.
 	Answered  bool // An answer had begun, by this endpoint or an earlier one.
+	// Sent is when the call to the endpoint began, and FirstEvent when the endpoint sent its
+	// first event; zero if it sent none.
+	Sent       time.Time
+	FirstEvent time.Time
 }
 
 // Unanswered reports whether the endpoint may have been about to begin an answer.
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -116,7 +117,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if t.marks.Mark(fingerprint).Without(t.explained).Refused(now) {
+	if mark := t.marks.Mark(fingerprint).Without(t.explained); mark.Refused(now) {
+		if ok, omitted := t.lineBudget.Allow("request", maxBlamedLinesPerSec); ok {
+			log.Info("A request is refused: endpoints crashed while they ran it.", "fingerprint", fingerprint, "crashes", mark.Crashes, "lines_omitted", omitted)
+		}
 		return Decision{Refused: true, RetryIn: identicalRetryIn}
 	}
 	verdict := t.parts.Verdict(request.Team, request.parts(fingerprint), now)
@@ -182,7 +186,7 @@
 	t.parts.RecordCrash(crashed, unanswered, now)
 	t.hasMarks.Store(true)
 	if ok, omitted := t.lineBudget.Allow("crash", maxCrashLinesPerSec); ok {
-		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "unanswered", len(unanswered), "requests", requestIDs(runs), "lines_omitted", omitted)
+		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "unanswered", len(unanswered), "requests", describeRuns(runs, now), "lines_omitted", omitted)
 	}
 	t.updateBlamed("a crash")
 }
@@ -237,10 +241,16 @@
 	}
 }
 
-func requestIDs(runs []BrokenRun) []string {
-	var ids []string
+// describeRuns returns for each run the id of its request, how long ago it was sent, and how
+// long ago its endpoint sent the first event, if it did.
+func describeRuns(runs []BrokenRun, now time.Time) []string {
+	var described []string
 	for _, run := range runs[:min(len(runs), maxLoggedRequests)] {
-		ids = append(ids, run.RequestID)
+		text := fmt.Sprintf("%s sent_ms=%d", run.RequestID, now.Sub(run.Sent).Milliseconds())
+		if !run.FirstEvent.IsZero() {
+			text += fmt.Sprintf(" first_event_ms=%d", now.Sub(run.FirstEvent).Milliseconds())
+		}
+		described = append(described, text)
 	}
-	return ids
+	return described
 }
--- a/gateway/relay/crashes.go
+++ b/gateway/relay/crashes.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/platform/site"
 )
@@ -18,8 +20,10 @@
 
 // runProgress is how far a run had come when its connection broke.
 type runProgress struct {
-	prefill  bool // It only had the prompt read.
-	answered bool // An endpoint had begun the answer.
+	prefill    bool // It only had the prompt read.
+	answered   bool // An endpoint had begun the answer.
+	sent       time.Time
+	firstEvent time.Time // Zero if this endpoint had sent no event.
 }
 
 // recordBrokenRun reports a run whose connection broke, since its endpoint may have
@@ -27,5 +31,6 @@
 func (r *Relay) recordBrokenRun(job *Job, endpoint site.Endpoint, progress runProgress) {
 	r.Crashes.RecordBrokenRun(crashes.BrokenRun{
 		RequestID: job.Caller.ID, Request: job.Identity, Endpoint: endpoint, Prefill: progress.prefill, Answered: progress.answered,
+		Sent: progress.sent, FirstEvent: progress.firstEvent,
 	})
 }
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -75,6 +75,7 @@
 	s := f.stream
 	if events > 0 {
 		f.watch.progress()
+		f.call.recordEvent()
 		s.recordAnswer()
 		s.recordEventLeft()
 	}
@@ -133,7 +134,7 @@
 // endBroken ends a call whose response failed with err after a number of events.
 func (s *stream) endBroken(c *streamCall, err error, received int) attemptResult {
 	s.progress.recordStreamCall(c.endpoint.ID, c.start, resultOfError(c.ctx, err), received)
-	s.recordFailure(c.ctx, c.endpoint, false, err)
+	s.recordFailure(c.ctx, c.endpoint, s.runProgress(c), err)
 	s.events.discardPartial()
 	if !s.headerSent && !s.job.Repeatable() {
 		return attemptResult{sent: true}
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -213,7 +213,7 @@
 		p.sends++
 		p.runs++
 		if c.silent {
-			p.relay.recordBrokenRun(p.job, c.endpoint, runProgress{})
+			p.relay.recordBrokenRun(p.job, c.endpoint, runProgress{sent: c.start})
 		}
 	}
 }
@@ -281,7 +281,7 @@
 	p.MayHaveRun = true
 	if p.ctx.Err() == nil {
 		p.relay.Selector.RecordResult(c.endpoint.ID, healthResult(c.err))
-		p.relay.recordBrokenRun(p.job, c.endpoint, runProgress{})
+		p.relay.recordBrokenRun(p.job, c.endpoint, runProgress{sent: c.start})
 	}
 }
 
--- a/gateway/relay/prefill.go
+++ b/gateway/relay/prefill.go
@@ -52,7 +52,7 @@
 	response, err := s.relay.send(ctx, endpoint, s.relay.newRequest(s.job, run, s.job.Body))
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
-		s.recordFailure(ctx, endpoint, true, err)
+		s.recordFailure(ctx, endpoint, runProgress{prefill: true, sent: start}, err)
 		return "", attemptResult{sent: !errors.Is(err, transport.ErrNotSent)}, false
 	}
 	defer response.Close()
@@ -64,7 +64,7 @@
 	prefilled, err := site.ParsePrefillResponse(body)
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, ResultFailed)
-		s.recordFailure(ctx, endpoint, true, err)
+		s.recordFailure(ctx, endpoint, runProgress{prefill: true, sent: start}, err)
 		return "", attemptResult{sent: true}, false
 	}
 	s.progress.recordCall(endpoint.ID, start, ResultPrefilled)
@@ -85,7 +85,7 @@
 func (s *stream) recordPrefillRefusal(ctx context.Context, endpoint site.Endpoint, response *transport.Response, start time.Time, err error) {
 	if err != nil {
 		s.progress.recordCall(endpoint.ID, start, resultOfError(ctx, err))
-		s.recordFailure(ctx, endpoint, true, err)
+		s.recordFailure(ctx, endpoint, runProgress{prefill: true, sent: start}, err)
 		return
 	}
 	s.progress.recordCall(endpoint.ID, start, ResultRefused)
--- a/gateway/relay/standby.go
+++ b/gateway/relay/standby.go
@@ -182,7 +182,7 @@
 		if c.sent() {
 			s.countPossibleRun()
 		}
-		s.recordFailure(c.ctx, c.endpoint, false, c.err)
+		s.recordFailure(c.ctx, c.endpoint, s.runProgress(c), c.err)
 	case c.nothingLeft:
 		s.progress.sends++
 		s.progress.recordCall(c.endpoint.ID, c.start, ResultEmpty)
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -188,7 +188,7 @@
 	return s.progress.Outcome
 }
 
-func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, prefill bool, err error) {
+func (s *stream) recordFailure(ctx context.Context, endpoint site.Endpoint, progress runProgress, err error) {
 	s.progress.Err = err
 	if heldBack(err) || errors.Is(err, errStartedAgain) {
 		return
@@ -202,7 +202,7 @@
 	}
 	s.relay.Selector.RecordResult(endpoint.ID, healthResult(err))
 	if ctx.Err() == nil {
-		s.relay.recordBrokenRun(s.job, endpoint, runProgress{prefill: prefill, answered: s.answered})
+		s.relay.recordBrokenRun(s.job, endpoint, progress)
 	}
 }
 
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -24,6 +24,7 @@
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 	start      time.Time
+	firstEvent time.Time // Zero until the endpoint has sent an event.
 	// done is closed when response or err is set, and a standby has been decided about.
 	done     chan struct{}
 	response *transport.Response
@@ -78,6 +79,18 @@
 // sent reports whether the call may have reached its endpoint.
 func (c *streamCall) sent() bool { return !errors.Is(c.err, transport.ErrNotSent) }
 
+// recordEvent records that the endpoint has sent an event.
+func (c *streamCall) recordEvent() {
+	if c.firstEvent.IsZero() {
+		c.firstEvent = time.Now()
+	}
+}
+
+// runProgress returns how far a call has come.
+func (s *stream) runProgress(c *streamCall) runProgress {
+	return runProgress{answered: s.answered, sent: c.start, firstEvent: c.firstEvent}
+}
+
 // begun reports whether the endpoint has begun to answer with a stream.
 func (c *streamCall) begun() bool {
 	return c.err == nil && !c.response.Meta.NotRun && c.response.Status == http.StatusOK
@@ -197,7 +210,7 @@
 		if c.sent() {
 			s.countPossibleRun()
 		}
-		s.recordFailure(c.ctx, c.endpoint, false, c.err)
+		s.recordFailure(c.ctx, c.endpoint, s.runProgress(c), c.err)
 		return attemptResult{sent: c.sent()}
 	}
 	s.progress.sends++
