Parts that crash engines after the first event are found

Cause: the first event counted as proof. It cleared the evidence against the parts, and a run that broke after it was none. Evidence: in the crash lines each crash has a run with the part whose first event came 20 ms before, and none that counts.

Now a run proves its parts once its answer is whole or has gone on for 1 s since the first event, and until then a crash counts against them, at each engine anew. A deadly part never gets that far, so that it is found after three crashes as before; a sound one is proven by its next whole answer.

TestOnlyAnAnswerThatBeginsClearsParts required that an answer broken off after one event clears its parts, which is the fault. Its replacement requires that it does not, and that one broken off after 1 s does.

Regression: TestPromptsWithAPartThatCrashesEnginesAreRefused/after the first event, with and without further attempts.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -1,8 +1,8 @@
 // Package blame finds out which parts of prompts crash endpoints. An endpoint that
 // crashes takes down the runs of many requests, so what runs at one crash proves
 // little. A part is blamed once several crashes have no other explanation: no endpoint
-// has begun an answer to a prompt with it in between, and no other part was in more of
-// these crashes.
+// has answered a prompt with it in between, and no other part was in more of these
+// crashes.
 //
 // Marks of several processes can be merged in any order and more than once.
 package blame
@@ -17,8 +17,7 @@
 // Limits of marks.
 const (
 	// MinCrashes is the number of crashes from which on a part is blamed, and
-	// MinCrashesAnswered the number for a part to which answers were begun a short time
-	// ago: a part that everybody sends is then not blamed for what is sent with it.
+	// MinCrashesAnswered the number for a part that was answered a short time ago: a part that everybody sends is then not blamed for what is sent with it.
 	MinCrashes         = 3
 	MinCrashesAnswered = 6
 	// MaxMarks is the maximum number of marks in a Set.
@@ -35,6 +34,10 @@
 
 // Times of marks.
 const (
+	// ProvenAfter is how long an endpoint has to answer a prompt until its parts are proven
+	// not to crash endpoints. One that crashes as it begins an answer may have sent events
+	// by then.
+	ProvenAfter = 1 * time.Second
 	// Retention is how long a crash counts.
 	Retention = 24 * time.Hour
 	// minRefusal and maxRefusal bound how long a blamed part is refused after the last
@@ -44,7 +47,7 @@
 	maxRefusal    = 24 * time.Hour
 	refusalFactor = 6
 	// trialInterval is the least time between two requests with a part whose refusal has
-	// ended, until an endpoint begins an answer to one.
+	// ended, until an endpoint answers one.
 	trialInterval = 10 * time.Second
 )
 
@@ -54,7 +57,7 @@
 	StartedMS int64 // Unix milliseconds, as the endpoint states.
 }
 
-// Run is what an endpoint was running when it crashed, before it had begun the answer.
+// Run is what an endpoint was running when it crashed, and had not answered for ProvenAfter.
 type Run struct {
 	Team  string
 	Parts []string // Of the prompt; anything else that identifies the request may be among them.
@@ -74,7 +77,7 @@
 	Crash   Crash
 	Team    string
 	At      time.Time // When this process learned of it, less its age.
-	Cleared bool      // An answer to a prompt with the part was begun since.
+	Cleared bool      // A prompt with the part was answered since.
 }
 
 // Mark is the evidence against one part.
@@ -153,7 +156,7 @@
 	return newest
 }
 
-// answeredParts remembers the parts to which answers were begun last. It holds two
+// answeredParts remembers the parts that were answered last. It holds two
 // generations, so that it forgets the older half at a time.
 type answeredParts struct {
 	current, previous map[string]bool
--- a/core/blame/set.go
+++ b/core/blame/set.go
@@ -40,8 +40,7 @@
 // Empty reports whether there are no marks.
 func (s *Set) Empty() bool { return len(s.marks) == 0 }
 
-// RecordCrash marks the parts of the runs that an endpoint had not begun to answer when
-// it crashed.
+// RecordCrash marks the parts of the runs that may have crashed an endpoint.
 func (s *Set) RecordCrash(crash Crash, runs []Run, now time.Time) {
 	for _, run := range runs {
 		for _, part := range s.suspects(run.Parts) {
@@ -67,8 +66,8 @@
 	return suspects[:min(len(suspects), maxPartsPerRun)]
 }
 
-// RecordAnswer clears the parts of a prompt to which an endpoint has begun an answer, and
-// remembers them as answered lately.
+// RecordAnswer clears the parts of a prompt that an endpoint has answered completely or for
+// ProvenAfter, and remembers them as answered lately.
 func (s *Set) RecordAnswer(parts []string, now time.Time) {
 	for _, part := range parts {
 		s.answered.add(Key(part))
--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -33,15 +33,17 @@
 	Request   Request
 	Endpoint  site.Endpoint
 	Prefill   bool // Only the prompt was read.
-	Answered  bool // An answer had begun, by this endpoint or an earlier one.
+	// Proven is set if an endpoint had answered so much that the request is not what crashed it:
+	// for blame.ProvenAfter, or completely.
+	Proven bool
 	// Sent is when the call to the endpoint began, and FirstEvent when the endpoint sent its
 	// first event; zero if it sent none.
 	Sent       time.Time
 	FirstEvent time.Time
 }
 
-// Unanswered reports whether the endpoint may have been about to begin an answer.
-func (r BrokenRun) Unanswered() bool { return !r.Prefill && !r.Answered }
+// Suspect reports whether the endpoint may have crashed since it began to answer the request.
+func (r BrokenRun) Suspect() bool { return !r.Prefill && !r.Proven }
 
 // checks are the checks that are under way.
 type checks struct {
@@ -62,8 +64,8 @@
 		return false, false
 	case len(runs) < maxRunsPerCheck:
 		runs = append(runs, run)
-	case run.Unanswered():
-		ok = replaceAnswered(runs, run)
+	case run.Suspect():
+		ok = replaceProven(runs, run)
 		return false, ok
 	default:
 		return false, false
@@ -72,10 +74,10 @@
 	return !started, true
 }
 
-// replaceAnswered replaces a run that had begun its answer, which tells less.
-func replaceAnswered(runs []BrokenRun, run BrokenRun) bool {
+// replaceProven replaces a run that can't have crashed its endpoint.
+func replaceProven(runs []BrokenRun, run BrokenRun) bool {
 	for i := range runs {
-		if !runs[i].Unanswered() {
+		if !runs[i].Suspect() {
 			runs[i] = run
 			return true
 		}
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -148,8 +148,9 @@
 	}
 }
 
-// RecordAnswer records that an endpoint has begun to answer a request, so that no part of
-// its prompt crashes endpoints.
+// RecordAnswer records that an endpoint has answered a request for blame.ProvenAfter, or
+// completely, so that no part of its prompt crashes endpoints. The first event proves nothing:
+// an endpoint may crash right after it.
 func (t *Tracker) RecordAnswer(request Request) {
 	hasMarks := t.hasMarks.Load()
 	if len(request.Parts) == 0 && !hasMarks {
@@ -168,25 +169,25 @@
 }
 
 // recordCrash marks the requests that were running at a crash, and the parts of those
-// that were not answered yet.
+// that may have caused it.
 func (t *Tracker) recordCrash(crashed blame.Crash, runs []BrokenRun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	unanswered := make([]blame.Run, 0, len(runs))
+	suspects := make([]blame.Run, 0, len(runs))
 	for _, run := range runs {
 		fingerprint := run.Request.fingerprint()
 		if !run.Prefill {
 			t.marks.Merge(crash.New(fingerprint, run.Request.Team, crashID(crashed), now), now)
 		}
-		if run.Unanswered() {
-			unanswered = append(unanswered, blame.Run{Team: run.Request.Team, Parts: run.Request.parts(fingerprint)})
+		if run.Suspect() {
+			suspects = append(suspects, blame.Run{Team: run.Request.Team, Parts: run.Request.parts(fingerprint)})
 		}
 	}
-	t.parts.RecordCrash(crashed, unanswered, now)
+	t.parts.RecordCrash(crashed, suspects, now)
 	t.hasMarks.Store(true)
 	if ok, omitted := t.lineBudget.Allow("crash", maxCrashLinesPerSec); ok {
-		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "unanswered", len(unanswered), "requests", describeRuns(runs, now), "lines_omitted", omitted)
+		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "suspects", len(suspects), "requests", describeRuns(runs, now), "lines_omitted", omitted)
 	}
 	t.updateBlamed("a crash")
 }
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -155,13 +155,13 @@
 	require.Less(t, time.Since(begin), 2*time.Second)
 }
 
-// Runs that only had a prompt read, and those whose answer had begun, can't be what
-// crashed an endpoint when it began to answer.
-func TestOnlyUnansweredRunsMarkTheirParts(t *testing.T) {
+// Runs that only had a prompt read, and those that their endpoint had been answering for long,
+// can't be what crashed an endpoint when it began to answer.
+func TestOnlySuspectRunsMarkTheirParts(t *testing.T) {
 	h := newHarness(t)
 	for i := range 8 {
 		h.crash(fmt.Sprint("c", i), func(run *crashes.BrokenRun) { run.Prefill = true }, withParts(fmt.Sprint("p", i), "read"))
-		h.crash(fmt.Sprint("c", i), func(run *crashes.BrokenRun) { run.Answered = true }, withParts(fmt.Sprint("a", i), "answered"))
+		h.crash(fmt.Sprint("c", i), func(run *crashes.BrokenRun) { run.Proven = true }, withParts(fmt.Sprint("a", i), "answered"))
 		h.crash(fmt.Sprint("c", i), nil, withParts(fmt.Sprint("d", i), "dead"))
 	}
 	h.awaitRefused(withParts("new", "dead"))
@@ -177,7 +177,7 @@
 	h := newHarness(t)
 	sound := crashes.Request{Team: "t", Path: "/p", Body: []byte("sound")}
 	for i := range 4 {
-		h.crash(fmt.Sprint("c", i), func(run *crashes.BrokenRun) { run.Answered = string(run.Request.Body) == "sound" }, withParts(fmt.Sprint("d", i), "dead"), sound)
+		h.crash(fmt.Sprint("c", i), func(run *crashes.BrokenRun) { run.Proven = string(run.Request.Body) == "sound" }, withParts(fmt.Sprint("d", i), "dead"), sound)
 	}
 	h.awaitRefused(withParts("new", "dead"))
 	h.settle()
--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -43,6 +43,7 @@
 	processes []*simProcess
 	engines   []*simEngine
 	deadly    map[string]bool
+	strike    time.Duration          // From the first event of a deadly answer to the crash.
 	arrivals  map[string][]time.Time // Of requests with a deadly part, by part.
 	crashes   map[string][]time.Time // By the part that caused them.
 	refusals  []simRefusal           // Of sound requests.
@@ -71,13 +72,13 @@
 }
 
 type simRun struct {
-	request  Request
-	engine   *simEngine
-	started  int64 // Of the engine.
-	sent     time.Time
-	answered bool
-	trial    bool
-	deadly   string
+	request    Request
+	engine     *simEngine
+	started    int64 // Of the engine.
+	sent       time.Time
+	firstEvent time.Time
+	trial      bool
+	deadly     string
 }
 
 func newSimulation(t *testing.T, processes, engines int) *simulation {
@@ -201,19 +202,22 @@
 	if run.engine.StartedMS != run.started || !run.engine.downUntil.IsZero() {
 		endpoint := run.engine.Endpoint
 		endpoint.StartedMS = run.started
-		p.tracker.RecordBrokenRun(BrokenRun{Request: run.request, Endpoint: endpoint, Answered: run.answered})
+		p.tracker.RecordBrokenRun(BrokenRun{Request: run.request, Endpoint: endpoint, Sent: run.sent, FirstEvent: run.firstEvent})
 		return true
 	}
-	if !run.answered && now.Sub(run.sent) >= simAnswer {
-		if run.deadly != "" && s.deadly[run.deadly] {
-			s.crashes[run.deadly] = append(s.crashes[run.deadly], now)
-			s.crash(run.engine)
-			return s.advance(p, run, now)
-		}
-		run.answered = true
-		p.tracker.RecordAnswer(run.request)
+	if run.firstEvent.IsZero() && now.Sub(run.sent) >= simAnswer {
+		run.firstEvent = now
+	}
+	if run.deadly != "" && s.deadly[run.deadly] && now.Sub(run.sent) >= simAnswer+s.strike {
+		s.crashes[run.deadly] = append(s.crashes[run.deadly], now)
+		s.crash(run.engine)
+		return s.advance(p, run, now)
 	}
-	return now.Sub(run.sent) >= simStream
+	if now.Sub(run.sent) < simStream {
+		return false
+	}
+	p.tracker.RecordAnswer(run.request)
+	return true
 }
 
 func (s *simulation) crash(e *simEngine) {
@@ -300,20 +304,31 @@
 // them too long to learn of it from each other; or sound requests are refused with them.
 func TestFleetRefusesAPartThatCrashesEngines(t *testing.T) {
 	for _, processes := range []int{1, 2, 4, 30, 68, 391} {
-		t.Run(fmt.Sprint(processes), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSimulation(t, processes, 40)
-				s.deadly["dead"] = true
-				s.play(time.Second, soundLoad(100))
-				begin := time.Now()
-				s.play(20*time.Second, soundLoad(100), deadlyLoad("dead", 2))
-				s.requireBounded()
-				s.requireNobodyElseRefused(begin.Add(2 * noticeTime))
-			})
-		})
+		t.Run(fmt.Sprint(processes), func(t *testing.T) { refusesPart(t, processes, 0) })
 	}
 }
 
+// Engines that crash some time after the first event of an answer were never found to: the
+// event cleared the part.
+func TestFleetRefusesAPartThatCrashesEnginesAfterTheFirstEvent(t *testing.T) {
+	for _, strike := range []time.Duration{simStep, 120 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(strike.String(), func(t *testing.T) { refusesPart(t, 4, strike) })
+	}
+}
+
+// refusesPart has a part crash engines a time after the first event of each answer.
+func refusesPart(t *testing.T, processes int, strike time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, processes, 40)
+		s.deadly["dead"], s.strike = true, strike
+		s.play(time.Second, soundLoad(100))
+		begin := time.Now()
+		s.play(20*time.Second, soundLoad(100), deadlyLoad("dead", 2))
+		s.requireBounded()
+		s.requireNobodyElseRefused(begin.Add(2 * noticeTime))
+	})
+}
+
 // Several parts crash engines at the same time, each on its own and together with
 // others, among crashes that have other causes.
 func TestFleetTellsSeveralPartsApart(t *testing.T) {
--- a/gateway/node/crashpart_test.go
+++ b/gateway/node/crashpart_test.go
@@ -128,23 +128,28 @@
 
 // Requests that have nothing in common but one part of their prompts crash each engine
 // that begins to answer them, at all processes, each with another body and last part.
-// They were never recognised, so that engines crashed until the requests ended.
+// They were never recognised, so that engines crashed until the requests ended; those that crash
+// engines after the first event were cleared by it.
 func TestPromptsWithAPartThatCrashesEnginesAreRefused(t *testing.T) {
 	events := sitetest.Events(3, 0)
+	six := []string{"decode", "decode", "decode", "decode", "decode", "decode"}
 	for name, c := range map[string]struct {
-		path      string
-		processes int
-		stages    []string
+		path       string
+		processes  int
+		stages     []string
+		firstEvent time.Duration // Before the crash.
 	}{
-		"read and answered on one engine":          {modelPath, 3, []string{"decode", "decode", "decode", "decode", "decode", "decode"}},
-		"one process":                              {modelPath, 1, []string{"decode", "decode", "decode", "decode"}},
-		"read apart":                               {modelPath, 3, []string{"prefill", "prefill", "decode", "decode", "decode", "decode"}},
-		"streams that may be resumed, tried again": {streamPath, 3, []string{"decode", "decode", "decode", "decode", "decode", "decode"}},
+		"read and answered on one engine":          {modelPath, 3, six, 0},
+		"one process":                              {modelPath, 1, []string{"decode", "decode", "decode", "decode"}, 0},
+		"read apart":                               {modelPath, 3, []string{"prefill", "prefill", "decode", "decode", "decode", "decode"}, 0},
+		"streams that may be resumed, tried again": {streamPath, 3, six, 0},
+		"after the first event":                    {modelPath, 3, six, 20 * time.Millisecond},
+		"after the first event, tried again":       {streamPath, 3, six, 120 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newCrashFleet(t, c.processes)
 			for _, stage := range c.stages {
-				f.addEngine(stage, sitetest.WithPrefill("h", events), "dead")
+				f.addEngine(stage, sitetest.WithPrefill("h", events), "dead").FirstEvent = c.firstEvent
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
--- a/gateway/relay/crashes.go
+++ b/gateway/relay/crashes.go
@@ -21,7 +21,7 @@
 // runProgress is how far a run had come when its connection broke.
 type runProgress struct {
 	prefill    bool // It only had the prompt read.
-	answered   bool // An endpoint had begun the answer.
+	proven     bool // An endpoint has answered so much of it that it is not what crashes endpoints.
 	sent       time.Time
 	firstEvent time.Time // Zero if this endpoint had sent no event.
 }
@@ -30,7 +30,7 @@
 // crashed.
 func (r *Relay) recordBrokenRun(job *Job, endpoint site.Endpoint, progress runProgress) {
 	r.Crashes.RecordBrokenRun(crashes.BrokenRun{
-		RequestID: job.Caller.ID, Request: job.Identity, Endpoint: endpoint, Prefill: progress.prefill, Answered: progress.answered,
+		RequestID: job.Caller.ID, Request: job.Identity, Endpoint: endpoint, Prefill: progress.prefill, Proven: progress.proven,
 		Sent: progress.sent, FirstEvent: progress.firstEvent,
 	})
 }
--- a/gateway/relay/crashes_test.go
+++ b/gateway/relay/crashes_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/blame"
 	"flamingospar.org/gateway/crashes"
 	"flamingospar.org/gateway/relay"
 	"flamingospar.org/platform/site"
@@ -55,6 +56,22 @@
 	return p
 }
 
+// breakAfterPause returns a handler that sends an event, and breaks off after a pause and another one.
+func breakAfterPause(pause time.Duration) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sitetest.Events(1, 0)(w, r)
+		time.Sleep(pause)
+		sitetest.Events(3, 2)(w, resumeAfter(r, "1"))
+	}
+}
+
+// resumeAfter returns the request to go on after an event.
+func resumeAfter(r *http.Request, lastID string) *http.Request {
+	r = r.Clone(r.Context())
+	r.Header.Set(sitetest.HeaderLastEventID, lastID)
+	return r
+}
+
 // A request that had been admitted before its part was known to crash endpoints was sent
 // on to further ones.
 func TestRequestUnderWayIsNotSentOnOnceItsPartIsKnown(t *testing.T) {
@@ -107,15 +124,18 @@
 	}
 }
 
-// An answer that begins clears the parts of its prompt, also one that breaks off later. One
-// that has not begun clears nothing.
-func TestOnlyAnAnswerThatBeginsClearsParts(t *testing.T) {
+// A part whose prompts crash endpoints right after the first event was cleared by that event,
+// so that it was never refused. A whole answer clears parts, and so does one that goes on for
+// blame.ProvenAfter.
+func TestOnlyAnAnswerThatGoesOnClearsParts(t *testing.T) {
 	cases := map[string]struct {
 		answer  func(http.ResponseWriter, *http.Request)
 		cleared bool
 	}{
 		"whole":            {sitetest.Events(3, 0), true},
-		"broken midway":    {sitetest.Events(3, 1), true},
+		"broken midway":    {sitetest.Events(3, 1), false},
+		"broken later":     {breakAfterPause(blame.ProvenAfter), true},
+		"broken earlier":   {breakAfterPause(blame.ProvenAfter / 2), false},
 		"broken before":    {sitetest.TruncatedResponse, false},
 		"refused":          {sitetest.NotRun, false},
 		"failed":           {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, false},
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -76,7 +76,7 @@
 	if events > 0 {
 		f.watch.progress()
 		f.call.recordEvent()
-		s.recordAnswer()
+		s.recordProof(f.call.proves())
 		s.recordEventLeft()
 	}
 	f.gaps.observe(events)
@@ -152,10 +152,11 @@
 	assignment.PrefillDone()
 }
 
-// recordAnswer records that an endpoint has begun the answer.
-func (s *stream) recordAnswer() {
-	if !s.answered {
-		s.answered = true
+// recordProof records once that an endpoint has answered so much that the request is not what
+// crashes endpoints.
+func (s *stream) recordProof(proven bool) {
+	if proven && !s.proven {
+		s.proven = true
 		s.relay.Crashes.RecordAnswer(s.job.Identity)
 	}
 }
@@ -242,6 +243,7 @@
 // finish ends a stream after the endpoint has ended its response.
 func (s *stream) finish(c *streamCall) attemptResult {
 	s.relay.Selector.RecordResult(c.endpoint.ID, engines.RequestSucceeded)
+	s.recordProof(!c.firstEvent.IsZero())
 	s.relay.Crashes.RecordComplete(s.job.Identity)
 	if s.fixVersion(c) != nil {
 		return s.endCallerLeft()
--- a/gateway/relay/stream.go
+++ b/gateway/relay/stream.go
@@ -39,9 +39,9 @@
 	events     eventBuffer
 	headerSent bool // The header, and possibly events, were sent to the caller.
 	runCounted bool // OnRunStart was called.
-	// answered is set once an endpoint has sent an event, here or to a caller that
-	// resumes the stream.
-	answered bool
+	// proven is set once an endpoint has answered for so long, or completely, that the
+	// request is not what crashes endpoints.
+	proven bool
 	// prefillCalls is the number of prefill calls to separate engines.
 	prefillCalls int
 	// prefillFailed reports whether the last attempt ended with a failed prefill call.
@@ -78,7 +78,7 @@
 func (r *Relay) serveStream(ctx context.Context, w http.ResponseWriter, job *Job) Outcome {
 	s := &stream{
 		relay: r, job: job, w: w, flush: http.NewResponseController(w).Flush, prompt: job.prompt(),
-		progress: &progress{excluded: make(map[string]bool)}, answered: job.Caller.LastEventID != "",
+		progress:  &progress{excluded: make(map[string]bool)},
 		overShare: r.Shares.Over(job.shareClass(), job.Team),
 	}
 	s.mu.Lock()
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"flamingospar.org/core/blame"
 	"flamingospar.org/gateway/engines"
 	"flamingospar.org/gateway/transport"
 	"flamingospar.org/platform/site"
@@ -86,9 +87,15 @@
 	}
 }
 
+// proves reports whether the endpoint has been answering for so long that the request does not
+// crash it.
+func (c *streamCall) proves() bool {
+	return !c.firstEvent.IsZero() && time.Since(c.firstEvent) >= blame.ProvenAfter
+}
+
 // runProgress returns how far a call has come.
 func (s *stream) runProgress(c *streamCall) runProgress {
-	return runProgress{answered: s.answered, sent: c.start, firstEvent: c.firstEvent}
+	return runProgress{proven: s.proven || c.proves(), sent: c.start, firstEvent: c.firstEvent}
 }
 
 // begun reports whether the endpoint has begun to answer with a stream.
