--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -1,15 +1,13 @@
-// Package blame finds out which parts of prompts crash endpoints. An endpoint that
-// crashes takes down the runs of many requests, so what runs at one crash proves
-// little. A part is blamed once several crashes have no other explanation: no endpoint
-// has answered a prompt with it in between, and no other part was in more of these
-// crashes.
+// Package blame finds out which requests, and which parts of prompts, crash endpoints. An
+// endpoint that crashes takes down the runs of many requests, so what runs at one crash
+// proves little. A part is blamed once several crashes have no other explanation: no
+// endpoint has answered a prompt with it in between, and no other part was in more of
+// these crashes. A request is blamed for crashes that no part explains.
 //
 // Marks of several processes can be merged in any order and more than once.
 package blame
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"time"
 )
@@ -20,15 +18,26 @@
 	// MinCrashesAnswered the number for a part that was answered a short time ago: a part that everybody sends is then not blamed for what is sent with it.
 	MinCrashes         = 3
 	MinCrashesAnswered = 6
-	// MaxMarks is the maximum number of marks in a Set.
-	MaxMarks = 512
+	// MinRequestCrashes is the number of crashes from which on a request as a whole is
+	// blamed, and MinRequestCrashesAnswered the number for one that was answered a short
+	// time ago.
+	MinRequestCrashes         = 2
+	MinRequestCrashesAnswered = 3
+	// minMomentsAnswered is the number of moments at which endpoints must have crashed
+	// until what was answered a short time ago is blamed: everything that is often sent
+	// runs at many endpoints that crash together.
+	minMomentsAnswered = 2
+	// MaxMarks is the maximum number of marks of parts in a Set, and MaxRequestMarks that
+	// of requests.
+	MaxMarks        = 512
+	MaxRequestMarks = 2048
 	// maxEvidence is the maximum number of crashes and teams that a mark keeps.
 	maxEvidence = 16
 	// maxPartsPerRun bounds the parts of one prompt that are marked at a crash.
 	maxPartsPerRun = 64
 	// maxPartBytes is the length above which a part is known by its hash.
 	maxPartBytes = 64
-	// maxAnswered bounds the parts that are known to have been answered.
+	// maxAnswered bounds the parts and requests that are known to have been answered.
 	maxAnswered = 8192
 )
 
@@ -40,12 +49,15 @@
 	ProvenAfter = 1 * time.Second
 	// Retention is how long a crash counts.
 	Retention = 24 * time.Hour
-	// minRefusal and maxRefusal bound how long a blamed part is refused after the last
+	// minRefusal and maxRefusal bound how long what is blamed is refused after the last
 	// crash. In between it is refusalFactor times the time between the last two crashes,
 	// so that a part whose refusal ended and that crashed again is refused for longer.
-	minRefusal    = 1 * time.Minute
-	maxRefusal    = 24 * time.Hour
-	refusalFactor = 6
+	// requestRefusalFactor is the same for requests as a whole: they may crash three more
+	// endpoints within Retention once three are known.
+	minRefusal           = 1 * time.Minute
+	maxRefusal           = 24 * time.Hour
+	refusalFactor        = 6
+	requestRefusalFactor = 12
 	// trialInterval is the least time between two requests with a part whose refusal has
 	// ended, until an endpoint answers one.
 	trialInterval = 10 * time.Second
@@ -59,30 +71,23 @@
 
 // Run is what an endpoint was running when it crashed, and had not answered for ProvenAfter.
 type Run struct {
-	Team  string
-	Parts []string // Of the prompt; anything else that identifies the request may be among them.
+	Team     string
+	Parts    []string // Of the prompt.
+	Requests []string // Keys of the request as a whole.
 }
 
-// Key returns the name by which a Set knows a part.
-func Key(part string) string {
-	if len(part) <= maxPartBytes {
-		return part
-	}
-	hash := sha256.Sum256([]byte(part))
-	return hex.EncodeToString(hash[:16])
-}
-
-// Evidence is a crash at which a request of a team with the marked part was running.
+// Evidence is a crash at which a request of a team with the marked part, or the marked
+// request, was running.
 type Evidence struct {
 	Crash   Crash
 	Team    string
-	At      time.Time // When this process learned of it, less its age.
+	At      time.Time // Of the crash, as this process or another one noticed it.
 	Cleared bool      // A prompt with the part was answered since.
 }
 
-// Mark is the evidence against one part.
+// Mark is the evidence against one part, or a request as a whole.
 type Mark struct {
-	Part     string
+	Part     string // Its key.
 	Evidence []Evidence
 }
 
@@ -155,24 +160,3 @@
 	}
 	return newest
 }
-
-// answeredParts remembers the parts that were answered last. It holds two
-// generations, so that it forgets the older half at a time.
-type answeredParts struct {
-	current, previous map[string]bool
-}
-
-func (a *answeredParts) add(part string) {
-	if a.current[part] {
-		return
-	}
-	if len(a.current) >= maxAnswered/2 {
-		a.previous, a.current = a.current, nil
-	}
-	if a.current == nil {
-		a.current = make(map[string]bool)
-	}
-	a.current[part] = true
-}
-
-func (a *answeredParts) has(part string) bool { return a.current[part] || a.previous[part] }
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -28,24 +28,41 @@
 
 func parts(text string) []string { return strings.Fields(text) }
 
+// runOf returns a run with the parts that a text names. A word with a colon names a request as a
+// whole: "request:1" or "target:1".
+func runOf(team, text string) blame.Run {
+	run := blame.Run{Team: team}
+	for _, word := range strings.Fields(text) {
+		switch kind, name, _ := strings.Cut(word, ":"); kind {
+		case "request":
+			run.Requests = append(run.Requests, blame.RequestKey(name))
+		case "target":
+			run.Requests = append(run.Requests, blame.TargetKey(name))
+		default:
+			run.Parts = append(run.Parts, word)
+		}
+	}
+	return run
+}
+
 // crash records the crash of another endpoint that was about to answer prompts of a team.
 func (f *fleet) crash(team string, prompts ...string) {
 	var runs []blame.Run
 	for _, prompt := range prompts {
-		runs = append(runs, blame.Run{Team: team, Parts: parts(prompt)})
+		runs = append(runs, runOf(team, prompt))
 	}
 	f.now = f.now.Add(time.Second)
 	f.crashes++
-	f.set.RecordCrash(crashNo(f.crashes), runs, f.now)
+	f.set.RecordCrash(crashNo(f.crashes), runs, f.now, f.now)
 }
 
 func (f *fleet) answer(prompt string) {
 	f.now = f.now.Add(time.Second)
-	f.set.RecordAnswer(parts(prompt), f.now)
+	f.set.RecordAnswer(runOf("a", prompt), f.now)
 }
 
 func (f *fleet) refused(team, prompt string) bool {
-	return f.set.Verdict(team, parts(prompt), f.now).Refused
+	return f.set.Verdict(runOf(team, prompt), f.now).Refused
 }
 
 // Requests beside those that crash endpoints were refused with them: those of the same
@@ -161,11 +178,11 @@
 func TestACrashCountsOnce(t *testing.T) {
 	f := newFleet()
 	for range 5 {
-		f.set.RecordCrash(crashNo(1), []blame.Run{{Team: "a", Parts: parts("p")}, {Team: "b", Parts: parts("p")}}, f.now)
+		f.set.RecordCrash(crashNo(1), []blame.Run{{Team: "a", Parts: parts("p")}, {Team: "b", Parts: parts("p")}}, f.now, f.now)
 	}
-	f.set.RecordCrash(blame.Crash{Endpoint: "e-1", StartedMS: 2}, []blame.Run{{Team: "a", Parts: parts("p")}}, f.now)
+	f.set.RecordCrash(blame.Crash{Endpoint: "e-1", StartedMS: 2}, []blame.Run{{Team: "a", Parts: parts("p")}}, f.now, f.now)
 	require.False(t, f.refused("a", "p"))
-	f.set.RecordCrash(blame.Crash{Endpoint: "e-1", StartedMS: 3}, []blame.Run{{Team: "a", Parts: parts("p")}}, f.now)
+	f.set.RecordCrash(blame.Crash{Endpoint: "e-1", StartedMS: 3}, []blame.Run{{Team: "a", Parts: parts("p")}}, f.now, f.now)
 	require.True(t, f.refused("a", "p"))
 }
 
@@ -177,13 +194,13 @@
 	for range 3 {
 		f.crash("a", "dead")
 	}
-	verdict := f.set.Verdict("a", parts("dead"), f.now)
+	verdict := f.set.Verdict(runOf("a", "dead"), f.now)
 	require.True(t, verdict.Refused)
 	first := verdict.Until.Sub(f.now)
 	trials := 0
 	for f.now.Before(start.Add(12 * time.Hour)) {
 		f.now = f.now.Add(time.Second)
-		if verdict := f.set.Verdict("a", parts("dead"), f.now); verdict.Trial {
+		if verdict := f.set.Verdict(runOf("a", "dead"), f.now); verdict.Trial {
 			require.False(t, verdict.Refused)
 			require.True(t, f.refused("a", "dead"), "one trial at a time")
 			trials++
@@ -192,10 +209,10 @@
 	}
 	require.LessOrEqual(t, trials, 4, "a part that still crashes endpoints is tried less and less often")
 	require.Positive(t, trials)
-	require.Greater(t, f.set.Verdict("a", parts("dead"), f.now).Until.Sub(f.now), first)
+	require.Greater(t, f.set.Verdict(runOf("a", "dead"), f.now).Until.Sub(f.now), first)
 
 	f.now = f.now.Add(24 * time.Hour)
-	require.True(t, f.set.Verdict("a", parts("dead"), f.now).Trial)
+	require.True(t, f.set.Verdict(runOf("a", "dead"), f.now).Trial)
 	f.answer("dead")
 	require.False(t, f.refused("a", "dead"))
 	f.set.RemoveExpired(f.now.Add(blame.Retention))
@@ -209,9 +226,9 @@
 	for range 3 {
 		delayed.crash("a", "dead")
 	}
-	until := delayed.set.Verdict("a", parts("dead"), delayed.now).Until
-	require.True(t, delayed.set.Verdict("a", parts("dead"), until.Add(59*time.Second)).Refused)
-	require.True(t, delayed.set.Verdict("a", parts("dead"), until.Add(time.Minute)).Trial)
+	until := delayed.set.Verdict(runOf("a", "dead"), delayed.now).Until
+	require.True(t, delayed.set.Verdict(runOf("a", "dead"), until.Add(59*time.Second)).Refused)
+	require.True(t, delayed.set.Verdict(runOf("a", "dead"), until.Add(time.Minute)).Trial)
 }
 
 // Marks and messages grew without bound with the prompts of one team.
@@ -233,7 +250,7 @@
 	require.Equal(t, "dead", marks[0].Part)
 	require.Len(t, f.set.ChangedSince(time.Time{}, 10), 10)
 	for i := range 200 {
-		f.set.RecordCrash(crashNo(10_000+i), []blame.Run{{Team: fmt.Sprint(i), Parts: parts("dead")}}, f.now)
+		f.set.RecordCrash(crashNo(10_000+i), []blame.Run{{Team: fmt.Sprint(i), Parts: parts("dead")}}, f.now, f.now)
 	}
 	require.LessOrEqual(t, len(f.set.ChangedSince(time.Time{}, 1)[0].Evidence), 16)
 }
@@ -255,11 +272,11 @@
 			set := sets[rapid.IntRange(0, 2).Draw(t, "process")]
 			prompt := []string{rapid.SampledFrom(names).Draw(t, "part"), rapid.SampledFrom(names).Draw(t, "other")}
 			if rapid.IntRange(0, 5).Draw(t, "answer") == 0 {
-				set.RecordAnswer(prompt, start)
+				set.RecordAnswer(blame.Run{Parts: prompt}, start)
 				continue
 			}
 			crash := crashNo(rapid.IntRange(0, 3).Draw(t, "crash"))
-			set.RecordCrash(crash, []blame.Run{{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Parts: prompt}}, start)
+			set.RecordCrash(crash, []blame.Run{{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Parts: prompt}}, start, start)
 		}
 		for range 2 {
 			for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
--- a/core/blame/set.go
+++ b/core/blame/set.go
@@ -1,37 +1,41 @@
 package blame
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
+
+	"flamingospar.org/core/recent"
 )
 
-// Set holds the marks of parts and decides which requests are refused. It is not safe
-// for concurrent use.
+// Set holds the marks of parts and requests, and decides which requests are refused. It is
+// not safe for concurrent use.
 type Set struct {
 	// TrialDelay returns for how long after the end of a refusal this process still
-	// refuses a part, so that not all processes try it at the same moment. nil means no
-	// delay.
-	TrialDelay func(part string) time.Duration
-
-	marks    map[string]*Mark
-	answered answeredParts
-	changed  map[string]time.Time // Last change of each mark.
-
-	blamed      []blamed // Valid unless stale.
-	stale       bool
-	trialsBegan map[string]time.Time // By the first part of what is blamed.
+	// refuses what is blamed, so that not all processes try it at the same moment. nil
+	// means no delay.
+	TrialDelay func(key string) time.Duration
+
+	marks        map[string]*Mark
+	requestMarks int // Number of the marks that are those of requests.
+	answered     *recent.Set[string]
+	changed      map[string]time.Time // Last change of each mark.
+
+	blamed         []blamed          // Parts; valid unless stale.
+	blamedRequests map[string]blamed // Requests as a whole, by key; valid unless stale.
+	stale          bool
+	trialsBegan    map[string]time.Time // By the key of what is blamed.
 }
 
 // New returns a Set without marks.
 func New() *Set {
-	return &Set{marks: make(map[string]*Mark), changed: make(map[string]time.Time), trialsBegan: make(map[string]time.Time)}
+	return &Set{
+		marks: make(map[string]*Mark), answered: recent.New[string](maxAnswered), changed: make(map[string]time.Time), trialsBegan: make(map[string]time.Time),
+	}
 }
 
-// Mark returns the mark of a part, the zero Mark if there is none.
-func (s *Set) Mark(part string) Mark {
-	if mark, ok := s.marks[Key(part)]; ok {
+// Mark returns the mark with a key, the zero Mark if there is none.
+func (s *Set) Mark(key string) Mark {
+	if mark, ok := s.marks[key]; ok {
 		return mark.clone()
 	}
 	return Mark{}
@@ -40,11 +44,12 @@
 // Empty reports whether there are no marks.
 func (s *Set) Empty() bool { return len(s.marks) == 0 }
 
-// RecordCrash marks the parts of the runs that may have crashed an endpoint.
-func (s *Set) RecordCrash(crash Crash, runs []Run, now time.Time) {
+// RecordCrash marks the parts and requests of the runs that may have crashed an endpoint at a
+// moment. This process learned of it now.
+func (s *Set) RecordCrash(crash Crash, runs []Run, at, now time.Time) {
 	for _, run := range runs {
-		for _, part := range s.suspects(run.Parts) {
-			s.add(part, Evidence{Crash: crash, Team: run.Team, At: now}, now)
+		for _, key := range slices.Concat(s.suspects(run), run.Requests) {
+			s.add(key, Evidence{Crash: crash, Team: run.Team, At: at}, now)
 		}
 	}
 	s.evict()
@@ -52,131 +57,94 @@
 
 // suspects returns the parts of a prompt to mark. If there are too many, those that were
 // answered a short time ago are left out first.
-func (s *Set) suspects(parts []string) []string {
+func (s *Set) suspects(run Run) []string {
 	var suspects, answered []string
-	for _, part := range parts {
-		part = Key(part)
-		if s.answered.has(part) {
-			answered = append(answered, part)
+	for _, key := range run.keys() {
+		if s.answered.Has(key) {
+			answered = append(answered, key)
 			continue
 		}
-		suspects = append(suspects, part)
+		suspects = append(suspects, key)
 	}
 	suspects = append(suspects, answered...)
 	return suspects[:min(len(suspects), maxPartsPerRun)]
 }
 
-// RecordAnswer clears the parts of a prompt that an endpoint has answered completely or for
-// ProvenAfter, and remembers them as answered lately.
-func (s *Set) RecordAnswer(parts []string, now time.Time) {
-	for _, part := range parts {
-		s.answered.add(Key(part))
-		s.Clear(part, now)
+// RecordAnswer clears the parts and the request of a run that an endpoint has answered
+// completely or for ProvenAfter, and remembers them as answered lately.
+func (s *Set) RecordAnswer(run Run, now time.Time) {
+	for _, key := range slices.Concat(run.keys(), run.Requests) {
+		s.answered.Add(key)
+		if mark, ok := s.marks[key]; ok && mark.clear() {
+			s.touch(key, now)
+		}
 	}
 }
 
-// Clear clears the mark of a part.
-func (s *Set) Clear(part string, now time.Time) {
-	part = Key(part)
-	if mark, ok := s.marks[part]; ok && mark.clear() {
-		s.touch(part, now)
+// RememberAnswered notes that requests were answered a short time ago, maybe before what they are
+// marked for.
+func (s *Set) RememberAnswered(keys []string) {
+	for _, key := range keys {
+		s.stale = s.answered.Add(key) || s.stale
 	}
 }
 
 // Merge adds the mark of another process.
 func (s *Set) Merge(mark Mark, now time.Time) {
-	part := Key(mark.Part)
+	key := keyOfMark(mark.Part)
 	for _, evidence := range mark.Evidence[:min(len(mark.Evidence), maxEvidence)] {
 		if now.Sub(evidence.At) < Retention {
-			s.add(part, evidence, now)
+			s.add(key, evidence, now)
 		}
 	}
 	s.evict()
 }
 
-func (s *Set) add(part string, evidence Evidence, now time.Time) {
-	mark, ok := s.marks[part]
+func (s *Set) add(key string, evidence Evidence, now time.Time) {
+	mark, ok := s.marks[key]
 	if !ok {
 		if evidence.Cleared {
-			return // Nothing is known against the part here.
+			return // Nothing is known against it here.
+		}
+		mark = &Mark{Part: key}
+		s.marks[key] = mark
+		if isRequest(key) {
+			s.requestMarks++
 		}
-		mark = &Mark{Part: part}
-		s.marks[part] = mark
 	}
 	if mark.add(evidence) {
-		s.touch(part, now)
-	}
-}
-
-func (s *Set) touch(part string, now time.Time) {
-	s.changed[part] = now
-	s.stale = true
-}
-
-// evict removes the marks above MaxMarks: those with the fewest crashes first, and of
-// these the oldest.
-func (s *Set) evict() {
-	excess := len(s.marks) - MaxMarks
-	if excess <= 0 {
-		return
-	}
-	marks := slices.SortedFunc(maps.Values(s.marks), func(a, b *Mark) int {
-		return cmp.Or(cmp.Compare(len(a.crashes()), len(b.crashes())), a.newest().Compare(b.newest()), cmp.Compare(a.Part, b.Part))
-	})
-	for _, mark := range marks[:excess] {
-		s.remove(mark.Part)
+		s.touch(key, now)
 	}
 }
 
-func (s *Set) remove(part string) {
-	delete(s.marks, part)
-	delete(s.changed, part)
+func (s *Set) touch(key string, now time.Time) {
+	s.changed[key] = now
 	s.stale = true
 }
 
 // RemoveExpired removes evidence older than Retention, and marks without evidence.
 func (s *Set) RemoveExpired(now time.Time) {
 	expired := func(e Evidence) bool { return now.Sub(e.At) >= Retention }
-	for part, mark := range s.marks {
+	for key, mark := range s.marks {
 		before := len(mark.Evidence)
 		mark.Evidence = slices.DeleteFunc(mark.Evidence, expired)
 		s.stale = s.stale || len(mark.Evidence) != before
 		if len(mark.Evidence) == 0 {
-			s.remove(part)
+			s.remove(key)
 		}
 	}
-	for part, began := range s.trialsBegan {
+	for key, began := range s.trialsBegan {
 		if now.Sub(began) >= trialInterval {
-			delete(s.trialsBegan, part)
+			delete(s.trialsBegan, key)
 		}
 	}
 }
 
-// ChangedSince returns the marks that changed at or after a moment, at most limit: those
-// of blamed parts first, then those with the most crashes, then the newest.
-func (s *Set) ChangedSince(since time.Time, limit int) []Mark {
-	isBlamed := make(map[string]bool)
-	for _, part := range slices.Concat(s.Blamed()...) {
-		isBlamed[part] = true
+func (s *Set) remove(key string) {
+	delete(s.marks, key)
+	delete(s.changed, key)
+	if isRequest(key) {
+		s.requestMarks--
 	}
-	var changed []*Mark
-	for part, mark := range s.marks {
-		if !s.changed[part].Before(since) {
-			changed = append(changed, mark)
-		}
-	}
-	slices.SortFunc(changed, func(a, b *Mark) int {
-		if isBlamed[a.Part] != isBlamed[b.Part] {
-			if isBlamed[a.Part] {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(len(b.crashes()), len(a.crashes())), s.changed[b.Part].Compare(s.changed[a.Part]), cmp.Compare(a.Part, b.Part))
-	})
-	var marks []Mark
-	for _, mark := range changed[:min(len(changed), limit)] {
-		marks = append(marks, mark.clone())
-	}
-	return marks
+	s.stale = true
 }
--- a/core/blame/verdict.go
+++ b/core/blame/verdict.go
@@ -9,181 +9,106 @@
 // Verdict says whether a request is refused.
 type Verdict struct {
 	Refused bool
-	// Trial is set for a request that is let through to find out whether its part still
-	// crashes endpoints. It must be sent to one endpoint only.
+	// Trial is set for a request that is let through to find out whether what is blamed
+	// still crashes endpoints. It must be sent to one endpoint only.
 	Trial   bool
-	Parts   []string  // The blamed parts of the request, if there are any.
-	Crashes int       // That count against them.
+	Parts   []string  // The blamed parts of the request; none if it is blamed as a whole.
+	Crashes int       // That count against what is blamed.
 	Until   time.Time // When the refusal ends.
 }
 
 // blamed is a smallest explanation of several crashes: usually one part, or several that
 // no evidence tells apart. Only requests with all of them are refused, so that a part is
-// cleared or blamed alone by the first request that has not got the others.
+// cleared or blamed alone by the first request that has not got the others. A request may
+// be blamed as a whole, without parts.
 type blamed struct {
-	parts   []string
-	crashes int
-	teams   map[string]bool
-	until   time.Time
+	key      string // By which its trials are known.
+	parts    []string
+	requests []string // That no evidence tells apart from the parts: one of them is refused.
+	crashes  int
+	teams    map[string]bool
+	until    time.Time
 }
 
-// Verdict decides about a request of a team with the given parts. A part that only
-// another team's requests have crashed endpoints with is not refused: no team alone can
-// have the requests of others refused.
-func (s *Set) Verdict(team string, parts []string, now time.Time) Verdict {
-	s.update()
-	if len(s.blamed) == 0 {
+// Verdict decides about a request. What only another team's requests have crashed
+// endpoints with is not refused: no team alone can have the requests of others refused.
+func (s *Set) Verdict(run Run, now time.Time) Verdict {
+	applicable := s.applicable(run)
+	if len(applicable) == 0 {
 		return Verdict{}
 	}
-	var keys []string
-	for _, part := range parts {
-		keys = append(keys, Key(part))
+	decisive := applicable[0]
+	for _, b := range applicable {
+		if !s.mayTry(b, now) && (s.mayTry(decisive, now) || b.until.After(decisive.until)) {
+			decisive = b
+		}
 	}
-	for _, b := range s.blamed {
-		if !b.appliesTo(team) || !containsAll(keys, b.parts) {
-			continue
+	verdict := Verdict{Parts: decisive.parts, Crashes: decisive.crashes, Until: decisive.until}
+	verdict.Refused = !s.mayTry(decisive, now)
+	verdict.Trial = !verdict.Refused
+	if verdict.Trial {
+		for _, b := range applicable {
+			s.trialsBegan[b.key] = now
 		}
-		verdict := Verdict{Parts: b.parts, Crashes: b.crashes, Until: b.until}
-		verdict.Trial = s.beginTrial(b, now)
-		verdict.Refused = !verdict.Trial
-		return verdict
 	}
-	return Verdict{}
+	return verdict
+}
+
+// applicable returns what is blamed that a request has.
+func (s *Set) applicable(run Run) []blamed {
+	s.update()
+	var applicable []blamed
+	if len(s.blamed) > 0 {
+		keys := run.keys()
+		for _, b := range s.blamed {
+			if b.appliesTo(run.Team) && containsAll(keys, b.parts) && (len(b.requests) == 0 || containsAny(run.Requests, b.requests)) {
+				applicable = append(applicable, b)
+			}
+		}
+	}
+	for _, key := range run.Requests {
+		if b, ok := s.blamedRequests[key]; ok {
+			applicable = append(applicable, b)
+		}
+	}
+	return applicable
 }
 
 func (b *blamed) appliesTo(team string) bool { return b.teams[team] || len(b.teams) > 1 }
 
-func containsAll(keys, parts []string) bool {
-	for _, part := range parts {
-		if !slices.Contains(keys, part) {
+func containsAll(keys, wanted []string) bool {
+	for _, key := range wanted {
+		if !slices.Contains(keys, key) {
 			return false
 		}
 	}
 	return true
 }
 
-// beginTrial reports whether a request with what is blamed may be let through, and
-// records it if so.
-func (s *Set) beginTrial(b blamed, now time.Time) bool {
-	if now.Before(b.until) || now.Sub(s.trialsBegan[b.parts[0]]) < trialInterval {
-		return false
-	}
-	if s.TrialDelay != nil && now.Before(b.until.Add(s.TrialDelay(b.parts[0]))) {
-		return false
-	}
-	s.trialsBegan[b.parts[0]] = now
-	return true
+func containsAny(keys, wanted []string) bool {
+	return slices.ContainsFunc(wanted, func(key string) bool { return slices.Contains(keys, key) })
 }
 
-// Explained returns the crashes that are explained by what is blamed.
-func (s *Set) Explained() map[Crash]bool {
-	s.update()
-	explained := make(map[Crash]bool)
-	for _, b := range s.blamed {
-		maps.Copy(explained, s.marks[b.parts[0]].crashes())
+// mayTry reports whether a request with what is blamed may be let through.
+func (s *Set) mayTry(b blamed, now time.Time) bool {
+	if now.Before(b.until) || now.Sub(s.trialsBegan[b.key]) < trialInterval {
+		return false
 	}
-	return explained
+	return s.TrialDelay == nil || !now.Before(b.until.Add(s.TrialDelay(b.key)))
 }
 
 // Changed reports whether what is blamed may have changed since it was last asked for.
 func (s *Set) Changed() bool { return s.stale }
 
-// Blamed returns the parts that are blamed. Parts that no evidence tells apart stand
-// together.
+// Blamed returns what is blamed. What no evidence tells apart stands together.
 func (s *Set) Blamed() [][]string {
 	s.update()
-	var parts [][]string
+	var groups [][]string
 	for _, b := range s.blamed {
-		parts = append(parts, b.parts)
-	}
-	return parts
-}
-
-// update explains the crashes by as few parts as possible: it blames the part with the
-// most crashes, takes these as explained, and goes on with the others. Parts that were
-// not answered a short time ago come first.
-func (s *Set) update() {
-	if !s.stale {
-		return
-	}
-	s.stale = false
-	s.blamed = nil
-	unexplained := make(map[string]map[Crash]bool)
-	for part, mark := range s.marks {
-		if crashes := mark.crashes(); len(crashes) >= MinCrashes {
-			unexplained[part] = crashes
-		}
-	}
-	for {
-		parts := s.mostCrashes(unexplained)
-		if len(parts) == 0 {
-			return
-		}
-		s.blamed = append(s.blamed, s.explain(parts))
-		explained := maps.Clone(unexplained[parts[0]])
-		for _, crashes := range unexplained {
-			removeAll(crashes, explained)
-		}
-	}
-}
-
-// mostCrashes returns the part with the most unexplained crashes, and the others that
-// were in the same crashes; nil if no part has enough.
-func (s *Set) mostCrashes(unexplained map[string]map[Crash]bool) []string {
-	best, bestAnswered := "", false
-	for _, part := range slices.Sorted(maps.Keys(unexplained)) {
-		answered := s.answered.has(part)
-		if len(unexplained[part]) < minCrashes(answered) {
-			continue
-		}
-		better := bestAnswered && !answered || bestAnswered == answered && len(unexplained[part]) > len(unexplained[best])
-		if best == "" || better {
-			best, bestAnswered = part, answered
-		}
-	}
-	if best == "" {
-		return nil
-	}
-	parts := []string{best}
-	for _, part := range slices.Sorted(maps.Keys(unexplained)) {
-		if part != best && s.answered.has(part) == bestAnswered && maps.Equal(unexplained[part], unexplained[best]) {
-			parts = append(parts, part)
-		}
-	}
-	return parts
-}
-
-func minCrashes(answered bool) int {
-	if answered {
-		return MinCrashesAnswered
+		groups = append(groups, slices.Concat(b.parts, b.requests))
 	}
-	return MinCrashes
-}
-
-// explain returns what is blamed for the crashes of parts.
-func (s *Set) explain(parts []string) blamed {
-	b := blamed{parts: parts, teams: make(map[string]bool)}
-	mark := s.marks[parts[0]]
-	first := make(map[Crash]time.Time)
-	for _, e := range mark.Evidence {
-		if e.Cleared {
-			continue
-		}
-		b.teams[e.Team] = true
-		if at, ok := first[e.Crash]; !ok || e.At.Before(at) {
-			first[e.Crash] = e.At
-		}
-	}
-	times := slices.SortedFunc(maps.Values(first), time.Time.Compare)
-	b.crashes = len(times)
-	last := times[len(times)-1]
-	gap := last.Sub(times[len(times)-2])
-	b.until = last.Add(min(max(refusalFactor*gap, minRefusal), maxRefusal))
-	return b
-}
-
-func removeAll(crashes, removed map[Crash]bool) {
-	for crash := range removed {
-		delete(crashes, crash)
+	for _, key := range slices.Sorted(maps.Keys(s.blamedRequests)) {
+		groups = append(groups, []string{key})
 	}
+	return groups
 }
--- a/gateway/crashes/backup.go
+++ b/gateway/crashes/backup.go
@@ -16,8 +16,9 @@
 	"flamingospar.org/platform/site"
 )
 
-// TableParts is the table of the store with the marks of blamed parts. Processes learn of
-// them from each other; the table is for the case that all of them end.
+// TableParts is the table of the store with the marks of what is blamed: parts, and requests
+// as a whole. Processes learn of them from each other; the table is for the case that all of
+// them end.
 const TableParts = "crash_parts"
 
 // Times and limits of the backup.
@@ -29,13 +30,13 @@
 	maxBackupWrites = 50
 )
 
-// Store is where blamed parts are kept.
+// Store is where what is blamed is kept.
 type Store interface {
 	Table(ctx context.Context, table string) (site.Page, error)
 	Commit(ctx context.Context, tx site.Tx) (site.Page, error)
 }
 
-// Backup keeps the marks of blamed parts in the store.
+// Backup keeps the marks of what is blamed in the store.
 type Backup struct {
 	store    Store
 	tracker  *Tracker
@@ -114,7 +115,7 @@
 		b.stored[row.Key] = signature(mark)
 		marks = append(marks, mark)
 	}
-	b.tracker.mergeParts(marks, "the store")
+	b.tracker.merge(marks, "the store")
 	return true
 }
 
--- a/gateway/crashes/backup_test.go
+++ b/gateway/crashes/backup_test.go
@@ -21,7 +21,7 @@
 // blameDead lets a tracker learn of crashes by a part.
 func blameDead(t *Tracker) {
 	for i := range int64(3) {
-		t.recordCrash(blame.Crash{Endpoint: "e", StartedMS: i}, []BrokenRun{{Request: Request{Team: "a", Path: "/p", Body: []byte{byte(i)}, Parts: []string{"dead"}}}})
+		t.recordCrash(blame.Crash{Endpoint: "e", StartedMS: i}, []BrokenRun{{Request: Request{Team: "a", Path: "/p", Body: []byte{byte(i)}, Parts: []string{"dead"}}}}, time.Now())
 	}
 }
 
--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -40,6 +40,8 @@
 	// first event; zero if it sent none.
 	Sent       time.Time
 	FirstEvent time.Time
+
+	broke time.Time // When the connection broke.
 }
 
 // Suspect reports whether the endpoint may have crashed since it began to answer the request.
@@ -48,30 +50,43 @@
 // checks are the checks that are under way.
 type checks struct {
 	mu   sync.Mutex
-	runs map[blame.Crash][]BrokenRun
+	runs map[blame.Crash]*brokenRuns
+}
+
+// brokenRuns are the runs that broke at one endpoint.
+type brokenRuns struct {
+	runs  []BrokenRun
+	first time.Time // When the first one broke.
 }
 
-func newChecks() checks { return checks{runs: make(map[blame.Crash][]BrokenRun)} }
+func newChecks() checks { return checks{runs: make(map[blame.Crash]*brokenRuns)} }
 
 // add adds a run to the check of its endpoint. first is set if the check has to be
 // started, and ok is false if nothing more can be kept.
 func (c *checks) add(crashed blame.Crash, run BrokenRun) (first, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	runs, started := c.runs[crashed]
-	switch {
-	case !started && len(c.runs) >= maxChecks:
-		return false, false
-	case len(runs) < maxRunsPerCheck:
-		runs = append(runs, run)
-	case run.Suspect():
-		ok = replaceProven(runs, run)
-		return false, ok
-	default:
-		return false, false
+	broken, started := c.runs[crashed]
+	if !started {
+		if len(c.runs) >= maxChecks {
+			return false, false
+		}
+		broken = &brokenRuns{first: run.broke}
+		c.runs[crashed] = broken
+	}
+	return !started, broken.add(run)
+}
+
+// add adds a run and reports whether there was room.
+func (b *brokenRuns) add(run BrokenRun) bool {
+	if run.broke.Before(b.first) {
+		b.first = run.broke
+	}
+	if len(b.runs) < maxRunsPerCheck {
+		b.runs = append(b.runs, run)
+		return true
 	}
-	c.runs[crashed] = runs
-	return !started, true
+	return run.Suspect() && replaceProven(b.runs, run)
 }
 
 // replaceProven replaces a run that can't have crashed its endpoint.
@@ -86,17 +101,18 @@
 }
 
 // end ends a check and returns its runs.
-func (c *checks) end(crashed blame.Crash) []BrokenRun {
+func (c *checks) end(crashed blame.Crash) *brokenRuns {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	runs := c.runs[crashed]
+	broken := c.runs[crashed]
 	delete(c.runs, crashed)
-	return runs
+	return broken
 }
 
 // RecordBrokenRun queues a run whose connection broke for a check of its endpoint. It
 // never blocks.
 func (t *Tracker) RecordBrokenRun(run BrokenRun) {
+	run.broke = time.Now()
 	if !t.brokenRuns.Offer(run) {
 		t.logUnchecked(run)
 	}
@@ -140,11 +156,11 @@
 		return
 	}
 	refused := t.refuses(ctx, address)
-	runs := t.checks.end(crashed)
+	broken := t.checks.end(crashed)
 	if !refused || !t.expected(crashed) {
 		return
 	}
-	t.recordCrash(crashed, runs)
+	t.recordCrash(crashed, broken.runs, broken.first)
 }
 
 func refusesConnections(ctx context.Context, address string) bool {
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -1,12 +1,14 @@
 // Package crashes recognises requests that crash endpoints, and refuses them before
 // they crash more. It knows them by what they are (team, path and body) and by the parts
 // of their prompts, since requests with one part may crash endpoints whatever else they
-// hold. The entry processes exchange what they know along with the rest of their state.
+// hold; core/blame decides. The entry processes exchange what they know along with the
+// rest of their state.
 package crashes
 
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,7 +17,7 @@
 	"flamingospar.org/base/logging"
 	"flamingospar.org/base/ring"
 	"flamingospar.org/core/blame"
-	"flamingospar.org/core/crash"
+	"flamingospar.org/core/recent"
 	"flamingospar.org/platform/site"
 )
 
@@ -25,6 +27,8 @@
 	maxQueuedRuns = 256
 	// expiryInterval is the time between two removals of what has expired.
 	expiryInterval = 1 * time.Minute
+	// maxAnswered bounds the requests that are remembered as answered a short time ago.
+	maxAnswered = 8192
 	// trialStep is the time that a process leaves the one before it in the ranking to try
 	// whether a part still crashes endpoints. The result reaches other processes within it.
 	trialStep = 3 * time.Second
@@ -32,26 +36,6 @@
 
 var log = logging.For("gateway/crashes")
 
-// Request is what a request is recognised by.
-type Request struct {
-	Team  string
-	Path  string
-	Body  []byte
-	Parts []string // Of its prompt that other requests may share.
-}
-
-// requestPart is the prefix of the name under which a request as a whole stands among
-// the parts of its prompt. If only copies of one request crash endpoints, its parts are
-// not blamed for them.
-const requestPart = "request:"
-
-// parts returns the parts of a request, itself included.
-func (r Request) parts(fingerprint crash.Fingerprint) []string {
-	return append(r.Parts[:len(r.Parts):len(r.Parts)], requestPart+string(fingerprint))
-}
-
-func (r Request) fingerprint() crash.Fingerprint { return crash.FingerprintOf(r.Team, r.Path, r.Body) }
-
 // Fleet is what the tracker needs to know of endpoints and processes.
 type Fleet interface {
 	// Endpoint returns an endpoint that is listed.
@@ -66,128 +50,110 @@
 	brokenRuns *ring.Ring[BrokenRun]
 	hasMarks   atomic.Bool // Avoids fingerprinting requests while there are no marks.
 	checks     checks
+	seed       maphash.Seed
 	// refuses reports whether an address refuses connections.
 	refuses func(ctx context.Context, address string) bool
 
 	mu         sync.Mutex
-	marks      *crash.MarkSet
-	parts      *blame.Set
+	marks      *blame.Set
+	answered   *recent.Set[uint64]    // Hashes of requests that were answered a short time ago.
 	reports    map[string]reportTimes // By VM.
-	forPeers   []crash.Mark           // Marks of requests for other processes, as of forPeersAt.
-	forPeersAt time.Time
-	blamed     map[string]bool // What was blamed at the last change: parts, separated by spaces.
-	explained  map[string]bool // Crashes that parts were blamed for at the last change.
+	blamed     map[string]bool        // What was blamed at the last change: keys, separated by spaces.
 	lineBudget logging.LineBudget
 }
 
 // New returns a tracker that knows of no crash.
 func New(fleet Fleet) *Tracker {
 	t := &Tracker{
-		fleet: fleet, brokenRuns: ring.New[BrokenRun](maxQueuedRuns), checks: newChecks(), refuses: refusesConnections, marks: crash.NewMarkSet(), parts: blame.New(),
-		reports: make(map[string]reportTimes), blamed: make(map[string]bool),
+		fleet: fleet, brokenRuns: ring.New[BrokenRun](maxQueuedRuns), checks: newChecks(), seed: maphash.MakeSeed(), refuses: refusesConnections,
+		marks: blame.New(), answered: recent.New[uint64](maxAnswered), reports: make(map[string]reportTimes), blamed: make(map[string]bool),
 	}
-	t.parts.TrialDelay = func(part string) time.Duration { return time.Duration(fleet.Position(part)) * trialStep }
+	t.marks.TrialDelay = func(key string) time.Duration { return time.Duration(fleet.Position(key)) * trialStep }
 	return t
 }
 
 // Decision says whether a request may run.
 type Decision struct {
 	Refused bool
-	// Trial is set for a request that shows whether its part still crashes endpoints. It
-	// must be sent to one endpoint only.
+	// Trial is set for a request that shows whether it, or a part of its prompt, still
+	// crashes endpoints. It must be sent to one endpoint only.
 	Trial bool
 	// RetryIn is the time after which a refused request may be tried again.
 	RetryIn time.Duration
-	// Part is the part of the prompt that is blamed, if there is one, and Crashes the
-	// number of crashes that count against it.
-	Part    string
-	Crashes int
+	// Part is the part of the prompt that is blamed, empty if the request as a whole is.
+	Part string
 }
 
-// identicalRetryIn is the time after which a request that crashes endpoints by itself may
-// be tried again. It is long because an operator has to intervene first.
-const identicalRetryIn = 60 * time.Second
-
 // Decide decides about a request that has arrived.
 func (t *Tracker) Decide(request Request) Decision {
 	if !t.hasMarks.Load() {
 		return Decision{}
 	}
-	fingerprint := request.fingerprint()
+	run, hashes := request.run(), request.hashes(t.seed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if mark := t.marks.Mark(fingerprint).Without(t.explained); mark.Refused(now) {
-		if ok, omitted := t.lineBudget.Allow("request", maxBlamedLinesPerSec); ok {
-			log.Info("A request is refused: endpoints crashed while they ran it.", "fingerprint", fingerprint, "crashes", mark.Crashes, "lines_omitted", omitted)
-		}
-		return Decision{Refused: true, RetryIn: identicalRetryIn}
-	}
-	verdict := t.parts.Verdict(request.Team, request.parts(fingerprint), now)
-	if len(verdict.Parts) == 0 {
+	t.rememberAnswered(run, hashes)
+	verdict := t.marks.Verdict(run, now)
+	if !verdict.Refused && !verdict.Trial {
 		return Decision{}
 	}
+	decision := Decision{Refused: verdict.Refused, Trial: verdict.Trial, RetryIn: max(verdict.Until.Sub(now), trialStep)}
+	if len(verdict.Parts) > 0 {
+		decision.Part = verdict.Parts[0]
+	}
 	if verdict.Trial {
-		log.Info("A request is let through to find out whether a part of its prompt still crashes endpoints.", "part", verdict.Parts[0], "crashes", verdict.Crashes)
+		log.Info("A request is let through to find out whether it, or a part of its prompt, still crashes endpoints.", "part", decision.Part, "requests", run.Requests, "crashes", verdict.Crashes)
 	}
-	return Decision{Refused: verdict.Refused, Trial: verdict.Trial, RetryIn: max(verdict.Until.Sub(now), trialStep), Part: verdict.Parts[0], Crashes: verdict.Crashes}
+	return decision
 }
 
-// RecordComplete records that an endpoint has answered a request completely, so that the
-// request as a whole crashes no endpoints.
-func (t *Tracker) RecordComplete(request Request) {
-	if !t.hasMarks.Load() {
-		return
-	}
-	fingerprint := request.fingerprint()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if mark := t.marks.Mark(fingerprint); mark.Suspect(now) {
-		t.marks.Merge(mark.Clear(now), now)
+// rememberAnswered notes which keys of a request stand for one that this process has had answered
+// a short time ago. t.mu must be held.
+func (t *Tracker) rememberAnswered(run blame.Run, hashes []uint64) {
+	for i, hash := range hashes {
+		if t.answered.Has(hash) {
+			t.marks.RememberAnswered(run.Requests[i : i+1])
+		}
 	}
 }
 
 // RecordAnswer records that an endpoint has answered a request for blame.ProvenAfter, or
-// completely, so that no part of its prompt crashes endpoints. The first event proves nothing:
-// an endpoint may crash right after it.
+// completely, so that neither it nor a part of its prompt crashes endpoints. The first event
+// proves nothing: an endpoint may crash right after it.
 func (t *Tracker) RecordAnswer(request Request) {
-	hasMarks := t.hasMarks.Load()
-	if len(request.Parts) == 0 && !hasMarks {
-		return
-	}
-	itself := ""
-	if hasMarks {
-		itself = requestPart + string(request.fingerprint())
+	run := blame.Run{Team: request.Team, Parts: request.Parts}
+	if t.hasMarks.Load() {
+		run = request.run()
 	}
+	hashes := request.hashes(t.seed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	t.parts.RecordAnswer(request.Parts, now)
-	t.parts.Clear(itself, now)
+	for _, hash := range hashes {
+		t.answered.Add(hash)
+	}
+	t.marks.RecordAnswer(run, time.Now())
 	t.updateBlamed("an answer")
 }
 
-// recordCrash marks the requests that were running at a crash, and the parts of those
-// that may have caused it.
-func (t *Tracker) recordCrash(crashed blame.Crash, runs []BrokenRun) {
+// recordCrash marks the requests that may have caused a crash, and the parts of their prompts. at
+// is when it was noticed.
+func (t *Tracker) recordCrash(crashed blame.Crash, runs []BrokenRun, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	suspects := make([]blame.Run, 0, len(runs))
-	for _, run := range runs {
-		fingerprint := run.Request.fingerprint()
-		if !run.Prefill {
-			t.marks.Merge(crash.New(fingerprint, run.Request.Team, crashID(crashed), now), now)
-		}
-		if run.Suspect() {
-			suspects = append(suspects, blame.Run{Team: run.Request.Team, Parts: run.Request.parts(fingerprint)})
+	for _, broken := range runs {
+		if broken.Suspect() {
+			run := broken.Request.run()
+			t.rememberAnswered(run, broken.Request.hashes(t.seed))
+			suspects = append(suspects, run)
 		}
 	}
-	t.parts.RecordCrash(crashed, suspects, now)
+	t.marks.RecordCrash(crashed, suspects, at, now)
 	t.hasMarks.Store(true)
 	if ok, omitted := t.lineBudget.Allow("crash", maxCrashLinesPerSec); ok {
-		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "suspects", len(suspects), "requests", describeRuns(runs, now), "lines_omitted", omitted)
+		log.Info("An endpoint crashed.", "endpoint", crashed.Endpoint, "started", crashed.StartedMS, "runs", len(runs), "suspects", len(suspects), "requests", describeRuns(runs, at), "lines_omitted", omitted)
 	}
 	t.updateBlamed("a crash")
 }
@@ -198,9 +164,8 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	t.marks.RemoveExpired(now)
-	t.parts.RemoveExpired(now)
 	t.updateBlamed("their age")
-	t.hasMarks.Store(!t.marks.Empty() || !t.parts.Empty())
+	t.hasMarks.Store(!t.marks.Empty())
 }
 
 // Limits of log lines.
@@ -210,22 +175,18 @@
 	maxLoggedRequests    = 8
 )
 
-// updateBlamed updates what follows from the blamed parts, after a change of their marks,
-// and logs the parts that have become blamed or no longer are. t.mu must be held.
+// updateBlamed logs what has become blamed or no longer is, after a change of the marks. t.mu must
+// be held.
 func (t *Tracker) updateBlamed(cause string) {
-	if !t.parts.Changed() {
+	if !t.marks.Changed() {
 		return
 	}
-	t.explained = make(map[string]bool)
-	for crashed := range t.parts.Explained() {
-		t.explained[crashID(crashed)] = true
-	}
 	blamed := make(map[string]bool)
-	for _, parts := range t.parts.Blamed() {
-		name := strings.Join(parts, " ")
+	for _, keys := range t.marks.Blamed() {
+		name := strings.Join(keys, " ")
 		blamed[name] = true
 		if !t.blamed[name] {
-			t.logChange("Requests with all of these parts are refused: endpoints crash when they begin to answer them.", name, cause, "evidence", t.parts.Mark(parts[0]).Evidence)
+			t.logChange("Requests with all of these parts are refused: endpoints crash when they begin to answer them.", name, cause, "evidence", t.marks.Mark(keys[0]).Evidence)
 		}
 	}
 	for name := range t.blamed {
@@ -242,14 +203,14 @@
 	}
 }
 
-// describeRuns returns for each run the id of its request, how long ago it was sent, and how
-// long ago its endpoint sent the first event, if it did.
-func describeRuns(runs []BrokenRun, now time.Time) []string {
+// describeRuns returns for each run the id of its request, how long before a crash it was sent,
+// and how long before its endpoint sent the first event, if it did.
+func describeRuns(runs []BrokenRun, crashed time.Time) []string {
 	var described []string
 	for _, run := range runs[:min(len(runs), maxLoggedRequests)] {
-		text := fmt.Sprintf("%s sent_ms=%d", run.RequestID, now.Sub(run.Sent).Milliseconds())
+		text := fmt.Sprintf("%s sent_ms=%d", run.RequestID, crashed.Sub(run.Sent).Milliseconds())
 		if !run.FirstEvent.IsZero() {
-			text += fmt.Sprintf(" first_event_ms=%d", now.Sub(run.FirstEvent).Milliseconds())
+			text += fmt.Sprintf(" first_event_ms=%d", crashed.Sub(run.FirstEvent).Milliseconds())
 		}
 		described = append(described, text)
 	}
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -134,7 +134,7 @@
 	require.False(t, h.refused(crashes.Request{Team: "other", Path: "/p", Body: []byte("poison")}))
 
 	peer := crashes.New(h.fleet)
-	peer.Merge(h.tracker.MarksForPeer(), nil)
+	peer.Merge(h.tracker.MarksForPeer("peer"))
 	require.True(t, peer.Decide(request("poison")).Refused)
 }
 
@@ -193,7 +193,6 @@
 		h.crash(fmt.Sprint("c", i), nil, lookup)
 		h.settle()
 		h.tracker.RecordAnswer(lookup)
-		h.tracker.RecordComplete(lookup)
 		require.False(t, h.refused(lookup))
 	}
 }
@@ -207,14 +206,14 @@
 	}
 	h.awaitRefused(withParts("new", "dead"))
 	peer := crashes.New(h.fleet)
-	peer.Merge(nil, h.tracker.PartsForPeer("peer"))
+	peer.Merge(h.tracker.MarksForPeer("peer"))
 	require.True(t, peer.Decide(withParts("x", "dead")).Refused)
 
 	peer.RecordAnswer(withParts("x", "dead"))
 	require.False(t, peer.Decide(withParts("x", "dead")).Refused)
-	h.tracker.Merge(nil, peer.PartsForPeer("vm"))
+	h.tracker.Merge(peer.MarksForPeer("vm"))
 	require.False(t, h.refused(withParts("new", "dead")))
-	peer.Merge(nil, h.tracker.PartsForPeer("peer"))
+	peer.Merge(h.tracker.MarksForPeer("peer"))
 	require.False(t, peer.Decide(withParts("x", "dead")).Refused)
 }
 
@@ -230,9 +229,9 @@
 		h.crash(fmt.Sprint("c", i), nil, append(requests, withParts(fmt.Sprint(i), "dead"))...)
 	}
 	h.awaitRefused(withParts("new", "dead"))
-	report := h.tracker.PartsForPeer("peer")
-	require.Len(t, report, 32)
+	report := h.tracker.MarksForPeer("peer")
+	require.Len(t, report, 2*32, "parts, and requests as a whole")
 	require.Equal(t, "dead", report[0].GetPart())
-	require.Empty(t, h.tracker.PartsForPeer("peer"))
-	require.Len(t, h.tracker.PartsForPeer("another"), 32)
+	require.Empty(t, h.tracker.MarksForPeer("peer"))
+	require.Len(t, h.tracker.MarksForPeer("another"), 2*32)
 }
--- a/gateway/crashes/exchange.go
+++ b/gateway/crashes/exchange.go
@@ -5,57 +5,28 @@
 	"time"
 
 	"flamingospar.org/core/blame"
-	"flamingospar.org/core/crash"
 	wirev1 "flamingospar.org/wire/gen/flamingospar/wire/v1"
 )
 
 // Limits of what is exchanged.
 const (
-	// maxMarksPerExchange bounds the marks of each kind in one message.
+	// maxMarksPerExchange bounds the marks of parts in one message, and those of requests.
 	maxMarksPerExchange = 32
-	// reportInterval is the time between two reports of all marks of parts to a process.
+	// reportInterval is the time between two reports of all marks to a process.
 	// Changes are reported with the next message.
 	reportInterval = 1 * time.Second
-	// marksInterval is the least time between two selections of the marks of requests to
-	// send, which go to all processes.
-	marksInterval = 100 * time.Millisecond
 	// maxReports bounds the processes whose last reports are remembered.
 	maxReports = 1024
 )
 
-// reportTimes is when marks of parts were last reported to a process.
+// reportTimes is when marks were last reported to a process.
 type reportTimes struct {
 	changes time.Time
 	all     time.Time
 }
 
-// MarksForPeer returns the marks of requests to send to another process. Marks of refused
-// requests come first.
-func (t *Tracker) MarksForPeer() []crash.Mark {
-	if !t.hasMarks.Load() {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if now.Sub(t.forPeersAt) < marksInterval {
-		return t.forPeers
-	}
-	var refused, others []crash.Mark
-	for _, mark := range t.marks.All() {
-		if mark.Refused(now) {
-			refused = append(refused, mark)
-			continue
-		}
-		others = append(others, mark)
-	}
-	forPeers := append(refused, others...)
-	t.forPeers, t.forPeersAt = forPeers[:min(len(forPeers), maxMarksPerExchange)], now
-	return t.forPeers
-}
-
-// PartsForPeer returns the marks of parts to report to the process on a VM.
-func (t *Tracker) PartsForPeer(vm string) []*wirev1.PartMark {
+// MarksForPeer returns the marks to report to the process on a VM.
+func (t *Tracker) MarksForPeer(vm string) []*wirev1.PartMark {
 	if !t.hasMarks.Load() {
 		return nil
 	}
@@ -73,50 +44,39 @@
 	}
 	t.reports[vm] = last
 	var encoded []*wirev1.PartMark
-	for _, mark := range t.parts.ChangedSince(since, maxMarksPerExchange) {
+	for _, mark := range t.marks.ChangedSince(since, maxMarksPerExchange) {
 		encoded = append(encoded, encode(mark, now))
 	}
 	return encoded
 }
 
 // Merge adds marks of another process.
-func (t *Tracker) Merge(marks []crash.Mark, parts []*wirev1.PartMark) {
-	if len(marks) == 0 && len(parts) == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Tracker) Merge(marks []*wirev1.PartMark) {
 	now := time.Now()
-	for _, mark := range marks {
-		if t.marks.Merge(mark, now) {
-			t.hasMarks.Store(true)
-		}
+	decoded := make([]blame.Mark, 0, min(len(marks), 2*maxMarksPerExchange))
+	for _, mark := range marks[:min(len(marks), 2*maxMarksPerExchange)] {
+		decoded = append(decoded, decode(mark, now))
 	}
-	for _, part := range parts[:min(len(parts), maxMarksPerExchange)] {
-		t.parts.Merge(decode(part, now), now)
-	}
-	t.partsMerged("another process")
+	t.merge(decoded, "another process")
 }
 
-// mergeParts adds marks of parts from a source.
-func (t *Tracker) mergeParts(marks []blame.Mark, source string) {
+// merge adds marks from a source.
+func (t *Tracker) merge(marks []blame.Mark, source string) {
+	if len(marks) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, mark := range marks {
-		t.parts.Merge(mark, time.Now())
+		t.marks.Merge(mark, time.Now())
 	}
-	t.partsMerged(source)
-}
-
-// partsMerged updates what depends on marks of parts. t.mu must be held.
-func (t *Tracker) partsMerged(source string) {
-	if !t.parts.Empty() {
+	if !t.marks.Empty() {
 		t.hasMarks.Store(true)
 	}
 	t.updateBlamed(source)
 }
 
-// blamedMarks returns the marks of all blamed parts.
+// blamedMarks returns the marks of all that is blamed.
 func (t *Tracker) blamedMarks() []blame.Mark {
 	if !t.hasMarks.Load() {
 		return nil
@@ -124,8 +84,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var marks []blame.Mark
-	for _, part := range slices.Concat(t.parts.Blamed()...) {
-		marks = append(marks, t.parts.Mark(part))
+	for _, key := range slices.Concat(t.marks.Blamed()...) {
+		marks = append(marks, t.marks.Mark(key))
 	}
 	return marks
 }
--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -232,8 +232,8 @@
 		if p.cutOff || other.cutOff || other.frozen || other == p {
 			continue
 		}
-		other.tracker.Merge(p.tracker.MarksForPeer(), p.tracker.PartsForPeer(fmt.Sprint(other.index)))
-		p.tracker.Merge(other.tracker.MarksForPeer(), other.tracker.PartsForPeer(fmt.Sprint(p.index)))
+		other.tracker.Merge(p.tracker.MarksForPeer(fmt.Sprint(other.index)))
+		p.tracker.Merge(other.tracker.MarksForPeer(fmt.Sprint(p.index)))
 	}
 }
 
--- a/gateway/ingress/ingress.go
+++ b/gateway/ingress/ingress.go
@@ -185,13 +185,13 @@
 
 // read reads the body of a request and decides whether endpoints crash on it.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, current *config.Config, job *relay.Job, team site.Team) refusal {
-	path, _, _ := strings.Cut(job.Target, "?")
+	path, query, _ := strings.Cut(job.Target, "?")
 	var refused refusal
 	job.Body, refused = readBody(w, r, current.CallerLimits)
 	if refused.status != 0 {
 		return refused
 	}
-	identity := crashes.Request{Team: team.Name, Path: path, Body: job.Body, Parts: job.Caller.Prompt.SharedParts()}
+	identity := crashes.Request{Team: team.Name, Path: path, Query: query, Body: job.Body, Parts: job.Caller.Prompt.SharedParts()}
 	decision := h.Crashes.Decide(identity)
 	if decision.Refused {
 		return refusal{status: http.StatusServiceUnavailable, reason: "crashes_endpoints", retryIn: decision.RetryIn, part: decision.Part}
--- a/gateway/node/crashpart_test.go
+++ b/gateway/node/crashpart_test.go
@@ -47,9 +47,14 @@
 
 // addEngine adds an engine of the service "model" to the fleet.
 func (f *crashFleet) addEngine(stage string, next func(http.ResponseWriter, *http.Request), deadly ...string) *sitetest.CrashingEngine {
+	return f.addEndpoint("model", stage, next, deadly...)
+}
+
+// addEndpoint adds an endpoint of a service to the fleet. stage is empty for a plain one.
+func (f *crashFleet) addEndpoint(service, stage string, next func(http.ResponseWriter, *http.Request), deadly ...string) *sitetest.CrashingEngine {
 	const downtime = 600 * time.Millisecond
-	e := sitetest.NewCrashingEngine(f.t, fmt.Sprintf("%s-%d", stage, len(f.engines)), downtime, next, deadly...)
-	register := func(start int) { f.store.Put(site.TableEndpoints, e.ID, e.RowAtStart(start, "model", "dc", stage)) }
+	e := sitetest.NewCrashingEngine(f.t, fmt.Sprintf("%s%s-%d", service, stage, len(f.engines)), downtime, next, deadly...)
+	register := func(start int) { f.store.Put(site.TableEndpoints, e.ID, e.RowAtStart(start, service, "dc", stage)) }
 	e.OnStart = register
 	register(1)
 	f.engines = append(f.engines, e)
@@ -59,6 +64,11 @@
 // loadPrompts sends requests with prompts to one process after the other, evenly spaced,
 // until ctx ends. prompt returns the parts before the last one, which is new each time.
 func (f *crashFleet) loadPrompts(ctx context.Context, senders *sync.WaitGroup, path string, perSecond float64, count *servedCount, prompt func(i int) string) {
+	f.load(ctx, senders, perSecond, func(p *entryProcess, i int) { f.callPrompt(p, path, prompt(i), count) })
+}
+
+// load calls one process after the other, evenly spaced, until ctx ends.
+func (f *crashFleet) load(ctx context.Context, senders *sync.WaitGroup, perSecond float64, call func(p *entryProcess, i int)) {
 	senders.Go(func() {
 		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 		defer ticker.Stop()
@@ -68,7 +78,7 @@
 				return
 			case <-ticker.C:
 				process := f.processes[i%len(f.processes)]
-				senders.Go(func() { f.callPrompt(process, path, prompt(i), count) })
+				senders.Go(func() { call(process, i) })
 			}
 		}
 	})
--- a/gateway/node/peers.go
+++ b/gateway/node/peers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"flamingospar.org/core/crash"
 	"flamingospar.org/core/placement"
 	"flamingospar.org/gateway/duties"
 	"flamingospar.org/gateway/engines"
@@ -25,12 +24,7 @@
 	for _, prompt := range n.selector.UnreportedPrompts(peer) {
 		state.Prompts = append(state.Prompts, encodePrompt(prompt))
 	}
-	for _, mark := range n.crashTracker.MarksForPeer() {
-		state.Marks = append(state.Marks, &wirev1.CrashMark{
-			Fingerprint: string(mark.Fingerprint), Team: mark.Team, Crashes: mark.Crashes, ClearedUnixMillis: mark.Cleared,
-		})
-	}
-	state.Parts = n.crashTracker.PartsForPeer(peer)
+	state.Parts = n.crashTracker.MarksForPeer(peer)
 	state.Limits = n.limiter.Report(peer)
 	state.Demands = n.shares.Report(peer)
 	state.Estimates = encodeEstimates(n.selector.EstimatesForPeer(peer))
@@ -112,7 +106,7 @@
 	n.selector.SetPeerLoads(state.GetVm(), loads)
 	n.selector.MarkCached(decodePrompts(state.GetPrompts()))
 	n.selector.MergeEstimates(state.GetVm(), state.GetInstance(), decodeEstimates(state.GetEstimates()))
-	n.crashTracker.Merge(decodeMarks(state.GetMarks()), state.GetParts())
+	n.crashTracker.Merge(state.GetParts())
 	n.limiter.Merge(state.GetVm(), state.GetLimits())
 	n.shares.Merge(state.GetVm(), state.GetDemands())
 	n.versions.MergeInUse(decodeVersions(state.GetVersions()))
@@ -136,16 +130,6 @@
 	return versions
 }
 
-func decodeMarks(encoded []*wirev1.CrashMark) []crash.Mark {
-	marks := make([]crash.Mark, 0, len(encoded))
-	for _, mark := range encoded {
-		marks = append(marks, crash.Mark{
-			Fingerprint: crash.Fingerprint(mark.GetFingerprint()), Team: mark.GetTeam(), Crashes: mark.GetCrashes(), Cleared: mark.GetClearedUnixMillis(),
-		})
-	}
-	return marks
-}
-
 // AddNewer adds what the peer lacks to a reply. While the store does not answer this
 // process, it sends endpoints only to a peer that has none.
 func (n *Node) AddNewer(state *wirev1.PeerState, reply *wirev1.ExchangeStateReply) {
--- a/gateway/relay/crashes_test.go
+++ b/gateway/relay/crashes_test.go
@@ -23,7 +23,7 @@
 	for i := range int64(3) {
 		mark.Evidence = append(mark.Evidence, &wirev1.CrashEvidence{Endpoint: "crashed", StartedUnixMillis: i, Team: "team", AgeMs: uint64(ago.Milliseconds())})
 	}
-	tracker.Merge(nil, []*wirev1.PartMark{mark})
+	tracker.Merge([]*wirev1.PartMark{mark})
 }
 
 // newPartJob returns a stream whose prompt has the part "dead".
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -244,7 +244,6 @@
 func (s *stream) finish(c *streamCall) attemptResult {
 	s.relay.Selector.RecordResult(c.endpoint.ID, engines.RequestSucceeded)
 	s.recordProof(!c.firstEvent.IsZero())
-	s.relay.Crashes.RecordComplete(s.job.Identity)
 	if s.fixVersion(c) != nil {
 		return s.endCallerLeft()
 	}
--- a/gateway/relay/plain.go
+++ b/gateway/relay/plain.go
@@ -289,7 +289,6 @@
 	p.runs++
 	p.MayHaveRun = true
 	p.relay.Crashes.RecordAnswer(p.job.Identity)
-	p.relay.Crashes.RecordComplete(p.job.Identity)
 	p.recordCall(c.endpoint.ID, c.start, resultOfStatus(c.response.Status))
 	if c.response.Status >= http.StatusInternalServerError {
 		p.relay.Selector.RecordResult(c.endpoint.ID, engines.RequestFailed)
