Requests that follow a series of crashes are not blamed for it

Cause: a request counted as having caused each crash at which it ran. A stream that breaks off goes on at the next engine within a ms, and its caller turns to another process, so that it is at two to four of the crashes.

Now crashes within 250 ms count as one against a request that was at half of them or fewer, or if more than four requests were at several of them, since the cause then lies outside. What was sent after the first connection of an endpoint had broken is no evidence. A request that crashes two endpoints alone is refused after these two, as before.

Tests in gateway/crashes waited for the end of all checks with a request at two crashes of one moment; they leave 300 ms between these now.

--- a/core/blame/explain.go
+++ b/core/blame/explain.go
@@ -86,11 +86,15 @@
 
 // suffices reports whether the crashes of a key are enough to blame it beside the parts.
 func (x *explanation) suffices(key string) bool {
-	crashes := x.unexplained[key]
-	if !x.set.answered.Has(key) {
+	crashes, answered := x.unexplained[key], x.set.answered.Has(key)
+	switch {
+	case isRequest(key):
+		return !answered && x.moments.countForRequest(crashes) >= MinCrashes
+	case answered:
+		return len(crashes) >= MinCrashesAnswered && x.moments.count(crashes) >= minMomentsAnswered
+	default:
 		return len(crashes) >= MinCrashes
 	}
-	return !isRequest(key) && len(crashes) >= MinCrashesAnswered && x.moments.count(crashes) >= minMomentsAnswered
 }
 
 // sufficesAlone reports whether the crashes of a request that no part explains are enough to blame
@@ -98,7 +102,7 @@
 func (x *explanation) sufficesAlone(key string) bool {
 	crashes := x.unexplained[key]
 	if !x.set.answered.Has(key) {
-		return len(crashes) >= MinRequestCrashes
+		return x.moments.countForRequest(crashes) >= MinRequestCrashes
 	}
 	return len(crashes) >= MinRequestCrashesAnswered && x.moments.count(crashes) >= minMomentsAnswered
 }
--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -47,6 +47,12 @@
 // Suspect reports whether the endpoint may have crashed since it began to answer the request.
 func (r BrokenRun) Suspect() bool { return !r.Prefill && !r.Proven }
 
+// SuspectAt is Suspect for a crash that was first noticed at a moment: what was sent later came
+// to an endpoint that had crashed already.
+func (r BrokenRun) SuspectAt(crashed time.Time) bool {
+	return r.Suspect() && !r.Sent.After(crashed)
+}
+
 // checks are the checks that are under way.
 type checks struct {
 	mu   sync.Mutex
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -144,7 +144,7 @@
 	now := time.Now()
 	suspects := make([]blame.Run, 0, len(runs))
 	for _, broken := range runs {
-		if broken.Suspect() {
+		if broken.SuspectAt(at) {
 			run := broken.Request.run()
 			t.rememberAnswered(run, broken.Request.hashes(t.seed))
 			suspects = append(suspects, run)
--- a/gateway/crashes/crashes_test.go
+++ b/gateway/crashes/crashes_test.go
@@ -94,12 +94,16 @@
 
 func (h *harness) refused(request crashes.Request) bool { return h.tracker.Decide(request).Refused }
 
+// otherMoment is the time after which a crash can't have the cause of one before.
+const otherMoment = 300 * time.Millisecond
+
 // settle waits until all checks have ended: one that is reported last is checked last.
 func (h *harness) settle() {
 	h.t.Helper()
 	h.settled++
 	last := crashes.Request{Team: "t", Path: fmt.Sprint("/last", h.settled)}
 	h.crash(fmt.Sprint("last-1-", h.settled), nil, last)
+	time.Sleep(otherMoment) // Beside many crashes those of a request count as one.
 	h.crash(fmt.Sprint("last-2-", h.settled), nil, last)
 	h.awaitRefused(last)
 }
@@ -171,6 +175,23 @@
 	require.False(t, h.refused(withParts("p1", "read")))
 }
 
+// A request that was sent to two endpoints that had crashed already was refused as if it had
+// crashed them.
+func TestRunsSentAfterACrashAreNotItsCause(t *testing.T) {
+	h := newHarness(t)
+	late := crashes.Request{Team: "t", Path: "/p", Body: []byte("late")}
+	early := crashes.Request{Team: "t", Path: "/p", Body: []byte("early")}
+	for i := range 2 {
+		id := fmt.Sprint("c", i)
+		h.crash(id, nil, early)
+		sent := time.Now()
+		h.crash(id, func(run *crashes.BrokenRun) { run.Sent = sent }, late)
+	}
+	h.awaitRefused(early)
+	h.settle()
+	require.False(t, h.refused(late))
+}
+
 // A sound request whose endpoint was crashed twice by others was refused as if it had
 // crashed them.
 func TestRequestBesideTheCrashingPartIsNotRefused(t *testing.T) {
--- a/gateway/node/crashtogether_test.go
+++ b/gateway/node/crashtogether_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +96,98 @@
 	t.Logf("%d of %d served afterwards", served, sent)
 	require.GreaterOrEqual(t, float64(served), minSoundShare*float64(sent))
 }
+
+// pacedEvents returns a handler that sends a stream's events with a pause before each.
+func pacedEvents(last int, pause time.Duration) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sitetest.BeginStream(w)
+		from, _ := strconv.Atoi(r.Header.Get(sitetest.HeaderLastEventID)) // 0 for a new stream.
+		for id := from + 1; id <= last; id++ {
+			time.Sleep(pause)
+			fmt.Fprintf(w, "id: %d\ndata: piece\n\n", id)
+			_ = http.NewResponseController(w).Flush() // Test servers support it.
+		}
+	}
+}
+
+// brokenStream is what a caller has of a stream.
+type brokenStream struct {
+	id, body string
+	events   int
+	ended    bool
+}
+
+// send sends the stream, or takes it up after what the caller has, and reports whether it went on.
+func (s *brokenStream) send(f *crashFleet, p *entryProcess, events int) (wentOn bool) {
+	one := harness{t: f.t, vm: p.vm}
+	one.ids.Store(f.ids.Add(1) * 1_000_000)
+	got := one.send(http.MethodPost, streamPath, "key", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(s.body)), int64(len(s.body))
+		r.Header.Set(sitetest.HeaderDeadline, "8000")
+		if s.id == "" {
+			s.id = r.Header.Get(sitetest.HeaderRequestID)
+			return
+		}
+		r.Header.Set(sitetest.HeaderLastEventID, strconv.Itoa(s.events))
+		r.Header.Set(sitetest.HeaderResumes, s.id)
+	})
+	if got.status != http.StatusOK {
+		return false
+	}
+	received := strings.Count(got.body, "\n\n")
+	s.events += received
+	s.ended = s.events >= events
+	return received > 0
+}
+
+// Engines crashed one right after the other, under streams that went from one to the next and broke
+// off there. These were refused when their callers took them up, although all engines were back.
+func TestStreamsAreTakenUpAfterEnginesCrashedInTurn(t *testing.T) {
+	const (
+		streams = 48
+		events  = 30
+		pause   = 60 * time.Millisecond
+		gap     = 5 * time.Millisecond
+		back    = 2 * time.Second // All engines are listed again by then.
+	)
+	f := newCrashFleet(t, 4)
+	for range 4 {
+		f.addEngine("decode", pacedEvents(events, pause))
+	}
+	f.waitUntilAllServe(streamPath)
+	var broken, wentOn, begun atomic.Int64
+	var callers sync.WaitGroup
+	isBack := make(chan struct{})
+	for i := range streams {
+		callers.Go(func() {
+			s := brokenStream{body: fmt.Sprint("stream ", i)}
+			if s.send(f, f.processes[i%4], events); s.ended || s.events == 0 {
+				return
+			}
+			broken.Add(1)
+			if s.send(f, f.processes[(i+1)%4], events) {
+				wentOn.Add(1)
+				return
+			}
+			<-isBack
+			if s.send(f, f.processes[(i+2)%4], events) {
+				wentOn.Add(1)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.crashAll(gap)
+	time.Sleep(back)
+	close(isBack)
+	for i := range streams {
+		callers.Go(func() {
+			if s := (brokenStream{body: fmt.Sprint("new ", i)}); s.send(f, f.processes[i%4], events) {
+				begun.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	t.Logf("%d streams broke off, %d went on; of %d new ones %d began", broken.Load(), wentOn.Load(), streams, begun.Load())
+	require.GreaterOrEqual(t, broken.Load(), int64(streams/2))
+	require.GreaterOrEqual(t, 2*wentOn.Load()*streams, begun.Load()*broken.Load())
+}
