A drawn test holds both promises: containment and service

Requests go on at a second engine and come again.

It also showed by reading: a request that was in three crashes was blamed with and without its query, and so sound ones with another query. Now the name with the query alone is, where it explains as much (test).

--- a/core/blame/explain.go
+++ b/core/blame/explain.go
@@ -121,13 +121,13 @@
 		}
 	}
 	if len(parts) > 0 {
-		b := x.set.explain(parts[0])
+		b := x.set.newBlamed(parts[0])
 		b.parts, b.requests = parts, requests
 		x.set.blamed = append(x.set.blamed, b)
 	} else {
-		x.blameEach(requests)
+		x.blameEach(mostSpecific(requests))
 	}
-	x.explained(crashes)
+	x.remove(crashes)
 }
 
 // blameRequests blames the requests of one kind for what no part explains.
@@ -141,25 +141,40 @@
 		}
 	}
 	x.blameEach(keys)
-	x.explained(explained)
+	x.remove(explained)
 }
 
 // blameEach blames requests, each for itself.
 func (x *explanation) blameEach(requests []string) {
 	for _, key := range requests {
-		x.set.blamedRequests[key] = x.set.explain(key)
+		x.set.blamedRequests[key] = x.set.newBlamed(key)
 	}
 }
 
-// explained removes crashes from those that are not explained.
-func (x *explanation) explained(crashes map[Crash]bool) {
+// mostSpecific returns the requests with their query if there are any: what they have in common
+// without it explains no more.
+func mostSpecific(requests []string) []string {
+	var targets []string
+	for _, key := range requests {
+		if strings.HasPrefix(key, targetPrefix) {
+			targets = append(targets, key)
+		}
+	}
+	if len(targets) > 0 {
+		return targets
+	}
+	return requests
+}
+
+// remove removes crashes from those that are not explained.
+func (x *explanation) remove(crashes map[Crash]bool) {
 	for _, unexplained := range x.unexplained {
 		maps.DeleteFunc(unexplained, func(crash Crash, _ bool) bool { return crashes[crash] })
 	}
 }
 
-// explain returns what is blamed for the crashes of a key.
-func (s *Set) explain(key string) blamed {
+// newBlamed returns what is blamed for the crashes of a key.
+func (s *Set) newBlamed(key string) blamed {
 	b := blamed{key: key, teams: make(map[string]bool)}
 	first := make(map[Crash]time.Time)
 	for _, e := range s.marks[key].Evidence {
--- a/core/blame/request_test.go
+++ b/core/blame/request_test.go
@@ -66,6 +66,11 @@
 			f.crash("a", "request:1 target:1")
 			f.crash("a", "request:1 target:1")
 		}, []string{"request:1 target:1"}, []string{"request:1 target:2", "request:1"}},
+		"the same but for the query, again": {func(f *fleet) {
+			for range 3 {
+				f.crash("a", "request:1 target:1")
+			}
+		}, []string{"request:1 target:1"}, []string{"request:1 target:2", "request:1"}},
 		"another query each time": {func(f *fleet) {
 			f.crash("a", "request:1 target:1")
 			f.crash("a", "request:1 target:2")
--- a/core/blame/selection.go
+++ b/core/blame/selection.go
@@ -33,11 +33,11 @@
 		}
 		parts = append(parts, r)
 	}
-	return slices.Concat(first(parts, limit), first(requests, limit))
+	return slices.Concat(highest(parts, limit), highest(requests, limit))
 }
 
-// first returns the marks that rank first, at most limit.
-func first(marks []ranked, limit int) []Mark {
+// highest returns the marks that rank highest, at most limit.
+func highest(marks []ranked, limit int) []Mark {
 	slices.SortFunc(marks, func(a, b ranked) int {
 		if a.blamed != b.blamed {
 			if a.blamed {
--- a/gateway/crashes/check.go
+++ b/gateway/crashes/check.go
@@ -56,16 +56,16 @@
 // checks are the checks that are under way.
 type checks struct {
 	mu   sync.Mutex
-	runs map[blame.Crash]*brokenRuns
+	runs map[blame.Crash]*crashedRuns
 }
 
-// brokenRuns are the runs that broke at one endpoint.
-type brokenRuns struct {
+// crashedRuns are the runs that broke at one endpoint.
+type crashedRuns struct {
 	runs  []BrokenRun
 	first time.Time // When the first one broke.
 }
 
-func newChecks() checks { return checks{runs: make(map[blame.Crash]*brokenRuns)} }
+func newChecks() checks { return checks{runs: make(map[blame.Crash]*crashedRuns)} }
 
 // add adds a run to the check of its endpoint. first is set if the check has to be
 // started, and ok is false if nothing more can be kept.
@@ -77,14 +77,14 @@
 		if len(c.runs) >= maxChecks {
 			return false, false
 		}
-		broken = &brokenRuns{first: run.broke}
+		broken = &crashedRuns{first: run.broke}
 		c.runs[crashed] = broken
 	}
 	return !started, broken.add(run)
 }
 
 // add adds a run and reports whether there was room.
-func (b *brokenRuns) add(run BrokenRun) bool {
+func (b *crashedRuns) add(run BrokenRun) bool {
 	if run.broke.Before(b.first) {
 		b.first = run.broke
 	}
@@ -107,7 +107,7 @@
 }
 
 // end ends a check and returns its runs.
-func (c *checks) end(crashed blame.Crash) *brokenRuns {
+func (c *checks) end(crashed blame.Crash) *crashedRuns {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	broken := c.runs[crashed]
--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingospar.org/core/blame"
 	"flamingospar.org/platform/site"
 )
 
@@ -47,6 +48,9 @@
 	arrivals  map[string][]time.Time // Of requests with a deadly part, by part.
 	crashes   map[string][]time.Time // By the part that caused them.
 	refusals  []simRefusal           // Of sound requests.
+	sound     []time.Time            // When sound requests arrived.
+	returns   []simReturn            // Sound requests that come again, by time.
+	retries   bool                   // Requests whose engine crashes go on at another one, once.
 	requests  int
 }
 
@@ -55,6 +59,11 @@
 	parts string
 }
 
+type simReturn struct {
+	at      time.Time
+	request Request
+}
+
 type simProcess struct {
 	index     int
 	tracker   *Tracker
@@ -62,6 +71,7 @@
 	runs      []*simRun
 	frozen    bool
 	cutOff    bool
+	restarted time.Time // Zero if it never was.
 	exchanged time.Time
 }
 
@@ -77,7 +87,9 @@
 	started    int64 // Of the engine.
 	sent       time.Time
 	firstEvent time.Time
+	proven     bool
 	trial      bool
+	retried    bool
 	deadly     string
 }
 
@@ -109,6 +121,7 @@
 
 func (s *simulation) restart(p *simProcess) {
 	p.cancel()
+	p.restarted = time.Now()
 	s.start(p)
 }
 
@@ -151,27 +164,61 @@
 			deadly = part
 		}
 	}
+	s.admit(p, request, deadly)
+}
+
+// admit has a process decide about a request, and run it unless it refuses. deadly names what
+// crashes engines in it, if anything does.
+func (s *simulation) admit(p *simProcess, request Request, deadly string) {
+	if deadly == "" {
+		s.sound = append(s.sound, time.Now())
+	}
 	decision := p.tracker.Decide(request)
 	if decision.Refused {
 		if deadly == "" {
-			s.refusals = append(s.refusals, simRefusal{time.Now(), parts})
+			s.refusals = append(s.refusals, simRefusal{time.Now(), strings.Join(request.Parts, " ")})
 		}
 		return
 	}
-	s.run(p, request, deadly, decision.Trial)
+	s.run(p, &simRun{request: request, deadly: deadly, trial: decision.Trial})
 }
 
 // run sends a request to an engine that is up, if there is one.
-func (s *simulation) run(p *simProcess, request Request, deadly string, trial bool) {
+func (s *simulation) run(p *simProcess, run *simRun) {
 	up := slices.DeleteFunc(slices.Clone(s.engines), func(e *simEngine) bool { return time.Now().Before(e.downUntil) })
 	if len(up) == 0 {
 		return
 	}
-	engine := up[s.random.IntN(len(up))]
-	if deadly != "" {
-		s.arrivals[deadly] = append(s.arrivals[deadly], time.Now())
+	run.engine = up[s.random.IntN(len(up))]
+	run.started, run.sent = run.engine.StartedMS, time.Now()
+	// A process counts again from noticeTime after its start on.
+	if run.deadly != "" && (p.restarted.IsZero() || time.Since(p.restarted) > noticeTime) {
+		s.arrivals[run.deadly] = append(s.arrivals[run.deadly], run.sent)
+	}
+	p.runs = append(p.runs, run)
+}
+
+// retry sends a request whose engine has crashed to another one, as a relay does. The caller of a
+// sound one that breaks off there too comes again once engines are back.
+func (s *simulation) retry(p *simProcess, broken *simRun) {
+	if !s.retries {
+		return
+	}
+	if broken.retried || broken.trial || p.tracker.Decide(broken.request).Refused {
+		if broken.deadly == "" {
+			s.returns = append(s.returns, simReturn{time.Now().Add(simDowntime + time.Second), broken.request})
+		}
+		return
+	}
+	s.run(p, &simRun{request: broken.request, deadly: broken.deadly, retried: true})
+}
+
+// sendReturns sends the requests whose callers come again now.
+func (s *simulation) sendReturns() {
+	for len(s.returns) > 0 && !time.Now().Before(s.returns[0].at) {
+		s.admit(s.pick(load{}), s.returns[0].request, "")
+		s.returns = s.returns[1:]
 	}
-	p.runs = append(p.runs, &simRun{request: request, engine: engine, started: engine.StartedMS, sent: time.Now(), trial: trial, deadly: deadly})
 }
 
 // step advances all runs and exchanges.
@@ -189,7 +236,10 @@
 		if p.frozen {
 			continue
 		}
-		p.runs = slices.DeleteFunc(p.runs, func(run *simRun) bool { return s.advance(p, run, now) })
+		runs := p.runs
+		p.runs = nil // Those that begin meanwhile.
+		runs = slices.DeleteFunc(runs, func(run *simRun) bool { return s.advance(p, run, now) })
+		p.runs = append(runs, p.runs...)
 		if now.Sub(p.exchanged) >= simExchange {
 			p.exchanged = now
 			s.exchange(p)
@@ -202,7 +252,8 @@
 	if run.engine.StartedMS != run.started || !run.engine.downUntil.IsZero() {
 		endpoint := run.engine.Endpoint
 		endpoint.StartedMS = run.started
-		p.tracker.RecordBrokenRun(BrokenRun{Request: run.request, Endpoint: endpoint, Sent: run.sent, FirstEvent: run.firstEvent})
+		p.tracker.RecordBrokenRun(BrokenRun{Request: run.request, Endpoint: endpoint, Sent: run.sent, FirstEvent: run.firstEvent, Proven: run.proven})
+		s.retry(p, run)
 		return true
 	}
 	if run.firstEvent.IsZero() && now.Sub(run.sent) >= simAnswer {
@@ -213,11 +264,12 @@
 		s.crash(run.engine)
 		return s.advance(p, run, now)
 	}
-	if now.Sub(run.sent) < simStream {
-		return false
+	ended := now.Sub(run.sent) >= simStream
+	if !run.proven && !run.firstEvent.IsZero() && (ended || now.Sub(run.firstEvent) >= blame.ProvenAfter) {
+		run.proven = true
+		p.tracker.RecordAnswer(run.request)
 	}
-	p.tracker.RecordAnswer(run.request)
-	return true
+	return ended
 }
 
 func (s *simulation) crash(e *simEngine) {
