--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -15,7 +15,8 @@
 // Limits of marks.
 const (
 	// MinCrashes is the number of crashes from which on a part is blamed, and
-	// MinCrashesAnswered the number for a part that was answered a short time ago: a part that everybody sends is then not blamed for what is sent with it.
+	// MinCrashesAnswered the number for a part that was answered a short time ago: a part
+	// that everybody sends is then not blamed for what is sent with it.
 	MinCrashes         = 3
 	MinCrashesAnswered = 6
 	// MinRequestCrashes is the number of crashes from which on a request as a whole is
