A part to which answers were begun is not blamed for one moment

Cause: since a first event is no proof any more, nothing was known in favour of the part by then, and it was in four crashes.

A first event is no proof, but a part to which answers were begun lately now needs crashes of two moments. One that crashes engines after the first event has them at once, unless its requests all come at the same moment.

TestAPartThatWasBegunIsNotBlamedForOneMoment in core/blame.

Drawn fleets now have streams of 3 s too.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -24,10 +24,10 @@
 	// time ago.
 	MinRequestCrashes         = 2
 	MinRequestCrashesAnswered = 3
-	// minMomentsAnswered is the number of moments at which endpoints must have crashed
-	// until what was answered a short time ago is blamed: everything that is often sent
-	// runs at many endpoints that crash together.
-	minMomentsAnswered = 2
+	// minMoments is the number of moments at which endpoints must have crashed until what
+	// they began to answer a short time ago is blamed: everything that is often sent runs at
+	// many endpoints that crash together.
+	minMoments = 2
 	// MaxMarks is the maximum number of marks of parts in a Set, and MaxRequestMarks that
 	// of requests.
 	MaxMarks        = 512
@@ -38,7 +38,8 @@
 	maxPartsPerRun = 64
 	// maxPartBytes is the length above which a part is known by its hash.
 	maxPartBytes = 64
-	// maxAnswered bounds the parts and requests that are known to have been answered.
+	// maxAnswered bounds the parts and requests that are known to have been answered, and
+	// the parts to which answers were begun.
 	maxAnswered = 8192
 )
 
--- a/core/blame/explain.go
+++ b/core/blame/explain.go
@@ -91,7 +91,9 @@
 	case isRequest(key):
 		return !answered && x.moments.countForRequest(crashes) >= MinCrashes
 	case answered:
-		return len(crashes) >= MinCrashesAnswered && x.moments.count(crashes) >= minMomentsAnswered
+		return len(crashes) >= MinCrashesAnswered && x.moments.count(crashes) >= minMoments
+	case x.set.begun.Has(key):
+		return len(crashes) >= MinCrashes && x.moments.count(crashes) >= minMoments
 	default:
 		return len(crashes) >= MinCrashes
 	}
@@ -104,7 +106,7 @@
 	if !x.set.answered.Has(key) {
 		return x.moments.countForRequest(crashes) >= MinRequestCrashes
 	}
-	return len(crashes) >= MinRequestCrashesAnswered && x.moments.count(crashes) >= minMomentsAnswered
+	return len(crashes) >= MinRequestCrashesAnswered && x.moments.count(crashes) >= minMoments
 }
 
 // blame blames a key, together with others that were in the same crashes.
--- a/core/blame/moment_test.go
+++ b/core/blame/moment_test.go
@@ -87,3 +87,14 @@
 	}
 	require.Equal(t, 2, len(f.set.Mark(blame.RequestKey("8")).Evidence))
 }
+
+// Engines crashed together before any prompt with a part had been answered for long, as after the
+// start of all processes: all prompts with it were refused.
+func TestAPartThatWasBegunIsNotBlamedForOneMoment(t *testing.T) {
+	f := newFleet()
+	f.set.RecordBegun(runOf("a", "first"))
+	f.crashTogether("a", []string{"first request:1"}, []string{"first request:2"}, []string{"first request:3"}, []string{"first request:4"})
+	require.False(t, f.refused("a", "first request:5"))
+	f.crash("a", "first request:5")
+	require.True(t, f.refused("a", "first request:6"), "an engine crashes again")
+}
--- a/core/blame/set.go
+++ b/core/blame/set.go
@@ -18,6 +18,7 @@
 	marks        map[string]*Mark
 	requestMarks int // Number of the marks that are those of requests.
 	answered     *recent.Set[string]
+	begun        *recent.Set[string]  // Parts to which answers were begun; no proof, see ProvenAfter.
 	changed      map[string]time.Time // Last change of each mark.
 
 	blamed         []blamed          // Parts; valid unless stale.
@@ -29,7 +30,7 @@
 // New returns a Set without marks.
 func New() *Set {
 	return &Set{
-		marks: make(map[string]*Mark), answered: recent.New[string](maxAnswered), changed: make(map[string]time.Time), trialsBegan: make(map[string]time.Time),
+		marks: make(map[string]*Mark), answered: recent.New[string](maxAnswered), begun: recent.New[string](maxAnswered), changed: make(map[string]time.Time), trialsBegan: make(map[string]time.Time),
 	}
 }
 
@@ -70,6 +71,13 @@
 	return suspects[:min(len(suspects), maxPartsPerRun)]
 }
 
+// RecordBegun remembers that an endpoint has begun to answer a prompt.
+func (s *Set) RecordBegun(run Run) {
+	for _, key := range run.keys() {
+		s.stale = s.begun.Add(key) || s.stale
+	}
+}
+
 // RecordAnswer clears the parts and the request of a run that an endpoint has answered
 // completely or for ProvenAfter, and remembers them as answered lately.
 func (s *Set) RecordAnswer(run Run, now time.Time) {
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// RecordBegun records that an endpoint has begun to answer a request.
+func (t *Tracker) RecordBegun(request Request) {
+	if len(request.Parts) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.marks.RecordBegun(blame.Run{Team: request.Team, Parts: request.Parts})
+	t.updateBlamed("the beginning of an answer")
+}
+
 // RecordAnswer records that an endpoint has answered a request for blame.ProvenAfter, or
 // completely, so that neither it nor a part of its prompt crashes endpoints. The first event
 // proves nothing: an endpoint may crash right after it.
--- a/gateway/crashes/drawn_test.go
+++ b/gateway/crashes/drawn_test.go
@@ -42,6 +42,7 @@
 	strike    time.Duration // From the first event of a deadly answer to the crash.
 	perSecond float64       // Deadly requests, or bursts of them.
 	burst     int           // Deadly requests that come at the same moment.
+	stream    time.Duration // From a request's arrival to the end of its answer.
 	outages   []outage
 	restarts  []time.Duration // Of processes, which forget what they know.
 }
@@ -59,6 +60,7 @@
 		strike:    []time.Duration{0, 20, 120, 500}[random.IntN(4)] * time.Millisecond,
 		perSecond: 0.5 + 2.5*random.Float64(),
 		burst:     []int{1, 1, 1, 3}[random.IntN(4)],
+		stream:    []time.Duration{simStream, 3 * time.Second}[random.IntN(2)],
 	}
 	for range restarts {
 		h.restarts = append(h.restarts, time.Duration(random.Int64N(int64(drawnTime))))
@@ -115,7 +117,7 @@
 
 // playHidden plays a fleet and returns when its last outage was over.
 func (s *simulation) playHidden(h hidden) (calm time.Time) {
-	s.deadly[deadlyName], s.strike, s.retries = true, h.strike, true
+	s.deadly[deadlyName], s.strike, s.stream, s.retries = true, h.strike, h.stream, true
 	begin := time.Now()
 	calm = begin
 	for _, o := range h.outages {
@@ -153,6 +155,19 @@
 // a part, at any time of the answer, is refused as soon as the pages ask; and sound requests beside
 // it, or beside crashes with another cause, are served.
 func TestDrawnFleetsContainWhatCrashesEnginesAndServeTheRest(t *testing.T) {
+	playDrawn(t, func(*hidden) {})
+}
+
+// Engines crash in turn, for up to a second, as soon as the first requests come: nothing has been
+// answered by then that would be known to be sound.
+func TestDrawnFleetsThatCrashAtTheirStart(t *testing.T) {
+	playDrawn(t, func(h *hidden) {
+		h.outages = append(h.outages, outage{share: 0.9, gap: 40 * time.Millisecond})
+	})
+}
+
+// playDrawn plays drawn fleets, with a change to each.
+func playDrawn(t *testing.T, change func(*hidden)) {
 	for seed := range uint64(drawnFleets) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -163,6 +178,7 @@
 					restarts = 0 // Nobody else knows; the store, which does, is not simulated.
 				}
 				h := drawHidden(random, restarts)
+				change(&h)
 				calm := s.playHidden(h)
 				late := s.lateSends(h.kind)
 				t.Logf("%d processes, %d engines, %+v: %d crashes by it, %d late sends, %d of %d sound requests refused", len(s.processes), len(s.engines), h, len(s.crashes[deadlyName]), late, len(s.refusals), len(s.sound))
--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -45,6 +45,7 @@
 	engines   []*simEngine
 	deadly    map[string]bool
 	strike    time.Duration          // From the first event of a deadly answer to the crash.
+	stream    time.Duration          // From a request's arrival to the end of its answer.
 	arrivals  map[string][]time.Time // Of requests with a deadly part, by part.
 	crashes   map[string][]time.Time // By the part that caused them.
 	refusals  []simRefusal           // Of sound requests.
@@ -95,7 +96,7 @@
 
 func newSimulation(t *testing.T, processes, engines int) *simulation {
 	s := &simulation{
-		t: t, ctx: t.Context(), random: rand.New(rand.NewPCG(1, uint64(processes))), deadly: make(map[string]bool),
+		t: t, stream: simStream, ctx: t.Context(), random: rand.New(rand.NewPCG(1, uint64(processes))), deadly: make(map[string]bool),
 		arrivals: make(map[string][]time.Time), crashes: make(map[string][]time.Time),
 	}
 	for i := range engines {
@@ -258,13 +259,14 @@
 	}
 	if run.firstEvent.IsZero() && now.Sub(run.sent) >= simAnswer {
 		run.firstEvent = now
+		p.tracker.RecordBegun(run.request)
 	}
 	if run.deadly != "" && s.deadly[run.deadly] && now.Sub(run.sent) >= simAnswer+s.strike {
 		s.crashes[run.deadly] = append(s.crashes[run.deadly], now)
 		s.crash(run.engine)
 		return s.advance(p, run, now)
 	}
-	ended := now.Sub(run.sent) >= simStream
+	ended := now.Sub(run.sent) >= s.stream
 	if !run.proven && !run.firstEvent.IsZero() && (ended || now.Sub(run.firstEvent) >= blame.ProvenAfter) {
 		run.proven = true
 		p.tracker.RecordAnswer(run.request)
--- a/gateway/node/crashtogether_test.go
+++ b/gateway/node/crashtogether_test.go
@@ -124,6 +124,7 @@
 	got := one.send(http.MethodPost, streamPath, "key", func(r *http.Request) {
 		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(s.body)), int64(len(s.body))
 		r.Header.Set(sitetest.HeaderDeadline, "8000")
+		r.Header.Set(sitetest.HeaderPromptPrefix, "shared:10,own:10") // No answer has been proof for it.
 		if s.id == "" {
 			s.id = r.Header.Get(sitetest.HeaderRequestID)
 			return
@@ -144,7 +145,7 @@
 // off there. These were refused when their callers took them up, although all engines were back.
 func TestStreamsAreTakenUpAfterEnginesCrashedInTurn(t *testing.T) {
 	const (
-		streams = 48
+		streams = 36
 		events  = 30
 		pause   = 60 * time.Millisecond
 		gap     = 5 * time.Millisecond
@@ -189,5 +190,6 @@
 	callers.Wait()
 	t.Logf("%d streams broke off, %d went on; of %d new ones %d began", broken.Load(), wentOn.Load(), streams, begun.Load())
 	require.GreaterOrEqual(t, broken.Load(), int64(streams/2))
+	require.GreaterOrEqual(t, float64(begun.Load()), minSoundShare*streams)
 	require.GreaterOrEqual(t, 2*wentOn.Load()*streams, begun.Load()*broken.Load())
 }
--- a/gateway/relay/forward.go
+++ b/gateway/relay/forward.go
@@ -75,8 +75,7 @@
 	s := f.stream
 	if events > 0 {
 		f.watch.progress()
-		f.call.recordEvent()
-		s.recordProof(f.call.proves())
+		s.recordEvent(f.call)
 		s.recordEventLeft()
 	}
 	f.gaps.observe(events)
--- a/gateway/relay/streamcall.go
+++ b/gateway/relay/streamcall.go
@@ -80,11 +80,14 @@
 // sent reports whether the call may have reached its endpoint.
 func (c *streamCall) sent() bool { return !errors.Is(c.err, transport.ErrNotSent) }
 
-// recordEvent records that the endpoint has sent an event.
-func (c *streamCall) recordEvent() {
+// recordEvent records that the endpoint of a call has sent an event, and what follows about the
+// request if it may be one that crashes endpoints.
+func (s *stream) recordEvent(c *streamCall) {
 	if c.firstEvent.IsZero() {
 		c.firstEvent = time.Now()
+		s.relay.Crashes.RecordBegun(s.job.Identity)
 	}
+	s.recordProof(c.proves())
 }
 
 // proves reports whether the endpoint has been answering for so long that the request does not
