--- a/gateway/crashes/fleet_test.go
+++ b/gateway/crashes/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,7 @@
 	sound     []time.Time            // When sound requests arrived.
 	returns   []simReturn            // Sound requests that come again, by time.
 	retries   bool                   // Requests whose engine crashes go on at another one, once.
+	mu        sync.Mutex             // Guards changes of engines from the checks of trackers.
 	requests  int
 }
 
@@ -127,6 +129,8 @@
 }
 
 func (s *simulation) refuses(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, e := range s.engines {
 		if e.Address == address {
 			return time.Now().Before(e.downUntil)
@@ -142,6 +146,8 @@
 }
 
 func (f simFleet) Endpoint(id string) (site.Endpoint, bool) {
+	f.sim.mu.Lock()
+	defer f.sim.mu.Unlock()
 	for _, e := range f.sim.engines {
 		if e.ID == id {
 			return e.Endpoint, true
@@ -227,12 +233,7 @@
 	time.Sleep(simStep)
 	synctest.Wait()
 	now := time.Now()
-	for _, e := range s.engines {
-		if !e.downUntil.IsZero() && !now.Before(e.downUntil) {
-			e.downUntil = time.Time{}
-			e.StartedMS++
-		}
-	}
+	s.startAgain(now)
 	for _, p := range s.processes {
 		if p.frozen {
 			continue
@@ -248,6 +249,18 @@
 	}
 }
 
+// startAgain starts the engines whose downtime is over.
+func (s *simulation) startAgain(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if !e.downUntil.IsZero() && !now.Before(e.downUntil) {
+			e.downUntil = time.Time{}
+			e.StartedMS++
+		}
+	}
+}
+
 // advance advances one run and reports whether it has ended.
 func (s *simulation) advance(p *simProcess, run *simRun, now time.Time) bool {
 	if run.engine.StartedMS != run.started || !run.engine.downUntil.IsZero() {
@@ -275,6 +288,8 @@
 }
 
 func (s *simulation) crash(e *simEngine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	e.downUntil = time.Now().Add(simDowntime)
 }
 
