The first event of a trial does not let a part through

Cause: a part to which answers were begun needs crashes of two moments, and the beginning counted also after the crashes. So the first event of a trial let a part through that crashes engines after that event.

A beginning counts now only while no crash counts against the part. The test passes as it was; TestAPartIsNotServedAgainForTheBeginningOfAnAnswer holds the same in core/.

--- a/core/blame/moment_test.go
+++ b/core/blame/moment_test.go
@@ -98,3 +98,12 @@
 	f.crash("a", "first request:5")
 	require.True(t, f.refused("a", "first request:6"), "an engine crashes again")
 }
+
+// The first event of a trial let a part through that crashes engines after it.
+func TestAPartIsNotServedAgainForTheBeginningOfAnAnswer(t *testing.T) {
+	f := newFleet()
+	f.crashTogether("a", []string{"dead request:1"}, []string{"dead request:2"}, []string{"dead request:3"})
+	require.True(t, f.refused("a", "dead"))
+	f.set.RecordBegun(runOf("a", "dead"))
+	require.True(t, f.refused("a", "dead"))
+}
--- a/core/blame/set.go
+++ b/core/blame/set.go
@@ -71,10 +71,14 @@
 	return suspects[:min(len(suspects), maxPartsPerRun)]
 }
 
-// RecordBegun remembers that an endpoint has begun to answer a prompt.
+// RecordBegun remembers that an endpoint has begun to answer a prompt. What crashes count
+// against already gets nothing from it: an endpoint may crash after the first event.
 func (s *Set) RecordBegun(run Run) {
 	for _, key := range run.keys() {
-		s.stale = s.begun.Add(key) || s.stale
+		if mark, ok := s.marks[key]; ok && len(mark.crashes()) > 0 {
+			continue
+		}
+		s.begun.Add(key)
 	}
 }
 
--- a/gateway/crashes/crashes.go
+++ b/gateway/crashes/crashes.go
@@ -126,7 +126,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.marks.RecordBegun(blame.Run{Team: request.Team, Parts: request.Parts})
-	t.updateBlamed("the beginning of an answer")
 }
 
 // RecordAnswer records that an endpoint has answered a request for blame.ProvenAfter, or
